Fix what hosts tell one another and where it is read

Cause: limits, quarantine and peers grow side by side and need one shape. Conclusion: the three parts can be built apart.

--- a/include/gooseberrylift/internal/gooseberrylift-blackboard.h
+++ b/include/gooseberrylift/internal/gooseberrylift-blackboard.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "gooseberrylift/gooseberrylift-config.h"
+#include "gooseberrylift/gooseberrylift-digest.h"
 #include "gooseberrylift/gooseberrylift-endpoint.h"
 
 namespace gooseberrylift {
@@ -85,12 +86,33 @@
   bool draining_ = false;
 };
 
+// Written by PeerExchange: the latest digest of every other live host.
+struct PeersState
+{
+  std::vector<Digest> digests_;
+};
+
+// Written by the quarantine controller: this host's own and learnt entries.
+struct QuarantineState
+{
+  std::vector<QuarantineEntry> entries_;
+};
+
+// Written by PoolBroker: what teams ask of this host.
+struct DemandState
+{
+  std::vector<TeamDemand> demand_;
+};
+
 struct Blackboard
 {
   BlackboardSection<ConfigurationState> configuration_;
   BlackboardSection<StoreState> store_;
   BlackboardSection<EndpointsState> endpoints_;
   BlackboardSection<HostState> host_;
+  BlackboardSection<PeersState> peers_;
+  BlackboardSection<QuarantineState> quarantine_;
+  BlackboardSection<DemandState> demand_;
 };
 
 } // namespace gooseberrylift
