Put a fault-injecting proxy between hosts and what they call

Failures of the network could so far be provoked only inside the fakes, which hides what a half-sent request or a lost answer does to the host. The new fake kind 'proxy' stands before one target, reads a JSON script of rules with fixed seeds and, for each message of each connection, delays, cuts after n bytes, drops, swallows, truncates, refuses, crosses two answers, repeats the last answer or loses the answer of a request that went through. A control port changes the script while it runs. The harness gains Proxy and, with Options::proxied_, puts one before each endpoint and before the store.

--- a/fakes/gooseberrylift-fake.h
+++ b/fakes/gooseberrylift-fake.h
@@ -38,6 +38,7 @@
 int RunFakeService(const json& aSettings);
 int RunFakeStore(const json& aSettings);
 int RunFakeHosts(const json& aSettings);
+int RunFakeProxy(const json& aSettings);
 
 } // namespace gooseberrylift::fakes
 
--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -152,6 +152,37 @@
                   : json();
 }
 
+namespace {
+
+json ProxySettings(const std::string& aTarget, json aSettings)
+{
+  aSettings["target"] = aTarget;
+  return aSettings;
+}
+
+} // namespace
+
+Proxy::Proxy(const std::string& aTarget, json aSettings)
+  : fake_("proxy", ProxySettings(aTarget, std::move(aSettings)))
+  , port_(fake_.Stats().value("port", std::uint16_t{ 0 }))
+{
+}
+
+void Proxy::Script(const json& aRules)
+{
+  fake_.Control({ { "rules", aRules } });
+}
+
+void Proxy::ResetAll()
+{
+  fake_.Control({ { "reset_all", true } });
+}
+
+int Proxy::Hits(const std::string& aFault)
+{
+  return fake_.Stats().value("/hits"_json_pointer / aFault, 0);
+}
+
 Host::Host(const json& aSettings)
   : process_(std::make_unique<Process>(
       PRODUCT_BINARY,
@@ -212,16 +243,19 @@
   };
   store.merge_patch(options_.store_);
   store_ = std::make_unique<Fake>("store", store);
+  storeProxy_ = MakeProxy(*store_);
   for (int index = 0; index < options_.engines_; ++index) {
     json engine = { { "name", "engine-" + std::to_string(index) },
                     { "prefill_linear_us", 1.0 },
                     { "decode_us", 1000 } };
     engine.merge_patch(options_.engine_);
     engines_.push_back(std::make_unique<Fake>("engine", engine));
+    engineProxies_.push_back(MakeProxy(*engines_.back()));
   }
   for (int index = 0; index < options_.services_; ++index) {
     const json service = { { "name", "board-" + std::to_string(index) } };
     services_.push_back(std::make_unique<Fake>("service", service));
+    serviceProxies_.push_back(MakeProxy(*services_.back()));
   }
   const json list = { { "hosts", HostList() } };
   list_ = std::make_unique<Fake>("hosts", list);
@@ -233,12 +267,21 @@
   }
 }
 
+std::unique_ptr<Proxy> Deployment::MakeProxy(const Fake& aTarget)
+{
+  return options_.proxied_
+           ? std::make_unique<Proxy>(aTarget.Address(), options_.proxy_)
+           : nullptr;
+}
+
 Host& Deployment::AddHost()
 {
+  const std::string store =
+    storeProxy_ ? storeProxy_->Address() : store_->Address();
   const std::string name = "entry-" + std::to_string(hosts_.size());
   json settings = { { "host", { { "name", name }, { "zone", "zone-a" } } },
                     { "caller", { { "port", 0 } } },
-                    { "store", { { "addresses", { store_->Address() } } } },
+                    { "store", { { "addresses", { store } } } },
                     { "host_list",
                       { { "address", list_->Address() }, { "poll_ms", 200 } } },
                     { "load_poll_ms", 100 },
@@ -253,21 +296,30 @@
   json hosts = json::array();
   const auto add = [&hosts](const std::string& aName,
                             const Fake& aFake,
+                            const std::unique_ptr<Proxy>& aProxy,
                             const char* aPool,
                             const char* aKind) {
-    hosts.push_back({ { "name", aName },
-                      { "address", aFake.Address() },
-                      { "pool", aPool },
-                      { "zone", "zone-a" },
-                      { "kind", aKind },
-                      { "incarnation", 1 } });
+    hosts.push_back(
+      { { "name", aName },
+        { "address", aProxy ? aProxy->Address() : aFake.Address() },
+        { "pool", aPool },
+        { "zone", "zone-a" },
+        { "kind", aKind },
+        { "incarnation", 1 } });
   };
   for (std::size_t index = 0; index < engines_.size(); ++index) {
-    add("engine-" + std::to_string(index), *engines_[index], "llm", "engine");
+    add("engine-" + std::to_string(index),
+        *engines_[index],
+        engineProxies_[index],
+        "llm",
+        "engine");
   }
   for (std::size_t index = 0; index < services_.size(); ++index) {
-    add(
-      "board-" + std::to_string(index), *services_[index], "board", "service");
+    add("board-" + std::to_string(index),
+        *services_[index],
+        serviceProxies_[index],
+        "board",
+        "service");
   }
   return hosts;
 }
--- a/test/integration/harness.h
+++ b/test/integration/harness.h
@@ -79,6 +79,36 @@
   std::uint16_t port_ = 0;
 };
 
+// A fault-injecting proxy before a target. The script's format stands in
+// fakes/gooseberrylift-fake-proxy-script.h:
+//
+//   proxy.Script({ { { "fault", "cut" }, { "match", "POST /v1" } } });
+class Proxy
+{
+public:
+  Proxy(const std::string& aTarget, json aSettings);
+
+  /// Gives the address that the proxy listens on for its target.
+  std::string Address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::uint16_t Port() const { return port_; }
+
+  /// Replaces the script; an empty array ends all faults.
+  void Script(const json& aRules);
+
+  /// Resets every open connection.
+  void ResetAll();
+
+  /// Gives how often a fault was applied.
+  int Hits(const std::string& aFault);
+
+  json Stats() { return fake_.Stats(); }
+  Process& Handle() { return fake_.Handle(); }
+
+private:
+  Fake fake_;
+  std::uint16_t port_ = 0;
+};
+
 // An entry host on free ports.
 class Host
 {
@@ -116,6 +146,8 @@
     json store_ = json::object();  // merged into the store's settings
     json host_ = json::object();   // merged into each host's settings
     json config_ = json::object(); // merged into the configuration
+    bool proxied_ = false;         // a proxy before each endpoint and the store
+    json proxy_ = json::object();  // merged into each proxy's settings
   };
 
   explicit Deployment(Options aOptions);
@@ -131,14 +163,28 @@
   Fake& Engine(std::size_t aIndex) { return *engines_.at(aIndex); }
   Fake& Service(std::size_t aIndex) { return *services_.at(aIndex); }
   Host& At(std::size_t aIndex) { return *hosts_.at(aIndex); }
+
+  /// Gives a proxy; only with Options::proxied_.
+  Proxy& EngineProxy(std::size_t aIndex) { return *engineProxies_.at(aIndex); }
+  Proxy& ServiceProxy(std::size_t aIndex)
+  {
+    return *serviceProxies_.at(aIndex);
+  }
+  Proxy& StoreProxy() { return *storeProxy_; }
+
   std::size_t Hosts() const { return hosts_.size(); }
 
 private:
+  std::unique_ptr<Proxy> MakeProxy(const Fake& aTarget);
+
   Options options_;
   std::unique_ptr<Fake> store_;
   std::unique_ptr<Fake> list_;
   std::vector<std::unique_ptr<Fake>> engines_;
   std::vector<std::unique_ptr<Fake>> services_;
+  std::unique_ptr<Proxy> storeProxy_;
+  std::vector<std::unique_ptr<Proxy>> engineProxies_;
+  std::vector<std::unique_ptr<Proxy>> serviceProxies_;
   std::vector<std::unique_ptr<Host>> hosts_;
 };
 
