Take an answer only when it echoes its request

A soak of 4800 tagged calls through the proxies, gave 21 wrong answers of 4637: plain calls accepted any answer without X-Request-Id, so a load report crossed onto a call's connection reached the caller as its own; and a crossed refusal with X-Not-Run would have made the host repeat a call that was running, or tell its caller 'not run'.

Plain calls now need the echo, and 'not run' and 'leaving' are believed only from an answer that echoes the request. An answer whose body only the close ends gets code 131 in place of a short success. The fakes echo the identifier in refusals too.

--- a/fakes/gooseberrylift-fake-engine.cc
+++ b/fakes/gooseberrylift-fake-engine.cc
@@ -135,11 +135,15 @@
       aBody.value("slowdown", batch_.MutableOptions().slowdown_);
   }
 
-  HttpResponse Refusal(int aStatus, const char* aReason) const
+  HttpResponse Refusal(const HttpRequest& aRequest,
+                       int aStatus,
+                       const char* aReason) const
   {
     const json body = { { "error", aReason } };
     HttpResponse response = JsonResponse(aStatus, body.dump());
     response.fields_.push_back({ "X-Not-Run", "true" });
+    response.fields_.push_back(
+      { "X-Request-Id", std::string(aRequest.Field("X-Request-Id")) });
     if (leaving_) {
       response.fields_.push_back({ "X-Endpoint-State", "leaving" });
     }
@@ -158,11 +162,12 @@
     const std::uint64_t tokens = CountTokens(prompt) + resume;
     const std::uint64_t need = CountTokens(prompt) + limit;
     if (leaving_) {
-      co_await aExchange.Send(Refusal(503, "leaving"));
+      co_await aExchange.Send(Refusal(aExchange.Request(), 503, "leaving"));
       co_return;
     }
     if (!batch_.Fits(need)) {
-      co_await aExchange.Send(Refusal(507, "prompt exceeds KV memory"));
+      co_await aExchange.Send(
+        Refusal(aExchange.Request(), 507, "prompt exceeds KV memory"));
       co_return;
     }
     ++started_;
--- a/fakes/gooseberrylift-fake-service.cc
+++ b/fakes/gooseberrylift-fake-service.cc
@@ -43,6 +43,9 @@
       HttpResponse refusal{ .status_ = 503 };
       refusal.fields_.push_back({ "X-Endpoint-State", "leaving" });
       refusal.fields_.push_back({ "X-Not-Run", "true" });
+      refusal.fields_.push_back(
+        { "X-Request-Id",
+          std::string(aExchange.Request().Field("X-Request-Id")) });
       co_await aExchange.Send(std::move(refusal));
     } else {
       co_await Run(aExchange);
--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -55,6 +55,7 @@
   kEndpointRefused = 128,
   kEndpointCrossed = 129,
   kStreamCut = 130,
+  kAnswerEndUnknown = 131,
 };
 
 // Whether any endpoint may have begun the work of a request. kNo is said only
--- a/include/gooseberrylift/internal/gooseberrylift-http.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http.h
@@ -65,6 +65,11 @@
   }
 };
 
+/// Says whether an answer belongs to a request: endpoints echo X-Request-Id.
+/// An answer without the echo is nobody's, since a late or crossed one, such as
+/// a load report's, looks just like it.
+bool IsAnswerTo(const HttpResponse& aHead, std::string_view aRequestId);
+
 // gcc 12 destroys a temporary aggregate twice when it stands inside a co_await
 // expression. Coroutines therefore make messages through these functions or in
 // a named variable, never with braces among the arguments.
--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -144,6 +144,11 @@
               "stream-cut",
               502,
               "The stream ended before its end marker." },
+  ResultInfo{ kAnswerEndUnknown,
+              "answer-end-unknown",
+              502,
+              "The endpoint's answer has neither a length nor chunks, so that "
+              "a cut one would look whole; it is not passed on." },
 };
 
 static_assert(std::is_sorted(kResults.begin(),
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -162,6 +162,11 @@
                                       HttpCall& aCall,
                                       const std::string& aRequestId)
 {
+  // A body that only the close ends looks whole wherever it was cut.
+  if (!aCall.EndIsCertain()) {
+    co_return Error{ .code_ = ResultCode::kAnswerEndUnknown,
+                     .ran_ = RanState::kYes };
+  }
   HttpResponse head{ .status_ = aCall.Head().status_,
                      .fields_ = WithoutOwnFields(aCall.Head().fields_) };
   head.fields_.push_back({ "X-Request-Id", aRequestId });
--- a/src/net/gooseberrylift-http.cc
+++ b/src/net/gooseberrylift-http.cc
@@ -52,6 +52,11 @@
   return {};
 }
 
+bool IsAnswerTo(const HttpResponse& aHead, std::string_view aRequestId)
+{
+  return aHead.Field("X-Request-Id") == aRequestId;
+}
+
 HttpRequest MakeRequest(std::string aTarget)
 {
   return { .target_ = std::move(aTarget) };
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -77,13 +77,16 @@
 }
 
 // What an engine's status means. A 4xx is the caller's fault or a true "not
-// run"; either way another engine is tried only for the second.
-std::optional<Error> FaultOfHead(const HttpResponse& aHead)
+// run"; either way another engine is tried only for the second. A refusal that
+// does not echo the request may be another's, and proves nothing.
+std::optional<Error> FaultOfHead(const HttpResponse& aHead,
+                                 std::string_view aRequestId)
 {
   if (aHead.status_ == 200) {
     return std::nullopt;
   }
-  const bool notRun = aHead.Field("X-Not-Run") == "true";
+  const bool notRun =
+    aHead.Field("X-Not-Run") == "true" && IsAnswerTo(aHead, aRequestId);
   return Error{ .code_ = notRun ? ResultCode::kEndpointRefused
                                 : ResultCode::kEndpointBroken,
                 .text_ = "the engine answered " + std::to_string(aHead.status_),
@@ -190,11 +193,14 @@
     co_return call.error();
   }
   const HttpResponse& head = call.value()->Head();
-  if (head.Field("X-Endpoint-State") == "leaving") {
+  if (head.Field("X-Endpoint-State") == "leaving" &&
+      IsAnswerTo(head, aGeneration.requestId_)) {
     tracker_.ReportLeaving(aPlacement.Endpoint().name_);
   }
-  if (auto fault = FaultOfHead(head)) {
-    cancel.Disarm();
+  if (auto fault = FaultOfHead(head, aGeneration.requestId_)) {
+    if (fault->ran_ == RanState::kNo) {
+      cancel.Disarm();
+    }
     co_return std::move(*fault);
   }
   const auto read = co_await ReadStream(
--- a/src/runtime/gooseberrylift-service-runner.cc
+++ b/src/runtime/gooseberrylift-service-runner.cc
@@ -80,17 +80,18 @@
     co_return call.error();
   }
   const HttpResponse& head = call.value()->Head();
+  // Looked at before anything the answer says: a crossed refusal must not prove
+  // that this call did not run, or a repeat of it would run twice.
+  if (!IsAnswerTo(head, aCall.requestId_)) {
+    co_return Error{ .code_ = ResultCode::kEndpointCrossed,
+                     .ran_ = RanState::kUnknown };
+  }
   if (head.Field("X-Endpoint-State") == "leaving") {
     tracker_.ReportLeaving(aEndpoint.name_);
   }
   if (head.status_ == 503 && head.Field("X-Not-Run") == "true") {
     co_return Error{ .code_ = ResultCode::kEndpointRefused };
   }
-  const std::string_view echo = head.Field("X-Request-Id");
-  if (!echo.empty() && echo != aCall.requestId_) {
-    co_return Error{ .code_ = ResultCode::kEndpointCrossed,
-                     .ran_ = RanState::kUnknown };
-  }
   co_return std::move(call.value());
 }
 
