Answer what callers do wrong, slowly or halfway with a code

Four gaps came up when a raw caller tried each kind of bad input: a body that ended too soon and a caller that closed its sending half got an empty close, and a caller that stopped reading was logged as one that left (42).

Now a short body is answered with code 30. A half-closed caller still counts as gone, since nothing tells the two apart and the engine must be freed, but it is sent code 42. A caller that takes nothing for the write limit is logged and counted as too slow (40), and nothing more is written to it.

--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -25,6 +25,7 @@
 {
   kNone,
   kCallerLeft,
+  kCallerStalled, // read nothing for as long as a write may take
   kDeadline
 };
 
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -249,6 +249,8 @@
   co_await asio::this_coro::reset_cancellation_state();
   if (aExchange.Reason() == AbortReason::kDeadline) {
     error.code_ = ResultCode::kDeadlineExceeded;
+  } else if (aExchange.Reason() == AbortReason::kCallerStalled) {
+    error.code_ = ResultCode::kCallerTooSlow;
   }
   co_await AnswerFailure(aExchange, request, std::move(error));
 }
@@ -411,7 +413,9 @@
         { "code", code },
         { "text", aError.text_ },
         { "ran", NameOf(aError.ran_) } });
-  if (aError.code_ == ResultCode::kCallerLeft) {
+  // Another write to a caller that does not read would wait in vain again. One
+  // that closed its sending half only still reads, and is told.
+  if (aExchange.Reason() == AbortReason::kCallerStalled) {
     co_return;
   }
   if (!aExchange.Started()) {
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -171,6 +171,7 @@
     const OpGuard guard = WriteGuard();
     const auto [code, size] =
       co_await http::async_write(socket_, serializer, kAwait);
+    NoteStall(guard);
     reusable_ = !code && message.keep_alive();
     co_return !code;
   }
@@ -201,6 +202,7 @@
       socket_,
       http::make_chunk(asio::const_buffer(aPiece.data(), aPiece.size())),
       kAwait);
+    NoteStall(guard);
     co_return !code;
   }
 
@@ -221,6 +223,13 @@
              TimerService::Now() + server_->options_.writeTimeout_ };
   }
 
+  void NoteStall(const OpGuard& aGuard)
+  {
+    if (aGuard.Expired() && reason_ == AbortReason::kNone) {
+      reason_ = AbortReason::kCallerStalled;
+    }
+  }
+
   // Reads the next request. False when the connection is done with.
   asio::awaitable<bool> ReadRequest()
   {
@@ -306,8 +315,7 @@
       co_await Send(ErrorResponse(MakeError(ResultCode::kCallerTooSlow), {}));
     } else if (aCode.category() ==
                  http::make_error_code(http::error::bad_method).category() &&
-               aCode != http::error::end_of_stream &&
-               aCode != http::error::partial_message) {
+               aCode != http::error::end_of_stream) {
       co_await Send(ErrorResponse(ErrorOfRead(aCode), {}));
     }
   }
--- /dev/null
+++ b/test/integration/gooseberrylift-caller-leaves-test.cc
@@ -0,0 +1,104 @@
+// Callers that leave or stop reading: the engine is freed and this host's
+// memory stays bounded.
+
+#include "harness.h"
+
+#include "harness-wire.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+
+namespace {
+
+std::string LongChat(int aTokens, bool aStream)
+{
+  const json message = { { "role", "user" }, { "content", "a long story" } };
+  const json body = { { "model", "m" },
+                      { "max_tokens", aTokens },
+                      { "stream", aStream },
+                      { "messages", json::array({ message }) } };
+  // Far behind the test's own limits, so that only the leaving frees the
+  // engine.
+  return RawChat(body.dump(), "X-Deadline-Ms: 120000\r\n");
+}
+
+bool EngineIsFree(Deployment& aDeployment)
+{
+  return WaitUntil(std::chrono::seconds(20), [&aDeployment] {
+    const json stats = aDeployment.Engine(0).Stats();
+    return stats.value("running", -1) == 0 && stats.value("waiting", -1) == 0 &&
+           stats.value("kv_used", -1) == 0;
+  });
+}
+
+} // namespace
+
+TEST_GROUP(CallerLeavesTest){};
+
+// The caller reads some tokens of a long stream and closes. Without a cancel
+// the engine would generate the other tens of thousands for nobody.
+TEST(CallerLeavesTest, CancelsAtTheEngineInMidStream)
+{
+  Deployment deployment({ .engines_ = 1 });
+  Wire wire(deployment.At(0).Port());
+  wire.Write(LongChat(100'000, true));
+  CHECK_TRUE(wire.ReadUntil("\"token_index\":20"));
+  wire.Close();
+  CHECK_TRUE(EngineIsFree(deployment));
+  CHECK_TRUE(WaitUntil(std::chrono::seconds(10), [&] {
+    return deployment.Engine(0).Stats().value("cancels", 0) > 0;
+  }));
+  LONGS_EQUAL(0, deployment.Engine(0).Stats().value("finished", -1));
+}
+
+// The same for a plain answer, where nothing is written that could fail.
+TEST(CallerLeavesTest, CancelsAtTheEngineBeforeAPlainAnswer)
+{
+  Deployment deployment({ .engines_ = 1 });
+  Wire wire(deployment.At(0).Port());
+  wire.Write(LongChat(100'000, false));
+  CHECK_TRUE(WaitUntil(std::chrono::seconds(10), [&] {
+    return deployment.Engine(0).Stats().value("running", 0) == 1;
+  }));
+  wire.Close();
+  CHECK_TRUE(EngineIsFree(deployment));
+  LONGS_EQUAL(0, deployment.Engine(0).Stats().value("finished", -1));
+}
+
+// Eight callers ask for streams of some forty megabytes each and never read.
+// The engine goes on as fast as it can. Memory must not grow with what the
+// callers leave unread; after the write limit each is dropped with a code and
+// the engine is freed.
+TEST(CallerLeavesTest, HoldsMemoryWhileReadersStop)
+{
+  constexpr int kReaders = 8;
+  constexpr std::uint64_t kAllowed = 16ULL * 1024 * 1024;
+  Deployment deployment(
+    { .engines_ = 1,
+      .engine_ = { { "decode_us", 5 }, { "kv_tokens", 4'000'000 } },
+      .host_ = {
+        { "caller", { { "port", 0 }, { "write_timeout_ms", 2500 } } } } });
+  Host& host = deployment.At(0);
+  const std::uint64_t before = ResidentBytes(host.Handle().Id());
+  std::vector<std::unique_ptr<Wire>> readers;
+  for (int reader = 0; reader < kReaders; ++reader) {
+    readers.push_back(std::make_unique<Wire>(host.Port()));
+    readers.back()->Write(LongChat(200'000, true));
+  }
+  std::uint64_t most = before;
+  CHECK_TRUE(WaitUntil(std::chrono::seconds(30), [&] {
+    most = std::max(most, ResidentBytes(host.Handle().Id()));
+    return deployment.Engine(0).Stats().value("cancels", 0) >= kReaders;
+  }));
+  std::printf("%d stopped readers: resident %llu kB before, %llu kB at most\n",
+              kReaders,
+              static_cast<unsigned long long>(before / 1024),
+              static_cast<unsigned long long>(most / 1024));
+  CHECK_TRUE(most - before < kAllowed);
+  CHECK_TRUE(EngineIsFree(deployment));
+  const std::string log =
+    host.Handle().WaitForLine("\"code\":40", std::chrono::seconds(10));
+  STRCMP_CONTAINS("\"event\":1301", log.c_str());
+}
--- a/test/integration/gooseberrylift-whole-answer-test.cc
+++ b/test/integration/gooseberrylift-whole-answer-test.cc
@@ -186,6 +186,7 @@
   }
   SoakCounts counts;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back(
       RunCaller, deployment.At(caller % 2).Port(), caller, std::ref(counts));
--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -92,6 +92,11 @@
   return ended ? impl_->child_.exit_code() : -1;
 }
 
+int Process::Id() const
+{
+  return impl_->child_.id();
+}
+
 std::string Process::Output() const
 {
   const std::lock_guard lock(impl_->mutex_);
