Let entry hosts find one another and exchange digests

Cause: each host was alone; what it learnt of endpoints, quarantine and demand reached nobody, and a configuration came only from the store.

Change: PeerTable (core, virtual time) chooses partners, passes digests on inside a zone and judges who is live; PeerRpc signs JSON-RPC bodies by HMAC and refuses replays; the store holds one list of members a zone, written only when a host is missing from it; PeerExchange writes the section peers_ and fetches a higher configuration from whoever tells of one. An older generation shown by the store is refused and alarmed (event 1104). The started event names the peer port.

--- a/include/gooseberrylift/internal/gooseberrylift-config-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-config-follower.h
@@ -16,6 +16,14 @@
 constexpr const char* kConfigurationKind = "configurations";
 constexpr const char* kConfigurationName = "main";
 
+// Where a configuration came from.
+enum class ConfigSource
+{
+  kStore,
+  kPeer,
+  kOperator // accepted by this host itself
+};
+
 // Writes the sections configuration_ and store_. Reads the object, then
 // watches it; a watch that breaks is begun again after a pause.
 class ConfigFollower
@@ -38,13 +46,23 @@
   /// @return true when it was applied
   bool Offer(const StoreObject& aObject);
 
+  /// The same for a text that did not come as an object.
+  bool OfferText(std::uint64_t aGeneration,
+                 const std::string& aText,
+                 ConfigSource aSource);
+
 private:
   boost::asio::awaitable<bool> ReadAndWatch();
+  bool Apply(std::uint64_t aGeneration,
+             const std::string& aText,
+             ConfigSource aSource);
+  void NoteOlder(std::uint64_t aGeneration);
   void NoteStore(bool aReachable);
 
   ObjectStore& store_;
   Blackboard& board_;
   Options options_;
+  std::uint64_t alarmed_ = 0; // the older generation last alarmed
   std::mutex mutex_; // one offer at a time, so that a generation never falls
 };
 
--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -14,6 +14,7 @@
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
+#include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-pool-broker.h"
 #include "gooseberrylift/internal/gooseberrylift-rest-store.h"
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
@@ -46,6 +47,7 @@
   HttpClient client_;
   RestStore store_;
   ConfigFollower configFollower_;
+  PeerExchange peers_;
   EndpointTracker endpointTracker_;
   PoolBroker broker_;
   ModelRunner models_;
@@ -54,6 +56,7 @@
   AdminFront adminFront_;
   HttpServer callerServer_;
   HttpServer adminServer_;
+  HttpServer peerServer_;
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -32,11 +32,15 @@
   kConfigurationRejected = 1101,
   kStoreLost = 1102,
   kStoreReached = 1103,
+  kConfigurationOlder = 1104,
+  kConfigurationAccepted = 1105,
+  kConfigurationConflicted = 1106,
   kHostListLost = 1200,
   kEndpointState = 1201,
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
+  kPeerRefused = 1600,
 };
 
 // One row of the catalogue.
--- /dev/null
+++ b/src/core/gooseberrylift-digest-codec.cc
@@ -0,0 +1,157 @@
+#include "gooseberrylift/gooseberrylift-digest-codec.h"
+
+namespace gooseberrylift {
+
+using nlohmann::json;
+
+namespace {
+
+// The numbers on the wire; they never change their meaning.
+constexpr int kWireLive = 0;
+constexpr int kWireLeaving = 1;
+constexpr int kWireDead = 2;
+
+int WireOf(EndpointState aState)
+{
+  switch (aState) {
+    case EndpointState::kLeaving:
+      return kWireLeaving;
+    case EndpointState::kDead:
+      return kWireDead;
+    case EndpointState::kLive:
+      break;
+  }
+  return kWireLive;
+}
+
+EndpointState StateOf(int aWire)
+{
+  if (aWire == kWireLeaving) {
+    return EndpointState::kLeaving;
+  }
+  return aWire == kWireDead ? EndpointState::kDead : EndpointState::kLive;
+}
+
+std::int64_t MillisecondsOf(std::chrono::system_clock::time_point aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           aTime.time_since_epoch())
+    .count();
+}
+
+json EndpointsToJson(const std::vector<EndpointDigest>& aEndpoints)
+{
+  json list = json::array();
+  for (const EndpointDigest& endpoint : aEndpoints) {
+    list.push_back(
+      { endpoint.name_, endpoint.incarnation_, WireOf(endpoint.state_) });
+  }
+  return list;
+}
+
+json QuarantineToJson(const std::vector<QuarantineEntry>& aEntries)
+{
+  json list = json::array();
+  for (const QuarantineEntry& entry : aEntries) {
+    list.push_back({ entry.fingerprint_,
+                     entry.version_,
+                     entry.released_,
+                     MillisecondsOf(entry.until_) });
+  }
+  return list;
+}
+
+json DemandToJson(const std::vector<TeamDemand>& aDemand)
+{
+  json list = json::array();
+  for (const TeamDemand& demand : aDemand) {
+    list.push_back({ demand.team_, demand.tokensPerSecond_ });
+  }
+  return list;
+}
+
+const json& ListOf(const json& aDocument, const char* aName)
+{
+  static const json kEmpty = json::array();
+  const auto found = aDocument.find(aName);
+  return found != aDocument.end() && found->is_array() ? *found : kEmpty;
+}
+
+void ReadLists(const json& aDocument, Digest& aDigest)
+{
+  for (const json& item : ListOf(aDocument, "e")) {
+    aDigest.endpoints_.push_back({ .name_ = item.at(0),
+                                   .incarnation_ = item.at(1),
+                                   .state_ = StateOf(item.at(2)) });
+  }
+  for (const json& item : ListOf(aDocument, "q")) {
+    const std::chrono::milliseconds until(item.at(3).get<std::int64_t>());
+    aDigest.quarantine_.push_back(
+      { .fingerprint_ = item.at(0),
+        .version_ = item.at(1),
+        .released_ = item.at(2),
+        .until_ = std::chrono::system_clock::time_point(until) });
+  }
+  for (const json& item : ListOf(aDocument, "d")) {
+    aDigest.demand_.push_back(
+      { .team_ = item.at(0), .tokensPerSecond_ = item.at(1) });
+  }
+}
+
+} // namespace
+
+json DigestToJson(const Digest& aDigest)
+{
+  json document = { { "h", aDigest.host_ },
+                    { "z", aDigest.zone_ },
+                    { "a", aDigest.peerAddress_ },
+                    { "i", aDigest.incarnation_ },
+                    { "s", aDigest.sequence_ },
+                    { "g", aDigest.generation_ },
+                    { "c", aDigest.configurationHash_ },
+                    { "o", aDigest.storeReachable_ } };
+  if (!aDigest.region_.empty()) {
+    document["r"] = aDigest.region_;
+  }
+  if (aDigest.draining_) {
+    document["l"] = true;
+  }
+  if (!aDigest.endpoints_.empty()) {
+    document["e"] = EndpointsToJson(aDigest.endpoints_);
+  }
+  if (!aDigest.quarantine_.empty()) {
+    document["q"] = QuarantineToJson(aDigest.quarantine_);
+  }
+  if (!aDigest.demand_.empty()) {
+    document["d"] = DemandToJson(aDigest.demand_);
+  }
+  return document;
+}
+
+Digest DigestFromJson(const json& aDocument)
+{
+  if (!aDocument.is_object()) {
+    return {};
+  }
+  // A wrong type throws; a peer's message is wholly taken or wholly refused.
+  try {
+    Digest digest{
+      .host_ = aDocument.value("h", ""),
+      .zone_ = aDocument.value("z", ""),
+      .region_ = aDocument.value("r", ""),
+      .peerAddress_ = aDocument.value("a", ""),
+      .incarnation_ = aDocument.value("i", std::uint64_t{ 0 }),
+      .sequence_ = aDocument.value("s", std::uint64_t{ 0 }),
+      .generation_ = aDocument.value("g", std::uint64_t{ 0 }),
+      .configurationHash_ = aDocument.value("c", std::uint64_t{ 0 }),
+      .storeReachable_ = aDocument.value("o", false),
+      .draining_ = aDocument.value("l", false),
+    };
+    ReadLists(aDocument, digest);
+    return digest;
+  } catch (const json::exception&) {
+    return {};
+  }
+}
+
+} // namespace gooseberrylift
--- /dev/null
+++ b/src/core/gooseberrylift-peer-table.cc
@@ -0,0 +1,269 @@
+#include "gooseberrylift/gooseberrylift-peer-table.h"
+
+#include <algorithm>
+
+namespace gooseberrylift {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// Above the small size, one round in so many goes beyond the own zone when
+// there is nothing new; news goes out at once through PickForNews.
+constexpr std::uint64_t kRoundsPerFarPeer = 2;
+
+// Hosts whose heartbeats a zone can pass on each second within the budget.
+constexpr std::size_t kHeartbeatsPerRound = 16;
+
+// A silent host is kept this many times longer than it counts as live, so that
+// a paused one is found again without the store.
+constexpr int kKeepGoneFactor = 60;
+
+bool SameBesidesDemand(const Digest& aLeft, const Digest& aRight)
+{
+  const auto sameEndpoint = [](const EndpointDigest& aOne,
+                               const EndpointDigest& aOther) {
+    return aOne.name_ == aOther.name_ && aOne.state_ == aOther.state_ &&
+           aOne.incarnation_ == aOther.incarnation_;
+  };
+  const auto sameEntry = [](const QuarantineEntry& aOne,
+                            const QuarantineEntry& aOther) {
+    return aOne.fingerprint_ == aOther.fingerprint_ &&
+           aOne.version_ == aOther.version_;
+  };
+  return aLeft.generation_ == aRight.generation_ &&
+         aLeft.storeReachable_ == aRight.storeReachable_ &&
+         aLeft.draining_ == aRight.draining_ &&
+         std::equal(aLeft.endpoints_.begin(),
+                    aLeft.endpoints_.end(),
+                    aRight.endpoints_.begin(),
+                    aRight.endpoints_.end(),
+                    sameEndpoint) &&
+         std::equal(aLeft.quarantine_.begin(),
+                    aLeft.quarantine_.end(),
+                    aRight.quarantine_.begin(),
+                    aRight.quarantine_.end(),
+                    sameEntry);
+}
+
+bool IsNewer(const Digest& aDigest, const Digest& aThan)
+{
+  return std::pair(aDigest.incarnation_, aDigest.sequence_) >
+         std::pair(aThan.incarnation_, aThan.sequence_);
+}
+
+} // namespace
+
+PeerTable::PeerTable(Options aOptions)
+  : options_(std::move(aOptions))
+  , random_(options_.seed_)
+{
+  own_.host_ = options_.host_;
+  own_.zone_ = options_.zone_;
+  own_.region_ = options_.region_;
+  own_.peerAddress_ = options_.address_;
+  own_.incarnation_ = options_.incarnation_;
+}
+
+void PeerTable::OnMembers(const std::vector<PeerMember>& aMembers,
+                          TimePoint aNow)
+{
+  for (const PeerMember& member : aMembers) {
+    if (member.host_ == options_.host_ || member.address_.empty()) {
+      continue;
+    }
+    Entry& entry = entries_[member.host_];
+    entry.listed_ = aNow;
+    if (entry.member_.host_.empty() ||
+        member.incarnation_ > entry.member_.incarnation_) {
+      entry.member_ = member;
+    }
+  }
+}
+
+void PeerTable::SetOwn(Digest aOwn, TimePoint aNow)
+{
+  // After a pause of this process, silence says nothing of the others: without
+  // this shift a continued host would take all its peers for gone at once and,
+  // for one round, claim each team's whole limit for itself.
+  const auto gap = aNow - lastRound_;
+  if (rounds_ > 0 && gap > 2 * options_.round_) {
+    for (auto& [name, entry] : entries_) {
+      entry.heard_ += gap - options_.round_;
+    }
+  }
+  lastRound_ = aNow;
+  ++rounds_;
+  aOwn.host_ = own_.host_;
+  aOwn.zone_ = own_.zone_;
+  aOwn.region_ = own_.region_;
+  aOwn.peerAddress_ = own_.peerAddress_;
+  aOwn.incarnation_ = own_.incarnation_;
+  aOwn.sequence_ = own_.sequence_;
+  if (!SameBesidesDemand(aOwn, own_) || aNow - lastBeat_ >= Heartbeat()) {
+    ++aOwn.sequence_;
+    lastBeat_ = aNow;
+  }
+  own_ = std::move(aOwn);
+  ForgetGone(aNow);
+}
+
+std::vector<PeerMember> PeerTable::PickPeers()
+{
+  std::vector<const Entry*> near;
+  std::vector<const Entry*> far;
+  for (const auto& [name, entry] : entries_) {
+    (InScope(entry.member_.zone_) ? near : far).push_back(&entry);
+  }
+  std::vector<PeerMember> picked;
+  PickOne(near, picked);
+  if (IsSmall()) {
+    PickOne(near, picked);
+  } else if (rounds_ % kRoundsPerFarPeer == 0) {
+    PickOne(far, picked);
+  }
+  return picked;
+}
+
+std::vector<PeerMember> PeerTable::PickForNews(std::size_t aCount)
+{
+  std::vector<const Entry*> behind;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.digest_.generation_ < own_.generation_) {
+      behind.push_back(&entry);
+    }
+  }
+  std::vector<PeerMember> picked;
+  for (std::size_t count = 0; count < aCount; ++count) {
+    PickOne(behind, picked);
+  }
+  return picked;
+}
+
+void PeerTable::PickOne(const std::vector<const Entry*>& aFrom,
+                        std::vector<PeerMember>& aPicked)
+{
+  if (aFrom.empty()) {
+    return;
+  }
+  const PeerMember& member = aFrom[random_() % aFrom.size()]->member_;
+  const bool twice =
+    std::any_of(aPicked.begin(), aPicked.end(), [&](const PeerMember& aOther) {
+      return aOther.host_ == member.host_;
+    });
+  if (!twice) {
+    aPicked.push_back(member);
+  }
+}
+
+PeerMessage PeerTable::MakeMessage(const std::string& aZone)
+{
+  PeerMessage message{ .from_ = own_ };
+  if (!InScope(aZone)) {
+    return message;
+  }
+  std::vector<Entry*> candidates;
+  for (auto& [name, entry] : entries_) {
+    if (!entry.digest_.host_.empty() && InScope(entry.member_.zone_) &&
+        IsLive(entry, lastRound_)) {
+      candidates.push_back(&entry);
+    }
+  }
+  const std::size_t count =
+    std::min(candidates.size(), options_.relayedPerMessage_);
+  std::shuffle(candidates.begin(), candidates.end(), random_);
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                    candidates.end(),
+                    [](const Entry* aLeft, const Entry* aRight) {
+                      return aLeft->told_ < aRight->told_;
+                    });
+  for (std::size_t index = 0; index < count; ++index) {
+    ++candidates[index]->told_;
+    message.relayed_.push_back(candidates[index]->digest_);
+  }
+  return message;
+}
+
+PeerNews PeerTable::OnMessage(const PeerMessage& aMessage, TimePoint aNow)
+{
+  PeerNews news{ .generation_ = aMessage.from_.generation_ };
+  news.changed_ = Learn(aMessage.from_, aNow);
+  for (const Digest& digest : aMessage.relayed_) {
+    news.changed_ = Learn(digest, aNow) || news.changed_;
+  }
+  return news;
+}
+
+bool PeerTable::Learn(const Digest& aDigest, TimePoint aNow)
+{
+  if (aDigest.host_.empty() || aDigest.host_ == options_.host_) {
+    return false;
+  }
+  Entry& entry = entries_[aDigest.host_];
+  if (!entry.digest_.host_.empty() && !IsNewer(aDigest, entry.digest_)) {
+    return false;
+  }
+  entry.digest_ = aDigest;
+  entry.member_ = { .host_ = aDigest.host_,
+                    .zone_ = aDigest.zone_,
+                    .region_ = aDigest.region_,
+                    .address_ = aDigest.peerAddress_,
+                    .incarnation_ = aDigest.incarnation_ };
+  entry.heard_ = aNow;
+  entry.told_ = 0;
+  return true;
+}
+
+std::vector<Digest> PeerTable::Live(TimePoint aNow) const
+{
+  std::vector<Digest> live;
+  for (const auto& [name, entry] : entries_) {
+    if (IsLive(entry, aNow)) {
+      live.push_back(entry.digest_);
+    }
+  }
+  return live;
+}
+
+std::vector<PeerMember> PeerTable::Known() const
+{
+  std::vector<PeerMember> known;
+  for (const auto& [name, entry] : entries_) {
+    known.push_back(entry.member_);
+  }
+  return known;
+}
+
+bool PeerTable::InScope(const std::string& aZone) const
+{
+  return IsSmall() || aZone == options_.zone_;
+}
+
+milliseconds PeerTable::Heartbeat() const
+{
+  const std::size_t near =
+    IsSmall() ? entries_.size()
+              : static_cast<std::size_t>(std::count_if(
+                  entries_.begin(), entries_.end(), [this](const auto& aEntry) {
+                    return InScope(aEntry.second.member_.zone_);
+                  }));
+  return options_.round_ * std::max<std::size_t>(1, near / kHeartbeatsPerRound);
+}
+
+bool PeerTable::IsLive(const Entry& aEntry, TimePoint aNow) const
+{
+  return !aEntry.digest_.host_.empty() &&
+         aNow - aEntry.heard_ < options_.roundsUntilGone_ * Heartbeat();
+}
+
+void PeerTable::ForgetGone(TimePoint aNow)
+{
+  const auto keep = kKeepGoneFactor * options_.roundsUntilGone_ * Heartbeat();
+  std::erase_if(entries_, [&](const auto& aEntry) {
+    const Entry& entry = aEntry.second;
+    return aNow - std::max(entry.heard_, entry.listed_) > keep;
+  });
+}
+
+} // namespace gooseberrylift
--- a/src/front/gooseberrylift-admin-front.cc
+++ b/src/front/gooseberrylift-admin-front.cc
@@ -40,6 +40,15 @@
            { "kv_total", aView.load_.kvTokensTotal_ } };
 }
 
+json StatusOf(const Digest& aDigest)
+{
+  return { { "host", aDigest.host_ },
+           { "zone", aDigest.zone_ },
+           { "generation", aDigest.generation_ },
+           { "store_reachable", aDigest.storeReachable_ },
+           { "draining", aDigest.draining_ } };
+}
+
 } // namespace
 
 AdminFront::AdminFront(Parts aParts)
@@ -150,6 +159,10 @@
     pools[name] = { { "waiting", load.waiting_ },
                     { "running", load.running_ } };
   }
+  json peers = json::array();
+  for (const Digest& digest : parts_.board_.peers_.Read()->digests_) {
+    peers.push_back(StatusOf(digest));
+  }
   const json status = {
     { "host", parts_.settings_.hostName_ },
     { "zone", parts_.settings_.zone_ },
@@ -157,6 +170,7 @@
     { "why_not_ready", WhyNotReady() },
     { "generation", configuration ? configuration->Generation() : 0 },
     { "store_reachable", parts_.board_.store_.Read()->reachable_ },
+    { "peers", peers },
     { "pools", pools },
     { "endpoints", endpoints },
   };
--- a/src/runtime/gooseberrylift-config-follower.cc
+++ b/src/runtime/gooseberrylift-config-follower.cc
@@ -10,6 +10,23 @@
 namespace asio = boost::asio;
 namespace leaf = boost::leaf;
 
+namespace {
+
+const char* NameOf(ConfigSource aSource)
+{
+  switch (aSource) {
+    case ConfigSource::kPeer:
+      return "peer";
+    case ConfigSource::kOperator:
+      return "operator";
+    case ConfigSource::kStore:
+      break;
+  }
+  return "store";
+}
+
+} // namespace
+
 ConfigFollower::ConfigFollower(ObjectStore& aStore,
                                Blackboard& aBoard,
                                Options aOptions)
@@ -59,32 +76,59 @@
   if (aObject.name_ != kConfigurationName) {
     return false;
   }
+  return OfferText(
+    aObject.spec_.value("generation", std::uint64_t{ 0 }),
+    aObject.spec_.value("configuration", nlohmann::json::object()).dump(),
+    ConfigSource::kStore);
+}
+
+bool ConfigFollower::OfferText(std::uint64_t aGeneration,
+                               const std::string& aText,
+                               ConfigSource aSource)
+{
   const std::lock_guard lock(mutex_);
-  const std::uint64_t generation =
-    aObject.spec_.value("generation", std::uint64_t{ 0 });
   const auto current = board_.configuration_.Read()->configuration_;
-  // The store may have been put back to an older state, or an old copy may
-  // come late: a configuration once in force never reverts.
-  if (current && generation <= current->Generation()) {
+  // The store may have been put back to an older state, or a lagging peer's
+  // copy may come late: a configuration once in force never reverts.
+  if (current && aGeneration <= current->Generation()) {
+    if (aGeneration < current->Generation() &&
+        aSource == ConfigSource::kStore) {
+      NoteOlder(aGeneration);
+    }
     return false;
   }
-  const std::string text =
-    aObject.spec_.value("configuration", nlohmann::json::object()).dump();
+  return Apply(aGeneration, aText, aSource);
+}
+
+bool ConfigFollower::Apply(std::uint64_t aGeneration,
+                           const std::string& aText,
+                           ConfigSource aSource)
+{
   return leaf::try_handle_all(
     [&]() -> leaf::result<bool> {
-      BOOST_LEAF_AUTO(configuration, Configuration::Parse(text, generation));
+      BOOST_LEAF_AUTO(configuration, Configuration::Parse(aText, aGeneration));
       board_.configuration_.Write({ .configuration_ = configuration });
-      Log(LogEvent::kConfigurationApplied, { { "generation", generation } });
+      Log(LogEvent::kConfigurationApplied,
+          { { "generation", aGeneration }, { "source", NameOf(aSource) } });
       return true;
     },
     [&](const Error& aError) {
       Log(LogEvent::kConfigurationRejected,
-          { { "generation", generation }, { "fault", aError.text_ } });
+          { { "generation", aGeneration }, { "fault", aError.text_ } });
       return false;
     },
     [] { return false; });
 }
 
+// Alarms once for each older generation seen, not with each reading.
+void ConfigFollower::NoteOlder(std::uint64_t aGeneration)
+{
+  if (alarmed_ != aGeneration) {
+    alarmed_ = aGeneration;
+    Log(LogEvent::kConfigurationOlder, { { "generation", aGeneration } });
+  }
+}
+
 void ConfigFollower::NoteStore(bool aReachable)
 {
   const auto before = board_.store_.Read();
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -21,6 +21,13 @@
   , client_(context_.get_executor(), HttpClient::Options{})
   , store_(client_, { .addresses_ = settings_.storeAddresses_ })
   , configFollower_(store_, board_, ConfigFollower::Options{})
+  , peers_({ .settings_ = settings_,
+             .board_ = board_,
+             .store_ = store_,
+             .follower_ = configFollower_,
+             .client_ = client_,
+             .executor_ = context_.get_executor() },
+           PeerExchange::Options{})
   , endpointTracker_(client_,
                      context_.get_executor(),
                      board_,
@@ -63,6 +70,10 @@
       { .address_ = settings_.admin_.address_,
         .port_ = settings_.admin_.port_ },
       [this](HttpExchange& aExchange) { return adminFront_.Handle(aExchange); })
+  , peerServer_(
+      context_.get_executor(),
+      { .address_ = settings_.peer_.address_, .port_ = settings_.peer_.port_ },
+      [this](HttpExchange& aExchange) { return peers_.Handle(aExchange); })
 {
 }
 
@@ -95,9 +106,15 @@
   if (!adminPort) {
     return adminPort.error();
   }
+  const auto peerPort = peerServer_.Listen();
+  if (!peerPort) {
+    return peerPort.error();
+  }
+  peers_.Start(peerPort.value());
   Log(LogEvent::kStarted,
       { { "caller_port", callerPort.value() },
         { "admin_port", adminPort.value() },
+        { "peer_port", peerPort.value() },
         { "zone", settings_.zone_ } });
   return boost::outcome_v2::success();
 }
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -44,6 +44,19 @@
                 LogLevel::kInfo,
                 "store-reached",
                 "The object store answers this host." },
+  LogEventInfo{ kConfigurationOlder,
+                LogLevel::kError,
+                "configuration-older",
+                "The store shows an older generation than the one in force; it "
+                "was refused. The store may have been put back." },
+  LogEventInfo{ kConfigurationAccepted,
+                LogLevel::kInfo,
+                "configuration-accepted",
+                "A change by an operator is stored and will be in force." },
+  LogEventInfo{ kConfigurationConflicted,
+                LogLevel::kInfo,
+                "configuration-conflicted",
+                "A change by an operator was refused: its base has changed." },
   LogEventInfo{ kHostListLost,
                 LogLevel::kWarning,
                 "host-list-lost",
@@ -64,6 +77,11 @@
                 LogLevel::kInfo,
                 "attempt-failed",
                 "An endpoint failed a request, which may be tried again." },
+  LogEventInfo{ kPeerRefused,
+                LogLevel::kWarning,
+                "peer-refused",
+                "A message from another host was refused: wrong signature, "
+                "sent twice, or clocks that differ." },
 };
 
 std::atomic<LogLevel> sLowest = LogLevel::kInfo;
--- /dev/null
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -0,0 +1,313 @@
+#include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <xxhash.h>
+
+#include "gooseberrylift/gooseberrylift-digest-codec.h"
+#include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-member-list.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
+namespace gooseberrylift {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+std::uint64_t IncarnationOfNow()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+json MessageToJson(const PeerMessage& aMessage)
+{
+  json relayed = json::array();
+  for (const Digest& digest : aMessage.relayed_) {
+    relayed.push_back(DigestToJson(digest));
+  }
+  json document;
+  document["f"] = DigestToJson(aMessage.from_);
+  document["r"] = std::move(relayed);
+  return document;
+}
+
+PeerMessage MessageFromJson(const json& aDocument)
+{
+  PeerMessage message;
+  if (!aDocument.is_object()) {
+    return message;
+  }
+  message.from_ = DigestFromJson(aDocument.value("f", json()));
+  for (const json& item : aDocument.value("r", json::array())) {
+    message.relayed_.push_back(DigestFromJson(item));
+  }
+  return message;
+}
+
+PeerMember MemberOf(const Digest& aDigest)
+{
+  return { .host_ = aDigest.host_,
+           .zone_ = aDigest.zone_,
+           .region_ = aDigest.region_,
+           .address_ = aDigest.peerAddress_,
+           .incarnation_ = aDigest.incarnation_ };
+}
+
+} // namespace
+
+PeerExchange::PeerExchange(Parts aParts, Options aOptions)
+  : parts_(std::move(aParts))
+  , options_(aOptions)
+  , rpc_(parts_.client_,
+         { .host_ = parts_.settings_.hostName_,
+           .keys_ = parts_.settings_.peerKeys_ })
+{
+  rpc_.Add("exchange", [this](const json& aParams) { return Answer(aParams); });
+  rpc_.Add("configuration",
+           [this](const json& /*aParams*/) { return AnswerConfiguration(); });
+}
+
+void PeerExchange::Start(std::uint16_t aPort)
+{
+  const Settings& settings = parts_.settings_;
+  self_ = { .host_ = settings.hostName_,
+            .zone_ = settings.zone_,
+            .region_ = settings.region_,
+            .address_ = settings.peer_.address_ + ":" + std::to_string(aPort),
+            .incarnation_ = IncarnationOfNow() };
+  std::random_device device;
+  table_ = std::make_unique<PeerTable>(
+    PeerTable::Options{ .host_ = self_.host_,
+                        .zone_ = self_.zone_,
+                        .region_ = self_.region_,
+                        .address_ = self_.address_,
+                        .incarnation_ = self_.incarnation_,
+                        .seed_ = device(),
+                        .round_ = options_.round_ });
+  Refresh();
+  parts_.board_.configuration_.Subscribe(
+    [this](const auto& /*aSnapshot*/) { OnConfiguration(); });
+  asio::co_spawn(parts_.executor_, RunRounds(), asio::detached);
+  asio::co_spawn(parts_.executor_, RunMembership(), asio::detached);
+}
+
+asio::awaitable<void> PeerExchange::Handle(HttpExchange& aExchange)
+{
+  co_await rpc_.Handle(aExchange);
+}
+
+std::vector<PeerMember> PeerExchange::Known() const
+{
+  const std::lock_guard lock(mutex_);
+  return table_ ? table_->Known() : std::vector<PeerMember>{};
+}
+
+asio::awaitable<void> PeerExchange::RunRounds()
+{
+  while (true) {
+    Refresh();
+    std::vector<PeerMember> peers;
+    {
+      const std::lock_guard lock(mutex_);
+      peers = table_->PickPeers();
+    }
+    StartExchanges(peers);
+    Publish();
+    co_await TimerService::SleepFor(options_.round_);
+  }
+}
+
+asio::awaitable<void> PeerExchange::RunMembership()
+{
+  const TimePoint started = TimerService::Now();
+  std::mt19937_64 random(self_.incarnation_);
+  while (true) {
+    const bool joined = co_await Join();
+    // Young hosts have not heard of all others yet and must not take them for
+    // gone, so only one that has run for a while clears the list.
+    auto pause = joined ? options_.listPeriod_ : options_.joinRetry_;
+    if (joined && TimerService::Now() - started < options_.listPeriod_) {
+      // Hosts that start together read the list before the others wrote it.
+      pause = options_.joinRetry_ * 2;
+    }
+    // Spread, so that hosts that lost the store together don't return so.
+    pause += std::chrono::milliseconds(random() % (pause.count() / 2 + 1));
+    co_await TimerService::SleepFor(pause);
+  }
+}
+
+asio::awaitable<bool> PeerExchange::Join()
+{
+  std::set<std::string> live;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const Digest& digest : table_->Live(TimerService::Now())) {
+      live.insert(digest.host_);
+    }
+  }
+  const auto listed =
+    co_await JoinMemberList(parts_.store_,
+                            self_,
+                            std::move(live),
+                            TimerService::Now() + options_.storeTimeout_);
+  if (!listed) {
+    co_return false;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    table_->OnMembers(listed.value(), TimerService::Now());
+  }
+  co_return true;
+}
+
+void PeerExchange::StartExchanges(const std::vector<PeerMember>& aPeers)
+{
+  for (const PeerMember& peer : aPeers) {
+    asio::co_spawn(parts_.executor_, ExchangeWith(peer), asio::detached);
+  }
+}
+
+asio::awaitable<void> PeerExchange::ExchangeWith(PeerMember aPeer)
+{
+  json message;
+  {
+    const std::lock_guard lock(mutex_);
+    message = MessageToJson(table_->MakeMessage(aPeer.zone_));
+  }
+  PeerRpc::Target target{ .host_ = aPeer.host_, .address_ = aPeer.address_ };
+  const auto answer =
+    co_await rpc_.Call(std::move(target),
+                       "exchange",
+                       std::move(message),
+                       TimerService::Now() + options_.callTimeout_);
+  if (answer) {
+    TakeIn(MessageFromJson(answer.value()));
+  }
+}
+
+json PeerExchange::Answer(const json& aParams)
+{
+  const PeerMessage message = MessageFromJson(aParams);
+  TakeIn(message);
+  const std::lock_guard lock(mutex_);
+  return MessageToJson(table_->MakeMessage(message.from_.zone_));
+}
+
+void PeerExchange::TakeIn(const PeerMessage& aMessage)
+{
+  if (aMessage.from_.host_.empty()) {
+    return;
+  }
+  bool fetch = false;
+  PeerNews news;
+  {
+    const std::lock_guard lock(mutex_);
+    news = table_->OnMessage(aMessage, TimerService::Now());
+    fetch = news.generation_ > table_->Own().generation_ && !fetching_;
+    fetching_ = fetching_ || fetch;
+  }
+  if (fetch) {
+    asio::co_spawn(parts_.executor_,
+                   FetchConfiguration(MemberOf(aMessage.from_)),
+                   asio::detached);
+  }
+  if (news.changed_) {
+    Publish();
+  }
+}
+
+asio::awaitable<void> PeerExchange::FetchConfiguration(PeerMember aPeer)
+{
+  json params = json::object();
+  PeerRpc::Target target{ .host_ = aPeer.host_, .address_ = aPeer.address_ };
+  const auto answer =
+    co_await rpc_.Call(std::move(target),
+                       "configuration",
+                       std::move(params),
+                       TimerService::Now() + options_.callTimeout_);
+  {
+    const std::lock_guard lock(mutex_);
+    fetching_ = false;
+  }
+  if (answer) {
+    parts_.follower_.OfferText(answer.value().value("generation", 0ULL),
+                               answer.value().value("text", ""),
+                               ConfigSource::kPeer);
+  }
+}
+
+json PeerExchange::AnswerConfiguration() const
+{
+  const auto current = parts_.board_.configuration_.Read()->configuration_;
+  json answer;
+  answer["generation"] = current ? current->Generation() : 0;
+  answer["text"] = current ? current->Text() : "";
+  return answer;
+}
+
+// News of a configuration goes out at once instead of with the next round, so
+// that it crosses the fleet in round trips, not in rounds.
+void PeerExchange::OnConfiguration()
+{
+  Refresh();
+  std::vector<PeerMember> peers;
+  {
+    const std::lock_guard lock(mutex_);
+    peers = table_->PickForNews(options_.newsFanout_);
+  }
+  StartExchanges(peers);
+}
+
+void PeerExchange::Refresh()
+{
+  Digest own = OwnDigest();
+  const std::lock_guard lock(mutex_);
+  table_->SetOwn(std::move(own), TimerService::Now());
+}
+
+Digest PeerExchange::OwnDigest() const
+{
+  Blackboard& board = parts_.board_;
+  Digest digest;
+  const auto configuration = board.configuration_.Read()->configuration_;
+  if (configuration) {
+    digest.generation_ = configuration->Generation();
+    digest.configurationHash_ =
+      XXH64(configuration->Text().data(), configuration->Text().size(), 0);
+  }
+  digest.storeReachable_ = board.store_.Read()->reachable_;
+  digest.draining_ = board.host_.Read()->draining_;
+  for (const EndpointView& view : board.endpoints_.Read()->endpoints_) {
+    if (view.state_ != EndpointState::kLive) {
+      digest.endpoints_.push_back({ .name_ = view.name_,
+                                    .incarnation_ = view.incarnation_,
+                                    .state_ = view.state_ });
+    }
+  }
+  digest.quarantine_ = board.quarantine_.Read()->entries_;
+  digest.demand_ = board.demand_.Read()->demand_;
+  return digest;
+}
+
+void PeerExchange::Publish()
+{
+  const std::lock_guard order(publishMutex_);
+  std::vector<Digest> live;
+  std::size_t known = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    live = table_->Live(TimerService::Now());
+    known = table_->Known().size();
+  }
+  parts_.board_.peers_.Write({ .digests_ = std::move(live), .known_ = known });
+}
+
+} // namespace gooseberrylift
--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -233,7 +233,7 @@
   }
 }
 
-Host& Deployment::AddHost()
+Host& Deployment::AddHost(const json& aSettings)
 {
   const std::string name = "entry-" + std::to_string(hosts_.size());
   json settings = { { "host", { { "name", name }, { "zone", "zone-a" } } },
@@ -244,6 +244,7 @@
                     { "load_poll_ms", 100 },
                     { "drain", { { "lag_ms", 100 }, { "limit_ms", 20000 } } } };
   settings.merge_patch(options_.host_);
+  settings.merge_patch(aSettings);
   hosts_.push_back(std::make_unique<Host>(settings));
   return *hosts_.back();
 }
--- a/test/integration/harness.h
+++ b/test/integration/harness.h
@@ -121,7 +121,8 @@
   explicit Deployment(Options aOptions);
 
   /// Starts one more entry host.
-  Host& AddHost();
+  /// @param aSettings merged into its settings
+  Host& AddHost(const json& aSettings = json::object());
 
   /// Gives the host list as it should be now; the "state" may be changed.
   json HostList() const;
