--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -274,7 +274,7 @@
            : nullptr;
 }
 
-Host& Deployment::AddHost()
+Host& Deployment::AddHost(const json& aSettings)
 {
   const std::string store =
     storeProxy_ ? storeProxy_->Address() : store_->Address();
@@ -287,6 +287,7 @@
                     { "load_poll_ms", 100 },
                     { "drain", { { "lag_ms", 100 }, { "limit_ms", 20000 } } } };
   settings.merge_patch(options_.host_);
+  settings.merge_patch(aSettings);
   hosts_.push_back(std::make_unique<Host>(settings));
   return *hosts_.back();
 }
