Wait in a planned stop for bodies that are still coming

A host told to stop counted running handlers only. A caller in the middle of sending its body has none yet, so the host exited and reset the call; FinishesARequestWhoseBodyIsStillComing failed on that (exit status 0 where the host should have waited). A connection now counts as busy from a request's first byte to its answer's last, and an idle one with unread bytes isn't closed.

--- a/fakes/gooseberrylift-fake-engine.cc
+++ b/fakes/gooseberrylift-fake-engine.cc
@@ -162,6 +162,7 @@
     const std::uint64_t tokens = CountTokens(prompt) + resume;
     const std::uint64_t need = CountTokens(prompt) + limit;
     if (leaving_) {
+      ++refused_;
       co_await aExchange.Send(Refusal(aExchange.Request(), 503, "leaving"));
       co_return;
     }
@@ -387,6 +388,7 @@
   {
     return { { "name", name_ },
              { "started", started_ },
+             { "refused", refused_ },
              { "finished", finished_ },
              { "cancels", cancels_ },
              { "kv_used", batch_.KvUsed() },
@@ -408,6 +410,7 @@
   bool running_ = false;
   std::uint64_t cutAfter_ = 0;
   std::uint64_t started_ = 0;
+  std::uint64_t refused_ = 0;
   std::uint64_t finished_ = 0;
   std::uint64_t cancels_ = 0;
   std::uint64_t fencing_ = 0;
--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -117,11 +117,11 @@
   /// close; then running exchanges are waited for.
   /// @param aLag how long new requests are still taken
   /// @param aDeadline when to give up on running exchanges
-  /// @return how many exchanges were still running at the deadline
+  /// @return how many requests were still being read or answered then
   boost::asio::awaitable<std::size_t> Drain(std::chrono::milliseconds aLag,
                                             TimePoint aDeadline);
 
-  /// Gives the number of exchanges whose handler runs now.
+  /// Gives the number of requests that are being read or answered now.
   std::size_t Active() const;
 
   /// Closes the listener and every connection at once.
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -81,7 +81,7 @@
   tcp::acceptor acceptor_;
   std::uint16_t port_ = 0;
   std::atomic<bool> draining_ = false;
-  std::atomic<std::size_t> active_ = 0;
+  std::atomic<std::ptrdiff_t> active_ = 0; // sessions that are busy
   std::mutex mutex_;
   std::set<Session*> sessions_;
 };
@@ -114,14 +114,14 @@
   {
     bool going = co_await ReadRequest();
     while (going) {
-      ++server_->active_;
       co_await Handle();
-      --server_->active_;
+      SetBusy(false);
       going = reusable_ && !server_->draining_;
       if (going) {
         going = co_await ReadRequest();
       }
     }
+    SetBusy(false);
     co_await Linger();
   }
 
@@ -129,7 +129,7 @@
   {
     asio::post(socket_.get_executor(), [self = weak_from_this(), aOnlyIdle] {
       const auto session = self.lock();
-      if (!session || (aOnlyIdle && !session->idle_)) {
+      if (!session || (aOnlyIdle && !session->IsIdle())) {
         return;
       }
       boost::system::error_code ignored;
@@ -216,6 +216,24 @@
   }
 
 private:
+  // From a request's first byte to its answer's last, so that a planned stop
+  // waits for a body that is still coming as well as for a running handler.
+  void SetBusy(bool aBusy)
+  {
+    if (busy_ != aBusy) {
+      busy_ = aBusy;
+      server_->active_ += aBusy ? 1 : -1;
+    }
+  }
+
+  // Bytes that have arrived and were not read yet are a request as well; a
+  // close on top of them would reset it.
+  bool IsIdle() const
+  {
+    boost::system::error_code ignored;
+    return idle_ && socket_.available(ignored) == 0;
+  }
+
   OpGuard WriteGuard()
   {
     return { socket_,
@@ -239,6 +257,7 @@
         co_return false;
       }
     }
+    SetBusy(true);
     const Options& options = server_->options_;
     http::request_parser<http::string_body> parser;
     parser.header_limit(options.maxHeaderBytes_);
@@ -412,6 +431,7 @@
   TimerSubscription deadline_;
   AbortReason reason_ = AbortReason::kNone;
   bool idle_ = false;
+  bool busy_ = false;
   bool keepAlive_ = true;
   bool started_ = false;
   bool reusable_ = false;
@@ -530,12 +550,12 @@
   while (impl_->active_ > 0 && TimerService::Now() < aDeadline) {
     co_await TimerService::SleepFor(kPoll);
   }
-  co_return impl_->active_;
+  co_return Active();
 }
 
 std::size_t HttpServer::Active() const
 {
-  return impl_->active_;
+  return static_cast<std::size_t>(impl_->active_);
 }
 
 void HttpServer::Close()
--- /dev/null
+++ b/test/integration/gooseberrylift-planned-stop-test.cc
@@ -0,0 +1,344 @@
+// A planned stop and a leaving endpoint cut nothing, under load.
+
+#include "harness.h"
+
+#include "harness-wire.h"
+
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "../../fakes/gooseberrylift-fake-tokens.h"
+#include "gooseberrylift/internal/gooseberrylift-http-client.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// What the platform's balancer does: it looks at /readyz again and again and
+// gives callers only hosts that were ready when it last looked.
+class Balancer
+{
+public:
+  void SetHosts(std::vector<Host*> aHosts)
+  {
+    const std::lock_guard lock(mutex_);
+    hosts_ = std::move(aHosts);
+    ready_ = hosts_;
+  }
+
+  void Look()
+  {
+    std::vector<Host*> hosts;
+    {
+      const std::lock_guard lock(mutex_);
+      hosts = hosts_;
+    }
+    std::vector<Host*> ready;
+    for (Host* host : hosts) {
+      const auto answer = Send(host->AdminPort(), MakeRequest("/readyz"));
+      if (answer && answer.value().status_ == 200) {
+        ready.push_back(host);
+      }
+    }
+    const std::lock_guard lock(mutex_);
+    if (hosts == hosts_) {
+      ready_ = std::move(ready);
+    }
+  }
+
+  std::uint16_t Choose(std::uint64_t aCall)
+  {
+    const std::lock_guard lock(mutex_);
+    return ready_.at(aCall % ready_.size())->Port();
+  }
+
+private:
+  std::mutex mutex_;
+  std::vector<Host*> hosts_;
+  std::vector<Host*> ready_;
+};
+
+// A caller that keeps its connections from one call to the next.
+class KeepingCaller
+{
+public:
+  Outcome<HttpResponse> Call(std::uint16_t aPort, HttpRequest aRequest)
+  {
+    std::optional<Outcome<HttpResponse>> result;
+    asio_.restart();
+    boost::asio::co_spawn(
+      asio_,
+      [&]() -> boost::asio::awaitable<void> {
+        result = co_await client_.Fetch("127.0.0.1:" + std::to_string(aPort),
+                                        std::move(aRequest),
+                                        TimerService::Now() + seconds(20));
+      },
+      boost::asio::detached);
+    asio_.run();
+    return *result;
+  }
+
+private:
+  boost::asio::io_context asio_{ 1 };
+  HttpClient client_{ asio_.get_executor(), HttpClient::Options{} };
+};
+
+// Streams, plain completions and service calls from several callers until the
+// object goes; every answer is checked byte for byte.
+class CheckedLoad
+{
+public:
+  CheckedLoad(Balancer& aBalancer, int aCallers)
+    : balancer_(aBalancer)
+  {
+    threads_.reserve(static_cast<std::size_t>(aCallers) + 1);
+    for (int caller = 0; caller < aCallers; ++caller) {
+      threads_.emplace_back([this, caller] { RunCaller(caller); });
+    }
+    threads_.emplace_back([this] {
+      while (!done_) {
+        balancer_.Look();
+        std::this_thread::sleep_for(milliseconds(50));
+      }
+    });
+  }
+
+  ~CheckedLoad() { Stop(); }
+  CheckedLoad(const CheckedLoad&) = delete;
+  CheckedLoad& operator=(const CheckedLoad&) = delete;
+
+  void Stop()
+  {
+    done_ = true;
+    for (std::thread& thread : threads_) {
+      thread.join();
+    }
+    threads_.clear();
+  }
+
+  int Whole() const { return whole_; }
+  int Failed() const { return failed_; }
+
+  /// Waits until so many more answers came.
+  bool WaitForMore(int aAnswers)
+  {
+    const int goal = whole_ + aAnswers;
+    return WaitUntil(seconds(60), [&] { return whole_ >= goal; });
+  }
+
+private:
+  void RunCaller(int aCaller)
+  {
+    KeepingCaller keeping;
+    for (int call = 0; !done_; ++call) {
+      const std::string tag =
+        "caller-" + std::to_string(aCaller) + "-" + std::to_string(call);
+      const std::uint16_t port = balancer_.Choose(aCaller + call);
+      const int kind = aCaller < kLongCallers ? kLongStream : call % 4;
+      HttpRequest request = RequestOf(tag, kind);
+      const auto answer = aCaller % 2 == 0
+                            ? keeping.Call(port, std::move(request))
+                            : Send(port, std::move(request));
+      if (IsOwnAnswer(tag, kind, answer)) {
+        ++whole_;
+      } else {
+        ++failed_;
+        std::printf("failed: %s kind %d: %s\n",
+                    tag.c_str(),
+                    kind,
+                    answer ? answer.value().body_.c_str()
+                           : answer.error().text_.c_str());
+      }
+    }
+  }
+
+  // Half of the callers send streams that last about two seconds, longer than
+  // a stopping host's lag, so that some always run when the lag is over.
+  static constexpr int kLongCallers = 4;
+  static constexpr int kLongStream = 4;
+
+  static int TokensOf(int aKind) { return aKind == kLongStream ? 500 : 40; }
+  static bool IsStream(int aKind) { return aKind == 0 || aKind == kLongStream; }
+
+  static HttpRequest RequestOf(const std::string& aTag, int aKind)
+  {
+    if (aKind == 2 || aKind == 3) {
+      return BoardRequest(aKind == 2 ? "GET" : "POST", "/" + aTag, aTag);
+    }
+    return ChatRequest(aTag, TokensOf(aKind), IsStream(aKind));
+  }
+
+  static bool IsOwnAnswer(const std::string& aTag,
+                          int aKind,
+                          const Outcome<HttpResponse>& aAnswer)
+  {
+    if (!aAnswer || aAnswer.value().status_ != 200) {
+      return false;
+    }
+    const std::string& text = aAnswer.value().body_;
+    const std::string expected = fakes::ReferenceAnswer(aTag, TokensOf(aKind));
+    if (IsStream(aKind)) {
+      bool whole = false;
+      return StreamText(text, &whole) == expected && whole;
+    }
+    const json body = json::parse(text, nullptr, false);
+    return aKind == 1 ? body.value("/choices/0/message/content"_json_pointer,
+                                   "") == expected
+                      : body.value("path", "") == "/" + aTag;
+  }
+
+  Balancer& balancer_;
+  std::atomic<bool> done_ = false;
+  std::atomic<int> whole_ = 0;
+  std::atomic<int> failed_ = 0;
+  std::vector<std::thread> threads_;
+};
+
+constexpr int kCallers = 8;
+
+Deployment::Options ThreeHosts()
+{
+  return { .hosts_ = 3,
+           .engines_ = 3,
+           .services_ = 2,
+           .engine_ = { { "decode_us", 4000 } },
+           .host_ = {
+             { "drain", { { "lag_ms", 1000 }, { "limit_ms", 20'000 } } } } };
+}
+
+} // namespace
+
+TEST_GROUP(PlannedStopTest)
+{
+  Deployment deployment_{ ThreeHosts() };
+  Balancer balancer_;
+
+  void UseHosts(std::initializer_list<std::size_t> aIndices)
+  {
+    std::vector<Host*> hosts;
+    for (const std::size_t index : aIndices) {
+      hosts.push_back(&deployment_.At(index));
+    }
+    balancer_.SetHosts(std::move(hosts));
+  }
+
+  // Stops a host and expects a proper end within lag and limit.
+  void StopsCleanly(std::size_t aIndex)
+  {
+    Process& process = deployment_.At(aIndex).Handle();
+    process.Signal(SIGTERM);
+    LONGS_EQUAL(0, process.WaitForExit(seconds(25)));
+    STRCMP_CONTAINS("\"cut\":0", process.Output().c_str());
+  }
+};
+
+// One of three hosts is told to stop while streams and plain calls run on all.
+// It goes unready first, takes what the balancer still sends, finishes what
+// runs and exits; callers must notice nothing.
+TEST(PlannedStopTest, StopsOneHostUnderLoadWithoutCuttingARequest)
+{
+  UseHosts({ 0, 1, 2 });
+  CheckedLoad load(balancer_, kCallers);
+  CHECK_TRUE(load.WaitForMore(100));
+  StopsCleanly(0);
+  UseHosts({ 1, 2 });
+  CHECK_TRUE(load.WaitForMore(50));
+  load.Stop();
+  std::printf("one stop: %d whole, %d failed\n", load.Whole(), load.Failed());
+  LONGS_EQUAL(0, load.Failed());
+}
+
+// A rolling restart: each host in turn is stopped and replaced.
+TEST(PlannedStopTest, ReplacesAllHostsInTurnWithoutCuttingARequest)
+{
+  UseHosts({ 0, 1, 2 });
+  CheckedLoad load(balancer_, kCallers);
+  CHECK_TRUE(load.WaitForMore(50));
+  for (std::size_t index = 0; index < 3; ++index) {
+    StopsCleanly(index);
+    CHECK_TRUE(deployment_.AddHost().WaitReady(seconds(20)));
+    std::vector<Host*> hosts;
+    for (std::size_t other = index + 1; other < deployment_.Hosts(); ++other) {
+      hosts.push_back(&deployment_.At(other));
+    }
+    balancer_.SetHosts(std::move(hosts));
+    CHECK_TRUE(load.WaitForMore(50));
+  }
+  load.Stop();
+  std::printf(
+    "all in turn: %d whole, %d failed\n", load.Whole(), load.Failed());
+  LONGS_EQUAL(0, load.Failed());
+}
+
+// A caller is still sending its body when the host is told to stop. No handler
+// runs yet, so a host that counts handlers only would exit and cut the call.
+TEST(PlannedStopTest, FinishesARequestWhoseBodyIsStillComing)
+{
+  const std::string body =
+    R"({"model":"m","max_tokens":4,"messages":[{"role":"user","content":"x"}]})";
+  const std::string request = RawChat(body);
+  Host& host = deployment_.At(0);
+  Wire wire(host.Port());
+  wire.Write(request.substr(0, request.size() - 20));
+  host.Handle().Signal(SIGTERM);
+  CHECK_FALSE(host.Handle().WaitForLine("\"event\":1001", seconds(10)).empty());
+  // Longer than the lag, after which nothing but this request is left.
+  CHECK_EQUAL(-1, host.Handle().WaitForExit(milliseconds(1500)));
+  wire.Write(request.substr(request.size() - 20));
+  CHECK_TRUE(wire.ReadToEnd());
+  LONGS_EQUAL(200, wire.Status());
+  LONGS_EQUAL(0, host.Handle().WaitForExit(seconds(25)));
+}
+
+// The platform's list shows an engine as leaving while it still answers. It may
+// finish what it has, but three seconds later nothing new may begin there.
+TEST(PlannedStopTest, GivesALeavingEndpointNoNewWorkThreeSecondsAfterTheList)
+{
+  UseHosts({ 0, 1, 2 });
+  CheckedLoad load(balancer_, kCallers);
+  CHECK_TRUE(load.WaitForMore(100));
+  json list = deployment_.HostList();
+  list[0]["state"] = "leaving";
+  deployment_.List().Control({ { "hosts", list } });
+  std::this_thread::sleep_for(seconds(3)); // the bound that is promised
+  const int started = deployment_.Engine(0).Stats().value("started", -1);
+  CHECK_TRUE(started > 0);
+  CHECK_TRUE(load.WaitForMore(200));
+  LONGS_EQUAL(started, deployment_.Engine(0).Stats().value("started", -1));
+  load.Stop();
+  LONGS_EQUAL(0, load.Failed());
+}
+
+// The engine itself says that it leaves, in its load report and in refusing new
+// work; the list still shows it live. Each host may run into a few refusals
+// that were under way at that moment, and none later.
+TEST(PlannedStopTest, BelievesALeavingEndpointsOwnWordAtOnce)
+{
+  constexpr int kUnderWay = kCallers;
+  UseHosts({ 0, 1, 2 });
+  CheckedLoad load(balancer_, kCallers);
+  CHECK_TRUE(load.WaitForMore(100));
+  deployment_.Engine(0).Control({ { "leaving", true } });
+  CHECK_TRUE(load.WaitForMore(200));
+  load.Stop();
+  const int refused = deployment_.Engine(0).Stats().value("refused", -1);
+  std::printf("own word: %d refusals, %d whole, %d failed\n",
+              refused,
+              load.Whole(),
+              load.Failed());
+  CHECK_TRUE(refused >= 0);
+  CHECK_TRUE(refused <= kUnderWay);
+  LONGS_EQUAL(0, load.Failed());
+}
