Count error budgets by team, service and prompt band

Operators had no figure for how fast a team's budget is spent. The core now counts met and missed requests in two rings of Boost.Histogram slots (minutes for 30 min, ten minutes for 6 h), about 5 kB a team and service and at most 512 pairs a ledger; further teams are counted together.

The time-to-first-token histogram moved from the metrics to the core, so that hosts can send and merge it; the text of /metrics is as before but for the prompt bands' edges, which now stand in one table.

--- a/include/gooseberrylift/gooseberrylift-config.h
+++ b/include/gooseberrylift/gooseberrylift-config.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYLIFT_GOOSEBERRYLIFT_CONFIG_H_
 #define GOOSEBERRYLIFT_GOOSEBERRYLIFT_CONFIG_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -16,6 +17,7 @@
 
 #include <boost/leaf/result.hpp>
 
+#include "gooseberrylift/gooseberrylift-prompt-band.h"
 #include "gooseberrylift/gooseberrylift-result.h"
 
 namespace gooseberrylift {
@@ -60,6 +62,16 @@
   int maxConcurrency_ = 32;                     // requests per endpoint
 };
 
+// What a service promises its teams; the burn report counts against it.
+struct ServiceObjective
+{
+  // Bound of the time to first token by prompt band; none is not counted.
+  std::array<std::optional<std::chrono::milliseconds>, kPromptBands.size()>
+    firstToken_{};
+  double firstTokenShare_ = 0.95; // of requests that are to keep the bound
+  double successShare_ = 0.999;   // to be answered whole within the deadline
+};
+
 // What callers address: a model or a plain service, with its objectives.
 struct ServiceConfig
 {
@@ -71,6 +83,7 @@
   std::chrono::milliseconds deadline_{ 60'000 }; // whole answer, by default
   std::set<std::string> repeatableMethods_;      // kPlain: safe to send twice
   std::vector<std::string> dependsOn_;           // names of services
+  std::optional<ServiceObjective> objective_;    // none is not reported on
 };
 
 // A configuration that passed its checks. It never changes after it was made;
@@ -88,6 +101,9 @@
   static boost::leaf::result<Ptr> Parse(std::string_view aText,
                                         std::uint64_t aGeneration);
 
+  /// Gives the JSON Schema that Parse checks a text against.
+  static std::string_view Schema();
+
   std::uint64_t Generation() const { return generation_; }
 
   /// Gives the text that this configuration was made from.
--- a/include/gooseberrylift/internal/gooseberrylift-metrics.h
+++ b/include/gooseberrylift/internal/gooseberrylift-metrics.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <string_view>
 
+#include "gooseberrylift/gooseberrylift-first-token-histogram.h"
+
 namespace gooseberrylift {
 
 // State is split into shards by thread, each under its own lock, and merged
@@ -36,6 +38,9 @@
   /// code="63"; may be empty
   void Count(std::string_view aName, std::string_view aLabel = {});
 
+  /// Gives the times to first token since the start, of all shards.
+  FirstTokenHistogram FirstTokens() const;
+
   /// Gives all metrics in Prometheus text.
   std::string Text() const;
 
--- /dev/null
+++ b/src/core/gooseberrylift-burn-document.cc
@@ -0,0 +1,310 @@
+#include "gooseberrylift/gooseberrylift-burn-document.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "gooseberrylift/gooseberrylift-text-table.h"
+
+namespace gooseberrylift {
+
+using nlohmann::json;
+
+namespace {
+
+json ObjectivesJson(const ObjectivesByService& aObjectives)
+{
+  json items = json::object();
+  for (const auto& [service, objective] : aObjectives) {
+    json bounds = json::object();
+    for (std::size_t band = 0; band < kPromptBands.size(); ++band) {
+      if (const auto& bound = objective.firstToken_.at(band)) {
+        bounds[kPromptBands.at(band).name_] = bound->count();
+      }
+    }
+    items[service] = { { "first_token_ms", bounds },
+                       { "first_token_share", objective.firstTokenShare_ },
+                       { "success_share", objective.successShare_ } };
+  }
+  return items;
+}
+
+ObjectivesByService ReadObjectives(const json& aItems)
+{
+  ObjectivesByService objectives;
+  for (const auto& [service, item] : aItems.items()) {
+    ServiceObjective objective{
+      .firstTokenShare_ = item.at("first_token_share"),
+      .successShare_ = item.at("success_share"),
+    };
+    for (std::size_t band = 0; band < kPromptBands.size(); ++band) {
+      const json& bounds = item.at("first_token_ms");
+      const auto bound = bounds.find(kPromptBands.at(band).name_);
+      if (bound != bounds.end()) {
+        objective.firstToken_.at(band) =
+          std::chrono::milliseconds(bound->get<std::int64_t>());
+      }
+    }
+    objectives.emplace(service, objective);
+  }
+  return objectives;
+}
+
+json CountsJson(const BurnWindowCounts& aCounts)
+{
+  json counts = json::array();
+  for (const BurnCounts& window : aCounts) {
+    counts.push_back({ window.met_, window.missed_ });
+  }
+  return counts;
+}
+
+BurnWindowCounts ReadCounts(const json& aItems)
+{
+  BurnWindowCounts counts;
+  for (std::size_t window = 0; window < counts.size(); ++window) {
+    counts.at(window) = { .met_ = aItems.at(window).at(0),
+                          .missed_ = aItems.at(window).at(1) };
+  }
+  return counts;
+}
+
+json RowJson(const BurnRow& aRow)
+{
+  return { { "team", aRow.key_.team_ },
+           { "service", aRow.key_.service_ },
+           { "band", kPromptBands.at(aRow.key_.band_).name_ },
+           { "objective", NameOf(aRow.key_.objective_) },
+           { "target", aRow.target_ },
+           { "counts", CountsJson(aRow.counts_) },
+           { "burn_rates", aRow.rates_ },
+           { "budget_left", aRow.budgetLeft_ },
+           { "spent_in_minutes",
+             aRow.spentIn_ ? json(aRow.spentIn_->count()) : json() } };
+}
+
+constexpr std::array kShares = { 0.5, 0.95, 0.99 };
+
+json QuantileJson(const std::optional<std::chrono::duration<double>>& aTime)
+{
+  return aTime ? json(aTime->count()) : json();
+}
+
+std::string Percent(double aShare)
+{
+  return std::to_string(static_cast<int>(aShare * 100)) + "%";
+}
+
+std::string SpentText(const BurnRow& aRow)
+{
+  if (!aRow.spentIn_) {
+    return "never";
+  }
+  const auto minutes = aRow.spentIn_->count();
+  if (minutes == 0) {
+    return aRow.budgetLeft_ <= 0 ? "spent" : "now";
+  }
+  return minutes < 120 ? std::to_string(minutes) + " min"
+                       : std::to_string(minutes / 60) + " h";
+}
+
+std::string RateText(double aRate)
+{
+  const auto tenths = static_cast<std::int64_t>(aRate * 10 + 0.5);
+  return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10);
+}
+
+// Series with counts, as (service, band).
+std::vector<std::pair<std::string, std::size_t>> SeriesOf(
+  const FirstTokenHistogram& aHistogram)
+{
+  std::vector<std::pair<std::string, std::size_t>> series;
+  for (const auto& bin : aHistogram.Filled()) {
+    series.emplace_back(bin.service_, bin.band_);
+  }
+  series.erase(std::unique(series.begin(), series.end()), series.end());
+  return series;
+}
+
+std::string QuantileText(
+  const std::optional<std::chrono::duration<double>>& aTime)
+{
+  if (!aTime) {
+    return ">300000";
+  }
+  return std::to_string(static_cast<std::int64_t>(aTime->count() * 1000 + 0.5));
+}
+
+std::string Join(const std::vector<std::string>& aItems)
+{
+  std::string text;
+  for (const std::string& item : aItems) {
+    text += (text.empty() ? "" : ", ") + item;
+  }
+  return text;
+}
+
+} // namespace
+
+std::string BurnDocumentText(const BurnDocument& aDocument)
+{
+  json series = json::array();
+  for (const auto& [key, counts] : aDocument.tally_) {
+    series.push_back({ { "team", key.team_ },
+                       { "service", key.service_ },
+                       { "band", key.band_ },
+                       { "objective", static_cast<int>(key.objective_) },
+                       { "counts", CountsJson(counts) } });
+  }
+  json bins = json::array();
+  for (const auto& bin : aDocument.firstTokens_.Filled()) {
+    bins.push_back({ bin.service_, bin.band_, bin.bin_, bin.count_ });
+  }
+  const json document = {
+    { "hosts", aDocument.hosts_ },
+    { "generation", aDocument.generation_ },
+    { "objectives", ObjectivesJson(aDocument.objectives_) },
+    { "series", series },
+    { "first_token_bins", bins },
+  };
+  return document.dump();
+}
+
+std::optional<BurnDocument> ParseBurnDocument(std::string_view aText)
+{
+  try {
+    const json document = json::parse(aText);
+    BurnDocument read{
+      .hosts_ = document.at("hosts"),
+      .generation_ = document.at("generation"),
+      .objectives_ = ReadObjectives(document.at("objectives")),
+    };
+    for (const json& item : document.at("series")) {
+      const BurnKey key{ .team_ = item.at("team"),
+                         .service_ = item.at("service"),
+                         .band_ = item.at("band"),
+                         .objective_ = item.at("objective") == 0
+                                         ? BurnObjective::kFirstToken
+                                         : BurnObjective::kSuccess };
+      if (key.band_ >= kPromptBands.size()) {
+        return std::nullopt;
+      }
+      read.tally_[key] = ReadCounts(item.at("counts"));
+    }
+    for (const json& item : document.at("first_token_bins")) {
+      read.firstTokens_.Add({ .service_ = item.at(0),
+                              .band_ = item.at(1),
+                              .bin_ = item.at(2),
+                              .count_ = item.at(3) });
+    }
+    return read;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+void MergeDocument(BurnDocument& aInto, const BurnDocument& aFrom)
+{
+  aInto.hosts_.insert(
+    aInto.hosts_.end(), aFrom.hosts_.begin(), aFrom.hosts_.end());
+  if (aFrom.generation_ >= aInto.generation_) {
+    aInto.generation_ = aFrom.generation_;
+    aInto.objectives_ = aFrom.objectives_;
+  }
+  MergeTally(aInto.tally_, aFrom.tally_);
+  aInto.firstTokens_.Merge(aFrom.firstTokens_);
+}
+
+ObjectivesByService ObjectivesOf(const Configuration& aConfiguration)
+{
+  ObjectivesByService objectives;
+  for (const auto& [name, service] : aConfiguration.Services()) {
+    if (service.objective_) {
+      objectives.emplace(name, *service.objective_);
+    }
+  }
+  return objectives;
+}
+
+std::string BurnReportJson(const BurnDocument& aDocument,
+                           const std::vector<std::string>& aSilent)
+{
+  json rows = json::array();
+  for (const BurnRow& row :
+       EvaluateBurn(aDocument.tally_, aDocument.objectives_)) {
+    rows.push_back(RowJson(row));
+  }
+  json windows = json::array();
+  for (const auto window : kBurnWindows) {
+    windows.push_back(window.count());
+  }
+  json quantiles = json::array();
+  for (const auto& [service, band] : SeriesOf(aDocument.firstTokens_)) {
+    json item = { { "service", service },
+                  { "band", kPromptBands.at(band).name_ } };
+    for (const double share : kShares) {
+      item["p" + std::to_string(static_cast<int>(share * 100))] =
+        QuantileJson(aDocument.firstTokens_.Quantile(service, band, share));
+    }
+    quantiles.push_back(item);
+  }
+  const json report = { { "hosts", aDocument.hosts_ },
+                        { "silent_hosts", aSilent },
+                        { "generation", aDocument.generation_ },
+                        { "windows_minutes", windows },
+                        { "rows", rows },
+                        { "first_token_seconds", quantiles } };
+  return report.dump(2) + "\n";
+}
+
+std::string BurnReportText(const BurnDocument& aDocument,
+                           const std::vector<std::string>& aSilent)
+{
+  std::string text =
+    "Burn rates of " + std::to_string(aDocument.hosts_.size()) +
+    " hosts, worst team first (1.0 spends the budget in 6 h)\n";
+  if (!aSilent.empty()) {
+    text += "No answer, not counted: " + Join(aSilent) + "\n";
+  }
+  TextTable table({ { "TEAM" },
+                    { "SERVICE" },
+                    { "BAND" },
+                    { "OBJECTIVE" },
+                    { "5MIN", true },
+                    { "30MIN", true },
+                    { "1H", true },
+                    { "6H", true },
+                    { "LEFT", true },
+                    { "SPENT IN", true } });
+  for (const BurnRow& row :
+       EvaluateBurn(aDocument.tally_, aDocument.objectives_)) {
+    table.Add({ row.key_.team_,
+                row.key_.service_,
+                kPromptBands.at(row.key_.band_).name_,
+                NameOf(row.key_.objective_),
+                RateText(row.rates_.at(0)),
+                RateText(row.rates_.at(1)),
+                RateText(row.rates_.at(2)),
+                RateText(row.rates_.at(3)),
+                Percent(row.budgetLeft_),
+                SpentText(row) });
+  }
+  text += "\n" + table.Text() +
+          "\nTime to first token in ms since the hosts started\n\n";
+  TextTable times({ { "SERVICE" },
+                    { "BAND" },
+                    { "P50", true },
+                    { "P95", true },
+                    { "P99", true } });
+  for (const auto& [service, band] : SeriesOf(aDocument.firstTokens_)) {
+    std::vector<std::string> cells{ service, kPromptBands.at(band).name_ };
+    for (const double share : kShares) {
+      cells.push_back(
+        QuantileText(aDocument.firstTokens_.Quantile(service, band, share)));
+    }
+    times.Add(std::move(cells));
+  }
+  return text + times.Text();
+}
+
+} // namespace gooseberrylift
--- a/src/core/gooseberrylift-config.cc
+++ b/src/core/gooseberrylift-config.cc
@@ -16,6 +16,10 @@
   "type": "object",
   "required": ["teams", "pools", "services"],
   "additionalProperties": false,
+  "definitions": {
+    "ms": { "type": "integer", "minimum": 1, "maximum": 86400000 },
+    "share": { "type": "number", "minimum": 0.5, "maximum": 0.99999 }
+  },
   "properties": {
     "teams": { "type": "array", "items": {
       "type": "object", "required": ["name", "keys"],
@@ -50,7 +54,22 @@
                          "maximum": 86400000 },
         "repeatable_methods": { "type": "array",
                                 "items": { "type": "string" } },
-        "depends_on": { "type": "array", "items": { "type": "string" } }
+        "depends_on": { "type": "array", "items": { "type": "string" } },
+        "objective": {
+          "type": "object", "additionalProperties": false,
+          "properties": {
+            "first_token_ms": {
+              "type": "object", "additionalProperties": false,
+              "properties": {
+                "le4k": { "$ref": "#/definitions/ms" },
+                "le10k": { "$ref": "#/definitions/ms" },
+                "le100k": { "$ref": "#/definitions/ms" },
+                "le1M": { "$ref": "#/definitions/ms" },
+                "over1M": { "$ref": "#/definitions/ms" }
+              } },
+            "first_token_share": { "$ref": "#/definitions/share" },
+            "success_share": { "$ref": "#/definitions/share" }
+          } }
       } } }
   }
 })json";
@@ -63,6 +82,24 @@
   return aName == "batch" ? ServiceClass::kBatch : ServiceClass::kNormal;
 }
 
+ServiceObjective ReadObjective(const json& aItem)
+{
+  ServiceObjective objective;
+  objective.firstTokenShare_ =
+    aItem.value("first_token_share", objective.firstTokenShare_);
+  objective.successShare_ =
+    aItem.value("success_share", objective.successShare_);
+  const json bounds = aItem.value("first_token_ms", json::object());
+  for (std::size_t band = 0; band < kPromptBands.size(); ++band) {
+    const auto bound = bounds.find(kPromptBands.at(band).name_);
+    if (bound != bounds.end()) {
+      objective.firstToken_.at(band) =
+        std::chrono::milliseconds(bound->get<std::int64_t>());
+    }
+  }
+  return objective;
+}
+
 leaf::error_id Invalid(std::string aText)
 {
   return leaf::new_error(Error{ .code_ = ResultCode::kConfigurationInvalid,
@@ -153,6 +190,9 @@
       .repeatableMethods_ = aItem.value("repeatable_methods",
                                         std::set<std::string>{ "GET", "HEAD" }),
       .dependsOn_ = aItem.value("depends_on", std::vector<std::string>{}),
+      .objective_ = aItem.contains("objective")
+                      ? std::optional(ReadObjective(aItem.at("objective")))
+                      : std::nullopt,
     };
   }
 
@@ -225,6 +265,11 @@
   std::set<std::string> done_;
 };
 
+std::string_view Configuration::Schema()
+{
+  return kSchema;
+}
+
 leaf::result<Configuration::Ptr> Configuration::Parse(std::string_view aText,
                                                       std::uint64_t aGeneration)
 {
--- a/src/runtime/gooseberrylift-metrics.cc
+++ b/src/runtime/gooseberrylift-metrics.cc
@@ -1,43 +1,19 @@
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <map>
 #include <mutex>
 #include <sstream>
 
-#include <boost/histogram.hpp>
+#include "gooseberrylift/gooseberrylift-prompt-band.h"
 
 namespace gooseberrylift {
 
-namespace bh = boost::histogram;
-using namespace bh::literals; // 0_c names an axis
-
 namespace {
 
 constexpr std::size_t kShards = 8;
-constexpr std::array<const char*, 5> kBands = { "le4k",
-                                                "le10k",
-                                                "le100k",
-                                                "le1M",
-                                                "over1M" };
-
-// In tokens.
-constexpr std::array<double, 6> kBandEdges = { 0,       4096,      10'240,
-                                               102'400, 1'048'576, 1e12 };
-
-// Times are in seconds: a millisecond to five minutes in steps of a quarter.
-auto MakeHistogram()
-{
-  using Growing = bh::axis::
-    category<std::string, bh::use_default, bh::axis::option::growth_t>;
-  return bh::make_histogram(
-    Growing(),
-    bh::axis::variable<>(kBandEdges),
-    bh::axis::regular<double, bh::axis::transform::log>(56, 0.001, 300.0));
-}
-
-using FirstTokenHistogram = decltype(MakeHistogram());
 
 // A thread keeps the shard that it got first, so that threads seldom meet.
 std::size_t ShardOfThread()
@@ -47,33 +23,32 @@
   return kMine;
 }
 
+using SeriesKey = std::pair<std::string, std::size_t>; // service, band
+using SeriesBins = std::map<int, std::uint64_t>;       // count by time bin
+
 void WriteSeries(std::ostream& aOut,
-                 const FirstTokenHistogram& aHistogram,
-                 int aService,
-                 int aBand)
+                 const SeriesKey& aKey,
+                 const SeriesBins& aBins)
 {
-  const std::string labels =
-    "service=\"" + aHistogram.axis(0_c).value(aService) + "\",prompt=\"" +
-    kBands.at(static_cast<std::size_t>(aBand)) + "\"";
-  const auto& times = aHistogram.axis(2_c);
-  double total = 0;
+  const std::string labels = "service=\"" + aKey.first + "\",prompt=\"" +
+                             kPromptBands.at(aKey.second).name_ + "\"";
+  const int last = FirstTokenHistogram::Bins();
+  std::uint64_t total = 0;
   double sum = 0;
-  std::ostringstream buckets;
-  for (int bin = -1; bin <= times.size(); ++bin) {
-    const double count = aHistogram.at(aService, aBand, bin);
+  for (int bin = -1; bin <= last; ++bin) {
+    const auto found = aBins.find(bin);
+    const std::uint64_t count = found == aBins.end() ? 0 : found->second;
     total += count;
-    const bool last = bin == times.size();
-    sum += count * (last ? 300.0 : times.bin(bin).upper());
-    buckets << "gooseberrylift_first_token_seconds_bucket{" << labels
-            << ",le=\"";
-    last ? buckets << "+Inf" : buckets << times.bin(bin).upper();
-    buckets << "\"} " << total << '\n';
-  }
-  if (total > 0) {
-    aOut << buckets.str() << "gooseberrylift_first_token_seconds_sum{" << labels
-         << "} " << sum << "\ngooseberrylift_first_token_seconds_count{"
-         << labels << "} " << total << '\n';
+    const double edge =
+      FirstTokenHistogram::UpperEdge(std::min(bin, last - 1)).count();
+    sum += static_cast<double>(count) * edge;
+    aOut << "gooseberrylift_first_token_seconds_bucket{" << labels << ",le=\"";
+    bin == last ? aOut << "+Inf" : aOut << edge;
+    aOut << "\"} " << total << '\n';
   }
+  aOut << "gooseberrylift_first_token_seconds_sum{" << labels << "} " << sum
+       << "\ngooseberrylift_first_token_seconds_count{" << labels << "} "
+       << total << '\n';
 }
 
 } // namespace
@@ -84,7 +59,7 @@
   struct Shard
   {
     mutable std::mutex mutex_;
-    FirstTokenHistogram firstToken_ = MakeHistogram();
+    FirstTokenHistogram firstToken_;
     std::map<std::string, std::map<std::string, std::uint64_t>> counters_;
   };
 
@@ -103,10 +78,8 @@
                                std::chrono::microseconds aTime)
 {
   Impl::Shard& shard = impl_->shards_.at(ShardOfThread());
-  const std::chrono::duration<double> seconds = aTime;
   const std::lock_guard lock(shard.mutex_);
-  shard.firstToken_(
-    std::string(aService), static_cast<double>(aPromptTokens), seconds.count());
+  shard.firstToken_.Record(std::string(aService), aPromptTokens, aTime);
 }
 
 void Metrics::Count(std::string_view aName, std::string_view aLabel)
@@ -116,13 +89,21 @@
   ++shard.counters_[std::string(aName)][std::string(aLabel)];
 }
 
+FirstTokenHistogram Metrics::FirstTokens() const
+{
+  FirstTokenHistogram merged;
+  for (const Impl::Shard& shard : impl_->shards_) {
+    const std::lock_guard lock(shard.mutex_);
+    merged.Merge(shard.firstToken_);
+  }
+  return merged;
+}
+
 std::string Metrics::Text() const
 {
-  auto firstToken = MakeHistogram();
   std::map<std::string, std::map<std::string, std::uint64_t>> counters;
   for (const Impl::Shard& shard : impl_->shards_) {
     const std::lock_guard lock(shard.mutex_);
-    firstToken += shard.firstToken_;
     for (const auto& [name, series] : shard.counters_) {
       for (const auto& [label, count] : series) {
         counters[name][label] += count;
@@ -138,10 +119,12 @@
     }
   }
   out << "# TYPE gooseberrylift_first_token_seconds histogram\n";
-  for (int service = 0; service < firstToken.axis(0_c).size(); ++service) {
-    for (int band = 0; band < firstToken.axis(1_c).size(); ++band) {
-      WriteSeries(out, firstToken, service, band);
-    }
+  std::map<SeriesKey, SeriesBins> series;
+  for (const FirstTokenHistogram::Bin& bin : FirstTokens().Filled()) {
+    series[{ bin.service_, bin.band_ }][bin.bin_] = bin.count_;
+  }
+  for (const auto& [key, bins] : series) {
+    WriteSeries(out, key, bins);
   }
   return out.str();
 }
