Set log levels by component while running and bound each event's rate

In an overload each refusal was a log line, and finding one component's debug lines meant a restart with all of them. POST /drain does what SIGTERM does, and ended requests are recorded for GET /report/burn.

--- a/include/gooseberrylift/internal/gooseberrylift-caller-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-caller-front.h
@@ -7,12 +7,20 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-burn-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
 
 namespace gooseberrylift {
 
+// What the burn report is to know of a request; filled on its way.
+struct BurnNote
+{
+  const ServiceConfig* service_ = nullptr; // null until it is known
+  BurnSample sample_;
+};
+
 // What the handlers of one request share.
 struct CallerRequest
 {
@@ -20,6 +28,7 @@
   TimePoint arrived_;
   Configuration::Ptr configuration_;
   const TeamConfig* team_ = nullptr;
+  BurnNote* burn_ = nullptr; // lives as long as the request
 };
 
 // Answers every request exactly once: whole, as a stream, or with a numbered
@@ -33,6 +42,7 @@
     ModelRunner& models_;
     ServiceRunner& services_;
     Metrics& metrics_;
+    BurnRecorder& burn_;
   };
 
   explicit CallerFront(Parts aParts);
@@ -54,6 +64,7 @@
   boost::asio::awaitable<Outcome<void>> HandleService(
     HttpExchange& aExchange,
     const CallerRequest& aRequest);
+  void RecordBurn(const CallerRequest& aRequest, ResultCode aCode);
   boost::asio::awaitable<void> AnswerFailure(HttpExchange& aExchange,
                                              const CallerRequest& aRequest,
                                              Error aError);
--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -8,6 +8,7 @@
 #include "gooseberrylift/gooseberrylift-settings.h"
 #include "gooseberrylift/internal/gooseberrylift-admin-front.h"
 #include "gooseberrylift/internal/gooseberrylift-blackboard.h"
+#include "gooseberrylift/internal/gooseberrylift-burn-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-caller-front.h"
 #include "gooseberrylift/internal/gooseberrylift-config-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
@@ -36,6 +37,7 @@
 private:
   Outcome<void> Listen();
   void StartControllers();
+  void AddRoutes();
   boost::asio::awaitable<void> WaitForStop();
   boost::asio::awaitable<void> Drain();
 
@@ -43,6 +45,7 @@
   boost::asio::io_context context_;
   Blackboard board_;
   Metrics metrics_;
+  BurnRecorder burn_;
   HttpClient client_;
   RestStore store_;
   ConfigFollower configFollower_;
--- /dev/null
+++ b/include/gooseberrylift/internal/gooseberrylift-log-routes.h
@@ -0,0 +1,16 @@
+// Reads and changes the log levels through the admin port.
+
+#ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_LOG_ROUTES_H_
+#define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_LOG_ROUTES_H_
+
+#include "gooseberrylift/internal/gooseberrylift-admin-front.h"
+
+namespace gooseberrylift {
+
+/// Adds GET /log, which gives the level of each component, and
+/// POST /log?component=NAME&level=NAME, which sets one until the next restart.
+void AddLogRoutes(AdminFront& aFront);
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_LOG_ROUTES_H_
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -56,7 +56,30 @@
 /// @param aHost the host's name, written with each event
 void StartLogging(std::string_view aLevel, std::string aHost);
 
-/// Writes one event.
+// What a group of a hundred event numbers belongs to.
+struct LogComponent
+{
+  int hundreds_; // 10 for the events from 1000 to 1099
+  std::string_view name_;
+};
+
+/// Lists the components in rising order of their events.
+std::span<const LogComponent> AllLogComponents();
+
+/// Sets the lowest level that is written, while running.
+/// @param aComponent a component's name, or "all"
+/// @param aLevel "debug", "info", "warning" or "error"
+/// @return false when there is no such component or level
+bool SetLogLevel(std::string_view aComponent, std::string_view aLevel);
+
+/// Gives the lowest level that a component writes, by name.
+std::string_view LogLevelOf(const LogComponent& aComponent);
+
+/// Gives a level's name.
+std::string_view NameOf(LogLevel aLevel);
+
+/// Writes one event, unless its component's level or its rate forbids it. The
+/// next one written of the same number then has the field "left_out".
 /// @param aEvent which
 /// @param aFields an object with what is particular to this occurrence
 void Log(LogEvent aEvent, nlohmann::json aFields = nlohmann::json::object());
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -93,18 +93,38 @@
                         { "X-Request-Id", aRequestId } } };
 }
 
+void NoteService(const CallerRequest& aRequest,
+                 const ServiceConfig& aService,
+                 std::uint64_t aPromptTokens)
+{
+  *aRequest.burn_ = { .service_ = &aService,
+                      .sample_ = { .team_ = aRequest.team_->name_,
+                                   .service_ = aService.name_,
+                                   .promptTokens_ = aPromptTokens } };
+}
+
+void NoteFirstToken(const CallerRequest& aRequest)
+{
+  auto& firstToken = aRequest.burn_->sample_.firstToken_;
+  if (!firstToken) {
+    firstToken = std::chrono::duration_cast<std::chrono::microseconds>(
+      TimerService::Now() - aRequest.arrived_);
+  }
+}
+
 // Passes each event on as it comes.
 class StreamSink : public TokenSink
 {
 public:
-  explicit StreamSink(HttpExchange& aExchange, const std::string& aRequestId)
+  StreamSink(HttpExchange& aExchange, const CallerRequest& aRequest)
     : exchange_(aExchange)
-    , requestId_(aRequestId)
+    , request_(aRequest)
   {
   }
 
   asio::awaitable<bool> OnToken(const TokenEvent& aToken) override
   {
+    NoteFirstToken(request_);
     const bool open = co_await Open();
     if (!open) {
       co_return false;
@@ -133,19 +153,25 @@
     if (exchange_.Started()) {
       co_return true;
     }
-    co_return co_await exchange_.StartStream(EventStreamHead(requestId_));
+    co_return co_await exchange_.StartStream(EventStreamHead(request_.id_));
   }
 
   HttpExchange& exchange_;
-  const std::string& requestId_;
+  const CallerRequest& request_;
 };
 
 // Gathers the whole answer.
 class CollectSink : public TokenSink
 {
 public:
+  explicit CollectSink(const CallerRequest& aRequest)
+    : request_(aRequest)
+  {
+  }
+
   asio::awaitable<bool> OnToken(const TokenEvent& aToken) override
   {
+    NoteFirstToken(request_);
     text_ += aToken.text_;
     finishReason_ = aToken.finishReason_;
     co_return true;
@@ -153,6 +179,9 @@
 
   std::string text_;
   std::string finishReason_;
+
+private:
+  const CallerRequest& request_;
 };
 
 // Sends an endpoint's answer on: whole while it is small, piece by piece when
@@ -223,16 +252,18 @@
 
 asio::awaitable<void> CallerFront::Handle(HttpExchange& aExchange)
 {
-  CallerRequest request{
-    .id_ = MakeRequestId(),
-    .arrived_ = TimerService::Now(),
-    .configuration_ = parts_.board_.configuration_.Read()->configuration_
-  };
+  BurnNote burn;
+  CallerRequest request{ .id_ = MakeRequestId(),
+                         .arrived_ = TimerService::Now(),
+                         .configuration_ =
+                           parts_.board_.configuration_.Read()->configuration_,
+                         .burn_ = &burn };
   Error error;
   try {
     const auto done = co_await Dispatch(aExchange, request);
     if (done) {
       parts_.metrics_.Count("gooseberrylift_requests_total", "code=\"0\"");
+      RecordBurn(request, ResultCode::kOk);
       co_return;
     }
     error = done.error();
@@ -301,6 +332,7 @@
   if (!deadline) {
     co_return deadline.error();
   }
+  NoteService(aRequest, *service, model.promptTokens_);
   Generation generation{
     .requestId_ = aRequest.id_,
     .pool_ = service->pool_,
@@ -318,7 +350,7 @@
   aExchange.MutableRequest().body_ = {}; // held once, as JSON, from here on
   aExchange.SetDeadline(generation.info_.deadline_);
   if (model.stream_) {
-    StreamSink sink(aExchange, aRequest.id_);
+    StreamSink sink(aExchange, aRequest);
     const auto done = co_await parts_.models_.Run(std::move(generation), sink);
     if (!done) {
       co_return done.error();
@@ -326,7 +358,7 @@
     co_await sink.Finish();
     co_return boost::outcome_v2::success();
   }
-  CollectSink sink;
+  CollectSink sink(aRequest);
   const auto done = co_await parts_.models_.Run(std::move(generation), sink);
   if (!done) {
     co_return done.error();
@@ -366,6 +398,7 @@
   HttpFields fields = WithoutOwnFields(request.fields_);
   fields.push_back({ "X-Request-Id", aRequest.id_ });
   fields.push_back({ "X-Team", aRequest.team_->name_ });
+  NoteService(aRequest, *service, 0);
   ServiceCall call{
     .requestId_ = aRequest.id_,
     .pool_ = service->pool_,
@@ -393,11 +426,20 @@
   co_return passed;
 }
 
+void CallerFront::RecordBurn(const CallerRequest& aRequest, ResultCode aCode)
+{
+  if (aRequest.burn_->service_ != nullptr) {
+    parts_.burn_.Record(
+      *aRequest.burn_->service_, aRequest.burn_->sample_, aCode);
+  }
+}
+
 asio::awaitable<void> CallerFront::AnswerFailure(HttpExchange& aExchange,
                                                  const CallerRequest& aRequest,
                                                  Error aError)
 {
   const int code = static_cast<int>(aError.code_);
+  RecordBurn(aRequest, aError.code_);
   parts_.metrics_.Count("gooseberrylift_requests_total",
                         "code=\"" + std::to_string(code) + "\"");
   Log(LogEvent::kRequestFailed,
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-log-routes.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 
 namespace gooseberrylift {
@@ -18,6 +19,7 @@
 EntryHost::EntryHost(Settings aSettings)
   : settings_(std::move(aSettings))
   , context_(settings_.threads_)
+  , burn_({ .settings_ = settings_, .board_ = board_, .metrics_ = metrics_ })
   , client_(context_.get_executor(), HttpClient::Options{})
   , store_(client_, { .addresses_ = settings_.storeAddresses_ })
   , configFollower_(store_, board_, ConfigFollower::Options{})
@@ -42,7 +44,8 @@
   , callerFront_({ .board_ = board_,
                    .models_ = models_,
                    .services_ = services_,
-                   .metrics_ = metrics_ })
+                   .metrics_ = metrics_,
+                   .burn_ = burn_ })
   , adminFront_({ .settings_ = settings_,
                   .board_ = board_,
                   .broker_ = broker_,
@@ -64,6 +67,18 @@
         .port_ = settings_.admin_.port_ },
       [this](HttpExchange& aExchange) { return adminFront_.Handle(aExchange); })
 {
+  AddRoutes();
+}
+
+void EntryHost::AddRoutes()
+{
+  burn_.AddRoutes(adminFront_);
+  AddLogRoutes(adminFront_);
+  adminFront_.Add(
+    "POST", "/drain", [](HttpExchange& aExchange) -> asio::awaitable<void> {
+      co_await aExchange.Send(TextResponse(202, "draining\n"));
+      std::raise(SIGTERM);
+    });
 }
 
 Outcome<void> EntryHost::Run()
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -4,9 +4,14 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <mutex>
+#include <optional>
 
 #include <easylogging++.h>
 
+#include "gooseberrylift/gooseberrylift-event-limit.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace gooseberrylift {
@@ -66,15 +71,55 @@
                 "An endpoint failed a request, which may be tried again." },
 };
 
-std::atomic<LogLevel> sLowest = LogLevel::kInfo;
+constexpr std::array kComponents = {
+  LogComponent{ 10, "host" },      LogComponent{ 11, "configuration" },
+  LogComponent{ 12, "endpoints" }, LogComponent{ 13, "requests" },
+  LogComponent{ 14, "decisions" }, LogComponent{ 15, "jobs" },
+  LogComponent{ 16, "peers" },     LogComponent{ 17, "orders" },
+  LogComponent{ 18, "reports" },
+};
+
+constexpr std::array<std::string_view, 4> kLevelNames = { "debug",
+                                                          "info",
+                                                          "warning",
+                                                          "error" };
+
+// By component, in the order of kComponents.
+using Levels = std::array<std::atomic<LogLevel>, kComponents.size()>;
+Levels sLowest{};
 std::string sHost; // written once, before any thread starts
 
-LogLevel LevelOf(std::string_view aName)
+struct LimitedEvent
+{
+  std::mutex mutex_;
+  EventLimit limit_{ EventLimit::Options{} };
+};
+
+// By event, in the order of kEvents.
+std::array<LimitedEvent, kEvents.size()> sLimits;
+
+std::optional<LogLevel> LevelOf(std::string_view aName)
 {
-  constexpr std::array kNames = { "debug", "info", "warning", "error" };
-  const auto* found = std::find(kNames.begin(), kNames.end(), aName);
-  return found == kNames.end() ? LogLevel::kInfo
-                               : static_cast<LogLevel>(found - kNames.begin());
+  const auto* found = std::find(kLevelNames.begin(), kLevelNames.end(), aName);
+  if (found == kLevelNames.end()) {
+    return std::nullopt;
+  }
+  return static_cast<LogLevel>(found - kLevelNames.begin());
+}
+
+std::size_t ComponentOf(LogEvent aEvent)
+{
+  return static_cast<std::size_t>(static_cast<int>(aEvent) / 100 -
+                                  kComponents.front().hundreds_);
+}
+
+// Nothing when the event is over its rate, else how many were before.
+std::optional<std::uint64_t> PassLimit(const LogEventInfo& aInfo)
+{
+  LimitedEvent& event =
+    sLimits.at(static_cast<std::size_t>(&aInfo - kEvents.data()));
+  const std::lock_guard lock(event.mutex_);
+  return event.limit_.Pass(TimerService::Now());
 }
 
 const LogEventInfo& InfoOf(LogEvent aEvent)
@@ -92,9 +137,42 @@
   return kEvents;
 }
 
+std::span<const LogComponent> AllLogComponents()
+{
+  return kComponents;
+}
+
+bool SetLogLevel(std::string_view aComponent, std::string_view aLevel)
+{
+  const auto level = LevelOf(aLevel);
+  if (!level) {
+    return false;
+  }
+  bool known = false;
+  for (std::size_t index = 0; index < kComponents.size(); ++index) {
+    if (aComponent == "all" || aComponent == kComponents.at(index).name_) {
+      sLowest.at(index).store(*level, std::memory_order_relaxed);
+      known = true;
+    }
+  }
+  return known;
+}
+
+std::string_view LogLevelOf(const LogComponent& aComponent)
+{
+  const auto index = static_cast<std::size_t>(aComponent.hundreds_ -
+                                              kComponents.front().hundreds_);
+  return NameOf(sLowest.at(index).load(std::memory_order_relaxed));
+}
+
+std::string_view NameOf(LogLevel aLevel)
+{
+  return kLevelNames.at(static_cast<std::size_t>(aLevel));
+}
+
 void StartLogging(std::string_view aLevel, std::string aHost)
 {
-  sLowest = LevelOf(aLevel);
+  SetLogLevel("all", aLevel);
   sHost = std::move(aHost);
   el::Configurations configurations;
   configurations.setToDefault();
@@ -108,9 +186,17 @@
 void Log(LogEvent aEvent, nlohmann::json aFields)
 {
   const LogEventInfo& info = InfoOf(aEvent);
-  if (info.level_ < sLowest.load(std::memory_order_relaxed)) {
+  const auto& lowest = sLowest.at(ComponentOf(aEvent));
+  if (info.level_ < lowest.load(std::memory_order_relaxed)) {
+    return;
+  }
+  const auto leftOut = PassLimit(info);
+  if (!leftOut) {
     return;
   }
+  if (*leftOut > 0) {
+    aFields["left_out"] = *leftOut;
+  }
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   aFields["at_ms"] =
     std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
