Add status, report burn, drain, log, codes and events to the command line

Operators could only read raw JSON by curl. The commands ask the admin ports of all hosts at once, print tables of 80 columns or JSON, and end with a numbered code: 13 when a host is silent, 14 when one refuses, 210 when a report lacks hosts. /status also gives why requests failed. Burn counts of all hosts are merged by the command; hosts do not talk to each other for it.

`make tables` writes the tables.

Process::WaitForExit of the harness now waits for the rest of the output, which a test could read half of.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 export CCACHE_SLOPPINESS := pch_defines,time_macros,include_file_mtime,include_file_ctime
-.PHONY: packages build test demo format lint check
+.PHONY: packages build test demo format lint check tables
 
 packages:
 	tools/install-packages
@@ -20,6 +20,10 @@
 demo: build
 	samples/demo.sh $(BUILD)
 
+# After a new result code or log event.
+tables:
+	tools/write-tables $(BUILD)
+
 format:
 	git ls-files -co --exclude-standard '*.cc' '*.h' | xargs clang-format -i
 
--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -25,6 +25,8 @@
   kSettingsUnreadable = 10,
   kSettingsInvalid = 11,
   kListenFailed = 12,
+  kHostsSilent = 13,
+  kAdminRefused = 14,
   kMalformedHttp = 30,
   kMalformedJson = 31,
   kBodyTooLarge = 32,
@@ -55,6 +57,7 @@
   kEndpointRefused = 128,
   kEndpointCrossed = 129,
   kStreamCut = 130,
+  kReportPartial = 210,
 };
 
 // Whether any endpoint may have begun the work of a request. kNo is said only
--- a/include/gooseberrylift/gooseberrylift-settings.h
+++ b/include/gooseberrylift/gooseberrylift-settings.h
@@ -53,6 +53,9 @@
   /// @return the settings, or a LEAF error carrying an Error with
   /// kSettingsInvalid whose text names the path of the fault
   static boost::leaf::result<Settings> Parse(std::string_view aText);
+
+  /// Gives the JSON Schema that Parse checks a text against.
+  static std::string_view Schema();
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/internal/gooseberrylift-metrics.h
+++ b/include/gooseberrylift/internal/gooseberrylift-metrics.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -38,6 +39,9 @@
   /// code="63"; may be empty
   void Count(std::string_view aName, std::string_view aLabel = {});
 
+  /// Gives a counter's values by label.
+  std::map<std::string, std::uint64_t> Counts(const std::string& aName) const;
+
   /// Gives the times to first token since the start, of all shards.
   FirstTokenHistogram FirstTokens() const;
 
--- a/src/cli/gooseberrylift-command.h
+++ b/src/cli/gooseberrylift-command.h
@@ -22,6 +22,11 @@
 
 void AddServeCommand(CLI::App& aApp, const CommandSink& aSink);
 void AddCheckCommand(CLI::App& aApp, const CommandSink& aSink);
+void AddStatusCommand(CLI::App& aApp, const CommandSink& aSink);
+void AddReportCommand(CLI::App& aApp, const CommandSink& aSink);
+void AddDrainCommand(CLI::App& aApp, const CommandSink& aSink);
+void AddLogCommand(CLI::App& aApp, const CommandSink& aSink);
+void AddTableCommands(CLI::App& aApp, const CommandSink& aSink);
 void AddVersionCommand(CLI::App& aApp, const CommandSink& aSink);
 
 /// Reads a whole file, or standard input for "-"; a text that begins with "{"
--- /dev/null
+++ b/src/cli/gooseberrylift-report.cc
@@ -0,0 +1,64 @@
+#include "gooseberrylift-command.h"
+
+#include <iostream>
+
+#include <boost/leaf/error.hpp>
+
+#include "gooseberrylift-admin-client.h"
+#include "gooseberrylift/gooseberrylift-burn-document.h"
+
+namespace gooseberrylift {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+leaf::result<void> ReportBurn(const AdminOptions& aOptions)
+{
+  const auto answers = AskHosts(aOptions, MakeRequest("/report/burn"));
+  BurnDocument merged;
+  std::vector<std::string> silent;
+  for (const AdminAnswer& answer : answers) {
+    const auto document = answer.IsGood()
+                            ? ParseBurnDocument(answer.response_.value().body_)
+                            : std::nullopt;
+    if (document) {
+      MergeDocument(merged, *document);
+    } else {
+      silent.push_back(answer.address_);
+    }
+  }
+  if (merged.hosts_.empty()) {
+    return leaf::new_error(FaultOf(answers));
+  }
+  std::cout << (aOptions.IsJson() ? BurnReportJson(merged, silent)
+                                  : BurnReportText(merged, silent))
+            << std::flush;
+  if (!silent.empty()) {
+    return leaf::new_error(Error{ .code_ = ResultCode::kReportPartial,
+                                  .text_ = FaultOf(answers).text_ });
+  }
+  return {};
+}
+
+} // namespace
+
+void AddReportCommand(CLI::App& aApp, const CommandSink& aSink)
+{
+  CLI::App* report =
+    aApp.add_subcommand("report", "Reports gathered from all hosts");
+  report->require_subcommand(1);
+  report->footer(
+    "Example: gooseberrylift report burn --hosts 10.0.0.1:8081,10.0.0.2:8081");
+  CLI::App* burn = report->add_subcommand(
+    "burn", "How fast each team's error budgets are spent, worst first");
+  burn->footer("Examples:\n"
+               "  gooseberrylift report burn --hosts 10.0.0.1:8081\n"
+               "  GOOSEBERRYLIFT_HOSTS=10.0.0.1:8081,10.0.0.2:8081 \\\n"
+               "    gooseberrylift report burn --output json");
+  const auto options = AddAdminOptions(*burn);
+  burn->callback(
+    [options, aSink] { aSink([options] { return ReportBurn(*options); }); });
+}
+
+} // namespace gooseberrylift
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -36,6 +36,7 @@
 void AddVersionCommand(CLI::App& aApp, const CommandSink& aSink)
 {
   CLI::App* command = aApp.add_subcommand("version", "Print the version");
+  command->footer("Example: gooseberrylift version");
   command->callback([aSink] {
     aSink([]() -> leaf::result<void> {
       std::cout << "gooseberrylift " << GOOSEBERRYLIFT_VERSION << std::endl;
@@ -79,12 +80,20 @@
 {
   CLI::App app("A serving layer for language model requests");
   app.require_subcommand(1);
+  app.footer("Each subcommand has --help with examples. The exit status is the "
+             "result code,\nwhich goes to standard error with its name and "
+             "text; docs/RESULT-CODES.md.");
   CommandBody body;
   const gooseberrylift::CommandSink sink = [&body](CommandBody aBody) {
     body = std::move(aBody);
   };
   gooseberrylift::AddServeCommand(app, sink);
   gooseberrylift::AddCheckCommand(app, sink);
+  gooseberrylift::AddStatusCommand(app, sink);
+  gooseberrylift::AddReportCommand(app, sink);
+  gooseberrylift::AddDrainCommand(app, sink);
+  gooseberrylift::AddLogCommand(app, sink);
+  gooseberrylift::AddTableCommands(app, sink);
   gooseberrylift::AddVersionCommand(app, sink);
   try {
     app.parse(aCount, aArguments);
--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -166,6 +166,11 @@
 
 } // namespace
 
+std::string_view Settings::Schema()
+{
+  return kSchema;
+}
+
 leaf::result<Settings> Settings::Parse(std::string_view aText)
 {
   const json document = json::parse(aText, nullptr, false);
--- a/src/front/gooseberrylift-admin-front.cc
+++ b/src/front/gooseberrylift-admin-front.cc
@@ -40,6 +40,24 @@
            { "kv_total", aView.load_.kvTokensTotal_ } };
 }
 
+// Says why requests failed since the start, as counted for /metrics.
+json FailuresOf(const Metrics& aMetrics)
+{
+  const auto counts = aMetrics.Counts("gooseberrylift_requests_total");
+  json failures = json::array();
+  for (const ResultInfo& info : AllResults()) {
+    const auto found = counts.find(
+      "code=\"" + std::to_string(static_cast<int>(info.code_)) + "\"");
+    if (found != counts.end() && info.code_ != ResultCode::kOk) {
+      failures.push_back({ { "code", static_cast<int>(info.code_) },
+                           { "name", info.name_ },
+                           { "meaning", info.meaning_ },
+                           { "count", found->second } });
+    }
+  }
+  return failures;
+}
+
 } // namespace
 
 AdminFront::AdminFront(Parts aParts)
@@ -157,6 +175,7 @@
     { "why_not_ready", WhyNotReady() },
     { "generation", configuration ? configuration->Generation() : 0 },
     { "store_reachable", parts_.board_.store_.Read()->reachable_ },
+    { "failures", FailuresOf(parts_.metrics_) },
     { "pools", pools },
     { "endpoints", endpoints },
   };
--- a/src/runtime/gooseberrylift-metrics.cc
+++ b/src/runtime/gooseberrylift-metrics.cc
@@ -89,6 +89,22 @@
   ++shard.counters_[std::string(aName)][std::string(aLabel)];
 }
 
+std::map<std::string, std::uint64_t> Metrics::Counts(
+  const std::string& aName) const
+{
+  std::map<std::string, std::uint64_t> sums;
+  for (const Impl::Shard& shard : impl_->shards_) {
+    const std::lock_guard lock(shard.mutex_);
+    const auto found = shard.counters_.find(aName);
+    if (found != shard.counters_.end()) {
+      for (const auto& [label, count] : found->second) {
+        sums[label] += count;
+      }
+    }
+  }
+  return sums;
+}
+
 FirstTokenHistogram Metrics::FirstTokens() const
 {
   FirstTokenHistogram merged;
--- /dev/null
+++ b/test/integration/gooseberrylift-command-test.cc
@@ -0,0 +1,180 @@
+// The command line against running hosts.
+
+#include "harness.h"
+
+#include <csignal>
+#include <sstream>
+
+#include "gooseberrylift/gooseberrylift-result.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+
+namespace {
+
+constexpr std::chrono::seconds kLimit{ 20 };
+
+struct Ended
+{
+  int status_ = -1;
+  std::string output_;
+};
+
+Ended RunCommand(std::vector<std::string> aArguments)
+{
+  Process process(PRODUCT_BINARY, std::move(aArguments));
+  const int status = process.WaitForExit(kLimit);
+  return { .status_ = status, .output_ = process.Output() };
+}
+
+std::string AdminAddress(const Host& aHost)
+{
+  return "127.0.0.1:" + std::to_string(aHost.AdminPort());
+}
+
+// Both objectives of "chat" with 1 in 10 allowed to fail; "board" has none of
+// its endpoints, so that every call to it is refused.
+json ConfigurationWithObjectives()
+{
+  return json::parse(R"({ "services": [
+    { "name": "chat", "kind": "model", "model": "m", "pool": "llm",
+      "objective": { "first_token_ms": { "le4k": 20000 },
+                     "first_token_share": 0.9, "success_share": 0.9 } },
+    { "name": "board", "kind": "plain", "pool": "board",
+      "objective": { "success_share": 0.9 } } ] })");
+}
+
+} // namespace
+
+TEST_GROUP(CommandTest){};
+
+TEST(CommandTest, ReportsTheBurnOfAllHostsTogether)
+{
+  Deployment deployment({ .hosts_ = 2,
+                          .engines_ = 1,
+                          .services_ = 0,
+                          .config_ = ConfigurationWithObjectives() });
+  for (const std::size_t host : { 0, 0, 1 }) {
+    const auto answer =
+      Send(deployment.At(host).Port(), ChatRequest("hello", 2, true));
+    LONGS_EQUAL(200, answer.value().status_);
+  }
+  const auto refused =
+    Send(deployment.At(1).Port(), BoardRequest("GET", "/rooms/1"));
+  CHECK(refused.value().status_ >= 500);
+
+  const std::string hosts =
+    AdminAddress(deployment.At(0)) + "," + AdminAddress(deployment.At(1));
+  json report;
+  // A request is counted just after its answer went out.
+  const bool complete = WaitUntil(kLimit, [&] {
+    const Ended ended =
+      RunCommand({ "report", "burn", "--output", "json", "--hosts", hosts });
+    report = json::parse(ended.output_, nullptr, false);
+    return ended.status_ == 0 && report.is_object() &&
+           report["rows"].size() == 3 &&
+           report["rows"].back()["counts"][2][0] == 3;
+  });
+  CHECK_TRUE(complete);
+  // One call of one was refused where one in ten may be: rate 10, worst first.
+  const json& worst = report["rows"].front();
+  STRCMP_EQUAL("board", worst["service"].get<std::string>().c_str());
+  DOUBLES_EQUAL(10.0, worst["burn_rates"][2].get<double>(), 1e-6);
+  DOUBLES_EQUAL(-9.0, worst["budget_left"].get<double>(), 1e-6);
+  LONGS_EQUAL(0, worst["spent_in_minutes"].get<int>());
+  STRCMP_EQUAL(
+    "le4k",
+    report["first_token_seconds"][0]["band"].get<std::string>().c_str());
+}
+
+// A host does not answer. The report still comes for the others, and the exit
+// status says that it is not whole, so that a script does not take it for so.
+TEST(CommandTest, MarksAReportThatLacksAHost)
+{
+  Deployment deployment({ .engines_ = 1 });
+  const Ended ended = RunCommand({ "report",
+                                   "burn",
+                                   "--hosts",
+                                   AdminAddress(deployment.At(0)),
+                                   "127.0.0.1:1" });
+  LONGS_EQUAL(static_cast<int>(ResultCode::kReportPartial), ended.status_);
+  STRCMP_CONTAINS("No answer, not counted: 127.0.0.1:1", ended.output_.c_str());
+  STRCMP_CONTAINS("report-partial (210)", ended.output_.c_str());
+}
+
+TEST(CommandTest, ShowsHostsQueuesAndEndpointsWithin80Columns)
+{
+  Deployment deployment({ .hosts_ = 2, .services_ = 0 });
+  (void)Send(deployment.At(0).Port(), BoardRequest("GET", "/rooms/1"));
+  const Ended ended = RunCommand({ "status",
+                                   "--hosts",
+                                   AdminAddress(deployment.At(0)),
+                                   AdminAddress(deployment.At(1)) });
+  LONGS_EQUAL(0, ended.status_);
+  std::istringstream lines(ended.output_);
+  for (std::string line; std::getline(lines, line);) {
+    CHECK_TRUE_TEXT(line.size() <= 80, line.c_str());
+  }
+  for (const char* text :
+       { "entry-0", "entry-1", "engine-1", "no-endpoint", "reached" }) {
+    STRCMP_CONTAINS(text, ended.output_.c_str());
+  }
+}
+
+TEST(CommandTest, EndsWithTheCodeOfItsFault)
+{
+  const Ended silent = RunCommand({ "status", "--hosts", "127.0.0.1:1" });
+  LONGS_EQUAL(static_cast<int>(ResultCode::kHostsSilent), silent.status_);
+  const Ended usage = RunCommand({ "status" });
+  LONGS_EQUAL(static_cast<int>(ResultCode::kUsage), usage.status_);
+  STRCMP_CONTAINS("--hosts is required", usage.output_.c_str());
+}
+
+TEST(CommandTest, GivesEverySubcommandHelpWithAnExample)
+{
+  const std::string help = RunCommand({ "--help" }).output_;
+  std::istringstream lines(help.substr(help.find("Subcommands:")));
+  int seen = 0;
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with("  ") && !line.starts_with("   ")) {
+      const std::string name = line.substr(2, line.find(' ', 2) - 2);
+      const Ended ended = RunCommand({ name, "--help" });
+      LONGS_EQUAL(0, ended.status_);
+      CHECK_TRUE_TEXT(ended.output_.find("Example") != std::string::npos,
+                      name.c_str());
+      ++seen;
+    }
+  }
+  CHECK(seen >= 9);
+}
+
+TEST(CommandTest, ChangesALogLevelWhileTheHostRuns)
+{
+  Deployment deployment({ .services_ = 0 });
+  Host& host = deployment.At(0);
+  const std::string address = AdminAddress(host);
+  LONGS_EQUAL(
+    0, RunCommand({ "log", "requests", "error", "--hosts", address }).status_);
+  (void)Send(host.Port(), BoardRequest("GET", "/while-silenced"));
+  LONGS_EQUAL(
+    0, RunCommand({ "log", "requests", "info", "--hosts", address }).status_);
+  (void)Send(host.Port(), BoardRequest("GET", "/heard-again"));
+  CHECK_FALSE(host.Handle().WaitForLine("\"event\":1301", kLimit).empty());
+  const std::string output = host.Handle().Output();
+  const std::size_t first = output.find("\"event\":1301");
+  CHECK_TRUE(output.find("\"event\":1301", first + 1) == std::string::npos);
+  const Ended wrong =
+    RunCommand({ "log", "requests", "loud", "--hosts", address });
+  LONGS_EQUAL(static_cast<int>(ResultCode::kAdminRefused), wrong.status_);
+}
+
+TEST(CommandTest, DrainsAHostThatThenEndsByItself)
+{
+  Deployment deployment({});
+  Host& host = deployment.At(0);
+  LONGS_EQUAL(0,
+              RunCommand({ "drain", "--hosts", AdminAddress(host) }).status_);
+  LONGS_EQUAL(0, host.Handle().WaitForExit(kLimit));
+}
--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -60,7 +60,9 @@
     impl_->child_.terminate(ignored);
   }
   impl_->child_.wait(ignored);
-  impl_->reader_.join();
+  if (impl_->reader_.joinable()) {
+    impl_->reader_.join();
+  }
 }
 
 std::string Process::WaitForLine(const std::string& aText, milliseconds aLimit)
@@ -89,6 +91,9 @@
   std::error_code ignored;
   const bool ended =
     WaitUntil(aLimit, [&] { return !impl_->child_.running(ignored); });
+  if (ended && impl_->reader_.joinable()) {
+    impl_->reader_.join(); // so that Output() is whole
+  }
   return ended ? impl_->child_.exit_code() : -1;
 }
 
