--- a/include/gooseberrylift/gooseberrylift-burn.h
+++ b/include/gooseberrylift/gooseberrylift-burn.h
@@ -6,12 +6,12 @@
 
 #include <array>
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "gooseberrylift/gooseberrylift-config.h"
@@ -55,7 +55,13 @@
   std::size_t band_ = 0;
   BurnObjective objective_ = BurnObjective::kSuccess;
 
-  auto operator<=>(const BurnKey&) const = default;
+  bool operator<(const BurnKey& aOther) const
+  {
+    return std::tie(team_, service_, band_, objective_) <
+           std::tie(
+             aOther.team_, aOther.service_, aOther.band_, aOther.objective_);
+  }
+  bool operator==(const BurnKey&) const = default;
 };
 
 struct BurnCounts
--- a/include/gooseberrylift/gooseberrylift-first-token-histogram.h
+++ b/include/gooseberrylift/gooseberrylift-first-token-histogram.h
@@ -27,7 +27,7 @@
     int bin_ = 0; // -1 is below the first bin, Bins() above the last
     std::uint64_t count_ = 0;
 
-    auto operator<=>(const Bin&) const = default;
+    bool operator==(const Bin&) const = default;
   };
 
   FirstTokenHistogram();
--- a/src/core/gooseberrylift-burn-document.cc
+++ b/src/core/gooseberrylift-burn-document.cc
@@ -1,6 +1,7 @@
 #include "gooseberrylift/gooseberrylift-burn-document.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <nlohmann/json.hpp>
 
@@ -110,7 +111,7 @@
 
 std::string RateText(double aRate)
 {
-  const auto tenths = static_cast<std::int64_t>(aRate * 10 + 0.5);
+  const auto tenths = std::lround(aRate * 10);
   return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10);
 }
 
@@ -132,7 +133,7 @@
   if (!aTime) {
     return ">300000";
   }
-  return std::to_string(static_cast<std::int64_t>(aTime->count() * 1000 + 0.5));
+  return std::to_string(std::lround(aTime->count() * 1000));
 }
 
 std::string Join(const std::vector<std::string>& aItems)
--- a/src/core/gooseberrylift-first-token-histogram.cc
+++ b/src/core/gooseberrylift-first-token-histogram.cc
@@ -1,6 +1,7 @@
 #include "gooseberrylift/gooseberrylift-first-token-histogram.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include <boost/histogram.hpp>
 
@@ -25,8 +26,8 @@
 
 const TimeAxis& Times()
 {
-  static const TimeAxis sTimes(kBins, kLowest, kHighest);
-  return sTimes;
+  static const TimeAxis kTimes(kBins, kLowest, kHighest);
+  return kTimes;
 }
 
 auto MakeHistogram()
@@ -96,7 +97,10 @@
           .count_ = *cell });
     }
   }
-  std::sort(bins.begin(), bins.end());
+  std::sort(bins.begin(), bins.end(), [](const Bin& aLeft, const Bin& aRight) {
+    return std::tie(aLeft.service_, aLeft.band_, aLeft.bin_) <
+           std::tie(aRight.service_, aRight.band_, aRight.bin_);
+  });
   return bins;
 }
 
