--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -27,6 +27,14 @@
               "listen-failed",
               500,
               "The address of the settings can't be listened on." },
+  ResultInfo{ kHostsSilent,
+              "hosts-silent",
+              502,
+              "The admin port of a host gave no answer in time." },
+  ResultInfo{ kAdminRefused,
+              "admin-refused",
+              403,
+              "The admin port of a host refused the command." },
   ResultInfo{ kMalformedHttp,
               "malformed-http",
               400,
@@ -183,6 +191,10 @@
               502,
               "The endpoint's answer has neither a length nor chunks, so that "
               "a cut one would look whole; it is not passed on." },
+  ResultInfo{ kReportPartial,
+              "report-partial",
+              200,
+              "The report lacks hosts that gave no answer; it names them." },
 };
 
 static_assert(std::is_sorted(kResults.begin(),
