Send a long prompt on as the text that it came as

A prompt of four megabytes was parsed, copied as a document and written out again before it went to the engine; processor time a call stood at 70 to 91 ms. The host now keeps the caller's text and puts its own fields behind the last one. It writes the body anew only when one of those fields stands there already or a name of the outermost object comes twice, since this host and an engine could then read different ones.

--- a/include/gooseberrylift/internal/gooseberrylift-model-request.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-request.h
@@ -23,6 +23,10 @@
   std::uint64_t maxTokens_ = 0;
   std::uint64_t prefixHash_ = 0; // of the prompt's first kilobyte
   nlohmann::json body_;
+
+  // Whether fields can be added behind the last one of the body's text: none
+  // of them stands there already, and no name stands there twice.
+  bool textIsExtensible_ = false;
 };
 
 /// Checks and reads a request for a completion.
--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -25,7 +25,8 @@
   std::string pool_;
   std::string target_; // path of the engine's API
   RequestInfo info_;
-  nlohmann::json body_; // as the caller sent it
+  nlohmann::json body_; // as the caller sent it; empty when text_ is set
+  std::string text_;    // the same as text, when fields can be added to it
   TimePoint arrived_;
 };
 
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -354,7 +354,12 @@
     .body_ = std::move(model.body_),
     .arrived_ = aRequest.arrived_,
   };
-  aExchange.MutableRequest().body_ = {}; // held once, as JSON, from here on
+  // Held once from here on, as text or as JSON.
+  std::string text = std::exchange(aExchange.MutableRequest().body_, {});
+  if (model.textIsExtensible_) {
+    generation.text_ = std::move(text);
+    generation.body_ = {};
+  }
   aExchange.SetDeadline(generation.info_.deadline_);
   if (model.stream_) {
     StreamSink sink(aExchange, aRequest);
--- a/src/front/gooseberrylift-model-request.cc
+++ b/src/front/gooseberrylift-model-request.cc
@@ -1,5 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-model-request.h"
 
+#include <set>
+
 #include <xxhash.h>
 
 namespace gooseberrylift {
@@ -33,6 +35,32 @@
   }
 };
 
+// Fields that this host sets in an engine's request. "stream" may stand in the
+// caller's text when it is true, since it is set to the same.
+bool HasOwnField(const json& aBody)
+{
+  const bool streamed = aBody.value("stream", json(true)) == true;
+  return !streamed || aBody.contains("request_id") ||
+         aBody.contains("priority") || aBody.contains("resume_from") ||
+         aBody.contains("kv_import");
+}
+
+// Parses a body and notes whether a name of its outermost object came twice:
+// this host reads the last of two, and an engine might read the first.
+json ParseBody(const std::string& aText, bool* aNamesRepeat)
+{
+  std::set<std::string> names;
+  *aNamesRepeat = false;
+  const auto watch = [&](int aDepth, json::parse_event_t aEvent, json& aItem) {
+    if (aDepth == 1 && aEvent == json::parse_event_t::key &&
+        !names.insert(aItem.get<std::string>()).second) {
+      *aNamesRepeat = true;
+    }
+    return true;
+  };
+  return json::parse(aText, watch, false);
+}
+
 Outcome<PromptScan> ScanChat(const json& aBody)
 {
   const auto messages = aBody.find("messages");
@@ -66,7 +94,8 @@
 Outcome<ModelRequest> ParseModelRequest(const HttpRequest& aRequest)
 {
   ModelRequest request;
-  request.body_ = json::parse(aRequest.body_, nullptr, false);
+  bool namesRepeat = false;
+  request.body_ = ParseBody(aRequest.body_, &namesRepeat);
   const json& body = request.body_;
   if (!body.is_object()) {
     return Error{ .code_ = ResultCode::kMalformedJson,
@@ -90,6 +119,7 @@
     return BadField("stream: true or false is needed");
   }
   request.stream_ = stream;
+  request.textIsExtensible_ = !namesRepeat && !HasOwnField(body);
   request.maxTokens_ = limit;
   request.promptTokens_ =
     (scan.value().bytes_ + kBytesPerToken - 1) / kBytesPerToken;
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -93,10 +93,28 @@
                 .ran_ = notRun ? RanState::kNo : RanState::kUnknown };
 }
 
+// Adds this host's fields to the caller's. A prompt of megabytes is sent on as
+// the text that it came as; writing it anew costs more than all else here.
+std::string EngineBody(const Generation& aGeneration, const json& aOwn)
+{
+  if (aGeneration.text_.empty()) {
+    json body = aGeneration.body_;
+    body.update(aOwn);
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+  }
+  const std::string own = aOwn.dump();
+  std::string text;
+  text.reserve(aGeneration.text_.size() + own.size());
+  text.append(aGeneration.text_, 0, aGeneration.text_.rfind('}'));
+  text += ',';
+  text.append(own, 1);
+  return text;
+}
+
 // Makes the engine's request, which goes on from the given token.
 HttpRequest EngineRequest(const Generation& aGeneration, std::uint64_t aNext)
 {
-  json body = aGeneration.body_;
+  json body;
   body["stream"] = true;
   body["request_id"] = aGeneration.requestId_;
   body["priority"] = static_cast<int>(aGeneration.info_.class_);
@@ -105,7 +123,7 @@
            .target_ = aGeneration.target_,
            .fields_ = { { "Content-Type", "application/json" },
                         { "X-Request-Id", aGeneration.requestId_ } },
-           .body_ = body.dump(-1, ' ', false, json::error_handler_t::replace) };
+           .body_ = EngineBody(aGeneration, body) };
 }
 
 } // namespace
--- a/test/integration/gooseberrylift-bad-input-test.cc
+++ b/test/integration/gooseberrylift-bad-input-test.cc
@@ -213,3 +213,22 @@
   CHECK_TRUE(wire.ReadUntil(fakes::ReferenceAnswer("hi", 4)));
   LONGS_EQUAL(200, wire.Status());
 }
+
+// The host adds its own fields behind the caller's text. A caller that writes
+// the same names must not steer the engine with them: another identifier would
+// make its tokens look crossed, another start would drop the first of them.
+TEST(BadInputTest, OverrulesACallersFieldsThatAreItsOwn)
+{
+  const std::string own =
+    R"({"request_id":"x","resume_from":2,"priority":-9,"max_tokens":4,)"
+    R"("messages":[{"role":"user","content":"hi"}],"model":"m"} )";
+  const std::string twice =
+    R"({"resume_from":2,"resume_from":1,"max_tokens":9,"max_tokens":4,)"
+    R"("messages":[{"role":"user","content":"hi"}],"model":"m"}  )";
+  for (const std::string& body : { own, twice, std::string(kGoodBody) + " " }) {
+    Wire wire(deployment_.At(0).Port());
+    wire.Write(RawChat(body));
+    CHECK_TRUE(wire.ReadUntil("\"" + fakes::ReferenceAnswer("hi", 4) + "\""));
+    LONGS_EQUAL(200, wire.Status());
+  }
+}
