Write the tokens of one piece to the caller at once

Each token went out in a chunk and a system call of its own, also when the engine had sent several in one piece. The sink now gathers the tokens of a piece and writes them when the piece is used up, so none waits for the next one.

--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -48,6 +48,11 @@
   /// Takes the next token.
   /// @return false to end the generation, because nobody reads on
   virtual boost::asio::awaitable<bool> OnToken(const TokenEvent& aToken) = 0;
+
+  /// Says that no further token has arrived yet, so that a sink that gathers
+  /// tokens passes them on now.
+  /// @return false to end the generation, because nobody reads on
+  virtual boost::asio::awaitable<bool> OnPause() { co_return true; }
 };
 
 struct GenerationResult
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -125,23 +125,31 @@
   asio::awaitable<bool> OnToken(const TokenEvent& aToken) override
   {
     NoteFirstToken(request_);
+    events_ += "data: ";
+    events_ += aToken.raw_;
+    events_ += "\n\n";
+    co_return true;
+  }
+
+  // Tokens that came in one piece leave in one write; none waits for the next
+  // piece. Those of a piece that turned out faulty stay for the next attempt's.
+  asio::awaitable<bool> OnPause() override
+  {
+    if (events_.empty()) {
+      co_return true;
+    }
     const bool open = co_await Open();
     if (!open) {
       co_return false;
     }
-    std::string event = "data: ";
-    event += aToken.raw_;
-    event += "\n\n";
-    co_return co_await exchange_.Write(event);
+    const std::string events = std::exchange(events_, {});
+    co_return co_await exchange_.Write(events);
   }
 
   asio::awaitable<void> Finish()
   {
-    const bool open = co_await Open();
-    if (!open) {
-      co_return;
-    }
-    const bool sent = co_await exchange_.Write("data: [DONE]\n\n");
+    events_ += "data: [DONE]\n\n";
+    const bool sent = co_await OnPause();
     if (sent) {
       co_await exchange_.Finish();
     }
@@ -158,6 +166,7 @@
 
   HttpExchange& exchange_;
   const CallerRequest& request_;
+  std::string events_; // not written yet
 };
 
 // Gathers the whole answer.
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -264,6 +264,12 @@
         co_return taken.error();
       }
     }
+    const bool reading = co_await aSink.OnPause();
+    if (!reading) {
+      aProgress.callerLeft_ = true;
+      co_return Error{ .code_ = ResultCode::kCallerLeft,
+                       .ran_ = RanState::kYes };
+    }
   }
 }
 
