--- a/include/gooseberrylift/internal/gooseberrylift-endpoint-tracker.h
+++ b/include/gooseberrylift/internal/gooseberrylift-endpoint-tracker.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_ENDPOINT_TRACKER_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_ENDPOINT_TRACKER_H_
 
+#include <atomic>
 #include <chrono>
 #include <mutex>
 #include <set>
@@ -54,6 +55,7 @@
   Options options_;
   std::mutex mutex_; // guards book_, polling_, dirty_
   EndpointBook book_;
+  std::atomic<bool> listLost_ = false; // said once, not at every poll
   std::set<std::string> polling_; // a slow endpoint gets one poll at a time
   bool dirty_ = false;
   std::mutex publishMutex_; // snapshots are written in their order
--- a/src/runtime/gooseberrylift-endpoint-tracker.cc
+++ b/src/runtime/gooseberrylift-endpoint-tracker.cc
@@ -109,9 +109,12 @@
     body = json::parse(response.value().body_, nullptr, false);
   }
   if (!body.is_object()) {
-    Log(LogEvent::kHostListLost, { { "address", options_.listAddress_ } });
+    if (!listLost_.exchange(true)) {
+      Log(LogEvent::kHostListLost, { { "address", options_.listAddress_ } });
+    }
     co_return;
   }
+  listLost_ = false;
   std::vector<EndpointView> listed;
   for (const json& host : body.value("hosts", json::array())) {
     listed.push_back(ViewOf(host));
