Run calls that may not be repeated at most once

A plain service's non-repeatable call that carries an Idempotency-Key was sent like any other, so a caller's re-send through another host ran it again.

Its intent now goes into one of 32 bucket objects by conditional update before dispatch, with the bucket's other operations in one write; the outcome is recorded after the answer and replayed to duplicates. A lost answer of the store is settled by the attempt's nonce, a refused attempt's intent is undone and a write still on its way is fenced by one more version. 'ran: no' and dispatch exclude each other under one lock, also at the caller's deadline.

--- a/fakes/gooseberrylift-fake-service.cc
+++ b/fakes/gooseberrylift-fake-service.cc
@@ -2,7 +2,8 @@
 // whether a call ran twice or not at all.
 //   any  /...       runs: {"service", "path", "body", "runs", "tag"}
 //   GET  /load      {"state": "live"|"leaving"}
-//   GET  /stats     {"runs": {key: count}, "total": n, "bodies": {key: body}}
+//   GET  /stats     {"runs": {key: count}, "total": n, "bodies": {key: body},
+//                    "requests": {X-Request-Id: count}}
 //   POST /control   {"delay_ms", "leaving", "hang", "status"}
 // The key is the header Idempotency-Key, else X-Request-Id.
 
@@ -52,7 +53,10 @@
 private:
   json Stats() const
   {
-    return { { "runs", runs_ }, { "total", total_ }, { "bodies", bodies_ } };
+    return { { "runs", runs_ },
+             { "total", total_ },
+             { "bodies", bodies_ },
+             { "requests", requests_ } };
   }
 
   void Control(const json& aBody)
@@ -88,6 +92,7 @@
       key = request.Field("X-Request-Id");
     }
     ++total_;
+    ++requests_[std::string(request.Field("X-Request-Id"))];
     const int runs = ++runs_[key];
     bodies_[key] = request.body_;
     while (hang_) {
@@ -105,6 +110,7 @@
   bool hang_ = false;
   int status_ = 200;
   std::map<std::string, int> runs_;
+  std::map<std::string, int> requests_;
   std::map<std::string, std::string> bodies_;
   std::uint64_t total_ = 0;
 };
--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -55,6 +55,12 @@
   kEndpointRefused = 128,
   kEndpointCrossed = 129,
   kStreamCut = 130,
+  kOnceStoreUnavailable = 170,
+  kOnceKeyReused = 171,
+  kOncePending = 172,
+  kOnceUnknown = 173,
+  kOnceResultDropped = 174,
+  kOnceBucketFull = 175,
 };
 
 // Whether any endpoint may have begun the work of a request. kNo is said only
--- a/include/gooseberrylift/internal/gooseberrylift-caller-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-caller-front.h
@@ -9,6 +9,7 @@
 
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
+#include "gooseberrylift/internal/gooseberrylift-once-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
 
 namespace gooseberrylift {
@@ -32,6 +33,7 @@
     Blackboard& board_;
     ModelRunner& models_;
     ServiceRunner& services_;
+    OnceRunner& once_;
     Metrics& metrics_;
   };
 
@@ -54,6 +56,9 @@
   boost::asio::awaitable<Outcome<void>> HandleService(
     HttpExchange& aExchange,
     const CallerRequest& aRequest);
+  boost::asio::awaitable<Outcome<void>> HandleOnce(HttpExchange& aExchange,
+                                                   ServiceCall aCall,
+                                                   std::string aKey);
   boost::asio::awaitable<void> AnswerFailure(HttpExchange& aExchange,
                                              const CallerRequest& aRequest,
                                              Error aError);
--- /dev/null
+++ b/include/gooseberrylift/internal/gooseberrylift-encoding.h
@@ -0,0 +1,30 @@
+// Digests and text encodings for what is kept in the store, over OpenSSL.
+
+#ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_ENCODING_H_
+#define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_ENCODING_H_
+
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gooseberrylift {
+
+/// Encodes bytes as base64.
+std::string EncodeBase64(std::string_view aBytes);
+
+/// Decodes base64. @return nothing when the text is none
+std::optional<std::string> DecodeBase64(std::string_view aText);
+
+/// Digests several parts, each with its length, so that no two lists of parts
+/// run into one text. The first 128 bits of SHA-256: callers choose the parts,
+/// and must not be able to make two requests look alike.
+/// @return 16 bytes
+std::string DigestOf(std::initializer_list<std::string_view> aParts);
+
+/// Makes a random identifier of 128 bits in base64.
+std::string MakeNonce();
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_ENCODING_H_
--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -14,6 +14,7 @@
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
+#include "gooseberrylift/internal/gooseberrylift-once-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-pool-broker.h"
 #include "gooseberrylift/internal/gooseberrylift-rest-store.h"
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
@@ -50,6 +51,8 @@
   PoolBroker broker_;
   ModelRunner models_;
   ServiceRunner services_;
+  OnceLedger onceLedger_;
+  OnceRunner once_;
   CallerFront callerFront_;
   AdminFront adminFront_;
   HttpServer callerServer_;
--- a/include/gooseberrylift/internal/gooseberrylift-service-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-service-runner.h
@@ -3,6 +3,7 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_SERVICE_RUNNER_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_SERVICE_RUNNER_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -22,6 +23,8 @@
   RequestInfo info_;
   HttpRequest request_; // as the endpoint is to receive it
   bool repeatable_ = false;
+  // Asked right before each attempt; false ends the call as not run.
+  std::function<bool()> mayDispatch_{};
 };
 
 // The answer's head, and its body still to be read.
--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -144,6 +144,33 @@
               "stream-cut",
               502,
               "The stream ended before its end marker." },
+  ResultInfo{ kOnceStoreUnavailable,
+              "once-store-unavailable",
+              503,
+              "The call may not be repeated, and its intent could not be "
+              "written; it was not sent." },
+  ResultInfo{ kOnceKeyReused,
+              "once-key-reused",
+              422,
+              "The Idempotency-Key belongs to a different request." },
+  ResultInfo{ kOncePending,
+              "once-pending",
+              409,
+              "An earlier call with the Idempotency-Key is still running." },
+  ResultInfo{ kOnceUnknown,
+              "once-unknown",
+              409,
+              "An earlier call with the Idempotency-Key may have run; its "
+              "outcome is not known and it is never run again." },
+  ResultInfo{ kOnceResultDropped,
+              "once-result-dropped",
+              409,
+              "The call with the Idempotency-Key ran; its answer was not "
+              "kept." },
+  ResultInfo{ kOnceBucketFull,
+              "once-bucket-full",
+              503,
+              "No room to record one more call that may not be repeated." },
 };
 
 static_assert(std::is_sorted(kResults.begin(),
--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -85,6 +85,11 @@
         "lag_ms": { "$ref": "#/definitions/ms" },
         "limit_ms": { "$ref": "#/definitions/ms" }
       } },
+    "once": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "max_batch": { "type": "integer", "minimum": 1, "maximum": 4096 }
+      } },
     "log": {
       "type": "object", "additionalProperties": false,
       "properties": {
@@ -160,6 +165,8 @@
   settings.drainLag_ = ReadTime(section("drain"), "lag_ms", settings.drainLag_);
   settings.drainLimit_ =
     ReadTime(section("drain"), "limit_ms", settings.drainLimit_);
+  settings.onceMaxBatch_ =
+    section("once").value("max_batch", settings.onceMaxBatch_);
   settings.logLevel_ = section("log").value("level", settings.logLevel_);
   return settings;
 }
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -380,6 +380,10 @@
     .repeatable_ = service->repeatableMethods_.contains(request.method_),
   };
   aExchange.SetDeadline(call.info_.deadline_);
+  const std::string key(request.Field("Idempotency-Key"));
+  if (!call.repeatable_ && !key.empty()) {
+    co_return co_await HandleOnce(aExchange, std::move(call), key);
+  }
   auto answer = co_await parts_.services_.Run(std::move(call));
   if (!answer) {
     co_return answer.error();
@@ -393,6 +397,30 @@
   co_return passed;
 }
 
+asio::awaitable<Outcome<void>> CallerFront::HandleOnce(HttpExchange& aExchange,
+                                                       ServiceCall aCall,
+                                                       std::string aKey)
+{
+  constexpr std::size_t kMaxKeyBytes = 255;
+  if (aKey.size() > kMaxKeyBytes) {
+    co_return Error{ .code_ = ResultCode::kBadField,
+                     .text_ = "Idempotency-Key: at most 255 bytes" };
+  }
+  const std::string requestId = aCall.requestId_;
+  auto answer = co_await parts_.once_.Run(std::move(aCall), std::move(aKey));
+  if (!answer) {
+    co_return answer.error();
+  }
+  HttpResponse response = std::move(answer.value());
+  response.fields_ = WithoutOwnFields(response.fields_);
+  response.fields_.push_back({ "X-Request-Id", requestId });
+  const bool sent = co_await aExchange.Send(std::move(response));
+  if (!sent) {
+    co_return Error{ .code_ = ResultCode::kCallerLeft, .ran_ = RanState::kYes };
+  }
+  co_return boost::outcome_v2::success();
+}
+
 asio::awaitable<void> CallerFront::AnswerFailure(HttpExchange& aExchange,
                                                  const CallerRequest& aRequest,
                                                  Error aError)
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -39,9 +39,18 @@
               endpointTracker_,
               metrics_,
               ServiceRunner::Options{})
+  , onceLedger_(store_,
+                context_.get_executor(),
+                { .committer_ = { .maxBatch_ = settings_.onceMaxBatch_ } })
+  , once_(services_,
+          onceLedger_,
+          context_.get_executor(),
+          metrics_,
+          OnceRunner::Options{})
   , callerFront_({ .board_ = board_,
                    .models_ = models_,
                    .services_ = services_,
+                   .once_ = once_,
                    .metrics_ = metrics_ })
   , adminFront_({ .settings_ = settings_,
                   .board_ = board_,
@@ -123,6 +132,12 @@
   const std::size_t cut = co_await callerServer_.Drain(
     settings_.drainLag_,
     TimerService::Now() + settings_.drainLag_ + settings_.drainLimit_);
+  // Outcomes of calls that may not be repeated are recorded after the answer;
+  // leaving earlier would turn them into "unknown".
+  const TimePoint limit = TimerService::Now() + settings_.drainLag_;
+  while (!once_.Idle() && TimerService::Now() < limit) {
+    co_await TimerService::SleepFor(std::chrono::milliseconds(10));
+  }
   Log(LogEvent::kDrainFinished, { { "cut", cut } });
 }
 
--- /dev/null
+++ b/src/runtime/gooseberrylift-once-runner.cc
@@ -0,0 +1,347 @@
+#include "gooseberrylift/internal/gooseberrylift-once-runner.h"
+
+#include <algorithm>
+#include <mutex>
+#include <optional>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include "gooseberrylift/internal/gooseberrylift-encoding.h"
+#include "gooseberrylift/internal/gooseberrylift-log.h"
+
+namespace gooseberrylift {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+enum class Phase
+{
+  kBeforeDispatch,
+  kDispatched, // bytes may have gone out
+  kAbandoned   // the caller was told "not run"
+};
+
+std::string EncodeResult(const HttpResponse& aResponse)
+{
+  json fields = json::array();
+  for (const HttpField& field : aResponse.fields_) {
+    fields.push_back(json::array({ field.name_, field.value_ }));
+  }
+  json result = json::object();
+  result["status"] = aResponse.status_;
+  result["fields"] = std::move(fields);
+  // Both in base64: header fields and bodies need not be UTF-8.
+  const std::string head =
+    result.dump(-1, ' ', false, json::error_handler_t::replace);
+  return EncodeBase64(head) + "." + EncodeBase64(aResponse.body_);
+}
+
+std::optional<HttpResponse> DecodeResult(const std::string& aText)
+{
+  const std::size_t dot = aText.find('.');
+  if (dot == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto head = DecodeBase64(std::string_view(aText).substr(0, dot));
+  auto body = DecodeBase64(std::string_view(aText).substr(dot + 1));
+  const json result = head ? json::parse(*head, nullptr, false) : json();
+  if (!result.is_object() || !body) {
+    return std::nullopt;
+  }
+  HttpResponse response{ .status_ = result.value("status", 200),
+                         .body_ = std::move(*body) };
+  for (const json& field : result.value("fields", json::array())) {
+    response.fields_.push_back({ field.at(0), field.at(1) });
+  }
+  return response;
+}
+
+std::size_t BucketOf(std::string_view aKeyDigest)
+{
+  return static_cast<unsigned char>(aKeyDigest.front()) % kOnceBuckets;
+}
+
+} // namespace
+
+// What the caller's coroutine and the call's own one share.
+struct OnceRunner::Attempt
+{
+  Attempt(ServiceCall aCall, const asio::any_io_executor& aCaller)
+    : call_(std::move(aCall))
+    , deadline_(call_.info_.deadline_)
+    , timer_(aCaller, asio::steady_timer::time_point::max())
+  {
+  }
+
+  // The one place where "not run" and "dispatched" exclude each other: the
+  // caller is told `ran: no` only if this can't succeed any more.
+  //
+  // The process may be stopped between this check and the send and go on much
+  // later. That is still the only dispatch: the intent in the store belongs to
+  // this attempt for good, and a lapsed one makes every other host answer
+  // `unknown`, never run the call. The client looks at the clock once more
+  // after connecting, so what can go out late is a send already begun.
+  bool EnterDispatch()
+  {
+    const std::lock_guard lock(mutex_);
+    if (phase_ == Phase::kAbandoned || TimerService::Now() >= deadline_) {
+      return false;
+    }
+    phase_ = Phase::kDispatched;
+    return true;
+  }
+
+  // Gives up waiting.
+  RanState Abandon()
+  {
+    const std::lock_guard lock(mutex_);
+    if (phase_ == Phase::kDispatched) {
+      return RanState::kUnknown;
+    }
+    phase_ = Phase::kAbandoned;
+    return RanState::kNo;
+  }
+
+  bool Abandoned() const
+  {
+    const std::lock_guard lock(mutex_);
+    return phase_ == Phase::kAbandoned;
+  }
+
+  void Answer(Outcome<HttpResponse> aAnswer)
+  {
+    const std::lock_guard lock(mutex_);
+    answer_ = std::move(aAnswer);
+  }
+
+  std::optional<Outcome<HttpResponse>> TakeAnswer()
+  {
+    const std::lock_guard lock(mutex_);
+    return std::exchange(answer_, std::nullopt);
+  }
+
+  OnceOp MakeOp(OnceOpKind aKind, TimePoint aDeadline) const
+  {
+    return { .kind_ = aKind, .intent_ = intent_, .deadline_ = aDeadline };
+  }
+
+  ServiceCall call_;
+  TimePoint deadline_;
+  OnceIntent intent_{};
+  std::size_t bucket_ = 0;
+  asio::steady_timer timer_; // on the caller's executor; cancelled to wake it
+
+private:
+  mutable std::mutex mutex_;
+  Phase phase_ = Phase::kBeforeDispatch;
+  std::optional<Outcome<HttpResponse>> answer_;
+};
+
+OnceRunner::OnceRunner(ServiceRunner& aServices,
+                       OnceLedger& aLedger,
+                       asio::any_io_executor aExecutor,
+                       Metrics& aMetrics,
+                       Options aOptions)
+  : services_(aServices)
+  , ledger_(aLedger)
+  , executor_(std::move(aExecutor))
+  , metrics_(aMetrics)
+  , options_(aOptions)
+{
+}
+
+asio::awaitable<Outcome<HttpResponse>> OnceRunner::Run(ServiceCall aCall,
+                                                       std::string aKey)
+{
+  const auto caller = co_await asio::this_coro::executor;
+  const auto attempt = std::make_shared<Attempt>(std::move(aCall), caller);
+  const ServiceCall& call = attempt->call_;
+  const std::string key =
+    DigestOf({ call.info_.team_, call.info_.service_, aKey });
+  const std::string digest = DigestOf(
+    { call.request_.method_, call.request_.target_, call.request_.body_ });
+  const auto lease = attempt->deadline_ - TimerService::Now();
+  attempt->bucket_ = BucketOf(key);
+  attempt->intent_ = { .key_ = EncodeBase64(key),
+                       .digest_ = EncodeBase64(digest),
+                       .nonce_ = MakeNonce(),
+                       .until_ =
+                         std::chrono::system_clock::now() +
+                         std::chrono::duration_cast<milliseconds>(lease) +
+                         options_.leaseSlack_ };
+  ++active_;
+  asio::co_spawn(
+    asio::make_strand(executor_),
+    [this, attempt]() -> asio::awaitable<void> { co_await Work(attempt); },
+    asio::detached);
+  co_await attempt->timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+  auto answer = attempt->TakeAnswer();
+  if (answer) {
+    co_return std::move(*answer);
+  }
+  // Woken by the exchange: its deadline passed or the caller left.
+  const RanState ran = attempt->Abandon();
+  co_return Error{ .code_ = TimerService::Now() >= attempt->deadline_
+                              ? ResultCode::kDeadlineExceeded
+                              : ResultCode::kCallerLeft,
+                   .ran_ = ran };
+}
+
+bool OnceRunner::Idle() const
+{
+  return active_ == 0 && ledger_.Idle();
+}
+
+asio::awaitable<void> OnceRunner::Work(std::shared_ptr<Attempt> aAttempt)
+{
+  const OnceReply claim = co_await Claim(aAttempt);
+  const bool begun =
+    claim.committed_ && claim.decision_.verdict_ == OnceVerdict::kBegun;
+  if (begun) {
+    auto outcome = co_await Dispatch(aAttempt);
+    Record(*aAttempt, outcome);
+    aAttempt->Answer(std::move(outcome));
+  } else {
+    aAttempt->Answer(AnswerOf(claim));
+  }
+  asio::post(aAttempt->timer_.get_executor(),
+             [aAttempt] { aAttempt->timer_.cancel(); });
+  --active_;
+}
+
+// Writes the intent. While another attempt's outcome is still to come, waits
+// for it; if that attempt is released, this one may begin after all.
+asio::awaitable<OnceReply> OnceRunner::Claim(std::shared_ptr<Attempt> aAttempt)
+{
+  milliseconds pause = options_.firstPoll_;
+  OnceReply reply;
+  while (true) {
+    // A store that does not answer takes at most half of what is left, so that
+    // the refusal comes well before the deadline.
+    const TimePoint now = TimerService::Now();
+    const auto half = (aAttempt->deadline_ - now) / 2;
+    const auto limit =
+      std::min<TimePoint::duration>(half, options_.storeLimit_);
+    OnceOp op = aAttempt->MakeOp(OnceOpKind::kBegin, now + limit);
+    reply = co_await ledger_.Commit(aAttempt->bucket_, std::move(op));
+    const bool waits =
+      reply.committed_ && reply.decision_.verdict_ == OnceVerdict::kPending;
+    if (!waits || aAttempt->Abandoned() ||
+        TimerService::Now() + pause >= aAttempt->deadline_) {
+      break;
+    }
+    co_await TimerService::SleepFor(pause);
+    pause = std::min(pause * 2, options_.lastPoll_);
+  }
+  co_return reply;
+}
+
+asio::awaitable<Outcome<HttpResponse>> OnceRunner::Dispatch(
+  std::shared_ptr<Attempt> aAttempt)
+{
+  ServiceCall call = std::move(aAttempt->call_);
+  call.repeatable_ = false;
+  call.mayDispatch_ = [aAttempt] { return aAttempt->EnterDispatch(); };
+  auto answer = co_await services_.Run(std::move(call));
+  if (!answer) {
+    co_return answer.error();
+  }
+  auto whole = co_await ReadAnswer(*answer.value().call_);
+  answer.value().placement_.Finish(
+    { .succeeded_ = whole.has_value(), .endpointAtFault_ = !whole });
+  co_return whole;
+}
+
+asio::awaitable<Outcome<HttpResponse>> OnceRunner::ReadAnswer(HttpCall& aCall)
+{
+  HttpResponse response = aCall.Head();
+  while (true) {
+    auto piece = co_await aCall.ReadSome();
+    if (!piece) {
+      // The head came, so the call has run, whatever became of its answer.
+      Error error = piece.error();
+      error.ran_ = RanState::kYes;
+      co_return error;
+    }
+    if (!piece.value()) {
+      co_return response;
+    }
+    response.body_ += *piece.value();
+    if (response.body_.size() > options_.maxAnswerBytes_) {
+      co_return Error{ .code_ = ResultCode::kEndpointBroken,
+                       .text_ = "the answer is over 16 MB",
+                       .ran_ = RanState::kYes };
+    }
+  }
+}
+
+// Writes down how an attempt ended. The caller's answer doesn't wait for it: a
+// duplicate that comes first waits for the record, and if this host dies
+// before, it is told `unknown`, which is true.
+void OnceRunner::Record(const Attempt& aAttempt,
+                        const Outcome<HttpResponse>& aOutcome)
+{
+  const TimePoint until = TimerService::Now() + options_.recordFor_;
+  if (!aOutcome && aOutcome.error().ran_ == RanState::kNo) {
+    ledger_.Post(aAttempt.bucket_,
+                 aAttempt.MakeOp(OnceOpKind::kRelease, until));
+    return;
+  }
+  OnceOp op = aAttempt.MakeOp(OnceOpKind::kFinish, until);
+  const bool ran = aOutcome || aOutcome.error().ran_ == RanState::kYes;
+  op.state_ = ran ? OnceState::kDone : OnceState::kLost;
+  if (aOutcome && aOutcome.value().body_.size() <= options_.maxResultBytes_) {
+    op.result_ = EncodeResult(aOutcome.value());
+  }
+  ledger_.Post(aAttempt.bucket_, std::move(op));
+}
+
+Outcome<HttpResponse> OnceRunner::AnswerOf(const OnceReply& aReply) const
+{
+  constexpr milliseconds kRetryAfter{ 1000 };
+  if (!aReply.committed_) {
+    return Error{ .code_ = ResultCode::kOnceStoreUnavailable,
+                  .retryAfter_ = kRetryAfter };
+  }
+  switch (aReply.decision_.verdict_) {
+    case OnceVerdict::kReplay: {
+      auto response = DecodeResult(aReply.decision_.result_);
+      if (!response) {
+        break;
+      }
+      metrics_.Count("gooseberrylift_once_replays_total");
+      response->fields_.push_back({ "Idempotency-Replayed", "true" });
+      return std::move(*response);
+    }
+    case OnceVerdict::kPending:
+      return Error{ .code_ = ResultCode::kOncePending,
+                    .ran_ = RanState::kUnknown,
+                    .retryAfter_ = kRetryAfter };
+    case OnceVerdict::kUnknown:
+      return Error{ .code_ = ResultCode::kOnceUnknown,
+                    .ran_ = RanState::kUnknown };
+    case OnceVerdict::kOtherRequest:
+      return Error{ .code_ = ResultCode::kOnceKeyReused };
+    case OnceVerdict::kFull:
+      return Error{ .code_ = ResultCode::kOnceBucketFull,
+                    .retryAfter_ = std::chrono::minutes(1) };
+    case OnceVerdict::kResultDropped:
+    case OnceVerdict::kBegun:
+      break;
+  }
+  return Error{ .code_ = ResultCode::kOnceResultDropped,
+                .ran_ = RanState::kYes };
+}
+
+} // namespace gooseberrylift
--- a/src/runtime/gooseberrylift-service-runner.cc
+++ b/src/runtime/gooseberrylift-service-runner.cc
@@ -71,6 +71,9 @@
   // repeated therefore gets a connection of its own.
   const HttpClient::CallOptions options{ .freshConnection_ =
                                            !aCall.repeatable_ };
+  if (aCall.mayDispatch_ && !aCall.mayDispatch_()) {
+    co_return Error{ .code_ = ResultCode::kDeadlineExceeded };
+  }
   auto call = co_await client_.Start(
     aEndpoint.address_, aCall.request_, aCall.info_.deadline_, options);
   if (!call) {
