--- a/src/runtime/gooseberrylift-once-ledger.cc
+++ b/src/runtime/gooseberrylift-once-ledger.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -54,20 +55,17 @@
 
   void Submit(OnceOp aOp, const std::shared_ptr<Waiter>& aWaiter)
   {
-    const std::lock_guard lock(mutex_);
-    const std::uint64_t id = committer_.Submit(std::move(aOp));
-    if (aWaiter) {
-      waiters_.emplace(id, aWaiter);
-    }
-    if (!pumping_) {
-      pumping_ = true;
-      asio::co_spawn(
-        executor_,
-        [self = shared_from_this()]() -> asio::awaitable<void> {
-          co_await self->Pump();
-        },
-        asio::detached);
+    const bool starts = Queue(std::move(aOp), aWaiter);
+    if (!starts) {
+      return;
     }
+    // Not under the lock: co_spawn may run the pump's beginning at once.
+    asio::co_spawn(
+      executor_,
+      [self = shared_from_this()]() -> asio::awaitable<void> {
+        co_await self->Pump();
+      },
+      asio::detached);
   }
 
   std::optional<OnceReply> ReplyOf(const Waiter& aWaiter) const
@@ -92,6 +90,17 @@
   }
 
 private:
+  // @return true when the pump must be started
+  bool Queue(OnceOp aOp, const std::shared_ptr<Waiter>& aWaiter)
+  {
+    const std::lock_guard lock(mutex_);
+    const std::uint64_t id = committer_.Submit(std::move(aOp));
+    if (aWaiter) {
+      waiters_.emplace(id, aWaiter);
+    }
+    return !std::exchange(pumping_, true);
+  }
+
   struct Step
   {
     std::optional<OnceIo> io_;
