Let outcomes share the writes of intents

Calls in flight spread over the buckets, and nobody waits for an outcome as a rule.

A done record drops its nonce to be smaller.

--- a/include/gooseberrylift/gooseberrylift-once-committer.h
+++ b/include/gooseberrylift/gooseberrylift-once-committer.h
@@ -33,6 +33,7 @@
   OnceState state_ = OnceState::kDone; // of kFinish
   std::string result_{};               // of kFinish
   TimePoint deadline_{};               // when a reply is due at the latest
+  TimePoint writeAt_{}; // until then it only joins a write made for others
 };
 
 struct OnceReply
@@ -119,6 +120,7 @@
     OnceDecision decision_{};
   };
 
+  bool AnyDue(TimePoint aNow) const;
   bool Apply(Entry& aEntry, OnceBucket& aBucket, WallTime aWall) const;
   bool FillBatch(WallTime aWall);
   void PutBack(TimePoint aNow);
--- a/include/gooseberrylift/internal/gooseberrylift-once-ledger.h
+++ b/include/gooseberrylift/internal/gooseberrylift-once-ledger.h
@@ -21,7 +21,7 @@
 
 // All hosts must agree on the bucket of a key, so the number is fixed: a host
 // with another number would look for an intent where it is not.
-constexpr std::size_t kOnceBuckets = 32;
+constexpr std::size_t kOnceBuckets = 16;
 
 // One shard a bucket, each with its own lock; no lock is held across a call to
 // the store. Safe from any thread.
@@ -35,7 +35,7 @@
   };
 
   OnceLedger(ObjectStore& aStore,
-             boost::asio::any_io_executor aExecutor,
+             const boost::asio::any_io_executor& aExecutor,
              Options aOptions);
   ~OnceLedger();
 
--- a/include/gooseberrylift/internal/gooseberrylift-once-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-once-runner.h
@@ -31,7 +31,11 @@
     std::chrono::milliseconds storeLimit_{ 2000 };   // for writing an intent
     std::chrono::milliseconds leaseSlack_{ 1000 };   // intent beyond deadline
     std::chrono::milliseconds recordFor_{ 600'000 }; // retries of an outcome
-    std::chrono::milliseconds firstPoll_{ 20 };      // of another's outcome
+    // How long an outcome waits to share a write. It is short beside the time
+    // in which a caller can send again, and a host that dies in it leaves the
+    // call "unknown".
+    std::chrono::milliseconds recordAfter_{ 20 };
+    std::chrono::milliseconds firstPoll_{ 20 }; // of another's outcome
     std::chrono::milliseconds lastPoll_{ 250 };
   };
 
--- a/src/core/gooseberrylift-once-bucket.cc
+++ b/src/core/gooseberrylift-once-bucket.cc
@@ -145,6 +145,7 @@
     return false;
   }
   record.state_ = aState;
+  record.nonce_.clear(); // nobody owns it any more
   record.until_ = aNow;
   record.result_ = std::move(aResult);
   Put(aKey, std::move(record));
--- a/src/core/gooseberrylift-once-committer.cc
+++ b/src/core/gooseberrylift-once-committer.cc
@@ -37,7 +37,7 @@
   if (inFlight_ || aNow < retryAt_) {
     return std::nullopt;
   }
-  while (!queue_.empty()) {
+  while (AnyDue(aNow)) {
     const bool changed = known_ && FillBatch(aWall);
     if (changed) {
       inFlight_ = true;
@@ -68,6 +68,13 @@
   return std::nullopt;
 }
 
+bool OnceCommitter::AnyDue(TimePoint aNow) const
+{
+  return std::any_of(queue_.begin(), queue_.end(), [aNow](const Entry& aEntry) {
+    return aEntry.op_.writeAt_ <= aNow;
+  });
+}
+
 // Applies queued operations to a copy of the bucket.
 // @return true when the copy must be written
 bool OnceCommitter::FillBatch(WallTime aWall)
@@ -243,7 +250,11 @@
   if (queue_.empty() || inFlight_) {
     return std::nullopt;
   }
-  return retryAt_;
+  const auto first = std::min_element(
+    queue_.begin(), queue_.end(), [](const Entry& aLeft, const Entry& aRight) {
+      return aLeft.op_.writeAt_ < aRight.op_.writeAt_;
+    });
+  return std::max(retryAt_, first->op_.writeAt_);
 }
 
 } // namespace gooseberrylift
--- a/src/runtime/gooseberrylift-once-ledger.cc
+++ b/src/runtime/gooseberrylift-once-ledger.cc
@@ -48,6 +48,7 @@
     : store_(aStore)
     , executor_(asio::make_strand(aExecutor))
     , name_(std::move(aName))
+    , wake_(executor_)
     , callTimeout_(aOptions.callTimeout_)
     , committer_(aOptions.committer_)
   {
@@ -57,6 +58,9 @@
   {
     const bool starts = Queue(std::move(aOp), aWaiter);
     if (!starts) {
+      // The pump may be asleep until a time that is now too late.
+      asio::post(executor_,
+                 [self = shared_from_this()] { self->wake_.cancel(); });
       return;
     }
     // Not under the lock: co_spawn may run the pump's beginning at once.
@@ -119,7 +123,8 @@
       if (!step.wake_) {
         co_return;
       }
-      co_await TimerService::SleepUntil(*step.wake_);
+      wake_.expires_at(*step.wake_);
+      co_await wake_.async_wait(asio::as_tuple(asio::use_awaitable));
     }
   }
 
@@ -205,6 +210,7 @@
   ObjectStore& store_;
   asio::any_io_executor executor_;
   std::string name_;
+  asio::steady_timer wake_; // used on the strand alone
   std::chrono::milliseconds callTimeout_;
   mutable std::mutex mutex_;
   OnceCommitter committer_;
@@ -213,7 +219,7 @@
 };
 
 OnceLedger::OnceLedger(ObjectStore& aStore,
-                       asio::any_io_executor aExecutor,
+                       const asio::any_io_executor& aExecutor,
                        Options aOptions)
 {
   for (std::size_t bucket = 0; bucket < kOnceBuckets; ++bucket) {
--- a/src/runtime/gooseberrylift-once-runner.cc
+++ b/src/runtime/gooseberrylift-once-runner.cc
@@ -299,6 +299,7 @@
     return;
   }
   OnceOp op = aAttempt.MakeOp(OnceOpKind::kFinish, until);
+  op.writeAt_ = TimerService::Now() + options_.recordAfter_;
   const bool ran = aOutcome || aOutcome.error().ran_ == RanState::kYes;
   op.state_ = ran ? OnceState::kDone : OnceState::kLost;
   if (aOutcome && aOutcome.value().body_.size() <= options_.maxResultBytes_) {
--- a/test/core/gooseberrylift-once-test.cc
+++ b/test/core/gooseberrylift-once-test.cc
@@ -169,6 +169,23 @@
   LONGS_EQUAL(1, store_.version_);
 }
 
+// An outcome that nobody waits for yet joins the next intent's write, and is
+// written by itself when none comes.
+TEST(OnceTest, WritesAnOutcomeTogetherWithTheNextIntent)
+{
+  BeginAt(one_, store_, Intent("k", "a"));
+  OnceOp outcome = Op(OnceOpKind::kFinish, Intent("k", "a"));
+  outcome.writeAt_ = kNow + milliseconds(20);
+  one_.Submit(outcome);
+  CHECK_FALSE(one_.NextIo(kNow, kWall).has_value());
+  CHECK_TRUE(one_.WakeAt() == kNow + milliseconds(20));
+  one_.Submit(Op(OnceOpKind::kBegin, Intent("other", "b")));
+  LONGS_EQUAL(2, Drain(one_, store_).size());
+  LONGS_EQUAL(2, store_.version_);
+  one_.Submit(outcome);
+  LONGS_EQUAL(1, Drain(one_, store_, kNow + milliseconds(20)).size());
+}
+
 // The write takes effect and its answer is lost. The host must not take its
 // own intent for another's, nor write it a second time.
 TEST(OnceTest, SettlesALostAnswerByReadingBack)
