--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -65,6 +65,12 @@
   kEndpointRefused = 128,
   kEndpointCrossed = 129,
   kStreamCut = 130,
+  kOnceStoreUnavailable = 170,
+  kOnceKeyReused = 171,
+  kOncePending = 172,
+  kOnceUnknown = 173,
+  kOnceResultDropped = 174,
+  kOnceBucketFull = 175,
   kReportPartial = 210,
 };
 
