Measure slopes of one process and of whole fleets

docs/CAPACITY.md needs figures that anyone can print again. No test is added: the programs state measurements and judge nothing.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 export CCACHE_SLOPPINESS := pch_defines,time_macros,include_file_mtime,include_file_ctime
-.PHONY: packages build test demo format lint check tables
+.PHONY: packages build test demo format lint check tables slopes
 
 packages:
 	tools/install-packages
@@ -20,6 +20,11 @@
 demo: build
 	samples/demo.sh $(BUILD)
 
+# The figures of docs/CAPACITY.md, measured again.
+slopes: build
+	$(BUILD)/bench/slopes/core-slopes
+	$(BUILD)/bench/slopes/fleet-slopes
+
 # After a new result code or log event.
 tables:
 	tools/write-tables $(BUILD)
--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -97,6 +97,11 @@
   return ended ? impl_->child_.exit_code() : -1;
 }
 
+int Process::Pid() const
+{
+  return impl_->child_.id();
+}
+
 std::string Process::Output() const
 {
   const std::lock_guard lock(impl_->mutex_);
--- a/test/integration/harness.h
+++ b/test/integration/harness.h
@@ -39,6 +39,9 @@
   /// Waits for the end. @return the exit status, -1 when it did not come
   int WaitForExit(std::chrono::milliseconds aLimit);
 
+  /// Gives the process's number.
+  int Pid() const;
+
   /// Gives all output so far.
   std::string Output() const;
 
