--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -15,6 +15,7 @@
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
+#include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-pool-broker.h"
 #include "gooseberrylift/internal/gooseberrylift-rest-store.h"
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
@@ -49,6 +50,7 @@
   HttpClient client_;
   RestStore store_;
   ConfigFollower configFollower_;
+  PeerExchange peers_;
   EndpointTracker endpointTracker_;
   PoolBroker broker_;
   ModelRunner models_;
@@ -57,6 +59,7 @@
   AdminFront adminFront_;
   HttpServer callerServer_;
   HttpServer adminServer_;
+  HttpServer peerServer_;
 };
 
 } // namespace gooseberrylift
