--- a/bench/slopes/gooseberrylift-core-slopes.cc
+++ b/bench/slopes/gooseberrylift-core-slopes.cc
@@ -50,6 +50,7 @@
 std::vector<EndpointView> EnginesOf(int aCount)
 {
   std::vector<EndpointView> views;
+  views.reserve(static_cast<std::size_t>(aCount));
   for (int engine = 0; engine < aCount; ++engine) {
     views.push_back({ .name_ = "engine-" + std::to_string(engine),
                       .address_ = "10.0.0.1:8000",
--- a/bench/slopes/gooseberrylift-slope-table.cc
+++ b/bench/slopes/gooseberrylift-slope-table.cc
@@ -59,6 +59,7 @@
              const std::function<double(double aSize)>& aValueOf)
 {
   std::vector<SlopePoint> points;
+  points.reserve(aSizes.size());
   for (const double size : aSizes) {
     points.push_back({ size, aValueOf(size) });
   }
