--- a/bench/slopes/gooseberrylift-core-slopes.cc
+++ b/bench/slopes/gooseberrylift-core-slopes.cc
@@ -8,7 +8,9 @@
 
 #include "gooseberrylift-slope-table.h"
 #include "gooseberrylift/gooseberrylift-burn-document.h"
+#include "gooseberrylift/gooseberrylift-digest-codec.h"
 #include "gooseberrylift/gooseberrylift-endpoint-book.h"
+#include "gooseberrylift/gooseberrylift-peer-table.h"
 #include "gooseberrylift/gooseberrylift-scheduler.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-model-request.h"
@@ -214,6 +216,90 @@
   });
 }
 
+Digest DigestOf(int aHost, int aTeams)
+{
+  Digest digest{ .host_ = "entry-" + std::to_string(aHost),
+                 .zone_ = "region-1-zone-a",
+                 .region_ = "region-1",
+                 .peerAddress_ = "10.0.0.1:7000",
+                 .incarnation_ = 1'764'700'000'000,
+                 .sequence_ = 1000,
+                 .generation_ = 100,
+                 .configurationHash_ = 0x1234567812345678,
+                 .storeReachable_ = true };
+  for (int team = 0; team < aTeams; ++team) {
+    digest.demand_.push_back(
+      { .team_ = "team-" + std::to_string(team), .tokensPerSecond_ = 1234.5 });
+  }
+  return digest;
+}
+
+// A table that has heard of so many hosts of its own zone.
+PeerTable TableOf(int aHosts)
+{
+  PeerTable table({ .host_ = "entry-self",
+                    .zone_ = "region-1-zone-a",
+                    .region_ = "region-1",
+                    .address_ = "10.0.0.2:7000",
+                    .incarnation_ = 1,
+                    .seed_ = 1 });
+  for (int host = 0; host < aHosts; ++host) {
+    table.OnMessage({ .from_ = DigestOf(host, 0) }, TimePoint{});
+  }
+  table.SetOwn(DigestOf(0, 0), TimePoint{});
+  return table;
+}
+
+// Bytes of a message's digests as JSON, without its envelope.
+double BytesOf(const PeerMessage& aMessage)
+{
+  std::size_t bytes = DigestToJson(aMessage.from_).dump().size();
+  for (const Digest& digest : aMessage.relayed_) {
+    bytes += DigestToJson(digest).dump().size();
+  }
+  return static_cast<double>(bytes);
+}
+
+void MeasurePeers()
+{
+  const std::vector<double> sizes{ 40, 80, 160, 320 };
+  Measure("peer table in memory",
+          "host of the zone",
+          "bytes",
+          sizes,
+          [](double aHosts) {
+            const double before = HeapBytes();
+            const PeerTable table = TableOf(static_cast<int>(aHosts));
+            return HeapBytes() - before;
+          });
+  Measure("digests of a peer message",
+          "host of the zone",
+          "bytes",
+          sizes,
+          [](double aHosts) {
+            PeerTable table = TableOf(static_cast<int>(aHosts));
+            return BytesOf(table.MakeMessage("region-1-zone-a"));
+          });
+  Measure("making a peer message",
+          "host of the zone",
+          "us",
+          sizes,
+          [](double aHosts) {
+            PeerTable table = TableOf(static_cast<int>(aHosts));
+            return MicrosecondsOf(
+              [&] { (void)table.MakeMessage("region-1-zone-a"); });
+          });
+  Measure(
+    "own digest by teams that ask this host",
+    "team",
+    "bytes",
+    { 0, 100, 1000, 4000 },
+    [](double aTeams) {
+      return static_cast<double>(
+        DigestToJson(DigestOf(0, static_cast<int>(aTeams))).dump().size());
+    });
+}
+
 void MeasureRequest()
 {
   Measure("reading a request",
@@ -251,6 +337,7 @@
   MeasureEndpoints();
   MeasureScheduler();
   MeasureBurn();
+  MeasurePeers();
   MeasureRequest();
   return 0;
 }
--- a/bench/slopes/gooseberrylift-fleet-slopes.cc
+++ b/bench/slopes/gooseberrylift-fleet-slopes.cc
@@ -1,9 +1,10 @@
 // Slopes of whole processes against the number of entry hosts, engines, tokens
 // and prompt bytes, with small fakes for the outside systems. At most 40 entry
-// hosts and 60 engines run at a time; takes about two minutes.
+// hosts and 60 engines run at a time; takes about four minutes.
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -21,6 +22,9 @@
 namespace {
 
 constexpr std::chrono::seconds kWatch{ 10 };
+// Hosts call the store more often while they join.
+constexpr std::chrono::seconds kSettle{ 45 };
+constexpr std::chrono::seconds kWatchStore{ 60 };
 constexpr const char* kConfigurationPath =
   "/apis/gooseberrylift.dev/v1/configurations/main";
 
@@ -49,12 +53,13 @@
   return ticks * 1e6 / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
-double ResidentBytes(int aPid)
+// A figure of /proc/PID/status in bytes, such as "VmRSS:".
+double MemoryOf(int aPid, const std::string& aField)
 {
   std::ifstream file("/proc/" + std::to_string(aPid) + "/status");
   for (std::string line; std::getline(file, line);) {
-    if (line.starts_with("VmRSS:")) {
-      return std::stod(line.substr(6)) * 1024;
+    if (line.starts_with(aField)) {
+      return std::stod(line.substr(aField.size())) * 1024;
     }
   }
   return 0;
@@ -75,7 +80,6 @@
 {
   double corePercent_ = 0;
   double residentBytes_ = 0;
-  double storeCallsPerSecond_ = 0; // of all hosts
 };
 
 IdleCost MeasureIdle(Deployment& aDeployment)
@@ -88,17 +92,14 @@
     return sum;
   };
   const double timeBefore = time();
-  const double callsBefore = StoreCalls(aDeployment);
   std::this_thread::sleep_for(kWatch);
   const double seconds = static_cast<double>(kWatch.count());
   const auto hosts = static_cast<double>(aDeployment.Hosts());
   IdleCost cost{ .corePercent_ =
-                   (time() - timeBefore) / (seconds * 1e6) * 100 / hosts,
-                 .storeCallsPerSecond_ =
-                   (StoreCalls(aDeployment) - callsBefore) / seconds };
+                   (time() - timeBefore) / (seconds * 1e6) * 100 / hosts };
   for (std::size_t host = 0; host < aDeployment.Hosts(); ++host) {
     cost.residentBytes_ +=
-      ResidentBytes(aDeployment.At(host).Handle().Pid()) / hosts;
+      MemoryOf(aDeployment.At(host).Handle().Pid(), "VmRSS:") / hosts;
   }
   return cost;
 }
@@ -141,7 +142,6 @@
 {
   std::vector<SlopePoint> core;
   std::vector<SlopePoint> memory;
-  std::vector<SlopePoint> calls;
   std::vector<SlopePoint> spread;
   for (const int hosts : { 3, 10, 20, 40 }) {
     Deployment deployment(FleetOf(hosts, 8));
@@ -149,12 +149,10 @@
     const IdleCost cost = MeasureIdle(deployment);
     core.push_back({ size, cost.corePercent_ });
     memory.push_back({ size, cost.residentBytes_ });
-    calls.push_back({ size, cost.storeCallsPerSecond_ });
     spread.push_back({ size, MeasureSpread(deployment) });
   }
   PrintSlope("idle host with 8 engines", "entry host", "% of a core", core);
   PrintSlope("idle host, resident", "entry host", "bytes", memory);
-  PrintSlope("store calls of all hosts", "entry host", "calls/s", calls);
   PrintSlope("a configuration change in force everywhere, as polled host by "
              "host",
              "entry host",
@@ -162,6 +160,32 @@
              spread);
 }
 
+// Three fleets side by side, 38 hosts in all.
+void MeasureStoreCalls()
+{
+  std::vector<std::unique_ptr<Deployment>> fleets;
+  for (const int hosts : { 3, 10, 25 }) {
+    fleets.push_back(std::make_unique<Deployment>(FleetOf(hosts, 2)));
+  }
+  std::this_thread::sleep_for(kSettle);
+  std::vector<double> before;
+  for (const auto& fleet : fleets) {
+    before.push_back(StoreCalls(*fleet));
+  }
+  std::this_thread::sleep_for(kWatchStore);
+  std::vector<SlopePoint> points;
+  for (std::size_t index = 0; index < fleets.size(); ++index) {
+    Deployment& fleet = *fleets.at(index);
+    const double calls = StoreCalls(fleet) - before.at(index);
+    points.push_back({ static_cast<double>(fleet.Hosts()),
+                       calls / static_cast<double>(kWatchStore.count()) });
+  }
+  PrintSlope("store calls of all hosts, settled and idle",
+             "entry host",
+             "calls/s",
+             points);
+}
+
 void MeasureByEngines()
 {
   std::vector<SlopePoint> core;
@@ -176,57 +200,83 @@
   PrintSlope("idle host by engines, resident", "engine", "bytes", memory);
 }
 
-// Processor time of the host for each of so many requests, in microseconds.
-double CostOfRequest(Host& aHost, std::size_t aPromptBytes, int aTokens)
+struct RequestCost
+{
+  double processorTime_ = 0; // us for each request
+  double peakBytes_ = 0;     // of resident memory
+};
+
+// Sends requests to a fresh host, one after the other, for some seconds.
+RequestCost CostOfRequest(std::size_t aPromptBytes, int aTokens)
 {
-  const int pid = aHost.Handle().Pid();
+  Deployment::Options options = FleetOf(1, 2);
+  options.engine_ = { { "decode_us", 10 },
+                      { "kv_tokens", 8'000'000 },
+                      { "prefill_linear_us", 0.001 },
+                      { "prefill_quadratic_us", 0.0 } };
+  Deployment deployment(options);
+  Host& host = deployment.At(0);
+  const int pid = host.Handle().Pid();
   const double before = ProcessorTime(pid);
   const TimePoint end = TimerService::Now() + std::chrono::seconds(3);
   int done = 0;
   while (TimerService::Now() < end || done < 5) {
     const auto answer = Send(
-      aHost.Port(), ChatRequest(std::string(aPromptBytes, 'p'), aTokens, true));
+      host.Port(), ChatRequest(std::string(aPromptBytes, 'p'), aTokens, true));
     if (!answer || answer.value().status_ != 200) {
-      return -1;
+      std::printf("  a request failed: %s\n",
+                  answer ? answer.value().body_.c_str()
+                         : answer.error().text_.c_str());
+      std::exit(1);
     }
     ++done;
   }
-  return (ProcessorTime(pid) - before) / done;
+  return { .processorTime_ = (ProcessorTime(pid) - before) / done,
+           .peakBytes_ = MemoryOf(pid, "VmHWM:") };
 }
 
 void MeasureRequests()
 {
-  Deployment::Options options = FleetOf(1, 2);
-  options.engine_ = { { "decode_us", 10 },
-                      { "prefill_linear_us", 0.001 },
-                      { "prefill_quadratic_us", 0.0 } };
-  Deployment deployment(options);
-  Host& host = deployment.At(0);
-  Measure("request by tokens of its answer",
-          "token",
-          "us of processor time",
-          { 20, 200, 1000 },
-          [&host](double aTokens) {
-            return CostOfRequest(host, 400, static_cast<int>(aTokens));
-          });
-  Measure("request by bytes of its prompt",
-          "prompt byte",
-          "us of processor time",
-          { 4'000, 400'000, 4'000'000 },
-          [&host](double aBytes) {
-            return CostOfRequest(host, static_cast<std::size_t>(aBytes), 4);
-          });
-  Measure("resident after requests with so many bytes of prompt",
-          "prompt byte",
-          "bytes",
-          { 4'000, 400'000, 4'000'000 },
-          [&host](double aBytes) {
-            (void)CostOfRequest(host, static_cast<std::size_t>(aBytes), 4);
-            return ResidentBytes(host.Handle().Pid());
-          });
+  std::vector<SlopePoint> tokens;
+  for (const int count : { 20, 200, 1000 }) {
+    tokens.push_back(
+      { static_cast<double>(count), CostOfRequest(400, count).processorTime_ });
+  }
+  PrintSlope(
+    "request by tokens of its answer", "token", "us of processor time", tokens);
+  std::vector<SlopePoint> time;
+  std::vector<SlopePoint> memory;
+  for (const std::size_t bytes : { 4'000U, 400'000U, 4'000'000U }) {
+    const RequestCost cost = CostOfRequest(bytes, 4);
+    time.push_back({ static_cast<double>(bytes), cost.processorTime_ });
+    memory.push_back({ static_cast<double>(bytes), cost.peakBytes_ });
+  }
+  PrintSlope("request by bytes of its prompt",
+             "prompt byte",
+             "us of processor time",
+             time);
+  PrintSlope("peak of resident memory with one such request at a time",
+             "prompt byte",
+             "bytes",
+             memory);
+}
+
+// What one answer to GET /load takes on the wire, without TCP and IP.
+void PrintLoadReport()
+{
+  Deployment deployment(FleetOf(1, 1));
   const auto load = Send(deployment.Engine(0).Port(), MakeRequest("/load"));
-  std::printf("body of one load report: %zu bytes\n",
-              load ? load.value().body_.size() : 0);
+  if (!load) {
+    return;
+  }
+  constexpr std::size_t kStatusLine = 17; // HTTP/1.1 200 OK and its line end
+  std::size_t head = kStatusLine;
+  for (const HttpField& field : load.value().fields_) {
+    head += field.name_.size() + field.value_.size() + 4;
+  }
+  std::printf("one load report: %zu bytes of body, %zu with its head\n",
+              load.value().body_.size(),
+              load.value().body_.size() + head + 2);
 }
 
 } // namespace
@@ -237,5 +287,7 @@
   MeasureByHosts();
   MeasureByEngines();
   MeasureRequests();
+  PrintLoadReport();
+  MeasureStoreCalls();
   return 0;
 }
