--- a/bench/slopes/gooseberrylift-fleet-slopes.cc
+++ b/bench/slopes/gooseberrylift-fleet-slopes.cc
@@ -169,6 +169,7 @@
   }
   std::this_thread::sleep_for(kSettle);
   std::vector<double> before;
+  before.reserve(fleets.size());
   for (const auto& fleet : fleets) {
     before.push_back(StoreCalls(*fleet));
   }
--- a/src/front/gooseberrylift-admin-front.cc
+++ b/src/front/gooseberrylift-admin-front.cc
@@ -40,6 +40,15 @@
            { "kv_total", aView.load_.kvTokensTotal_ } };
 }
 
+json StatusOf(const Digest& aDigest)
+{
+  return { { "host", aDigest.host_ },
+           { "zone", aDigest.zone_ },
+           { "generation", aDigest.generation_ },
+           { "store_reachable", aDigest.storeReachable_ },
+           { "draining", aDigest.draining_ } };
+}
+
 // Says why requests failed since the start, as counted for /metrics.
 json FailuresOf(const Metrics& aMetrics)
 {
@@ -58,15 +67,6 @@
   return failures;
 }
 
-json StatusOf(const Digest& aDigest)
-{
-  return { { "host", aDigest.host_ },
-           { "zone", aDigest.zone_ },
-           { "generation", aDigest.generation_ },
-           { "store_reachable", aDigest.storeReachable_ },
-           { "draining", aDigest.draining_ } };
-}
-
 } // namespace
 
 AdminFront::AdminFront(Parts aParts)
@@ -188,8 +188,8 @@
     { "why_not_ready", WhyNotReady() },
     { "generation", configuration ? configuration->Generation() : 0 },
     { "store_reachable", parts_.board_.store_.Read()->reachable_ },
-    { "failures", FailuresOf(parts_.metrics_) },
     { "peers", peers },
+    { "failures", FailuresOf(parts_.metrics_) },
     { "pools", pools },
     { "endpoints", endpoints },
   };
