--- a/bench/slopes/gooseberrylift-core-slopes.cc
+++ b/bench/slopes/gooseberrylift-core-slopes.cc
@@ -262,7 +262,7 @@
 
 void MeasurePeers()
 {
-  const std::vector<double> sizes{ 40, 80, 160, 320 };
+  const std::vector<double> sizes{ 40, 80, 200, 2000 };
   Measure("peer table in memory",
           "host of the zone",
           "bytes",
