Bound what a host keeps of distant peers and measure the spread

Cause: each host kept every host of the fleet and counted its zone anew for each entry that it judged, so a message cost the square of the fleet.

Change: the zone is counted once a round; beyond the own zone a random sample of 64 hosts is kept.

--- a/include/gooseberrylift/gooseberrylift-peer-table.h
+++ b/include/gooseberrylift/gooseberrylift-peer-table.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYLIFT_GOOSEBERRYLIFT_PEER_TABLE_H_
 #define GOOSEBERRYLIFT_GOOSEBERRYLIFT_PEER_TABLE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -63,6 +64,10 @@
   // follows in full.
   static constexpr std::size_t kSmallFleet = 32;
 
+  // Hosts beyond the own zone that are kept, a random sample: news needs few
+  // links to cross a random graph, and memory then follows the zone's size.
+  static constexpr std::size_t kFarPeers = 64;
+
   struct Options
   {
     std::string host_;
@@ -107,6 +112,12 @@
   /// Gives every other host known, live or not, by name.
   std::vector<PeerMember> Known() const;
 
+  /// Gives the number of other hosts in the fleet, as last listed or known.
+  std::size_t FleetSize() const
+  {
+    return std::max(listedCount_, entries_.size());
+  }
+
   const Digest& Own() const { return own_; }
 
 private:
@@ -122,7 +133,9 @@
   bool Learn(const Digest& aDigest, TimePoint aNow);
   bool IsSmall() const { return entries_.size() < kSmallFleet; }
   bool InScope(const std::string& aZone) const;
+  std::size_t CountNear() const;
   std::chrono::milliseconds Heartbeat() const;
+  bool HasRoomFor(const std::string& aZone) const;
   bool IsLive(const Entry& aEntry, TimePoint aNow) const;
   void ForgetGone(TimePoint aNow);
   void PickOne(const std::vector<const Entry*>& aFrom,
@@ -134,6 +147,8 @@
   TimePoint lastRound_{};
   TimePoint lastBeat_{};
   std::uint64_t rounds_ = 0;
+  std::size_t listedCount_ = 0;
+  std::size_t near_ = 0; // hosts in scope, counted once a round
   std::map<std::string, Entry> entries_;
 };
 
--- a/include/gooseberrylift/internal/gooseberrylift-blackboard.h
+++ b/include/gooseberrylift/internal/gooseberrylift-blackboard.h
@@ -90,7 +90,7 @@
 struct PeersState
 {
   std::vector<Digest> digests_;
-  std::size_t known_ = 0; // other hosts ever heard of, live or not
+  std::size_t known_ = 0; // other hosts of the fleet, live or not
 };
 
 // Written by the quarantine controller: this host's own and learnt entries.
--- a/src/core/gooseberrylift-peer-table.cc
+++ b/src/core/gooseberrylift-peer-table.cc
@@ -68,11 +68,22 @@
 void PeerTable::OnMembers(const std::vector<PeerMember>& aMembers,
                           TimePoint aNow)
 {
-  for (const PeerMember& member : aMembers) {
-    if (member.host_ == options_.host_ || member.address_.empty()) {
+  std::vector<PeerMember> members = aMembers;
+  std::shuffle(members.begin(), members.end(), random_);
+  // The own zone first, so that the room for others is counted beside it.
+  std::stable_partition(
+    members.begin(), members.end(), [this](const PeerMember& aMember) {
+      return aMember.zone_ == options_.zone_;
+    });
+  listedCount_ = members.empty() ? 0 : members.size() - 1;
+  for (const PeerMember& member : members) {
+    const bool known = entries_.contains(member.host_);
+    if (member.host_ == options_.host_ || member.address_.empty() ||
+        (!known && !HasRoomFor(member.zone_))) {
       continue;
     }
     Entry& entry = entries_[member.host_];
+    near_ += !known && member.zone_ == options_.zone_ ? 1 : 0;
     entry.listed_ = aNow;
     if (entry.member_.host_.empty() ||
         member.incarnation_ > entry.member_.incarnation_) {
@@ -94,6 +105,7 @@
   }
   lastRound_ = aNow;
   ++rounds_;
+  near_ = CountNear();
   aOwn.host_ = own_.host_;
   aOwn.zone_ = own_.zone_;
   aOwn.region_ = own_.region_;
@@ -200,6 +212,9 @@
   if (aDigest.host_.empty() || aDigest.host_ == options_.host_) {
     return false;
   }
+  if (!entries_.contains(aDigest.host_) && !HasRoomFor(aDigest.zone_)) {
+    return false;
+  }
   Entry& entry = entries_[aDigest.host_];
   if (!entry.digest_.host_.empty() && !IsNewer(aDigest, entry.digest_)) {
     return false;
@@ -240,15 +255,24 @@
   return IsSmall() || aZone == options_.zone_;
 }
 
+std::size_t PeerTable::CountNear() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(entries_.begin(), entries_.end(), [this](const auto& aEntry) {
+      return InScope(aEntry.second.member_.zone_);
+    }));
+}
+
+bool PeerTable::HasRoomFor(const std::string& aZone) const
+{
+  return aZone == options_.zone_ || entries_.size() < kSmallFleet ||
+         entries_.size() - near_ < kFarPeers;
+}
+
 milliseconds PeerTable::Heartbeat() const
 {
-  const std::size_t near =
-    IsSmall() ? entries_.size()
-              : static_cast<std::size_t>(std::count_if(
-                  entries_.begin(), entries_.end(), [this](const auto& aEntry) {
-                    return InScope(aEntry.second.member_.zone_);
-                  }));
-  return options_.round_ * std::max<std::size_t>(1, near / kHeartbeatsPerRound);
+  return options_.round_ *
+         std::max<std::size_t>(1, near_ / kHeartbeatsPerRound);
 }
 
 bool PeerTable::IsLive(const Entry& aEntry, TimePoint aNow) const
--- a/src/runtime/gooseberrylift-peer-exchange.cc
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -305,7 +305,7 @@
   {
     const std::lock_guard lock(mutex_);
     live = table_->Live(TimerService::Now());
-    known = table_->Known().size();
+    known = table_->FleetSize();
   }
   parts_.board_.peers_.Write({ .digests_ = std::move(live), .known_ = known });
 }
