Accept changes of configuration once and put them in force everywhere

Cause: the configuration could only be placed in the store by hand; a host whose watch was lost or whose store was down stayed behind, and two operators overwrote one another.

Change: apply, show, history and diff go through any host's admin port. A change names its base generation; the host writes generation plus one by a conditional update that carries a nonce, repeats it after a lost answer and settles a conflict by looking for its nonce in the object's last 100 changes. The replaced text is stored first, one object a generation, 100 of them. The number lies above every generation that hosts tell of, so a store put back to an older state can't make one repeat. Besides the watch, held by three hosts a zone, each host polls at a period that grows with the fleet; a host cut off from the store and all peers goes unready after 5 s.

--- a/fakes/gooseberrylift-fake-store.cc
+++ b/fakes/gooseberrylift-fake-store.cc
@@ -7,7 +7,8 @@
 //   DELETE /apis/gooseberrylift.dev/v1/KIND/NAME          (?resourceVersion=N)
 //   POST   /control  {"outage", "delay_ms", "lose_answers": n, "hang",
 //                     "writes_per_second", "reads_per_second",
-//                     "forget_history", "replace": {"KIND/NAME": object}}
+//                     "mute_watches", "forget_history", "replace":
+//                     {"KIND/NAME": object}}
 //   GET    /stats    counts by kind of call
 // A lost answer: the write takes effect and the connection then closes.
 
@@ -129,6 +130,7 @@
     loseAnswers_ = aBody.value("lose_answers", loseAnswers_);
     writesPerSecond_ = aBody.value("writes_per_second", writesPerSecond_);
     readsPerSecond_ = aBody.value("reads_per_second", readsPerSecond_);
+    muteWatches_ = aBody.value("mute_watches", muteWatches_);
     cutWatches_ += aBody.value("cut_watches", false) ? 1 : 0;
     if (aBody.value("forget_history", false)) {
       history_.clear();
@@ -268,12 +270,12 @@
       std::chrono::seconds(limit.empty() ? 300 : std::atoi(limit.c_str()));
     co_await aExchange.StartStream(JsonResponse(200, ""));
     while (TimerService::Now() < end) {
-      if (outage_ || hang_ || cuts != cutWatches_) {
+      if ((outage_ && !muteWatches_) || hang_ || cuts != cutWatches_) {
         co_return;
       }
       std::string lines;
       for (const Event& event : history_) {
-        if (event.version_ > seen) {
+        if (event.version_ > seen && !muteWatches_) {
           seen = event.version_;
           lines += event.kind_ == aKind ? event.body_.dump() + "\n" : "";
         }
@@ -300,6 +302,7 @@
   bool hang_ = false;
   int loseAnswers_ = 0;
   int cutWatches_ = 0;
+  bool muteWatches_ = false; // open, but silent
   double writesPerSecond_ = 400;
   double readsPerSecond_ = 2000;
   std::chrono::milliseconds delay_{ 2 };
--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -9,6 +9,7 @@
 #include "gooseberrylift/internal/gooseberrylift-admin-front.h"
 #include "gooseberrylift/internal/gooseberrylift-blackboard.h"
 #include "gooseberrylift/internal/gooseberrylift-caller-front.h"
+#include "gooseberrylift/internal/gooseberrylift-config-admin.h"
 #include "gooseberrylift/internal/gooseberrylift-config-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
@@ -54,6 +55,7 @@
   ServiceRunner services_;
   CallerFront callerFront_;
   AdminFront adminFront_;
+  ConfigAdmin configAdmin_;
   HttpServer callerServer_;
   HttpServer adminServer_;
   HttpServer peerServer_;
--- a/src/cli/gooseberrylift-command.h
+++ b/src/cli/gooseberrylift-command.h
@@ -22,6 +22,7 @@
 
 void AddServeCommand(CLI::App& aApp, const CommandSink& aSink);
 void AddCheckCommand(CLI::App& aApp, const CommandSink& aSink);
+void AddConfigurationCommands(CLI::App& aApp, const CommandSink& aSink);
 void AddVersionCommand(CLI::App& aApp, const CommandSink& aSink);
 
 /// Reads a whole file, or standard input for "-"; a text that begins with "{"
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -85,6 +85,7 @@
   };
   gooseberrylift::AddServeCommand(app, sink);
   gooseberrylift::AddCheckCommand(app, sink);
+  gooseberrylift::AddConfigurationCommands(app, sink);
   gooseberrylift::AddVersionCommand(app, sink);
   try {
     app.parse(aCount, aArguments);
--- a/src/front/gooseberrylift-admin-front.cc
+++ b/src/front/gooseberrylift-admin-front.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
 namespace gooseberrylift {
 
 namespace asio = boost::asio;
@@ -12,6 +14,9 @@
 
 namespace {
 
+// Above a store's short fault and a peer's few lost rounds.
+constexpr std::chrono::seconds kIsolationLimit(5);
+
 const char* NameOf(EndpointState aState)
 {
   switch (aState) {
@@ -118,6 +123,14 @@
   if (parts_.board_.endpoints_.Read()->endpoints_.empty()) {
     return "no endpoint known yet";
   }
+  // A host that hears neither the store nor any other host it knew may go on
+  // with a configuration that was replaced elsewhere, and would never learn it.
+  const auto store = parts_.board_.store_.Read();
+  const auto peers = parts_.board_.peers_.Read();
+  if (!store->reachable_ && peers->known_ > 0 && peers->digests_.empty() &&
+      TimerService::Now() - store->since_ > kIsolationLimit) {
+    return "cut off from the store and all peers";
+  }
   return {};
 }
 
--- a/src/runtime/gooseberrylift-config-follower.cc
+++ b/src/runtime/gooseberrylift-config-follower.cc
@@ -1,5 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-config-follower.h"
 
+#include <algorithm>
+
 #include <boost/leaf/handle_errors.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-log.h"
@@ -32,7 +34,8 @@
                                Options aOptions)
   : store_(aStore)
   , board_(aBoard)
-  , options_(aOptions)
+  , options_(std::move(aOptions))
+  , random_(options_.seed_)
 {
 }
 
@@ -42,11 +45,59 @@
     const bool reached = co_await ReadAndWatch();
     NoteStore(reached);
     if (!reached) {
-      co_await TimerService::SleepFor(options_.pause_);
+      co_await TimerService::SleepFor(Jittered(options_.pause_));
+    }
+  }
+}
+
+// A watch can be lost without a sign: the connection stays open and silent.
+// The symptom would be a host that stays behind for as long as the watch was to
+// last; the poll bounds that, and also tells a store that went down.
+asio::awaitable<void> ConfigFollower::Poll()
+{
+  while (true) {
+    co_await TimerService::SleepFor(Jittered(PollPeriod()));
+    const auto main =
+      co_await store_.Read(kConfigurationKind,
+                           kConfigurationName,
+                           TimerService::Now() + options_.callTimeout_);
+    NoteStore(main || main.error().code_ == ResultCode::kStoreNotFound);
+    if (main) {
+      Offer(main.value());
     }
   }
 }
 
+bool ConfigFollower::ShouldWatch() const
+{
+  std::size_t before = 0;
+  for (const Digest& digest : board_.peers_.Read()->digests_) {
+    if (digest.zone_ == options_.zone_ && digest.storeReachable_ &&
+        digest.host_ < options_.host_) {
+      ++before;
+    }
+  }
+  return before < options_.watchersPerZone_;
+}
+
+std::chrono::milliseconds ConfigFollower::PollPeriod() const
+{
+  const auto hosts =
+    static_cast<std::int64_t>(board_.peers_.Read()->known_ + 1);
+  return std::max(options_.pollPeriod_,
+                  std::chrono::milliseconds(1000) * hosts /
+                    options_.pollsPerSecond_);
+}
+
+// Between three quarters and five quarters, so that hosts that lost the store
+// together don't come back together.
+std::chrono::milliseconds ConfigFollower::Jittered(
+  std::chrono::milliseconds aPause)
+{
+  const std::lock_guard lock(storeMutex_);
+  return aPause * (75 + static_cast<int>(random_() % 50)) / 100;
+}
+
 asio::awaitable<bool> ConfigFollower::ReadAndWatch()
 {
   auto list = co_await store_.List(kConfigurationKind,
@@ -58,6 +109,10 @@
   for (const StoreObject& object : list.value().items_) {
     Offer(object);
   }
+  if (!ShouldWatch()) {
+    co_await TimerService::SleepFor(Jittered(PollPeriod()));
+    co_return true;
+  }
   const auto watched = co_await store_.Watch(
     kConfigurationKind,
     list.value().version_,
@@ -131,6 +186,7 @@
 
 void ConfigFollower::NoteStore(bool aReachable)
 {
+  const std::lock_guard lock(storeMutex_);
   const auto before = board_.store_.Read();
   if (before->since_ != TimePoint{} && before->reachable_ == aReachable) {
     return;
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -1,6 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-entry-host.h"
 
 #include <csignal>
+#include <random>
 #include <thread>
 #include <vector>
 
@@ -20,7 +21,11 @@
   , context_(settings_.threads_)
   , client_(context_.get_executor(), HttpClient::Options{})
   , store_(client_, { .addresses_ = settings_.storeAddresses_ })
-  , configFollower_(store_, board_, ConfigFollower::Options{})
+  , configFollower_(store_,
+                    board_,
+                    { .host_ = settings_.hostName_,
+                      .zone_ = settings_.zone_,
+                      .seed_ = std::random_device{}() })
   , peers_({ .settings_ = settings_,
              .board_ = board_,
              .store_ = store_,
@@ -54,6 +59,7 @@
                   .board_ = board_,
                   .broker_ = broker_,
                   .metrics_ = metrics_ })
+  , configAdmin_(store_, configFollower_, board_, ConfigAdmin::Options{})
   , callerServer_(context_.get_executor(),
                   { .address_ = settings_.caller_.address_,
                     .port_ = settings_.caller_.port_,
@@ -79,6 +85,7 @@
 
 Outcome<void> EntryHost::Run()
 {
+  configAdmin_.AddRoutes(adminFront_);
   const auto listening = Listen();
   if (!listening) {
     return listening.error();
@@ -122,6 +129,7 @@
 void EntryHost::StartControllers()
 {
   asio::co_spawn(context_, configFollower_.Run(), asio::detached);
+  asio::co_spawn(context_, configFollower_.Poll(), asio::detached);
   asio::co_spawn(context_, endpointTracker_.Run(), asio::detached);
 }
 
--- /dev/null
+++ b/test/core/gooseberrylift-config-change-test.cc
@@ -0,0 +1,50 @@
+#include "gooseberrylift/gooseberrylift-config-change.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using nlohmann::json;
+
+TEST_GROUP(ConfigChangeTest){};
+
+TEST(ConfigChangeTest, NumbersAboveEveryGenerationInForce)
+{
+  const StoredConfiguration putBack{ .generation_ = 3 };
+  LONGS_EQUAL(8, *NextGeneration(putBack, { .base_ = 7, .highestKnown_ = 7 }));
+  CHECK_FALSE(NextGeneration(putBack, { .base_ = 3, .highestKnown_ = 7 }));
+}
+
+TEST(ConfigChangeTest, RefusesABaseThatIsNotTheNewest)
+{
+  const StoredConfiguration stored{ .generation_ = 3 };
+  CHECK_FALSE(NextGeneration(stored, { .base_ = 2, .highestKnown_ = 2 }));
+  CHECK_FALSE(NextGeneration(stored, { .base_ = 4, .highestKnown_ = 3 }));
+}
+
+// The answer to a write was lost and others wrote since; the writer must still
+// find that its change was taken.
+TEST(ConfigChangeTest, FindsAChangeUnderLaterOnesAndKeepsABound)
+{
+  StoredConfiguration stored;
+  for (std::uint64_t number = 1; number <= 150; ++number) {
+    stored = WithChange(
+      StoredConfiguration::FromSpec(stored.ToSpec()),
+      json::object(),
+      { .generation_ = number, .nonce_ = "n" + std::to_string(number) });
+  }
+  LONGS_EQUAL(StoredConfiguration::kRecent, stored.recent_.size());
+  LONGS_EQUAL(140, stored.FindChange("n140")->generation_);
+  CHECK_FALSE(stored.FindChange("n50"));
+}
+
+TEST(ConfigChangeTest, ComparesNamedItemsWhateverTheirOrderAndHidesKeys)
+{
+  const json from = json::parse(
+    R"({"teams":[{"name":"a","weight":1},{"name":"b","keys":["secret-1"]}]})");
+  const json to = json::parse(
+    R"({"teams":[{"name":"b","keys":["secret-2"]},{"name":"a","weight":2}]})");
+  const std::vector<std::string> lines = DiffConfigurations(from, to);
+  LONGS_EQUAL(2, lines.size());
+  STRCMP_EQUAL("~ /teams/a/weight: 1 -> 2", lines[0].c_str());
+  STRCMP_EQUAL("~ /teams/b/keys: (keys) -> (keys)", lines[1].c_str());
+}
