--- a/bench/gooseberrylift-cost-bench.cc
+++ b/bench/gooseberrylift-cost-bench.cc
@@ -162,7 +162,7 @@
   std::vector<Samples> parts(kCallers);
   std::vector<std::thread> callers;
   callers.reserve(kCallers);
-  const double cpuBefore = CpuOf(aHost.Handle().Id());
+  const double cpuBefore = CpuOf(aHost.Handle().Pid());
   const TimePoint end = TimerService::Now() + aDuration;
   for (Samples& part : parts) {
     callers.emplace_back([&] { part = RunCaller(aCase, aHost.Port(), end); });
@@ -170,7 +170,7 @@
   for (std::thread& caller : callers) {
     caller.join();
   }
-  const double cpu = CpuOf(aHost.Handle().Id()) - cpuBefore;
+  const double cpu = CpuOf(aHost.Handle().Pid()) - cpuBefore;
   Samples all;
   for (const Samples& part : parts) {
     all.direct_.insert(
--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -66,6 +66,12 @@
   kEndpointCrossed = 129,
   kStreamCut = 130,
   kAnswerEndUnknown = 131,
+  kOnceStoreUnavailable = 170,
+  kOnceKeyReused = 171,
+  kOncePending = 172,
+  kOnceUnknown = 173,
+  kOnceResultDropped = 174,
+  kOnceBucketFull = 175,
   kReportPartial = 210,
 };
 
--- a/test/integration/gooseberrylift-caller-leaves-test.cc
+++ b/test/integration/gooseberrylift-caller-leaves-test.cc
@@ -81,7 +81,7 @@
       .host_ = {
         { "caller", { { "port", 0 }, { "write_timeout_ms", 2500 } } } } });
   Host& host = deployment.At(0);
-  const std::uint64_t before = ResidentBytes(host.Handle().Id());
+  const std::uint64_t before = ResidentBytes(host.Handle().Pid());
   std::vector<std::unique_ptr<Wire>> readers;
   for (int reader = 0; reader < kReaders; ++reader) {
     readers.push_back(std::make_unique<Wire>(host.Port()));
@@ -89,7 +89,7 @@
   }
   std::uint64_t most = before;
   CHECK_TRUE(WaitUntil(std::chrono::seconds(30), [&] {
-    most = std::max(most, ResidentBytes(host.Handle().Id()));
+    most = std::max(most, ResidentBytes(host.Handle().Pid()));
     return deployment.Engine(0).Stats().value("cancels", 0) >= kReaders;
   }));
   std::printf("%d stopped readers: resident %llu kB before, %llu kB at most\n",
--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -97,7 +97,7 @@
   return ended ? impl_->child_.exit_code() : -1;
 }
 
-int Process::Id() const
+int Process::Pid() const
 {
   return impl_->child_.id();
 }
