--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -65,6 +65,7 @@
   kEndpointRefused = 128,
   kEndpointCrossed = 129,
   kStreamCut = 130,
+  kAnswerEndUnknown = 131,
   kOnceStoreUnavailable = 170,
   kOnceKeyReused = 171,
   kOncePending = 172,
