Keep names whole in the table of the burn report

With sample names the table cut 'front-desk' to 'front-~' because of long objective names and budgets such as -24899%. Objectives are now 'first' and 'whole', rates from ten on have no decimal, and budgets stop at -999%; JSON keeps names and figures. Two tests are new: the exact row, which fails with the long names, and a document read back, which fails when series lose their keys.

--- a/src/core/gooseberrylift-burn-document.cc
+++ b/src/core/gooseberrylift-burn-document.cc
@@ -91,9 +91,18 @@
   return aTime ? json(aTime->count()) : json();
 }
 
+// A budget overspent many times over needs no exact figure, but its place in
+// the table must stay narrow.
 std::string Percent(double aShare)
 {
-  return std::to_string(static_cast<int>(aShare * 100)) + "%";
+  constexpr double kLowest = -9.99;
+  return std::to_string(std::lround(std::max(aShare, kLowest) * 100)) + "%";
+}
+
+// Short, so that names of teams and services have room in 80 columns.
+const char* ShortNameOf(BurnObjective aObjective)
+{
+  return aObjective == BurnObjective::kFirstToken ? "first" : "whole";
 }
 
 std::string SpentText(const BurnRow& aRow)
@@ -111,6 +120,10 @@
 
 std::string RateText(double aRate)
 {
+  constexpr double kOneDecimalBelow = 9.95;
+  if (aRate >= kOneDecimalBelow) {
+    return std::to_string(std::lround(aRate));
+  }
   const auto tenths = std::lround(aRate * 10);
   return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10);
 }
@@ -262,17 +275,17 @@
                            const std::vector<std::string>& aSilent)
 {
   std::string text =
-    "Burn rates of " + std::to_string(aDocument.hosts_.size()) +
-    " hosts, worst team first (1.0 spends the budget in 6 h)\n";
+    "Burn rates, worst team first (1.0 spends the budget in 6 h); hosts: " +
+    std::to_string(aDocument.hosts_.size()) + "\n";
   if (!aSilent.empty()) {
     text += "No answer, not counted: " + Join(aSilent) + "\n";
   }
   TextTable table({ { "TEAM" },
                     { "SERVICE" },
                     { "BAND" },
-                    { "OBJECTIVE" },
-                    { "5MIN", true },
-                    { "30MIN", true },
+                    { "WHAT" },
+                    { "5M", true },
+                    { "30M", true },
                     { "1H", true },
                     { "6H", true },
                     { "LEFT", true },
@@ -282,7 +295,7 @@
     table.Add({ row.key_.team_,
                 row.key_.service_,
                 kPromptBands.at(row.key_.band_).name_,
-                NameOf(row.key_.objective_),
+                ShortNameOf(row.key_.objective_),
                 RateText(row.rates_.at(0)),
                 RateText(row.rates_.at(1)),
                 RateText(row.rates_.at(2)),
--- a/test/core/gooseberrylift-burn-test.cc
+++ b/test/core/gooseberrylift-burn-test.cc
@@ -1,7 +1,9 @@
 #include "gooseberrylift/gooseberrylift-burn.h"
 
 #include <random>
+#include <sstream>
 
+#include "gooseberrylift/gooseberrylift-burn-document.h"
 #include "gooseberrylift/gooseberrylift-first-token-histogram.h"
 
 #include <CppUTest/TestHarness.h>
@@ -198,6 +200,41 @@
   LONGS_EQUAL(1, small.Series());
 }
 
+TEST(BurnTest, PrintsNamesWholeWithin80Columns)
+{
+  objective_.successShare_ = 0.9995; // a failure is then a rate of 2000
+  BurnSample sample = Sample("front-desk", false);
+  sample.service_ = "room-state";
+  ledger_.Record(sample, objective_, start_);
+  const BurnDocument document{ .hosts_ = { "entry-1" },
+                               .objectives_ = { { "room-state", objective_ } },
+                               .tally_ = ledger_.Tally(start_) };
+  const std::string report = BurnReportText(document, {});
+  STRCMP_CONTAINS("\nfront-desk  room-state  le4k  whole  2000  2000  2000  "
+                  "2000  -999%     spent\n",
+                  report.c_str());
+  std::istringstream text(report);
+  for (std::string line; std::getline(text, line);) {
+    CHECK_TRUE_TEXT(line.size() <= 80, line.c_str());
+  }
+}
+
+TEST(BurnTest, ReadsBackTheDocumentThatItWrote)
+{
+  Record(3, 1, start_);
+  BurnDocument document{ .hosts_ = { "entry-1" },
+                         .generation_ = 7,
+                         .objectives_ = { { "chat", objective_ } },
+                         .tally_ = ledger_.Tally(start_) };
+  document.firstTokens_.Record("chat", 100, 200ms);
+  const auto read = ParseBurnDocument(BurnDocumentText(document));
+  CHECK_TRUE(read.has_value());
+  CHECK(read->tally_ == document.tally_);
+  CHECK(read->firstTokens_.Filled() == document.firstTokens_.Filled());
+  CHECK(read->objectives_.at("chat").firstToken_ == objective_.firstToken_);
+  CHECK_FALSE(ParseBurnDocument(R"({"hosts":[]})").has_value());
+}
+
 TEST(BurnTest, GivesAQuantileWithinAQuarter)
 {
   FirstTokenHistogram histogram;
