--- a/include/gooseberrylift/internal/gooseberrylift-caller-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-caller-front.h
@@ -10,6 +10,7 @@
 #include "gooseberrylift/internal/gooseberrylift-burn-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
+#include "gooseberrylift/internal/gooseberrylift-once-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
 
 namespace gooseberrylift {
@@ -41,6 +42,7 @@
     Blackboard& board_;
     ModelRunner& models_;
     ServiceRunner& services_;
+    OnceRunner& once_;
     Metrics& metrics_;
     BurnRecorder& burn_;
   };
@@ -65,6 +67,9 @@
     HttpExchange& aExchange,
     const CallerRequest& aRequest);
   void RecordBurn(const CallerRequest& aRequest, ResultCode aCode);
+  boost::asio::awaitable<Outcome<void>> HandleOnce(HttpExchange& aExchange,
+                                                   ServiceCall aCall,
+                                                   std::string aKey);
   boost::asio::awaitable<void> AnswerFailure(HttpExchange& aExchange,
                                              const CallerRequest& aRequest,
                                              Error aError);
--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -10,11 +10,13 @@
 #include "gooseberrylift/internal/gooseberrylift-blackboard.h"
 #include "gooseberrylift/internal/gooseberrylift-burn-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-caller-front.h"
+#include "gooseberrylift/internal/gooseberrylift-config-admin.h"
 #include "gooseberrylift/internal/gooseberrylift-config-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
+#include "gooseberrylift/internal/gooseberrylift-once-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-pool-broker.h"
 #include "gooseberrylift/internal/gooseberrylift-rest-store.h"
@@ -55,8 +57,11 @@
   PoolBroker broker_;
   ModelRunner models_;
   ServiceRunner services_;
+  OnceLedger onceLedger_;
+  OnceRunner once_;
   CallerFront callerFront_;
   AdminFront adminFront_;
+  ConfigAdmin configAdmin_;
   HttpServer callerServer_;
   HttpServer adminServer_;
   HttpServer peerServer_;
