--- a/include/gooseberrylift/gooseberrylift-scheduler.h
+++ b/include/gooseberrylift/gooseberrylift-scheduler.h
@@ -67,6 +67,7 @@
   struct Options
   {
     int maxConcurrency_ = 32; // requests outstanding per endpoint
+    std::string placement_ = "least-outstanding"; // name of the strategy
   };
 
   explicit Scheduler(Options aOptions);
@@ -107,6 +108,7 @@
   };
 
   Endpoint* Choose(const RequestInfo& aInfo);
+  Endpoint* ChooseNext(const RequestInfo& aInfo);
   bool HasCandidate(const RequestInfo& aInfo) const;
   void StartWaiting();
   void Refuse(std::uint64_t aId, ResultCode aCode, std::string aText);
@@ -116,6 +118,7 @@
   std::map<std::uint64_t, std::string> running_; // request to endpoint
   std::deque<RequestInfo> waiting_;
   std::vector<SchedulerAction> actions_;
+  std::string lastChosen_; // round robin goes on after this name
 };
 
 } // namespace gooseberrylift
--- a/src/core/gooseberrylift-scheduler.cc
+++ b/src/core/gooseberrylift-scheduler.cc
@@ -18,7 +18,7 @@
 } // namespace
 
 Scheduler::Scheduler(Options aOptions)
-  : options_(aOptions)
+  : options_(std::move(aOptions))
 {
 }
 
@@ -96,6 +96,9 @@
 
 Scheduler::Endpoint* Scheduler::Choose(const RequestInfo& aInfo)
 {
+  if (options_.placement_ == "round-robin") {
+    return ChooseNext(aInfo);
+  }
   Endpoint* best = nullptr;
   for (auto& [name, endpoint] : endpoints_) {
     if (endpoint.view_.state_ != EndpointState::kLive ||
@@ -110,6 +113,21 @@
   return best;
 }
 
+Scheduler::Endpoint* Scheduler::ChooseNext(const RequestInfo& aInfo)
+{
+  auto next = endpoints_.upper_bound(lastChosen_);
+  for (std::size_t tried = 0; tried < endpoints_.size(); ++tried, ++next) {
+    next = next == endpoints_.end() ? endpoints_.begin() : next;
+    if (next->second.view_.state_ == EndpointState::kLive &&
+        next->second.outstanding_ < options_.maxConcurrency_ &&
+        !IsExcluded(aInfo, next->first)) {
+      lastChosen_ = next->first;
+      return &next->second;
+    }
+  }
+  return nullptr;
+}
+
 bool Scheduler::HasCandidate(const RequestInfo& aInfo) const
 {
   return std::any_of(
