Decide by predicted work: cost model, fair queue, lanes, health, budget

Cause: the scheduler counted requests, so a prompt of a million tokens weighed as much as one of a thousand; it refused only at the deadline. Change: the scheduler joins small decisions, chosen by the placement's name; round robin and least outstanding run through the same code.

--- a/bench/gooseberrylift-bench-fleet.cc
+++ b/bench/gooseberrylift-bench-fleet.cc
@@ -73,9 +73,12 @@
   SampleLoads();
   for (int index = 0; index < options_.hosts_; ++index) {
     auto scheduler = options_.scheduler_;
+    scheduler.zone_ = "zone-" + std::to_string(index % kZones);
+    scheduler.seed_ = options_.seed_ * 1000 + static_cast<std::uint64_t>(index);
     hosts_.push_back(std::make_unique<Host>(index, scheduler));
     hosts_.back()->missedPolls_.resize(engines_.size());
     Host* host = hosts_.back().get();
+    host->scheduler_.SetHosts(static_cast<std::size_t>(options_.hosts_));
     Report(*host);
     // Hosts poll at different moments, as real ones do.
     At(options_.reportEvery_ * index / options_.hosts_,
@@ -207,6 +210,14 @@
   aFlight->record_.started_ = true;
   At(Delay(*aFlight->host_, *aFlight->engine_),
      [this, aFlight, attempt] { ArriveAtEngine(aFlight, attempt); });
+  if (aAction.firstTokenLimit_.count() > 0) {
+    At(aAction.firstTokenLimit_, [this, aFlight, attempt] {
+      if (aFlight->attempt_ == attempt && aFlight->tokens_ == 0) {
+        ++timeouts_;
+        EndAttempt(aFlight, true);
+      }
+    });
+  }
 }
 
 void Fleet::ArriveAtEngine(const FlightPtr& aFlight, std::uint64_t aAttempt)
--- a/bench/gooseberrylift-bench-fleet.h
+++ b/bench/gooseberrylift-bench-fleet.h
@@ -90,6 +90,7 @@
 
   std::uint64_t Dispatches() const { return dispatches_; }
   int EnginesCrashed() const { return crashed_; }
+  std::uint64_t Timeouts() const { return timeouts_; }
 
 private:
   struct Engine;
@@ -130,7 +131,8 @@
   std::uint64_t nextId_ = 1;
   std::uint64_t dispatches_ = 0;
   int crashed_ = 0;
-  std::size_t open_ = 0; // requests without an answer
+  std::uint64_t timeouts_ = 0; // attempts given up on by the limit
+  std::size_t open_ = 0;       // requests without an answer
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::vector<std::unique_ptr<Engine>> engines_;
   std::vector<std::unique_ptr<Host>> hosts_;
--- a/bench/gooseberrylift-bench-report.cc
+++ b/bench/gooseberrylift-bench-report.cc
@@ -70,6 +70,7 @@
   if (aSummary != nullptr) {
     *aSummary = Summarize(records);
     aSummary->dispatches_ = fleet.Dispatches();
+    aSummary->timeouts_ = fleet.Timeouts();
   }
   return records;
 }
@@ -93,7 +94,8 @@
                          { "missed", aSummary.missed_ },
                          { "miss_share", aSummary.MissShare() },
                          { "good_tokens", aSummary.goodTokens_ },
-                         { "dispatches", aSummary.dispatches_ } };
+                         { "dispatches", aSummary.dispatches_ },
+                         { "timeouts", aSummary.timeouts_ } };
   for (const Band& band : kBands) {
     const Selects selects = Length(band.least_, band.most_);
     for (const int percent : { 50, 95, 99 }) {
--- a/bench/gooseberrylift-bench-report.h
+++ b/bench/gooseberrylift-bench-report.h
@@ -22,6 +22,7 @@
   std::size_t refused_ = 0; // at once
   std::size_t missed_ = 0;
   std::uint64_t dispatches_ = 0;
+  std::uint64_t timeouts_ = 0;
   double goodTokens_ = 0; // prompt tokens of whole answers
   double span_ = 0;       // seconds from the first sending to the last answer
 
--- a/include/gooseberrylift/gooseberrylift-scheduler.h
+++ b/include/gooseberrylift/gooseberrylift-scheduler.h
@@ -1,56 +1,32 @@
 // Decides, for one pool, which endpoint a request goes to, who waits and who
-// is refused. The load pattern it answers: more requests than the endpoints
-// take at once. Without it every host would send on arrival, and endpoints
-// would queue without bound and without order. The thin form here takes the
-// endpoint with the fewest requests outstanding, up to a fixed number each,
-// and holds the rest first come first served until their deadline.
+// is refused. It joins the small decisions, each in its own header: cost model,
+// admission, queue, lanes, placement, retry budget and endpoint health. The
+// placement's name chooses between them and the baselines, which run through
+// the same code: first come first served, without refusals before the
+// deadline.
 
 #ifndef GOOSEBERRYLIFT_GOOSEBERRYLIFT_SCHEDULER_H_
 #define GOOSEBERRYLIFT_GOOSEBERRYLIFT_SCHEDULER_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
-#include "gooseberrylift/gooseberrylift-config.h"
-#include "gooseberrylift/gooseberrylift-endpoint.h"
-#include "gooseberrylift/gooseberrylift-result.h"
+#include "gooseberrylift/gooseberrylift-admission.h"
+#include "gooseberrylift/gooseberrylift-cost-model.h"
+#include "gooseberrylift/gooseberrylift-endpoint-slot.h"
+#include "gooseberrylift/gooseberrylift-lane-split.h"
+#include "gooseberrylift/gooseberrylift-placement-strategy.h"
+#include "gooseberrylift/gooseberrylift-request-queue.h"
+#include "gooseberrylift/gooseberrylift-retry-budget.h"
+#include "gooseberrylift/gooseberrylift-scheduler-types.h"
 
 namespace gooseberrylift {
 
-// What the scheduler needs to know of a request.
-struct RequestInfo
-{
-  std::uint64_t id_ = 0; // unique within this process
-  std::string team_;
-  std::string service_;
-  ServiceClass class_ = ServiceClass::kNormal;
-  std::uint64_t promptTokens_ = 0;
-  std::uint64_t maxTokens_ = 0;
-  std::uint64_t prefixHash_ = 0;        // of the prompt's head; 0 is none
-  TimePoint deadline_;                  // for the whole answer
-  std::vector<std::string> excluded_{}; // endpoints already tried
-};
-
-// What came of a request at an endpoint.
-struct RequestOutcome
-{
-  bool succeeded_ = false;
-  bool endpointAtFault_ = false; // unreachable, broken or crossed
-  std::chrono::milliseconds timeToFirstToken_{ 0 };
-};
-
-// A decision: start the request at an endpoint, or refuse it.
-struct SchedulerAction
-{
-  std::uint64_t id_ = 0;
-  std::string endpoint_; // name; empty when refused
-  Error refusal_;        // set when endpoint_ is empty
-};
-
 // One instance serves one pool and is driven by events that carry the time,
 // so that a test replays a load without clock or network:
 //
@@ -61,13 +37,18 @@
 //   scheduler.OnFinished(info.id_, outcome, now);
 //
 // It is not thread-safe: the runtime holds the shard's lock around each call.
+// No call's cost grows with the number of waiting requests by more than its
+// logarithm.
 class Scheduler
 {
 public:
   struct Options
   {
-    int maxConcurrency_ = 32; // requests outstanding per endpoint
-    std::string placement_ = "least-outstanding"; // name of the strategy
+    int maxConcurrency_ = 32;               // requests outstanding per endpoint
+    std::string placement_ = "least-work";  // one of PlacementKinds
+    std::string zone_;                      // of this host
+    std::map<std::string, double> weights_; // of teams; 1 when missing
+    std::uint64_t seed_ = 1;
   };
 
   explicit Scheduler(Options aOptions);
@@ -77,6 +58,9 @@
   /// @param aNow the current time
   void SetEndpoints(std::vector<EndpointView> aViews, TimePoint aNow);
 
+  /// Takes in how many hosts share the pool, this one included.
+  void SetHosts(std::size_t aHosts) { hosts_ = aHosts; }
+
   /// Asks for an endpoint. The answer comes with a later TakeActions.
   void OnRequest(const RequestInfo& aInfo, TimePoint aNow);
 
@@ -91,34 +75,77 @@
                   const RequestOutcome& aOutcome,
                   TimePoint aNow);
 
-  /// Refuses waiting requests whose deadline has come; called periodically.
+  /// Refuses waiting requests that can't meet their deadline any more; called
+  /// periodically.
   void OnTick(TimePoint aNow);
 
   /// Gives the decisions taken since the last call, in order.
   std::vector<SchedulerAction> TakeActions();
 
-  std::size_t Waiting() const { return waiting_.size(); }
+  std::size_t Waiting() const;
   std::size_t Running() const { return running_.size(); }
 
 private:
-  struct Endpoint
+  // The requests of one range of lengths, which wait for the same engines.
+  struct Lane
+  {
+    std::unique_ptr<RequestQueue> queue_;
+    std::unique_ptr<Admission> admission_;
+  };
+
+  // A request at an endpoint.
+  struct Run
   {
-    EndpointView view_;
-    int outstanding_ = 0;
+    RequestInfo info_;
+    std::string endpoint_;
+    std::chrono::microseconds cost_{ 0 };
+    std::chrono::microseconds predicted_{ 0 }; // cost and the wait before it
+    TimePoint sent_;
+    TimePoint firstToken_{}; // the epoch while it has not come
+    bool alone_ = false;     // nothing stood before it, so its time teaches
   };
 
-  Endpoint* Choose(const RequestInfo& aInfo);
-  Endpoint* ChooseNext(const RequestInfo& aInfo);
-  bool HasCandidate(const RequestInfo& aInfo) const;
-  void StartWaiting();
-  void Refuse(std::uint64_t aId, ResultCode aCode, std::string aText);
+  bool Fair() const { return kind_->fair_; }
+  bool IsLong(const RequestInfo& aInfo) const;
+  Lane& LaneOf(const RequestInfo& aInfo);
+  bool Admit(const WaitingRequest& aRequest, TimePoint aNow);
+  bool FitsMemory(const RequestInfo& aInfo) const;
+  bool HasCandidate(const RequestInfo& aInfo, bool aEjected) const;
+  bool IsEligible(const EndpointSlot& aSlot,
+                  const RequestInfo& aInfo,
+                  bool aEjected,
+                  TimePoint aNow) const;
+  void Pump(TimePoint aNow);
+  void PumpLane(Lane& aLane, TimePoint aNow);
+  void Start(const WaitingRequest& aRequest,
+             EndpointSlot& aSlot,
+             TimePoint aNow);
+  std::chrono::microseconds FirstTokenLimit(const Run& aRun,
+                                            TimePoint aNow) const;
+  void Learn(const Run& aRun, EndpointSlot& aSlot, TimePoint aNow);
+  void RefreshLive();
+  void RefreshEjections(TimePoint aNow);
+  void Refuse(std::uint64_t aId,
+              ResultCode aCode,
+              std::string aText,
+              std::chrono::milliseconds aRetryAfter);
 
   Options options_;
-  std::map<std::string, Endpoint> endpoints_;
-  std::map<std::uint64_t, std::string> running_; // request to endpoint
-  std::deque<RequestInfo> waiting_;
+  const PlacementKind* kind_;
+  std::unique_ptr<PlacementStrategy> placement_;
+  CostModel cost_;
+  PoolPace pace_;
+  LaneSplit lanes_;
+  RetryBudget retries_;
+  std::array<Lane, 2> queues_; // short and long; baselines use the first
+  std::map<std::string, std::unique_ptr<EndpointSlot>> slots_;
+  std::vector<EndpointSlot*> live_; // in an order that all hosts share
+  std::map<std::uint64_t, Run> running_;
   std::vector<SchedulerAction> actions_;
-  std::string lastChosen_; // round robin goes on after this name
+  std::size_t hosts_ = 1;
+  std::uint64_t largestMemory_ = 0; // tokens; 0 while unknown
+  int learnt_ = 0;                  // first tokens seen
+  TimePoint refreshed_{};
 };
 
 } // namespace gooseberrylift
--- a/src/core/gooseberrylift-scheduler.cc
+++ b/src/core/gooseberrylift-scheduler.cc
@@ -3,11 +3,31 @@
 #include <algorithm>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace gooseberrylift {
 
 namespace {
 
-constexpr std::chrono::milliseconds kRetryAfter{ 1000 };
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// Ejections end and lanes change at this pace even without a load report.
+constexpr milliseconds kRefresh{ 250 };
+
+// An answer that takes four times its prediction, and no less than a second
+// and a half, is taken for one that never comes: under load the ratio of a
+// sound engine stays under three (decision-bench f1.5).
+constexpr int kLimitFactor = 4;
+constexpr milliseconds kLeastLimit{ 1500 };
+
+// Until this many first tokens were seen, predictions are guesses and limit
+// nothing: engines slower than the guess would never answer in time and so
+// never teach.
+constexpr int kLeastLearnt = 20;
+
+// Round trip and the step an engine is in; they are no part of the prompt.
+constexpr microseconds kOverhead{ 20'000 };
 
 bool IsExcluded(const RequestInfo& aInfo, const std::string& aEndpoint)
 {
@@ -15,78 +35,180 @@
          aInfo.excluded_.end();
 }
 
+microseconds Between(TimePoint aFrom, TimePoint aTo)
+{
+  return std::chrono::duration_cast<microseconds>(aTo - aFrom);
+}
+
+double RatioOf(microseconds aObserved, microseconds aPredicted)
+{
+  return static_cast<double>(aObserved.count()) /
+         static_cast<double>((aPredicted + kOverhead).count());
+}
+
+const PlacementKind* KindOf(const std::string& aName)
+{
+  const PlacementKind* kind = FindPlacement(aName);
+  return kind == nullptr ? FindPlacement("least-work") : kind;
+}
+
 } // namespace
 
 Scheduler::Scheduler(Options aOptions)
   : options_(std::move(aOptions))
+  , kind_(KindOf(options_.placement_))
+  , placement_(MakePlacement(kind_->name_, options_.zone_, options_.seed_))
+  , cost_(CostModel::Options{})
+  , lanes_(LaneSplit::Options{})
+  , retries_(RetryBudget::Options{})
 {
+  for (Lane& lane : queues_) {
+    lane.queue_ = Fair() ? MakeFairQueue({ .weights_ = options_.weights_ })
+                         : MakeFifoQueue();
+    lane.admission_ = std::make_unique<Admission>(
+      Admission::Options{ .seed_ = options_.seed_ });
+  }
 }
 
 void Scheduler::SetEndpoints(std::vector<EndpointView> aViews, TimePoint aNow)
 {
-  std::map<std::string, Endpoint> next;
+  std::map<std::string, std::unique_ptr<EndpointSlot>> next;
+  largestMemory_ = 0;
+  bool known = true;
   for (EndpointView& view : aViews) {
     const std::string name = view.name_;
-    const auto old = endpoints_.find(name);
-    const int outstanding =
-      old == endpoints_.end() ? 0 : old->second.outstanding_;
-    next.emplace(
-      name, Endpoint{ .view_ = std::move(view), .outstanding_ = outstanding });
+    known = known && view.load_.kvTokensTotal_ > 0;
+    largestMemory_ = std::max(largestMemory_, view.load_.kvTokensTotal_);
+    const auto old = slots_.find(name);
+    if (old == slots_.end()) {
+      next.emplace(name, std::make_unique<EndpointSlot>(std::move(view)));
+      continue;
+    }
+    old->second->Update(std::move(view), cost_, aNow);
+    next.emplace(name, std::move(old->second));
   }
-  endpoints_ = std::move(next);
+  largestMemory_ = known ? largestMemory_ : 0;
+  slots_ = std::move(next);
+  RefreshLive();
+  RefreshEjections(aNow);
   OnTick(aNow);
 }
 
 void Scheduler::OnRequest(const RequestInfo& aInfo, TimePoint aNow)
 {
+  const milliseconds soon = queues_[0].admission_->RetryAfter({});
   if (aInfo.deadline_ <= aNow) {
-    Refuse(aInfo.id_, ResultCode::kDeadlineExceeded, "no time left");
+    Refuse(aInfo.id_, ResultCode::kDeadlineExceeded, "no time left", soon);
     return;
   }
-  if (!HasCandidate(aInfo)) {
-    Refuse(aInfo.id_, ResultCode::kNoEndpoint, "no live endpoint is left");
+  if (!HasCandidate(aInfo, true)) {
+    Refuse(
+      aInfo.id_, ResultCode::kNoEndpoint, "no live endpoint is left", soon);
     return;
   }
-  waiting_.push_back(aInfo);
-  StartWaiting();
+  if (!FitsMemory(aInfo)) {
+    actions_.push_back(
+      { .id_ = aInfo.id_, .refusal_ = MakeError(ResultCode::kPromptTooLarge) });
+    return;
+  }
+  const bool first = aInfo.excluded_.empty();
+  if (first) {
+    retries_.OnFirstTry(aInfo.service_);
+  } else if (Fair() && !retries_.TakeRetry(aInfo.service_)) {
+    Refuse(aInfo.id_, ResultCode::kRetryBudgetSpent, {}, soon);
+    return;
+  }
+  WaitingRequest request{ .info_ = aInfo,
+                          .cost_ = cost_.Prefill(aInfo.promptTokens_),
+                          .latestStart_ = aInfo.deadline_,
+                          .arrived_ = aNow };
+  lanes_.OnRequest(lanes_.IsLong(aInfo.promptTokens_), request.cost_, aNow);
+  if (Fair()) {
+    request.latestStart_ -= request.cost_ + cost_.Decode(aInfo.maxTokens_);
+    if (!Admit(request, aNow)) {
+      return;
+    }
+  }
+  LaneOf(aInfo).queue_->Push(std::move(request));
+  Pump(aNow);
 }
 
-void Scheduler::OnCancelled(std::uint64_t aId, TimePoint /*aNow*/)
+void Scheduler::OnCancelled(std::uint64_t aId, TimePoint aNow)
 {
-  std::erase_if(waiting_,
-                [aId](const RequestInfo& aInfo) { return aInfo.id_ == aId; });
+  for (Lane& lane : queues_) {
+    lane.queue_->Remove(aId, false);
+  }
+  Pump(aNow);
 }
 
-void Scheduler::OnFirstToken(std::uint64_t /*aId*/, TimePoint /*aNow*/) {}
+void Scheduler::OnFirstToken(std::uint64_t aId, TimePoint aNow)
+{
+  const auto found = running_.find(aId);
+  if (found == running_.end()) {
+    return;
+  }
+  Run& run = found->second;
+  run.firstToken_ = aNow;
+  const auto slot = slots_.find(run.endpoint_);
+  if (slot != slots_.end()) {
+    slot->second->OnStarted(aId, aNow);
+    Learn(run, *slot->second, aNow);
+  }
+  Pump(aNow);
+}
 
 void Scheduler::OnFinished(std::uint64_t aId,
-                           const RequestOutcome& /*aOutcome*/,
-                           TimePoint /*aNow*/)
+                           const RequestOutcome& aOutcome,
+                           TimePoint aNow)
 {
-  const auto run = running_.find(aId);
-  if (run == running_.end()) {
+  const auto found = running_.find(aId);
+  if (found == running_.end()) {
     return;
   }
-  const auto endpoint = endpoints_.find(run->second);
-  if (endpoint != endpoints_.end()) {
-    --endpoint->second.outstanding_;
+  const Run run = std::move(found->second);
+  running_.erase(found);
+  const bool started = run.firstToken_ != TimePoint{};
+  if (started && aOutcome.succeeded_) {
+    cost_.OnDecode(run.info_.maxTokens_, Between(run.firstToken_, aNow));
+  }
+  const auto slot = slots_.find(run.endpoint_);
+  if (slot != slots_.end()) {
+    slot->second->OnStarted(aId, aNow);
+    slot->second->OnEnded(run.info_);
+    if (aOutcome.endpointAtFault_) {
+      slot->second->health_.OnFault(aNow);
+      RefreshEjections(aNow);
+    }
+  }
+  if (aOutcome.endpointAtFault_ && !started) {
+    // If the whole pool turned slower than predicted, its pace follows, and
+    // with it the limit that these attempts ran into.
+    pace_.OnRatio(RatioOf(Between(run.sent_, aNow), run.predicted_));
   }
-  running_.erase(run);
-  StartWaiting();
+  Pump(aNow);
 }
 
 void Scheduler::OnTick(TimePoint aNow)
 {
-  const auto isLate = [aNow](const RequestInfo& aInfo) {
-    return aInfo.deadline_ <= aNow;
-  };
-  for (const RequestInfo& info : waiting_) {
-    if (isLate(info)) {
-      Refuse(info.id_, ResultCode::kDeadlineExceeded, "waited until deadline");
+  for (Lane& lane : queues_) {
+    const WaitingRequest* request = lane.queue_->MostPressing();
+    while (request != nullptr && request->latestStart_ <= aNow) {
+      const std::uint64_t id = request->info_.id_;
+      const auto wait =
+        lane.admission_->WaitFor(lane.queue_->WorkBefore(request->info_));
+      Refuse(id,
+             Fair() ? ResultCode::kDeadlineUnreachable
+                    : ResultCode::kDeadlineExceeded,
+             "waited until the deadline came out of reach",
+             lane.admission_->RetryAfter(wait));
+      lane.queue_->Remove(id, false);
+      request = lane.queue_->MostPressing();
     }
   }
-  std::erase_if(waiting_, isLate);
-  StartWaiting();
+  if (aNow - refreshed_ >= kRefresh) {
+    RefreshEjections(aNow);
+  }
+  Pump(aNow);
 }
 
 std::vector<SchedulerAction> Scheduler::TakeActions()
@@ -94,73 +216,215 @@
   return std::exchange(actions_, {});
 }
 
-Scheduler::Endpoint* Scheduler::Choose(const RequestInfo& aInfo)
+std::size_t Scheduler::Waiting() const
+{
+  return queues_[0].queue_->Size() + queues_[1].queue_->Size();
+}
+
+bool Scheduler::IsLong(const RequestInfo& aInfo) const
 {
-  if (options_.placement_ == "round-robin") {
-    return ChooseNext(aInfo);
+  return Fair() && live_.size() > 1 && lanes_.IsLong(aInfo.promptTokens_);
+}
+
+Scheduler::Lane& Scheduler::LaneOf(const RequestInfo& aInfo)
+{
+  return queues_[IsLong(aInfo) ? 1 : 0];
+}
+
+// Refuses at once what can't be answered in time, with a true reason.
+bool Scheduler::Admit(const WaitingRequest& aRequest, TimePoint aNow)
+{
+  Lane& lane = LaneOf(aRequest.info_);
+  const bool empty = lane.queue_->Size() == 0;
+  const microseconds wait =
+    empty ? microseconds(0)
+          : lane.admission_->WaitFor(lane.queue_->WorkBefore(aRequest.info_));
+  const microseconds service =
+    aRequest.cost_ + cost_.Decode(aRequest.info_.maxTokens_);
+  if (lane.admission_->Fits(wait, service, aRequest.info_.deadline_, aNow)) {
+    return true;
   }
-  Endpoint* best = nullptr;
-  for (auto& [name, endpoint] : endpoints_) {
-    if (endpoint.view_.state_ != EndpointState::kLive ||
-        endpoint.outstanding_ >= options_.maxConcurrency_ ||
-        IsExcluded(aInfo, name)) {
-      continue;
-    }
-    if (best == nullptr || endpoint.outstanding_ < best->outstanding_) {
-      best = &endpoint;
-    }
+  Refuse(aRequest.info_.id_,
+         empty ? ResultCode::kDeadlineUnreachable : ResultCode::kQueueFull,
+         {},
+         lane.admission_->RetryAfter(wait));
+  return false;
+}
+
+bool Scheduler::FitsMemory(const RequestInfo& aInfo) const
+{
+  return largestMemory_ == 0 ||
+         aInfo.promptTokens_ + aInfo.maxTokens_ <= largestMemory_;
+}
+
+bool Scheduler::HasCandidate(const RequestInfo& aInfo, bool aEjected) const
+{
+  return std::any_of(
+    live_.begin(), live_.end(), [&](const EndpointSlot* aSlot) {
+      return (aEjected || !aSlot->ejected_) &&
+             !IsExcluded(aInfo, aSlot->view_.name_);
+    });
+}
+
+bool Scheduler::IsEligible(const EndpointSlot& aSlot,
+                           const RequestInfo& aInfo,
+                           bool aEjected,
+                           TimePoint aNow) const
+{
+  if (IsExcluded(aInfo, aSlot.view_.name_)) {
+    return false;
+  }
+  if (!Fair()) {
+    return aSlot.outstanding_ < options_.maxConcurrency_;
   }
-  return best;
+  const double share = aSlot.health_.Share(aNow);
+  const int most =
+    std::max(1, static_cast<int>(options_.maxConcurrency_ * share));
+  return (aEjected || !aSlot.ejected_) && aSlot.outstanding_ < most &&
+         aSlot.HasMemory(aInfo);
 }
 
-Scheduler::Endpoint* Scheduler::ChooseNext(const RequestInfo& aInfo)
+void Scheduler::Pump(TimePoint aNow)
 {
-  auto next = endpoints_.upper_bound(lastChosen_);
-  for (std::size_t tried = 0; tried < endpoints_.size(); ++tried, ++next) {
-    next = next == endpoints_.end() ? endpoints_.begin() : next;
-    if (next->second.view_.state_ == EndpointState::kLive &&
-        next->second.outstanding_ < options_.maxConcurrency_ &&
-        !IsExcluded(aInfo, next->first)) {
-      lastChosen_ = next->first;
-      return &next->second;
+  for (Lane& lane : queues_) {
+    PumpLane(lane, aNow);
+  }
+}
+
+void Scheduler::PumpLane(Lane& aLane, TimePoint aNow)
+{
+  const WaitingRequest* next = aLane.queue_->Next();
+  while (next != nullptr) {
+    const RequestInfo& info = next->info_;
+    // An ejected endpoint still beats a refusal when no other is left.
+    const bool ejected = !HasCandidate(info, false);
+    const PlacementQuery query{
+      .info_ = info, .cost_ = next->cost_, .long_ = IsLong(info), .now_ = aNow
+    };
+    EndpointSlot* slot =
+      placement_->Choose(query, live_, [&](const EndpointSlot& aSlot) {
+        return IsEligible(aSlot, info, ejected, aNow);
+      });
+    if (slot == nullptr) {
+      break;
     }
+    Start(*next, *slot, aNow);
+    aLane.admission_->OnServed(next->cost_, aNow);
+    aLane.queue_->Remove(info.id_, true);
+    next = aLane.queue_->Next();
   }
-  return nullptr;
+  aLane.admission_->OnWaiting(next != nullptr, aNow);
 }
 
-bool Scheduler::HasCandidate(const RequestInfo& aInfo) const
+void Scheduler::Start(const WaitingRequest& aRequest,
+                      EndpointSlot& aSlot,
+                      TimePoint aNow)
 {
-  return std::any_of(
-    endpoints_.begin(), endpoints_.end(), [&aInfo](const auto& aEntry) {
-      return aEntry.second.view_.state_ == EndpointState::kLive &&
-             !IsExcluded(aInfo, aEntry.first);
-    });
+  const RequestInfo& info = aRequest.info_;
+  const microseconds backlog = aSlot.Backlog(aNow);
+  Run run{ .info_ = info,
+           .endpoint_ = aSlot.view_.name_,
+           .cost_ = aRequest.cost_,
+           .predicted_ = aRequest.cost_ + backlog,
+           .sent_ = aNow,
+           .alone_ = backlog.count() == 0 };
+  // Within a class the short prompts go first on the engine as well: a chunk
+  // of a long one waits for a few milliseconds, the reverse for seconds.
+  const int priority = static_cast<int>(info.class_) * 2 +
+                       (lanes_.IsLong(info.promptTokens_) ? 1 : 0);
+  actions_.push_back(
+    { .id_ = info.id_,
+      .endpoint_ = run.endpoint_,
+      .refusal_ = {},
+      .priority_ = Fair() ? priority : static_cast<int>(info.class_),
+      .firstTokenLimit_ = FirstTokenLimit(run, aNow) });
+  aSlot.OnSent(info, aRequest.cost_, aNow);
+  running_.emplace(info.id_, std::move(run));
 }
 
-void Scheduler::StartWaiting()
+microseconds Scheduler::FirstTokenLimit(const Run& aRun, TimePoint aNow) const
 {
-  while (!waiting_.empty()) {
-    Endpoint* endpoint = Choose(waiting_.front());
-    if (endpoint == nullptr) {
-      return;
+  if (!Fair() || learnt_ < kLeastLearnt || live_.size() < 2) {
+    return microseconds(0);
+  }
+  const double pace = std::max(1.0, pace_.Usual());
+  const auto limit = microseconds(static_cast<std::int64_t>(
+    static_cast<double>((aRun.predicted_ * kLimitFactor).count()) * pace));
+  const microseconds bounded = std::max<microseconds>(limit, kLeastLimit);
+  return aNow + bounded < aRun.info_.deadline_ ? bounded : microseconds(0);
+}
+
+void Scheduler::Learn(const Run& aRun, EndpointSlot& aSlot, TimePoint aNow)
+{
+  const microseconds took = Between(aRun.sent_, aNow);
+  const double ratio = RatioOf(took, aRun.predicted_);
+  ++learnt_;
+  if (aRun.alone_ && !aSlot.ejected_) {
+    cost_.OnPrefill(aRun.info_.promptTokens_, took);
+  }
+  if (!aSlot.ejected_) {
+    pace_.OnRatio(ratio);
+  }
+  aSlot.health_.OnFirstToken(ratio, pace_, aNow);
+  if (aSlot.health_.WantsEjection(aNow) != aSlot.ejected_) {
+    RefreshEjections(aNow);
+  }
+}
+
+// Puts the live endpoints into the order of a hash of their names, so that all
+// hosts give the same ones to the lane of long prompts.
+void Scheduler::RefreshLive()
+{
+  live_.clear();
+  for (const auto& [name, slot] : slots_) {
+    if (slot->view_.state_ == EndpointState::kLive) {
+      live_.push_back(slot.get());
     }
-    ++endpoint->outstanding_;
-    running_.emplace(waiting_.front().id_, endpoint->view_.name_);
-    actions_.push_back({ .id_ = waiting_.front().id_,
-                         .endpoint_ = endpoint->view_.name_,
-                         .refusal_ = {} });
-    waiting_.pop_front();
   }
+  if (!Fair()) {
+    return;
+  }
+  const auto hash = [](const EndpointSlot* aSlot) {
+    return XXH3_64bits(aSlot->view_.name_.data(), aSlot->view_.name_.size());
+  };
+  std::sort(
+    live_.begin(), live_.end(), [&](const auto* aLeft, const auto* aRight) {
+      return hash(aLeft) < hash(aRight);
+    });
+}
+
+// At most a third of the pool is ejected: beyond that the fault is more likely
+// a load or a network that all share, and ejecting would finish off the rest.
+void Scheduler::RefreshEjections(TimePoint aNow)
+{
+  refreshed_ = aNow;
+  std::size_t left = live_.size() / 3;
+  for (EndpointSlot* slot : live_) {
+    slot->ejected_ = left > 0 && slot->health_.WantsEjection(aNow);
+    left -= slot->ejected_ ? 1 : 0;
+  }
+  const std::size_t lane = Fair() ? lanes_.LongEngines(live_.size()) : 0;
+  for (std::size_t index = 0; index < live_.size(); ++index) {
+    live_[index]->longLane_ = index < lane;
+  }
+  const auto hosts = static_cast<double>(std::max<std::size_t>(1, hosts_));
+  queues_[0].admission_->SetPriorRate(static_cast<double>(live_.size() - lane) /
+                                      hosts);
+  queues_[1].admission_->SetPriorRate(std::max(1.0, static_cast<double>(lane)) /
+                                      hosts);
 }
 
-void Scheduler::Refuse(std::uint64_t aId, ResultCode aCode, std::string aText)
+void Scheduler::Refuse(std::uint64_t aId,
+                       ResultCode aCode,
+                       std::string aText,
+                       milliseconds aRetryAfter)
 {
   actions_.push_back({ .id_ = aId,
                        .endpoint_ = {},
                        .refusal_ = { .code_ = aCode,
                                      .text_ = std::move(aText),
                                      .ran_ = RanState::kNo,
-                                     .retryAfter_ = kRetryAfter } });
+                                     .retryAfter_ = aRetryAfter } });
 }
 
 } // namespace gooseberrylift
