Serve by the new decisions; share team limits; bound silence of engines

Change: pools default to least-work, an unknown placement is refused with its path; the broker hands priority and first token limit to the model runner, follows configuration and peers, publishes demand and keeps team limits over all hosts; plain services get an adaptive concurrency limit. An engine that sends no token in time is left and another one tried within the caller's deadline.

Not covered: bounds for plain services under load on real processes.

--- a/include/gooseberrylift/gooseberrylift-config.h
+++ b/include/gooseberrylift/gooseberrylift-config.h
@@ -56,8 +56,8 @@
 {
   std::string name_;
   Fencing fencing_ = Fencing::kIgnored;
-  std::string placement_ = "least-outstanding"; // name of the strategy
-  int maxConcurrency_ = 32;                     // requests per endpoint
+  std::string placement_ = "least-work"; // one of PlacementKinds
+  int maxConcurrency_ = 32;              // requests per endpoint
 };
 
 // What callers address: a model or a plain service, with its objectives.
--- a/include/gooseberrylift/gooseberrylift-endpoint-slot.h
+++ b/include/gooseberrylift/gooseberrylift-endpoint-slot.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "gooseberrylift/gooseberrylift-concurrency-limit.h"
 #include "gooseberrylift/gooseberrylift-cost-model.h"
 #include "gooseberrylift/gooseberrylift-endpoint-health.h"
 #include "gooseberrylift/gooseberrylift-scheduler-types.h"
@@ -46,8 +47,11 @@
   /// Says whether the engine's memory has room for a request.
   bool HasMemory(const RequestInfo& aInfo) const;
 
+  bool IsPlain() const { return view_.kind_ == EndpointKind::kService; }
+
   EndpointView view_;
   EndpointHealth health_;
+  ConcurrencyLimit limit_{ ConcurrencyLimit::Options{} }; // plain services
   int outstanding_ = 0; // requests of this host
   bool longLane_ = false;
   bool ejected_ = false;
--- a/include/gooseberrylift/gooseberrylift-scheduler.h
+++ b/include/gooseberrylift/gooseberrylift-scheduler.h
@@ -49,6 +49,8 @@
     std::string zone_;                      // of this host
     std::map<std::string, double> weights_; // of teams; 1 when missing
     std::uint64_t seed_ = 1;
+
+    bool operator==(const Options&) const = default;
   };
 
   explicit Scheduler(Options aOptions);
@@ -58,6 +60,10 @@
   /// @param aNow the current time
   void SetEndpoints(std::vector<EndpointView> aViews, TimePoint aNow);
 
+  /// Takes in changed options; waiting requests keep their places by the new
+  /// order.
+  void Configure(Options aOptions);
+
   /// Takes in how many hosts share the pool, this one included.
   void SetHosts(std::size_t aHosts) { hosts_ = aHosts; }
 
@@ -130,6 +136,12 @@
   std::chrono::microseconds FirstTokenLimit(const Run& aRun,
                                             TimePoint aNow) const;
   void Learn(const Run& aRun, EndpointSlot& aSlot, TimePoint aNow);
+  void LearnTimeout(const Run& aRun, TimePoint aNow);
+  void LearnCall(const Run& aRun,
+                 EndpointSlot& aSlot,
+                 const RequestOutcome& aOutcome,
+                 TimePoint aNow);
+  std::chrono::microseconds CostOf(const RequestInfo& aInfo) const;
   void RefreshLive();
   void RefreshEjections(TimePoint aNow);
   void Refuse(std::uint64_t aId,
@@ -152,6 +164,7 @@
   std::size_t hosts_ = 1;
   std::uint64_t largestMemory_ = 0; // tokens; 0 while unknown
   int learnt_ = 0;                  // first tokens seen
+  double callUs_ = 10'000;          // usual time of a plain service's call
   TimePoint refreshed_{};
 };
 
--- a/include/gooseberrylift/internal/gooseberrylift-http-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-client.h
@@ -34,6 +34,9 @@
   virtual boost::asio::awaitable<Outcome<std::optional<std::string>>>
   ReadSome() = 0;
 
+  /// Changes when later reads give up.
+  virtual void SetDeadline(TimePoint aDeadline) = 0;
+
   /// Says whether the body ended by its length or last chunk. False means that
   /// only the closed connection marked the end, so it may be cut.
   virtual bool EndIsCertain() const = 0;
--- a/include/gooseberrylift/internal/gooseberrylift-pool-broker.h
+++ b/include/gooseberrylift/internal/gooseberrylift-pool-broker.h
@@ -8,12 +8,15 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <random>
 #include <shared_mutex>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
 
 #include "gooseberrylift/gooseberrylift-scheduler.h"
+#include "gooseberrylift/gooseberrylift-team-limiter.h"
 #include "gooseberrylift/internal/gooseberrylift-blackboard.h"
 #include "gooseberrylift/internal/gooseberrylift-http.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -30,7 +33,7 @@
 {
 public:
   Placement(std::shared_ptr<PoolShard> aShard,
-            std::uint64_t aId,
+            const SchedulerAction& aAction,
             EndpointView aEndpoint);
   ~Placement();
   Placement(Placement&& aOther) noexcept = default;
@@ -38,6 +41,13 @@
 
   const EndpointView& Endpoint() const { return endpoint_; }
 
+  /// Gives the priority that the engine is to be told; lower runs first.
+  int Priority() const { return priority_; }
+
+  /// Gives the time by which the answer must have begun.
+  /// @param aDeadline of the whole answer
+  TimePoint FirstTokenBy(TimePoint aDeadline) const;
+
   /// Tells the scheduler that the first token has come.
   void FirstToken();
 
@@ -48,9 +58,12 @@
   std::shared_ptr<PoolShard> shard_;
   std::uint64_t id_;
   EndpointView endpoint_;
+  int priority_ = 0;
+  TimePoint firstTokenBy_ = TimePoint::max();
 };
 
-// Reads the sections configuration_ and endpoints_. Safe from any thread:
+// Reads the sections configuration_, endpoints_ and peers_ and writes demand_.
+// Safe from any thread:
 //
 //   auto placement = co_await broker.Acquire("llm", info);
 //   if (!placement) co_return placement.error();
@@ -59,7 +72,15 @@
 class PoolBroker
 {
 public:
-  PoolBroker(boost::asio::any_io_executor aExecutor, Blackboard& aBoard);
+  struct Options
+  {
+    std::string zone_; // of this host
+    std::uint64_t seed_ = 1;
+  };
+
+  PoolBroker(boost::asio::any_io_executor aExecutor,
+             Blackboard& aBoard,
+             Options aOptions);
   ~PoolBroker();
 
   /// Waits for a place at an endpoint of a pool.
@@ -81,14 +102,24 @@
 
 private:
   std::shared_ptr<PoolShard> ShardOf(const std::string& aPool);
+  Scheduler::Options OptionsOf(const std::string& aPool) const;
+  std::optional<Error> TakeTeamTokens(const RequestInfo& aInfo);
   void Tick();
+  void PublishDemand();
+  void OnConfiguration();
   void OnEndpoints(const EndpointsState& aState);
+  void OnPeers(const PeersState& aState);
 
   boost::asio::any_io_executor executor_;
   Blackboard& board_;
   mutable std::shared_mutex mutex_; // guards the map, not the shards
   std::map<std::string, std::shared_ptr<PoolShard>> shards_;
+  Options options_;
+  std::mutex limiterMutex_; // guards limiter_ and random_
+  TeamLimiter limiter_;
+  std::minstd_rand random_; // spreads the returns of refused callers
   TimerSubscription tick_;
+  TimerSubscription publish_;
 };
 
 } // namespace gooseberrylift
--- a/src/core/gooseberrylift-config.cc
+++ b/src/core/gooseberrylift-config.cc
@@ -3,6 +3,7 @@
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-placement-strategy.h"
 #include "gooseberrylift/gooseberrylift-schema.h"
 
 namespace gooseberrylift {
@@ -120,10 +121,14 @@
         .fencing_ = item.value("fencing", "ignored") == "enforced"
                       ? Fencing::kEnforced
                       : Fencing::kIgnored,
-        .placement_ = item.value("placement", "least-outstanding"),
+        .placement_ = item.value("placement", "least-work"),
         .maxConcurrency_ = item.value("max_concurrency", 32),
       };
       const std::string name = pool.name_;
+      if (FindPlacement(pool.placement_) == nullptr) {
+        return Invalid("pools/" + name + "/placement: unknown strategy '" +
+                       pool.placement_ + "'");
+      }
       if (!target_.pools_.emplace(name, std::move(pool)).second) {
         return Invalid("pools/" + name + ": the name stands twice");
       }
--- a/src/core/gooseberrylift-placement-strategy.cc
+++ b/src/core/gooseberrylift-placement-strategy.cc
@@ -111,9 +111,17 @@
   // One crossing of the availability zones there and back at today's widest.
   static constexpr microseconds kCrossing{ 3000 };
 
+  // What one outstanding call of a plain service counts against the crossing.
+  static constexpr microseconds kPerCall{ 1000 };
+
   microseconds WaitAt(const EndpointSlot& aSlot,
                       const PlacementQuery& aQuery) const
   {
+    const bool near = zone_.empty() || aSlot.view_.zone_ == zone_;
+    const microseconds way = near ? microseconds(0) : kCrossing;
+    if (aSlot.IsPlain()) {
+      return kPerCall * aSlot.outstanding_ + way;
+    }
     const microseconds backlog = aSlot.Backlog(aQuery.now_);
     if (aQuery.long_ != aSlot.longLane_) {
       // Short prompts borrow a long engine only while it has nothing to do;
@@ -135,8 +143,7 @@
       aSlot.health_.Slowness() / aSlot.health_.Share(aQuery.now_);
     const auto work = microseconds(static_cast<std::int64_t>(
       static_cast<double>((backlog + aQuery.cost_).count()) * slowness));
-    const bool near = zone_.empty() || aSlot.view_.zone_ == zone_;
-    return work + (near ? microseconds(0) : kCrossing);
+    return work + way;
   }
 
   std::string zone_;
--- a/src/core/gooseberrylift-scheduler.cc
+++ b/src/core/gooseberrylift-scheduler.cc
@@ -15,20 +15,6 @@
 // Ejections end and lanes change at this pace even without a load report.
 constexpr milliseconds kRefresh{ 250 };
 
-// An answer that takes four times its prediction, and no less than a second
-// and a half, is taken for one that never comes: under load the ratio of a
-// sound engine stays under three (decision-bench f1.5).
-constexpr int kLimitFactor = 4;
-constexpr milliseconds kLeastLimit{ 1500 };
-
-// Until this many first tokens were seen, predictions are guesses and limit
-// nothing: engines slower than the guess would never answer in time and so
-// never teach.
-constexpr int kLeastLearnt = 20;
-
-// Round trip and the step an engine is in; they are no part of the prompt.
-constexpr microseconds kOverhead{ 20'000 };
-
 constexpr std::array kClasses = { ServiceClass::kUrgent,
                                   ServiceClass::kNormal,
                                   ServiceClass::kBatch };
@@ -44,12 +30,6 @@
   return std::chrono::duration_cast<microseconds>(aTo - aFrom);
 }
 
-double RatioOf(microseconds aObserved, microseconds aPredicted)
-{
-  return static_cast<double>(aObserved.count()) /
-         static_cast<double>((aPredicted + kOverhead).count());
-}
-
 const PlacementKind* KindOf(const std::string& aName)
 {
   const PlacementKind* kind = FindPlacement(aName);
@@ -123,7 +103,7 @@
     return;
   }
   WaitingRequest request{ .info_ = aInfo,
-                          .cost_ = cost_.Prefill(aInfo.promptTokens_),
+                          .cost_ = CostOf(aInfo),
                           .latestStart_ = aInfo.deadline_,
                           .arrived_ = aNow };
   lanes_.OnRequest(lanes_.IsLong(aInfo.promptTokens_), request.cost_, aNow);
@@ -180,6 +160,9 @@
   }
   const auto slot = slots_.find(run.endpoint_);
   if (slot != slots_.end()) {
+    if (slot->second->IsPlain()) {
+      LearnCall(run, *slot->second, aOutcome, aNow);
+    }
     slot->second->OnStarted(aId, aNow);
     slot->second->OnEnded(run.info_);
     if (aOutcome.endpointAtFault_) {
@@ -188,9 +171,7 @@
     }
   }
   if (aOutcome.endpointAtFault_ && !started) {
-    // If the whole pool turned slower than predicted, its pace follows, and
-    // with it the limit that these attempts ran into.
-    pace_.OnRatio(RatioOf(Between(run.sent_, aNow), run.predicted_));
+    LearnTimeout(run, aNow);
   }
   Pump(aNow);
 }
@@ -313,8 +294,10 @@
     return aSlot.outstanding_ < options_.maxConcurrency_;
   }
   const double share = aSlot.health_.Share(aNow);
-  const int most =
-    std::max(1, static_cast<int>(options_.maxConcurrency_ * share));
+  const int limit = aSlot.IsPlain()
+                      ? std::min(options_.maxConcurrency_, aSlot.limit_.Limit())
+                      : options_.maxConcurrency_;
+  const int most = std::max(1, static_cast<int>(limit * share));
   return (aEjected || !aSlot.ejected_) && aSlot.outstanding_ < most &&
          aSlot.HasMemory(aInfo);
 }
@@ -375,78 +358,26 @@
   running_.emplace(info.id_, std::move(run));
 }
 
-microseconds Scheduler::FirstTokenLimit(const Run& aRun, TimePoint aNow) const
-{
-  if (!Fair() || learnt_ < kLeastLearnt || live_.size() < 2) {
-    return microseconds(0);
-  }
-  const double pace = std::max(1.0, pace_.Usual());
-  const auto limit = microseconds(static_cast<std::int64_t>(
-    static_cast<double>((aRun.predicted_ * kLimitFactor).count()) * pace));
-  const microseconds bounded = std::max<microseconds>(limit, kLeastLimit);
-  return aNow + bounded < aRun.info_.deadline_ ? bounded : microseconds(0);
-}
-
-void Scheduler::Learn(const Run& aRun, EndpointSlot& aSlot, TimePoint aNow)
+void Scheduler::Configure(Options aOptions)
 {
-  const microseconds took = Between(aRun.sent_, aNow);
-  const double ratio = RatioOf(took, aRun.predicted_);
-  ++learnt_;
-  if (aRun.alone_ && !aSlot.ejected_) {
-    cost_.OnPrefill(aRun.info_.promptTokens_, took);
-  }
-  if (!aSlot.ejected_) {
-    pace_.OnRatio(ratio);
-  }
-  aSlot.health_.OnFirstToken(ratio, pace_, aNow);
-  LaneOf(aRun.info_).Of(aRun.info_.class_).OnEngineWait(took - aRun.cost_);
-  if (aSlot.health_.WantsEjection(aNow) != aSlot.ejected_) {
-    RefreshEjections(aNow);
-  }
-}
-
-// Puts the live endpoints into the order of a hash of their names, so that all
-// hosts give the same ones to the lane of long prompts.
-void Scheduler::RefreshLive()
-{
-  live_.clear();
-  for (const auto& [name, slot] : slots_) {
-    if (slot->view_.state_ == EndpointState::kLive) {
-      live_.push_back(slot.get());
-    }
-  }
-  if (!Fair()) {
+  if (aOptions == options_) {
     return;
   }
-  const auto hash = [](const EndpointSlot* aSlot) {
-    return XXH3_64bits(aSlot->view_.name_.data(), aSlot->view_.name_.size());
-  };
-  std::sort(
-    live_.begin(), live_.end(), [&](const auto* aLeft, const auto* aRight) {
-      return hash(aLeft) < hash(aRight);
-    });
-}
-
-// At most a third of the pool is ejected: beyond that the fault is more likely
-// a load or a network that all share, and ejecting would finish off the rest.
-void Scheduler::RefreshEjections(TimePoint aNow)
-{
-  refreshed_ = aNow;
-  std::size_t left = live_.size() / 3;
-  for (EndpointSlot* slot : live_) {
-    slot->ejected_ = left > 0 && slot->health_.WantsEjection(aNow);
-    left -= slot->ejected_ ? 1 : 0;
-  }
-  const std::size_t lane = Fair() ? lanes_.LongEngines(live_.size()) : 0;
-  for (std::size_t index = 0; index < live_.size(); ++index) {
-    live_[index]->longLane_ = index < lane;
+  options_ = std::move(aOptions);
+  kind_ = KindOf(options_.placement_);
+  placement_ = MakePlacement(kind_->name_, options_.zone_, options_.seed_);
+  std::vector<WaitingRequest> waiting;
+  for (Lane& lane : queues_) {
+    while (const WaitingRequest* next = lane.queue_->Next()) {
+      waiting.push_back(*next);
+      lane.queue_->Remove(next->info_.id_, false);
+    }
+    lane.queue_ = Fair() ? MakeFairQueue({ .weights_ = options_.weights_ })
+                         : MakeFifoQueue();
   }
-  const auto hosts = static_cast<double>(std::max<std::size_t>(1, hosts_));
-  const double shorts = static_cast<double>(live_.size() - lane) / hosts;
-  const double longs = std::max(1.0, static_cast<double>(lane)) / hosts;
-  for (const ServiceClass each : kClasses) {
-    queues_[0].Of(each).SetPriorRate(shorts);
-    queues_[1].Of(each).SetPriorRate(longs);
+  RefreshLive();
+  for (WaitingRequest& request : waiting) {
+    LaneOf(request.info_).queue_->Push(std::move(request));
   }
 }
 
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -206,6 +206,8 @@
 
   bool EndIsCertain() const override { return !parser_.need_eof(); }
 
+  void SetDeadline(TimePoint aDeadline) override { deadline_ = aDeadline; }
+
   asio::awaitable<Outcome<std::optional<std::string>>> ReadSome() override
   {
     const OpGuard guard(
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <xxhash.h>
 
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 
@@ -27,7 +28,11 @@
                      { .listAddress_ = settings_.hostListAddress_,
                        .listPoll_ = settings_.hostListPoll_,
                        .loadPoll_ = settings_.loadPoll_ })
-  , broker_(context_.get_executor(), board_)
+  , broker_(context_.get_executor(),
+            board_,
+            { .zone_ = settings_.zone_,
+              .seed_ = XXH3_64bits(settings_.hostName_.data(),
+                                   settings_.hostName_.size()) })
   , models_(client_,
             context_.get_executor(),
             broker_,
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -1,5 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -16,6 +18,11 @@
 constexpr std::string_view kEndMarker = "[DONE]";
 constexpr std::chrono::milliseconds kCancelTimeout{ 1000 };
 
+// An engine that hangs in the midst of an answer is left after this long. The
+// longest step beside a prompt of a million tokens takes some 50 ms; ten
+// seconds let an engine put a sequence aside for others and resume it.
+constexpr std::chrono::milliseconds kTokenSilence{ 10'000 };
+
 asio::awaitable<void> SendCancel(HttpClient& aClient,
                                  std::string aAddress,
                                  std::string aRequestId)
@@ -90,13 +97,27 @@
                 .ran_ = notRun ? RanState::kNo : RanState::kUnknown };
 }
 
+// A silence that ended before the caller's deadline is the engine's fault, and
+// another engine is tried in the time that is left.
+Error FaultOfSilence(Error aError, TimePoint aDeadline)
+{
+  if (aError.code_ == ResultCode::kDeadlineExceeded &&
+      TimerService::Now() < aDeadline) {
+    aError.code_ = ResultCode::kEndpointBroken;
+    aError.text_ = "the engine sent no token in time";
+  }
+  return aError;
+}
+
 // Makes the engine's request, which goes on from the given token.
-HttpRequest EngineRequest(const Generation& aGeneration, std::uint64_t aNext)
+HttpRequest EngineRequest(const Generation& aGeneration,
+                          std::uint64_t aNext,
+                          int aPriority)
 {
   json body = aGeneration.body_;
   body["stream"] = true;
   body["request_id"] = aGeneration.requestId_;
-  body["priority"] = static_cast<int>(aGeneration.info_.class_);
+  body["priority"] = aPriority;
   body["resume_from"] = aNext;
   return { .method_ = "POST",
            .target_ = aGeneration.target_,
@@ -181,13 +202,15 @@
   const std::string& address = aPlacement.Endpoint().address_;
   CancelGuard cancel(client_, executor_, address, aGeneration.requestId_);
   const HttpClient::CallOptions options;
-  auto call =
-    co_await client_.Start(address,
-                           EngineRequest(aGeneration, aProgress.next_),
-                           aGeneration.info_.deadline_,
-                           options);
+  const TimePoint deadline = aGeneration.info_.deadline_;
+  const TimePoint firstTokenBy = aPlacement.FirstTokenBy(deadline);
+  auto call = co_await client_.Start(
+    address,
+    EngineRequest(aGeneration, aProgress.next_, aPlacement.Priority()),
+    firstTokenBy,
+    options);
   if (!call) {
-    co_return call.error();
+    co_return FaultOfSilence(call.error(), deadline);
   }
   const HttpResponse& head = call.value()->Head();
   if (head.Field("X-Endpoint-State") == "leaving") {
@@ -201,8 +224,9 @@
     aGeneration, aProgress, aPlacement, *call.value(), aSink);
   if (read) {
     cancel.Disarm();
+    co_return read;
   }
-  co_return read;
+  co_return FaultOfSilence(read.error(), deadline);
 }
 
 asio::awaitable<Outcome<void>> ModelRunner::ReadStream(
@@ -214,7 +238,12 @@
 {
   SseReader reader;
   bool ended = false;
+  const std::uint64_t first = aProgress.next_;
   while (true) {
+    if (aProgress.next_ > first) {
+      aCall.SetDeadline(std::min(aGeneration.info_.deadline_,
+                                 TimerService::Now() + kTokenSilence));
+    }
     auto piece = co_await aCall.ReadSome();
     // Bytes behind the end marker are read so that the connection is clean;
     // a fault there takes nothing from the caller's whole answer.
--- a/src/runtime/gooseberrylift-pool-broker.cc
+++ b/src/runtime/gooseberrylift-pool-broker.cc
@@ -1,5 +1,6 @@
 #include "gooseberrylift/internal/gooseberrylift-pool-broker.h"
 
+#include <algorithm>
 #include <atomic>
 #include <optional>
 
@@ -18,6 +19,13 @@
 // How often waiting requests are looked at for their deadlines.
 constexpr std::chrono::milliseconds kTick{ 10 };
 
+// How often the demand of teams is published to the peers.
+constexpr std::chrono::milliseconds kPublish{ 1000 };
+
+// A team over its limit is back under it within seconds.
+constexpr std::int64_t kLeastRetryMs = 500;
+constexpr std::int64_t kMostRetryMs = 3000;
+
 std::atomic<std::uint64_t> sNextId = 1;
 
 // A coroutine that waits for its decision. The timer never fires by itself;
@@ -38,7 +46,7 @@
 {
 public:
   explicit PoolShard(Scheduler::Options aOptions)
-    : scheduler_(aOptions)
+    : scheduler_(std::move(aOptions))
   {
   }
 
@@ -53,6 +61,18 @@
     Deliver();
   }
 
+  void Configure(Scheduler::Options aOptions)
+  {
+    const std::lock_guard lock(mutex_);
+    scheduler_.Configure(std::move(aOptions));
+  }
+
+  void SetHosts(std::size_t aHosts)
+  {
+    const std::lock_guard lock(mutex_);
+    scheduler_.SetHosts(aHosts);
+  }
+
   void Tick()
   {
     const std::lock_guard lock(mutex_);
@@ -133,12 +153,21 @@
 };
 
 Placement::Placement(std::shared_ptr<PoolShard> aShard,
-                     std::uint64_t aId,
+                     const SchedulerAction& aAction,
                      EndpointView aEndpoint)
   : shard_(std::move(aShard))
-  , id_(aId)
+  , id_(aAction.id_)
   , endpoint_(std::move(aEndpoint))
+  , priority_(aAction.priority_)
+{
+  if (aAction.firstTokenLimit_.count() > 0) {
+    firstTokenBy_ = TimerService::Now() + aAction.firstTokenLimit_;
+  }
+}
+
+TimePoint Placement::FirstTokenBy(TimePoint aDeadline) const
 {
+  return std::min(aDeadline, firstTokenBy_);
 }
 
 Placement::~Placement()
@@ -160,15 +189,30 @@
   }
 }
 
-PoolBroker::PoolBroker(asio::any_io_executor aExecutor, Blackboard& aBoard)
+PoolBroker::PoolBroker(asio::any_io_executor aExecutor,
+                       Blackboard& aBoard,
+                       Options aOptions)
   : executor_(std::move(aExecutor))
   , board_(aBoard)
+  , options_(std::move(aOptions))
+  , limiter_(TeamLimiter::Options{})
+  , random_(static_cast<std::uint32_t>(options_.seed_))
 {
   board_.endpoints_.Subscribe(
     [this](const BlackboardSection<EndpointsState>::Snapshot& aState) {
       OnEndpoints(*aState);
     });
+  board_.configuration_.Subscribe(
+    [this](const BlackboardSection<ConfigurationState>::Snapshot&) {
+      OnConfiguration();
+    });
+  board_.peers_.Subscribe(
+    [this](const BlackboardSection<PeersState>::Snapshot& aState) {
+      OnPeers(*aState);
+    });
   tick_ = TimerService::Every(kTick, executor_, [this] { Tick(); });
+  publish_ =
+    TimerService::Every(kPublish, executor_, [this] { PublishDemand(); });
 }
 
 PoolBroker::~PoolBroker() = default;
@@ -176,6 +220,9 @@
 asio::awaitable<Outcome<Placement>> PoolBroker::Acquire(std::string aPool,
                                                         RequestInfo aInfo)
 {
+  if (auto refusal = TakeTeamTokens(aInfo)) {
+    co_return std::move(*refusal);
+  }
   aInfo.id_ = sNextId++;
   const std::shared_ptr<PoolShard> shard = ShardOf(aPool);
   const auto waiter =
@@ -189,7 +236,7 @@
   if (action->endpoint_.empty()) {
     co_return action->refusal_;
   }
-  co_return Placement(shard, aInfo.id_, shard->EndpointOf(action->endpoint_));
+  co_return Placement(shard, *action, shard->EndpointOf(action->endpoint_));
 }
 
 std::map<std::string, PoolBroker::Load> PoolBroker::Loads() const
@@ -211,13 +258,8 @@
       return found->second;
     }
   }
-  Scheduler::Options options;
-  const auto configuration = board_.configuration_.Read()->configuration_;
-  if (const PoolConfig* pool =
-        configuration ? configuration->PoolByName(aPool) : nullptr) {
-    options.maxConcurrency_ = pool->maxConcurrency_;
-  }
-  auto shard = std::make_shared<PoolShard>(options);
+  auto shard = std::make_shared<PoolShard>(OptionsOf(aPool));
+  shard->SetHosts(board_.peers_.Read()->digests_.size() + 1);
   {
     const std::unique_lock lock(mutex_);
     shard = shards_.emplace(aPool, shard).first->second;
@@ -226,6 +268,82 @@
   return shard;
 }
 
+Scheduler::Options PoolBroker::OptionsOf(const std::string& aPool) const
+{
+  Scheduler::Options options{ .zone_ = options_.zone_,
+                              .seed_ = options_.seed_ };
+  const auto configuration = board_.configuration_.Read()->configuration_;
+  if (!configuration) {
+    return options;
+  }
+  for (const auto& [name, team] : configuration->Teams()) {
+    options.weights_.emplace(name, team.weight_);
+  }
+  if (const PoolConfig* pool = configuration->PoolByName(aPool)) {
+    options.maxConcurrency_ = pool->maxConcurrency_;
+    options.placement_ = pool->placement_;
+  }
+  return options;
+}
+
+// A second try was counted with the first.
+std::optional<Error> PoolBroker::TakeTeamTokens(const RequestInfo& aInfo)
+{
+  if (!aInfo.excluded_.empty()) {
+    return std::nullopt;
+  }
+  const std::lock_guard lock(limiterMutex_);
+  const std::uint64_t tokens = aInfo.promptTokens_ + aInfo.maxTokens_;
+  if (limiter_.Take(aInfo.team_, tokens, TimerService::Now())) {
+    return std::nullopt;
+  }
+  std::uniform_int_distribution<std::int64_t> spread(kLeastRetryMs,
+                                                     kMostRetryMs);
+  return Error{ .code_ = ResultCode::kTeamLimit,
+                .ran_ = RanState::kNo,
+                .retryAfter_ = std::chrono::milliseconds(spread(random_)) };
+}
+
+void PoolBroker::PublishDemand()
+{
+  DemandState state;
+  {
+    const std::lock_guard lock(limiterMutex_);
+    state.demand_ = limiter_.Publish(TimerService::Now());
+  }
+  board_.demand_.Write(std::move(state));
+}
+
+void PoolBroker::OnConfiguration()
+{
+  std::map<std::string, double> limits;
+  if (const auto now = board_.configuration_.Read()->configuration_) {
+    for (const auto& [name, team] : now->Teams()) {
+      limits.emplace(name, team.tokensPerSecond_);
+    }
+  }
+  {
+    const std::lock_guard lock(limiterMutex_);
+    limiter_.SetLimits(limits);
+  }
+  const std::shared_lock lock(mutex_);
+  for (const auto& [name, shard] : shards_) {
+    shard->Configure(OptionsOf(name));
+  }
+}
+
+void PoolBroker::OnPeers(const PeersState& aState)
+{
+  {
+    const std::lock_guard lock(limiterMutex_);
+    limiter_.SetPeers(aState.digests_, TimerService::Now());
+  }
+  const std::shared_lock lock(mutex_);
+  for (const auto& [name, shard] : shards_) {
+    shard->SetHosts(aState.digests_.size() + 1);
+  }
+}
+
 void PoolBroker::Tick()
 {
   const std::shared_lock lock(mutex_);
