Measure the cost of decisions as slopes

Cause: decisions run under a lock for each request, so their cost at 10,000 engines must be known. Change: decision-slopes on Google Benchmark drives the scheduler through arrival, placement, first token and end.

--- a/bench/gooseberrylift-bench-load.cc
+++ b/bench/gooseberrylift-bench-load.cc
@@ -283,11 +283,11 @@
 
 const std::vector<std::string>& PatternNames()
 {
-  static const std::vector<std::string> sNames = {
+  static const std::vector<std::string> kNames = {
     "a",    "b",    "b0", "c", "d",    "e",  "e0", "f0.5", "f0.8",
     "f1.0", "f1.5", "f3", "g", "h0.2", "h1", "h5", "i"
   };
-  return sNames;
+  return kNames;
 }
 
 Pattern MakePattern(const std::string& aName,
--- /dev/null
+++ b/bench/gooseberrylift-decision-slopes.cc
@@ -0,0 +1,143 @@
+// What one decision costs against the number of endpoints, the length of the
+// queue and the number of teams:
+//
+//   decision-slopes --benchmark_min_time=0.2
+
+#include <benchmark/benchmark.h>
+
+#include "gooseberrylift/gooseberrylift-scheduler.h"
+
+using namespace gooseberrylift;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int kDefaultEngines = 25;
+
+// A scheduler with a given number of engines and requests that wait.
+class Loaded
+{
+public:
+  Loaded(std::int64_t aEngines, std::int64_t aWaiting, std::int64_t aTeams)
+    : teams_(aTeams)
+    , scheduler_({ .maxConcurrency_ = 64 })
+  {
+    for (std::int64_t index = 0; index < aEngines; ++index) {
+      views_.push_back(
+        { .name_ = "engine-" + std::to_string(index),
+          .load_ = { .at_ = now_, .kvTokensTotal_ = 4'000'000'000 } });
+    }
+    scheduler_.SetEndpoints(views_, now_);
+    // The engines are filled up before the queue begins to grow.
+    while (scheduler_.Waiting() < static_cast<std::size_t>(aWaiting)) {
+      scheduler_.OnRequest(Next(), now_);
+      Keep();
+    }
+  }
+
+  RequestInfo Next()
+  {
+    ++id_;
+    return { .id_ = id_,
+             .team_ = "team-" + std::to_string(static_cast<std::int64_t>(id_) %
+                                               teams_),
+             .service_ = "summaries",
+             .promptTokens_ = 8000,
+             .maxTokens_ = 16,
+             .deadline_ = now_ + seconds(1'000'000) };
+  }
+
+  // One request comes, is placed or queued, and one that runs ends.
+  void Turn()
+  {
+    now_ += milliseconds(1);
+    scheduler_.OnRequest(Next(), now_);
+    Keep();
+    if (running_.empty()) {
+      return;
+    }
+    const std::uint64_t id = running_[turn_ % running_.size()];
+    running_[turn_++ % running_.size()] = running_.back();
+    running_.pop_back();
+    scheduler_.OnFirstToken(id, now_);
+    scheduler_.OnFinished(id, { .succeeded_ = true }, now_);
+    Keep();
+  }
+
+  void Tick()
+  {
+    now_ += milliseconds(1);
+    scheduler_.OnTick(now_);
+    Keep();
+  }
+
+  void Refresh() { scheduler_.SetEndpoints(views_, now_); }
+
+private:
+  void Keep()
+  {
+    for (const SchedulerAction& action : scheduler_.TakeActions()) {
+      if (!action.endpoint_.empty()) {
+        running_.push_back(action.id_);
+      }
+    }
+  }
+
+  std::int64_t teams_;
+  TimePoint now_{ seconds(1000) };
+  std::vector<EndpointView> views_;
+  Scheduler scheduler_;
+  std::vector<std::uint64_t> running_;
+  std::uint64_t id_ = 0;
+  std::size_t turn_ = 0;
+};
+
+void PlaceByEngines(benchmark::State& aState)
+{
+  Loaded loaded(aState.range(0), 0, 10);
+  for (auto _ : aState) {
+    loaded.Turn();
+  }
+}
+BENCHMARK(PlaceByEngines)->Arg(25)->Arg(100)->Arg(1000)->Arg(10'000);
+
+void DecideByQueue(benchmark::State& aState)
+{
+  Loaded loaded(kDefaultEngines, aState.range(0), 10);
+  for (auto _ : aState) {
+    loaded.Turn();
+  }
+}
+BENCHMARK(DecideByQueue)->Arg(10)->Arg(1000)->Arg(100'000);
+
+void TickByQueue(benchmark::State& aState)
+{
+  Loaded loaded(kDefaultEngines, aState.range(0), 10);
+  for (auto _ : aState) {
+    loaded.Tick();
+  }
+}
+BENCHMARK(TickByQueue)->Arg(10)->Arg(1000)->Arg(100'000);
+
+void DecideByTeams(benchmark::State& aState)
+{
+  Loaded loaded(kDefaultEngines, 10'000, aState.range(0));
+  for (auto _ : aState) {
+    loaded.Turn();
+  }
+}
+BENCHMARK(DecideByTeams)->Arg(10)->Arg(400)->Arg(4000);
+
+void RefreshByEngines(benchmark::State& aState)
+{
+  Loaded loaded(aState.range(0), 0, 10);
+  for (auto _ : aState) {
+    loaded.Refresh();
+  }
+}
+BENCHMARK(RefreshByEngines)->Arg(25)->Arg(1000)->Arg(10'000);
+
+} // namespace
+
+BENCHMARK_MAIN();
