--- a/bench/gooseberrylift-decision-slopes.cc
+++ b/bench/gooseberrylift-decision-slopes.cc
@@ -40,8 +40,8 @@
   {
     ++id_;
     return { .id_ = id_,
-             .team_ = "team-" + std::to_string(static_cast<std::int64_t>(id_) %
-                                               teams_),
+             .team_ = "team-" +
+                      std::to_string(static_cast<std::int64_t>(id_) % teams_),
              .service_ = "summaries",
              .promptTokens_ = 8000,
              .maxTokens_ = 16,
--- a/src/core/gooseberrylift-scheduler.cc
+++ b/src/core/gooseberrylift-scheduler.cc
@@ -377,7 +377,8 @@
   }
   RefreshLive();
   for (WaitingRequest& request : waiting) {
-    LaneOf(request.info_).queue_->Push(std::move(request));
+    Lane& lane = LaneOf(request.info_);
+    lane.queue_->Push(std::move(request));
   }
 }
 
