--- a/include/gooseberrylift/gooseberrylift-settings.h
+++ b/include/gooseberrylift/gooseberrylift-settings.h
@@ -46,6 +46,7 @@
   int threads_ = 2;
   std::chrono::milliseconds drainLag_{ 2000 };
   std::chrono::milliseconds drainLimit_{ 60'000 };
+  std::size_t onceMaxBatch_ = 256; // calls in one write of the group commit
   std::string logLevel_ = "info";
 
   /// Checks settings and fills in the defaults.
@@ -53,6 +54,9 @@
   /// @return the settings, or a LEAF error carrying an Error with
   /// kSettingsInvalid whose text names the path of the fault
   static boost::leaf::result<Settings> Parse(std::string_view aText);
+
+  /// Gives the JSON Schema that Parse checks a text against.
+  static std::string_view Schema();
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -8,12 +8,15 @@
 #include "gooseberrylift/gooseberrylift-settings.h"
 #include "gooseberrylift/internal/gooseberrylift-admin-front.h"
 #include "gooseberrylift/internal/gooseberrylift-blackboard.h"
+#include "gooseberrylift/internal/gooseberrylift-burn-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-caller-front.h"
+#include "gooseberrylift/internal/gooseberrylift-config-admin.h"
 #include "gooseberrylift/internal/gooseberrylift-config-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
+#include "gooseberrylift/internal/gooseberrylift-once-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-pool-broker.h"
 #include "gooseberrylift/internal/gooseberrylift-rest-store.h"
@@ -37,6 +40,7 @@
 private:
   Outcome<void> Listen();
   void StartControllers();
+  void AddRoutes();
   boost::asio::awaitable<void> WaitForStop();
   boost::asio::awaitable<void> Drain();
 
@@ -44,6 +48,7 @@
   boost::asio::io_context context_;
   Blackboard board_;
   Metrics metrics_;
+  BurnRecorder burn_;
   HttpClient client_;
   RestStore store_;
   ConfigFollower configFollower_;
@@ -52,8 +57,11 @@
   PoolBroker broker_;
   ModelRunner models_;
   ServiceRunner services_;
+  OnceLedger onceLedger_;
+  OnceRunner once_;
   CallerFront callerFront_;
   AdminFront adminFront_;
+  ConfigAdmin configAdmin_;
   HttpServer callerServer_;
   HttpServer adminServer_;
   HttpServer peerServer_;
--- a/src/front/gooseberrylift-admin-front.cc
+++ b/src/front/gooseberrylift-admin-front.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
 namespace gooseberrylift {
 
 namespace asio = boost::asio;
@@ -12,6 +14,9 @@
 
 namespace {
 
+// Above a store's short fault and a peer's few lost rounds.
+constexpr std::chrono::seconds kIsolationLimit(5);
+
 const char* NameOf(EndpointState aState)
 {
   switch (aState) {
@@ -49,6 +54,24 @@
            { "draining", aDigest.draining_ } };
 }
 
+// Says why requests failed since the start, as counted for /metrics.
+json FailuresOf(const Metrics& aMetrics)
+{
+  const auto counts = aMetrics.Counts("gooseberrylift_requests_total");
+  json failures = json::array();
+  for (const ResultInfo& info : AllResults()) {
+    const auto found = counts.find(
+      "code=\"" + std::to_string(static_cast<int>(info.code_)) + "\"");
+    if (found != counts.end() && info.code_ != ResultCode::kOk) {
+      failures.push_back({ { "code", static_cast<int>(info.code_) },
+                           { "name", info.name_ },
+                           { "meaning", info.meaning_ },
+                           { "count", found->second } });
+    }
+  }
+  return failures;
+}
+
 } // namespace
 
 AdminFront::AdminFront(Parts aParts)
@@ -118,6 +141,14 @@
   if (parts_.board_.endpoints_.Read()->endpoints_.empty()) {
     return "no endpoint known yet";
   }
+  // A host that hears neither the store nor any other host it knew may go on
+  // with a configuration that was replaced elsewhere, and would never learn it.
+  const auto store = parts_.board_.store_.Read();
+  const auto peers = parts_.board_.peers_.Read();
+  if (!store->reachable_ && peers->known_ > 0 && peers->digests_.empty() &&
+      TimerService::Now() - store->since_ > kIsolationLimit) {
+    return "cut off from the store and all peers";
+  }
   return {};
 }
 
@@ -171,6 +202,7 @@
     { "generation", configuration ? configuration->Generation() : 0 },
     { "store_reachable", parts_.board_.store_.Read()->reachable_ },
     { "peers", peers },
+    { "failures", FailuresOf(parts_.metrics_) },
     { "pools", pools },
     { "endpoints", endpoints },
   };
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -1,6 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-entry-host.h"
 
 #include <csignal>
+#include <random>
 #include <thread>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <xxhash.h>
 
+#include "gooseberrylift/internal/gooseberrylift-log-routes.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 
 namespace gooseberrylift {
@@ -19,9 +21,14 @@
 EntryHost::EntryHost(Settings aSettings)
   : settings_(std::move(aSettings))
   , context_(settings_.threads_)
+  , burn_({ .settings_ = settings_, .board_ = board_, .metrics_ = metrics_ })
   , client_(context_.get_executor(), HttpClient::Options{})
   , store_(client_, { .addresses_ = settings_.storeAddresses_ })
-  , configFollower_(store_, board_, ConfigFollower::Options{})
+  , configFollower_(store_,
+                    board_,
+                    { .host_ = settings_.hostName_,
+                      .zone_ = settings_.zone_,
+                      .seed_ = std::random_device{}() })
   , peers_({ .settings_ = settings_,
              .board_ = board_,
              .store_ = store_,
@@ -51,14 +58,25 @@
               endpointTracker_,
               metrics_,
               ServiceRunner::Options{})
+  , onceLedger_(store_,
+                context_.get_executor(),
+                { .committer_ = { .maxBatch_ = settings_.onceMaxBatch_ } })
+  , once_(services_,
+          onceLedger_,
+          context_.get_executor(),
+          metrics_,
+          OnceRunner::Options{})
   , callerFront_({ .board_ = board_,
                    .models_ = models_,
                    .services_ = services_,
-                   .metrics_ = metrics_ })
+                   .once_ = once_,
+                   .metrics_ = metrics_,
+                   .burn_ = burn_ })
   , adminFront_({ .settings_ = settings_,
                   .board_ = board_,
                   .broker_ = broker_,
                   .metrics_ = metrics_ })
+  , configAdmin_(store_, configFollower_, board_, ConfigAdmin::Options{})
   , callerServer_(context_.get_executor(),
                   { .address_ = settings_.caller_.address_,
                     .port_ = settings_.caller_.port_,
@@ -80,10 +98,23 @@
       { .address_ = settings_.peer_.address_, .port_ = settings_.peer_.port_ },
       [this](HttpExchange& aExchange) { return peers_.Handle(aExchange); })
 {
+  AddRoutes();
+}
+
+void EntryHost::AddRoutes()
+{
+  burn_.AddRoutes(adminFront_);
+  AddLogRoutes(adminFront_);
+  adminFront_.Add(
+    "POST", "/drain", [](HttpExchange& aExchange) -> asio::awaitable<void> {
+      co_await aExchange.Send(TextResponse(202, "draining\n"));
+      std::raise(SIGTERM);
+    });
 }
 
 Outcome<void> EntryHost::Run()
 {
+  configAdmin_.AddRoutes(adminFront_);
   const auto listening = Listen();
   if (!listening) {
     return listening.error();
@@ -127,6 +158,7 @@
 void EntryHost::StartControllers()
 {
   asio::co_spawn(context_, configFollower_.Run(), asio::detached);
+  asio::co_spawn(context_, configFollower_.Poll(), asio::detached);
   asio::co_spawn(context_, endpointTracker_.Run(), asio::detached);
 }
 
@@ -145,6 +177,12 @@
   const std::size_t cut = co_await callerServer_.Drain(
     settings_.drainLag_,
     TimerService::Now() + settings_.drainLag_ + settings_.drainLimit_);
+  // Outcomes of calls that may not be repeated are recorded after the answer;
+  // leaving earlier would turn them into "unknown".
+  const TimePoint limit = TimerService::Now() + settings_.drainLag_;
+  while (!once_.Idle() && TimerService::Now() < limit) {
+    co_await TimerService::SleepFor(std::chrono::milliseconds(10));
+  }
   Log(LogEvent::kDrainFinished, { { "cut", cut } });
 }
 
