--- a/test/core/gooseberrylift-config-test.cc
+++ b/test/core/gooseberrylift-config-test.cc
@@ -60,6 +60,15 @@
     FaultOf(WithServices(R"({"name":"s","kind":"plain","pool":"q"})")).c_str());
 }
 
+TEST(ConfigurationTest, RefusesAnUnknownPlacementWithItsPath)
+{
+  STRCMP_EQUAL("pools/p/placement: unknown strategy 'best'",
+               FaultOf(R"({"teams":[{"name":"t","keys":["12345678"]}],)"
+                       R"("pools":[{"name":"p","placement":"best"}],)"
+                       R"("services":[]})")
+                 .c_str());
+}
+
 TEST(ConfigurationTest, NamesTheWholePathOfADependencyCycle)
 {
   const std::string fault = FaultOf(WithServices(
