--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -25,7 +25,8 @@
   std::string pool_;
   std::string target_; // path of the engine's API
   RequestInfo info_;
-  nlohmann::json body_; // as the caller sent it
+  nlohmann::json body_; // as the caller sent it; empty when text_ is set
+  std::string text_;    // the same as text, when fields can be added to it
   TimePoint arrived_;
 };
 
@@ -47,6 +48,11 @@
   /// Takes the next token.
   /// @return false to end the generation, because nobody reads on
   virtual boost::asio::awaitable<bool> OnToken(const TokenEvent& aToken) = 0;
+
+  /// Says that no further token has arrived yet, so that a sink that gathers
+  /// tokens passes them on now.
+  /// @return false to end the generation, because nobody reads on
+  virtual boost::asio::awaitable<bool> OnPause() { co_return true; }
 };
 
 struct GenerationResult
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -100,6 +100,24 @@
                 .ran_ = notRun ? RanState::kNo : RanState::kUnknown };
 }
 
+// Adds this host's fields to the caller's. A prompt of megabytes is sent on as
+// the text that it came as; writing it anew costs more than all else here.
+std::string EngineBody(const Generation& aGeneration, const json& aOwn)
+{
+  if (aGeneration.text_.empty()) {
+    json body = aGeneration.body_;
+    body.update(aOwn);
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+  }
+  const std::string own = aOwn.dump();
+  std::string text;
+  text.reserve(aGeneration.text_.size() + own.size());
+  text.append(aGeneration.text_, 0, aGeneration.text_.rfind('}'));
+  text += ',';
+  text.append(own, 1);
+  return text;
+}
+
 // A silence that ended before the caller's deadline is the engine's fault, and
 // another engine is tried in the time that is left.
 Error FaultOfSilence(Error aError, TimePoint aDeadline)
@@ -117,7 +135,7 @@
                           std::uint64_t aNext,
                           int aPriority)
 {
-  json body = aGeneration.body_;
+  json body;
   body["stream"] = true;
   body["request_id"] = aGeneration.requestId_;
   body["priority"] = aPriority;
@@ -126,7 +144,7 @@
            .target_ = aGeneration.target_,
            .fields_ = { { "Content-Type", "application/json" },
                         { "X-Request-Id", aGeneration.requestId_ } },
-           .body_ = body.dump(-1, ' ', false, json::error_handler_t::replace) };
+           .body_ = EngineBody(aGeneration, body) };
 }
 
 } // namespace
@@ -275,6 +293,12 @@
         co_return taken.error();
       }
     }
+    const bool reading = co_await aSink.OnPause();
+    if (!reading) {
+      aProgress.callerLeft_ = true;
+      co_return Error{ .code_ = ResultCode::kCallerLeft,
+                       .ran_ = RanState::kYes };
+    }
   }
 }
 
