Tell the tried endpoints apart in the scheduler's test

Cause: with the exclusion taken out as a trial the test still passed, since the random start met the right endpoint by chance; the other four scheduler tests and the configuration's failed with their guards taken out. Change: each endpoint in turn is the one that is left, twice.

--- a/test/core/gooseberrylift-scheduler-test.cc
+++ b/test/core/gooseberrylift-scheduler-test.cc
@@ -18,6 +18,7 @@
   static std::vector<EndpointView> Engines(int aCount)
   {
     std::vector<EndpointView> views;
+    views.reserve(static_cast<std::size_t>(aCount));
     for (int index = 0; index < aCount; ++index) {
       views.push_back({ .name_ = "engine-" + std::to_string(index),
                         .load_ = { .kvTokensTotal_ = 400'000 } });
@@ -51,12 +52,19 @@
 {
   Scheduler scheduler({});
   scheduler.SetEndpoints(Engines(3), now_);
-  RequestInfo request = Request(1000);
-  request.excluded_ = { "engine-0", "engine-2" };
-  scheduler.OnRequest(request, now_);
-  const auto actions = scheduler.TakeActions();
-  LONGS_EQUAL(1, actions.size());
-  STRCMP_EQUAL("engine-1", actions[0].endpoint_.c_str());
+  for (int turn = 0; turn < 6; ++turn) {
+    const std::string left = "engine-" + std::to_string(turn % 3);
+    RequestInfo request = Request(1000);
+    for (const EndpointView& view : Engines(3)) {
+      if (view.name_ != left) {
+        request.excluded_.push_back(view.name_);
+      }
+    }
+    scheduler.OnRequest(request, now_);
+    const auto actions = scheduler.TakeActions();
+    LONGS_EQUAL(1, actions.size());
+    STRCMP_EQUAL(left.c_str(), actions[0].endpoint_.c_str());
+  }
 }
 
 // An operator changes the placement while requests wait. They must neither be
