--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -191,6 +191,11 @@
                                       HttpCall& aCall,
                                       const std::string& aRequestId)
 {
+  // A body that only the close ends looks whole wherever it was cut.
+  if (!aCall.EndIsCertain()) {
+    co_return Error{ .code_ = ResultCode::kAnswerEndUnknown,
+                     .ran_ = RanState::kYes };
+  }
   HttpResponse head{ .status_ = aCall.Head().status_,
                      .fields_ = WithoutOwnFields(aCall.Head().fields_) };
   head.fields_.push_back({ "X-Request-Id", aRequestId });
@@ -275,6 +280,8 @@
   co_await asio::this_coro::reset_cancellation_state();
   if (aExchange.Reason() == AbortReason::kDeadline) {
     error.code_ = ResultCode::kDeadlineExceeded;
+  } else if (aExchange.Reason() == AbortReason::kCallerStalled) {
+    error.code_ = ResultCode::kCallerTooSlow;
   }
   co_await AnswerFailure(aExchange, request, std::move(error));
 }
@@ -476,7 +483,9 @@
         { "code", code },
         { "text", aError.text_ },
         { "ran", NameOf(aError.ran_) } });
-  if (aError.code_ == ResultCode::kCallerLeft) {
+  // Another write to a caller that does not read would wait in vain again. One
+  // that closed its sending half only still reads, and is told.
+  if (aExchange.Reason() == AbortReason::kCallerStalled) {
     co_return;
   }
   if (!aExchange.Started()) {
