Join peers' word of endpoints and outlast a short list

Cause: a list cut short dropped endpoints that answered, peers' word was not read, and a hung endpoint took up to 3 * (500 + 250) ms until it was dead, over the 2 s that are asked for.

Change: an endpoint that the list omits goes only when it is silent too, or after two minutes; leaving said by a peer of the same incarnation is believed at once; dead said by a peer counts as one failure beside our own. A poll of the load report waits 350 ms.

Conclusion: leaving, death and a faulty list are covered; slow start on return and a zone cut off are not.

--- a/include/gooseberrylift/gooseberrylift-endpoint-book.h
+++ b/include/gooseberrylift/gooseberrylift-endpoint-book.h
@@ -4,12 +4,14 @@
 #ifndef GOOSEBERRYLIFT_GOOSEBERRYLIFT_ENDPOINT_BOOK_H_
 #define GOOSEBERRYLIFT_GOOSEBERRYLIFT_ENDPOINT_BOOK_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "gooseberrylift/gooseberrylift-digest.h"
 #include "gooseberrylift/gooseberrylift-endpoint.h"
 
 namespace gooseberrylift {
@@ -36,12 +38,16 @@
     // One missed report is a lost packet; the endpoint is dead when this many
     // in a row fail, which at the usual poll of 250 ms takes 0.75 s.
     int failuresUntilDead_ = 3;
+    // How long an endpoint that the list no longer shows is kept while it
+    // still answers. Longer than the list's lag and faults of a minute.
+    std::chrono::milliseconds keepUnlisted_{ 120'000 };
   };
 
   explicit EndpointBook(Options aOptions);
 
   /// Takes in the platform's list. An endpoint that it no longer shows is
-  /// dropped, except that an empty list is taken for a fault of the list.
+  /// dropped once it fails to answer too: a list that came empty or cut short
+  /// must not take away endpoints that serve.
   /// @param aListed the endpoints as listed
   /// @param aNow the current time
   /// @return true when a view changed
@@ -58,6 +64,13 @@
   /// Notes that an endpoint refused work because it is leaving.
   bool OnLeaving(const std::string& aName, TimePoint aNow);
 
+  /// Takes in a peer's word. Leaving is believed at once, for the incarnation
+  /// that it is said of: an endpoint never comes back from it, so a late word
+  /// does no harm. Dead is only a doubt, because the peer itself may be cut
+  /// off: it counts as one failure more, so that this host's own next failure
+  /// decides sooner, and its own next success clears it.
+  bool OnPeerWord(const EndpointDigest& aWord, TimePoint aNow);
+
   /// Gives all endpoints in order of their names.
   std::vector<EndpointView> Views() const;
 
@@ -67,10 +80,13 @@
     EndpointView view_;
     bool listedLeaving_ = false;
     bool saidLeaving_ = false; // sticky for this incarnation
-    int failures_ = 0;
+    int failures_ = 0;         // in a row, this host's own
+    bool doubted_ = false;     // by a peer, since our last success
+    TimePoint listed_{};
   };
 
   bool Refresh(Entry& aEntry) const;
+  std::size_t DropUnlisted(TimePoint aNow);
 
   Options options_;
   std::map<std::string, Entry> entries_;
--- a/include/gooseberrylift/internal/gooseberrylift-endpoint-tracker.h
+++ b/include/gooseberrylift/internal/gooseberrylift-endpoint-tracker.h
@@ -15,7 +15,8 @@
 
 namespace gooseberrylift {
 
-// Writes the section endpoints_. Safe to use from several threads.
+// Writes the section endpoints_; reads peers_. Safe to use from several
+// threads.
 class EndpointTracker
 {
 public:
@@ -24,7 +25,9 @@
     std::string listAddress_; // IP:port of the host list
     std::chrono::milliseconds listPoll_{ 1000 };
     std::chrono::milliseconds loadPoll_{ 250 };
-    std::chrono::milliseconds timeout_{ 500 }; // of one poll
+    // Of one poll. Three failed polls with the pauses between them must fit
+    // into 2 s also for an endpoint that hangs: 3 * (350 + 250) ms.
+    std::chrono::milliseconds timeout_{ 350 };
   };
 
   EndpointTracker(HttpClient& aClient,
@@ -32,6 +35,9 @@
                   Blackboard& aBoard,
                   Options aOptions);
 
+  /// Takes in what peers say of the endpoints, until the board goes.
+  void FollowPeers();
+
   /// Polls until cancelled.
   boost::asio::awaitable<void> Run();
 
--- a/src/core/gooseberrylift-endpoint-book.cc
+++ b/src/core/gooseberrylift-endpoint-book.cc
@@ -1,6 +1,6 @@
 #include "gooseberrylift/gooseberrylift-endpoint-book.h"
 
-#include <set>
+#include <algorithm>
 
 namespace gooseberrylift {
 
@@ -10,32 +10,42 @@
 }
 
 bool EndpointBook::OnList(const std::vector<EndpointView>& aListed,
-                          TimePoint /*aNow*/)
+                          TimePoint aNow)
 {
-  if (aListed.empty() && !entries_.empty()) {
-    return false;
-  }
   bool changed = false;
-  std::set<std::string> names;
   for (const EndpointView& listed : aListed) {
-    names.insert(listed.name_);
     Entry& entry = entries_[listed.name_];
     const bool restarted = listed.incarnation_ > entry.view_.incarnation_;
     if (entry.view_.name_.empty() || restarted) {
       entry = Entry{ .view_ = listed };
       changed = true;
     }
+    entry.listed_ = aNow;
     // Leaving is sticky for an incarnation: the list lags, and an old copy of
     // it must not bring back an endpoint that is on its way out.
     entry.listedLeaving_ =
       entry.listedLeaving_ || listed.state_ == EndpointState::kLeaving;
     changed = Refresh(entry) || changed;
   }
-  const std::size_t gone =
-    std::erase_if(entries_, [&names](const auto& aEntry) {
-      return !names.contains(aEntry.first);
-    });
-  return changed || gone > 0;
+  return DropUnlisted(aNow) > 0 || changed;
+}
+
+// A list cut short shows the same as endpoints that were taken away. What
+// tells them apart is that the first kind still answers; so an endpoint goes
+// when the list and its own silence agree, or when the list has not shown it
+// for long although it did come.
+std::size_t EndpointBook::DropUnlisted(TimePoint aNow)
+{
+  TimePoint newest{};
+  for (const auto& [name, entry] : entries_) {
+    newest = std::max(newest, entry.listed_);
+  }
+  return std::erase_if(entries_, [&](const auto& aEntry) {
+    const Entry& entry = aEntry.second;
+    const bool silent = entry.failures_ >= options_.failuresUntilDead_;
+    const bool forgotten = newest - entry.listed_ > options_.keepUnlisted_;
+    return entry.listed_ != newest && (silent || forgotten);
+  });
 }
 
 bool EndpointBook::OnReport(const std::string& aName,
@@ -48,6 +58,7 @@
   }
   Entry& entry = found->second;
   entry.failures_ = 0;
+  entry.doubted_ = false;
   if (aReport.incarnation_ > entry.view_.incarnation_) {
     entry.view_.incarnation_ = aReport.incarnation_;
     entry.saidLeaving_ = false;
@@ -78,6 +89,23 @@
   return Refresh(found->second);
 }
 
+bool EndpointBook::OnPeerWord(const EndpointDigest& aWord, TimePoint /*aNow*/)
+{
+  const auto found = entries_.find(aWord.name_);
+  if (found == entries_.end() ||
+      aWord.incarnation_ != found->second.view_.incarnation_) {
+    return false;
+  }
+  Entry& entry = found->second;
+  if (aWord.state_ == EndpointState::kLeaving) {
+    entry.saidLeaving_ = true;
+  }
+  if (aWord.state_ == EndpointState::kDead && entry.failures_ > 0) {
+    entry.doubted_ = true;
+  }
+  return Refresh(entry);
+}
+
 std::vector<EndpointView> EndpointBook::Views() const
 {
   std::vector<EndpointView> views;
@@ -93,7 +121,8 @@
   EndpointState state = EndpointState::kLive;
   if (aEntry.listedLeaving_ || aEntry.saidLeaving_) {
     state = EndpointState::kLeaving;
-  } else if (aEntry.failures_ >= options_.failuresUntilDead_) {
+  } else if (aEntry.failures_ + (aEntry.doubted_ ? 1 : 0) >=
+             options_.failuresUntilDead_) {
     state = EndpointState::kDead;
   }
   const bool changed = state != aEntry.view_.state_;
--- a/src/runtime/gooseberrylift-endpoint-tracker.cc
+++ b/src/runtime/gooseberrylift-endpoint-tracker.cc
@@ -59,6 +59,22 @@
 {
 }
 
+void EndpointTracker::FollowPeers()
+{
+  board_.peers_.Subscribe([this](const auto& aPeers) {
+    bool changed = false;
+    {
+      const std::lock_guard lock(mutex_);
+      for (const Digest& digest : aPeers->digests_) {
+        for (const EndpointDigest& word : digest.endpoints_) {
+          changed = book_.OnPeerWord(word, TimerService::Now()) || changed;
+        }
+      }
+    }
+    Publish(changed);
+  });
+}
+
 asio::awaitable<void> EndpointTracker::Run()
 {
   TimePoint nextList{};
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -145,6 +145,7 @@
 {
   asio::co_spawn(context_, configFollower_.Run(), asio::detached);
   asio::co_spawn(context_, configFollower_.Poll(), asio::detached);
+  endpointTracker_.FollowPeers();
   asio::co_spawn(context_, endpointTracker_.Run(), asio::detached);
 }
 
--- a/test/core/gooseberrylift-endpoint-book-test.cc
+++ b/test/core/gooseberrylift-endpoint-book-test.cc
@@ -70,3 +70,54 @@
   CHECK_FALSE(book_.OnList({}, now_));
   LONGS_EQUAL(1, book_.Views().size());
 }
+
+// The list comes cut short. What still answers must stay, or half of a pool
+// would be overloaded; what is also silent goes.
+TEST(EndpointBookTest, DropsFromAShortListOnlyWhatIsSilentToo)
+{
+  book_.OnList({ Listed("e", 1), Listed("f", 1), Listed("g", 1) }, now_);
+  for (int poll = 0; poll < 3; ++poll) {
+    book_.OnFailure("g", now_);
+    book_.OnReport("f", { .incarnation_ = 1 }, now_);
+  }
+  book_.OnList({ Listed("e", 1) }, now_ + std::chrono::seconds(1));
+  LONGS_EQUAL(2, book_.Views().size());
+  CHECK(StateOf("f") == EndpointState::kLive);
+  book_.OnList({ Listed("e", 1) }, now_ + std::chrono::seconds(200));
+  LONGS_EQUAL(1, book_.Views().size());
+}
+
+// A peer was refused by an endpoint that leaves. New work from here would be
+// refused too, so its word is enough; said of an earlier start it means
+// nothing.
+TEST(EndpointBookTest, BelievesAPeerThatAnEndpointLeaves)
+{
+  book_.OnList({ Listed("e", 2), Listed("f", 2) }, now_);
+  book_.OnPeerWord(
+    { .name_ = "e", .incarnation_ = 2, .state_ = EndpointState::kLeaving },
+    now_);
+  book_.OnPeerWord(
+    { .name_ = "f", .incarnation_ = 1, .state_ = EndpointState::kLeaving },
+    now_);
+  CHECK(StateOf("e") == EndpointState::kLeaving);
+  CHECK(StateOf("f") == EndpointState::kLive);
+}
+
+// A peer that is cut off says that all endpoints are dead. While they answer
+// here, that must not take a single one away.
+TEST(EndpointBookTest, TakesAPeersDeathNoticeOnlyAsADoubt)
+{
+  const EndpointDigest dead{ .name_ = "e",
+                             .incarnation_ = 1,
+                             .state_ = EndpointState::kDead };
+  book_.OnList({ Listed("e", 1) }, now_);
+  book_.OnPeerWord(dead, now_);
+  CHECK(StateOf("e") == EndpointState::kLive);
+  book_.OnFailure("e", now_);
+  book_.OnPeerWord(dead, now_);
+  CHECK(StateOf("e") == EndpointState::kLive);
+  book_.OnFailure("e", now_);
+  CHECK(StateOf("e") == EndpointState::kDead);
+  book_.OnReport("e", { .incarnation_ = 1 }, now_);
+  CHECK(StateOf("e") == EndpointState::kLive);
+}
--- /dev/null
+++ b/test/integration/gooseberrylift-endpoints-test.cc
@@ -0,0 +1,91 @@
+// What hosts know of endpoints that leave, die or vanish from the list, on
+// real processes.
+
+#include "harness.h"
+
+#include <csignal>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string StateOf(Host& aHost, const std::string& aName)
+{
+  for (const json& view : aHost.Status().value("endpoints", json::array())) {
+    if (view.value("name", "") == aName) {
+      return view.value("state", "");
+    }
+  }
+  return "absent";
+}
+
+bool AllSee(Deployment& aDeployment,
+            const std::string& aName,
+            const std::string& aState,
+            milliseconds aLimit)
+{
+  return WaitUntil(aLimit, [&] {
+    for (std::size_t index = 0; index < aDeployment.Hosts(); ++index) {
+      if (StateOf(aDeployment.At(index), aName) != aState) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+} // namespace
+
+TEST_GROUP(EndpointsTest){};
+
+// Store and list are down when an engine says that it leaves. Within 3 s every
+// host must hold it for leaving; callers see nothing but whole answers.
+TEST(EndpointsTest, GiveNoNewWorkToALeavingEndpointWithStoreAndListDown)
+{
+  Deployment deployment({ .hosts_ = 3, .engines_ = 2 });
+  deployment.Store().Control({ { "outage", true } });
+  deployment.List().Control({ { "outage", true } });
+  deployment.Engine(0).Control({ { "leaving", true } });
+  CHECK_TRUE(AllSee(deployment, "engine-0", "leaving", milliseconds(3000)));
+  for (std::size_t index = 0; index < 12; ++index) {
+    const auto answer =
+      Send(deployment.At(index % 3).Port(), ChatRequest("hello", 2, false));
+    LONGS_EQUAL(200, answer.value().status_);
+  }
+}
+
+// An engine hangs with its connections open, which is the slowest death to
+// see. Each host must take it out within 2 s and take it back once it runs.
+TEST(EndpointsTest, SeeAHungEndpointInTwoSecondsAndItsReturn)
+{
+  Deployment deployment({ .hosts_ = 2, .engines_ = 2 });
+  CHECK_TRUE(AllSee(deployment, "engine-0", "live", std::chrono::seconds(30)));
+  deployment.Engine(0).Handle().Signal(SIGSTOP);
+  CHECK_TRUE(AllSee(deployment, "engine-0", "dead", milliseconds(2000)));
+  deployment.Engine(0).Handle().Signal(SIGCONT);
+  CHECK_TRUE(AllSee(deployment, "engine-0", "live", std::chrono::seconds(30)));
+}
+
+// The list comes with only one of three engines in it, and then empty. All
+// three answer, so all three stay.
+TEST(EndpointsTest, KeepThePoolWhenTheListComesShortOrEmpty)
+{
+  Deployment deployment({ .engines_ = 3 });
+  const json whole = deployment.HostList();
+  json part = json::array();
+  part.push_back(whole.at(0));
+  for (const json& hosts : { part, json::array() }) {
+    json control = json::object();
+    control["hosts"] = hosts;
+    deployment.List().Control(control);
+    // Several polls of the list must have come by.
+    CHECK_FALSE(WaitUntil(milliseconds(1000), [&] {
+      return StateOf(deployment.At(0), "engine-2") != "live";
+    }));
+  }
+}
