Let a new host find its peers while the store is down

Cause: peers are found through the store, so a host that starts while it is down had no way to the configuration in force.

Change: peer.seeds in the settings names some peer ports, asked while no other host is known; a message may name its receiver by its address. The new subcommands have examples.

--- a/include/gooseberrylift/gooseberrylift-settings.h
+++ b/include/gooseberrylift/gooseberrylift-settings.h
@@ -39,6 +39,7 @@
   std::vector<std::string> adminKeys_;
   ListenSettings peer_;
   std::vector<std::string> peerKeys_;       // the first signs, all are accepted
+  std::vector<std::string> peerSeeds_;      // IP:port, asked while alone
   std::vector<std::string> storeAddresses_; // IP:port
   std::string hostListAddress_;             // IP:port
   std::chrono::milliseconds hostListPoll_{ 1000 };
--- a/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
@@ -67,6 +67,7 @@
   boost::asio::awaitable<bool> Join();
   boost::asio::awaitable<void> ExchangeWith(PeerMember aPeer);
   boost::asio::awaitable<void> FetchConfiguration(PeerMember aPeer);
+  std::vector<PeerMember> SeedPeers() const;
   void StartExchanges(const std::vector<PeerMember>& aPeers);
   void OnConfiguration();
   void Refresh();
--- a/include/gooseberrylift/internal/gooseberrylift-peer-rpc.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-rpc.h
@@ -49,6 +49,10 @@
   /// Adds a method; only before the first request.
   void Add(const std::string& aName, Method aMethod);
 
+  /// Sets the address that stands for this host beside its name, for callers
+  /// that know only that; only before the first request.
+  void SetAddress(std::string aAddress) { address_ = std::move(aAddress); }
+
   /// Calls a method of a peer.
   /// @return the result, or an error with kPeerUnreachable or kPeerRefused
   boost::asio::awaitable<Outcome<nlohmann::json>> Call(Target aTarget,
@@ -70,6 +74,7 @@
 
   HttpClient& client_;
   Options options_;
+  std::string address_;
   JsonRpcServer server_;
   std::string noncePrefix_; // unlike that of any other process
   std::atomic<std::uint64_t> nextNonce_ = 0;
--- a/src/cli/gooseberrylift-configuration.cc
+++ b/src/cli/gooseberrylift-configuration.cc
@@ -246,12 +246,14 @@
 
   CLI::App* show = aApp.add_subcommand(
     "show", "Print the configuration in force; its generation goes to stderr");
+  show->footer("Example: gooseberrylift show --host 127.0.0.1:9001");
   auto showHost = AddHostOptions(show);
   show->callback(
     [showHost, aSink] { aSink([showHost] { return Show(*showHost); }); });
 
   CLI::App* history =
     aApp.add_subcommand("history", "List the accepted changes, oldest first");
+  history->footer("Example: gooseberrylift history --host 127.0.0.1:9001");
   auto historyHost = AddHostOptions(history);
   history->callback([historyHost, aSink] {
     aSink([historyHost] { return History(*historyHost); });
@@ -259,6 +261,7 @@
 
   CLI::App* diff =
     aApp.add_subcommand("diff", "Print what changed between two generations");
+  diff->footer("Example: gooseberrylift diff 6 7 --host 127.0.0.1:9001");
   auto diffHost = AddHostOptions(diff);
   auto range = std::make_shared<std::pair<std::uint64_t, std::uint64_t>>();
   diff->add_option("from", range->first, "a generation")->required();
--- a/src/clients/gooseberrylift-peer-rpc.cc
+++ b/src/clients/gooseberrylift-peer-rpc.cc
@@ -97,7 +97,8 @@
   // A message recorded on the network carries a good signature for ever. It is
   // of no use elsewhere, because it names its receiver, and none later,
   // because its number and time are checked.
-  if (params.value("to", "") != options_.host_) {
+  const std::string receiver = params.value("to", "");
+  if (receiver != options_.host_ && receiver != address_) {
     return json{ { "refused", "meant for another host" } }.dump();
   }
   {
--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -60,6 +60,8 @@
       "properties": {
         "address": { "type": "string" },
         "port": { "type": "integer", "minimum": 0, "maximum": 65535 },
+        "seeds": { "type": "array",
+                   "items": { "$ref": "#/definitions/endpoint" } },
         "keys": { "type": "array",
                   "items": { "type": "string", "minLength": 16 } }
       } },
@@ -151,6 +153,8 @@
   ReadCaller(section("caller"), settings);
   settings.admin_ = ReadListener(section("admin"), &settings.adminKeys_);
   settings.peer_ = ReadListener(section("peer"), &settings.peerKeys_);
+  settings.peerSeeds_ =
+    section("peer").value("seeds", std::vector<std::string>{});
   settings.storeAddresses_ = section("store").at("addresses");
   settings.hostListAddress_ = section("host_list").at("address");
   settings.hostListPoll_ =
--- a/src/runtime/gooseberrylift-peer-exchange.cc
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -83,6 +83,7 @@
             .region_ = settings.region_,
             .address_ = settings.peer_.address_ + ":" + std::to_string(aPort),
             .incarnation_ = IncarnationOfNow() };
+  rpc_.SetAddress(self_.address_);
   std::random_device device;
   table_ = std::make_unique<PeerTable>(
     PeerTable::Options{ .host_ = self_.host_,
@@ -118,6 +119,9 @@
     {
       const std::lock_guard lock(mutex_);
       peers = table_->PickPeers();
+      if (peers.empty()) {
+        peers = SeedPeers();
+      }
     }
     StartExchanges(peers);
     Publish();
@@ -168,6 +172,20 @@
   co_return true;
 }
 
+// A host that starts while the store is down can read no list of members; the
+// addresses in its settings then lead it to the others and, through them, to
+// the configuration in force.
+std::vector<PeerMember> PeerExchange::SeedPeers() const
+{
+  std::vector<PeerMember> seeds;
+  for (const std::string& address : parts_.settings_.peerSeeds_) {
+    if (address != self_.address_) {
+      seeds.push_back({ .host_ = address, .address_ = address });
+    }
+  }
+  return seeds;
+}
+
 void PeerExchange::StartExchanges(const std::vector<PeerMember>& aPeers)
 {
   for (const PeerMember& peer : aPeers) {
--- a/test/integration/gooseberrylift-configuration-test.cc
+++ b/test/integration/gooseberrylift-configuration-test.cc
@@ -185,6 +185,24 @@
   CHECK_TRUE(InForce({ &deployment.At(2) }, 2, kInForce));
 }
 
+// A host starts while the store is down from its first second. It finds the
+// others by the addresses in its settings and gets what is in force from them.
+TEST(ConfigurationTest, ReachesANewHostWhileTheStoreIsDown)
+{
+  Deployment deployment({ .hosts_ = 2 });
+  CHECK_TRUE(Apply(deployment.At(0), ConfigurationOf("blue"), 1).status_ ==
+             200);
+  deployment.Store().Control({ { "outage", true } });
+  const json started = json::parse(
+    deployment.At(0).Handle().WaitForLine("\"event\":1000", kLimit));
+  const std::string seed =
+    "127.0.0.1:" + std::to_string(started.value("peer_port", 0));
+  json settings = json::object();
+  settings["peer"] = { { "port", 0 }, { "seeds", json::array({ seed }) } };
+  Host& late = deployment.AddHost(settings);
+  CHECK_TRUE(InForce({ &late }, 2, kLimit));
+}
+
 // --wait must not say "everywhere" while a live host lags, and names it.
 TEST(ConfigurationTest, WaitNamesTheHostThatLags)
 {
