--- a/fakes/gooseberrylift-fake-engine.cc
+++ b/fakes/gooseberrylift-fake-engine.cc
@@ -135,11 +135,15 @@
       aBody.value("slowdown", batch_.MutableOptions().slowdown_);
   }
 
-  HttpResponse Refusal(int aStatus, const char* aReason) const
+  HttpResponse Refusal(const HttpRequest& aRequest,
+                       int aStatus,
+                       const char* aReason) const
   {
     const json body = { { "error", aReason } };
     HttpResponse response = JsonResponse(aStatus, body.dump());
     response.fields_.push_back({ "X-Not-Run", "true" });
+    response.fields_.push_back(
+      { "X-Request-Id", std::string(aRequest.Field("X-Request-Id")) });
     if (leaving_) {
       response.fields_.push_back({ "X-Endpoint-State", "leaving" });
     }
@@ -158,11 +162,13 @@
     const std::uint64_t tokens = CountTokens(prompt) + resume;
     const std::uint64_t need = CountTokens(prompt) + limit;
     if (leaving_) {
-      co_await aExchange.Send(Refusal(503, "leaving"));
+      ++refused_;
+      co_await aExchange.Send(Refusal(aExchange.Request(), 503, "leaving"));
       co_return;
     }
     if (!batch_.Fits(need)) {
-      co_await aExchange.Send(Refusal(507, "prompt exceeds KV memory"));
+      co_await aExchange.Send(
+        Refusal(aExchange.Request(), 507, "prompt exceeds KV memory"));
       co_return;
     }
     ++started_;
@@ -382,6 +388,7 @@
   {
     return { { "name", name_ },
              { "started", started_ },
+             { "refused", refused_ },
              { "finished", finished_ },
              { "cancels", cancels_ },
              { "kv_used", batch_.KvUsed() },
@@ -403,6 +410,7 @@
   bool running_ = false;
   std::uint64_t cutAfter_ = 0;
   std::uint64_t started_ = 0;
+  std::uint64_t refused_ = 0;
   std::uint64_t finished_ = 0;
   std::uint64_t cancels_ = 0;
   std::uint64_t fencing_ = 0;
--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -46,6 +46,9 @@
   kDeadlineExceeded = 63,
   kShuttingDown = 64,
   kNoConfiguration = 65,
+  kPromptTooLarge = 66,
+  kRetryBudgetSpent = 67,
+  kTeamLimit = 68,
   kStoreUnavailable = 90,
   kStoreConflict = 91,
   kStoreNotFound = 92,
@@ -65,6 +68,13 @@
   kEndpointRefused = 128,
   kEndpointCrossed = 129,
   kStreamCut = 130,
+  kAnswerEndUnknown = 131,
+  kOnceStoreUnavailable = 170,
+  kOnceKeyReused = 171,
+  kOncePending = 172,
+  kOnceUnknown = 173,
+  kOnceResultDropped = 174,
+  kOnceBucketFull = 175,
   kReportPartial = 210,
 };
 
--- a/src/cli/gooseberrylift-configuration.cc
+++ b/src/cli/gooseberrylift-configuration.cc
@@ -246,7 +246,7 @@
 
   CLI::App* show = aApp.add_subcommand(
     "show", "Print the configuration in force; its generation goes to stderr");
-  show->footer("Example: gooseberrylift show --host 127.0.0.1:9001");
+  show->footer("Example: gooseberrylift show --host 127.0.0.1:9001 > now.json");
   auto showHost = AddHostOptions(show);
   show->callback(
     [showHost, aSink] { aSink([showHost] { return Show(*showHost); }); });
--- a/src/cli/gooseberrylift-status.cc
+++ b/src/cli/gooseberrylift-status.cc
@@ -16,7 +16,10 @@
 
 namespace {
 
-const std::set<std::string> kShownApart = { "pools", "endpoints", "failures" };
+const std::set<std::string> kShownApart = { "pools",
+                                            "endpoints",
+                                            "failures",
+                                            "peers" };
 
 // A field as text, whatever its type; "-" when it is missing.
 std::string Cell(const json& aItem, const char* aName)
@@ -33,6 +36,29 @@
   return aItem.value(aName, false) ? "yes" : "no";
 }
 
+// Hosts that were not asked, as their peers last heard of them.
+void AddUnaskedPeers(const std::vector<json>& aHosts, TextTable& aTable)
+{
+  std::set<std::string> shown;
+  for (const json& host : aHosts) {
+    shown.insert(Cell(host, "host"));
+  }
+  for (const json& host : aHosts) {
+    const json peers = host.value("peers", json::array());
+    for (const json& peer : peers) {
+      if (shown.insert(Cell(peer, "host")).second) {
+        aTable.Add({ Cell(peer, "host"),
+                     Cell(peer, "zone"),
+                     peer.value("draining", false) ? "no" : "-",
+                     Cell(peer, "generation"),
+                     peer.value("store_reachable", false) ? "reached" : "lost",
+                     "-",
+                     "not asked; heard of by " + Cell(host, "host") });
+      }
+    }
+  }
+}
+
 std::string HostsText(const std::vector<json>& aHosts,
                       const std::vector<AdminAnswer>& aAnswers)
 {
@@ -41,6 +67,7 @@
                     { "READY" },
                     { "GENERATION", true },
                     { "STORE" },
+                    { "PEERS", true },
                     { "WHY NOT READY" } });
   for (const json& host : aHosts) {
     table.Add({ Cell(host, "host"),
@@ -48,13 +75,15 @@
                 YesNo(host, "ready"),
                 Cell(host, "generation"),
                 host.value("store_reachable", false) ? "reached" : "lost",
+                std::to_string(host.value("peers", json::array()).size()),
                 Cell(host, "why_not_ready") });
   }
   for (const AdminAnswer& answer : aAnswers) {
     if (!answer.IsGood()) {
-      table.Add({ answer.address_, "-", "no", "-", "-", answer.Fault() });
+      table.Add({ answer.address_, "-", "no", "-", "-", "-", answer.Fault() });
     }
   }
+  AddUnaskedPeers(aHosts, table);
   return "Hosts\n" + table.Text();
 }
 
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -191,6 +191,11 @@
                                       HttpCall& aCall,
                                       const std::string& aRequestId)
 {
+  // A body that only the close ends looks whole wherever it was cut.
+  if (!aCall.EndIsCertain()) {
+    co_return Error{ .code_ = ResultCode::kAnswerEndUnknown,
+                     .ran_ = RanState::kYes };
+  }
   HttpResponse head{ .status_ = aCall.Head().status_,
                      .fields_ = WithoutOwnFields(aCall.Head().fields_) };
   head.fields_.push_back({ "X-Request-Id", aRequestId });
@@ -275,6 +280,8 @@
   co_await asio::this_coro::reset_cancellation_state();
   if (aExchange.Reason() == AbortReason::kDeadline) {
     error.code_ = ResultCode::kDeadlineExceeded;
+  } else if (aExchange.Reason() == AbortReason::kCallerStalled) {
+    error.code_ = ResultCode::kCallerTooSlow;
   }
   co_await AnswerFailure(aExchange, request, std::move(error));
 }
@@ -413,6 +420,10 @@
     .repeatable_ = service->repeatableMethods_.contains(request.method_),
   };
   aExchange.SetDeadline(call.info_.deadline_);
+  const std::string key(request.Field("Idempotency-Key"));
+  if (!call.repeatable_ && !key.empty()) {
+    co_return co_await HandleOnce(aExchange, std::move(call), key);
+  }
   auto answer = co_await parts_.services_.Run(std::move(call));
   if (!answer) {
     co_return answer.error();
@@ -434,6 +445,30 @@
   }
 }
 
+asio::awaitable<Outcome<void>> CallerFront::HandleOnce(HttpExchange& aExchange,
+                                                       ServiceCall aCall,
+                                                       std::string aKey)
+{
+  constexpr std::size_t kMaxKeyBytes = 255;
+  if (aKey.size() > kMaxKeyBytes) {
+    co_return Error{ .code_ = ResultCode::kBadField,
+                     .text_ = "Idempotency-Key: at most 255 bytes" };
+  }
+  const std::string requestId = aCall.requestId_;
+  auto answer = co_await parts_.once_.Run(std::move(aCall), std::move(aKey));
+  if (!answer) {
+    co_return answer.error();
+  }
+  HttpResponse response = std::move(answer.value());
+  response.fields_ = WithoutOwnFields(response.fields_);
+  response.fields_.push_back({ "X-Request-Id", requestId });
+  const bool sent = co_await aExchange.Send(std::move(response));
+  if (!sent) {
+    co_return Error{ .code_ = ResultCode::kCallerLeft, .ran_ = RanState::kYes };
+  }
+  co_return boost::outcome_v2::success();
+}
+
 asio::awaitable<void> CallerFront::AnswerFailure(HttpExchange& aExchange,
                                                  const CallerRequest& aRequest,
                                                  Error aError)
@@ -448,7 +483,9 @@
         { "code", code },
         { "text", aError.text_ },
         { "ran", NameOf(aError.ran_) } });
-  if (aError.code_ == ResultCode::kCallerLeft) {
+  // Another write to a caller that does not read would wait in vain again. One
+  // that closed its sending half only still reads, and is told.
+  if (aExchange.Reason() == AbortReason::kCallerStalled) {
     co_return;
   }
   if (!aExchange.Started()) {
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <xxhash.h>
 
 #include "gooseberrylift/internal/gooseberrylift-log-routes.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
@@ -41,7 +42,11 @@
                      { .listAddress_ = settings_.hostListAddress_,
                        .listPoll_ = settings_.hostListPoll_,
                        .loadPoll_ = settings_.loadPoll_ })
-  , broker_(context_.get_executor(), board_)
+  , broker_(context_.get_executor(),
+            board_,
+            { .zone_ = settings_.zone_,
+              .seed_ = XXH3_64bits(settings_.hostName_.data(),
+                                   settings_.hostName_.size()) })
   , models_(client_,
             context_.get_executor(),
             broker_,
@@ -53,9 +58,18 @@
               endpointTracker_,
               metrics_,
               ServiceRunner::Options{})
+  , onceLedger_(store_,
+                context_.get_executor(),
+                { .committer_ = { .maxBatch_ = settings_.onceMaxBatch_ } })
+  , once_(services_,
+          onceLedger_,
+          context_.get_executor(),
+          metrics_,
+          OnceRunner::Options{})
   , callerFront_({ .board_ = board_,
                    .models_ = models_,
                    .services_ = services_,
+                   .once_ = once_,
                    .metrics_ = metrics_,
                    .burn_ = burn_ })
   , adminFront_({ .settings_ = settings_,
@@ -164,6 +178,12 @@
   const std::size_t cut = co_await callerServer_.Drain(
     settings_.drainLag_,
     TimerService::Now() + settings_.drainLag_ + settings_.drainLimit_);
+  // Outcomes of calls that may not be repeated are recorded after the answer;
+  // leaving earlier would turn them into "unknown".
+  const TimePoint limit = TimerService::Now() + settings_.drainLag_;
+  while (!once_.Idle() && TimerService::Now() < limit) {
+    co_await TimerService::SleepFor(std::chrono::milliseconds(10));
+  }
   Log(LogEvent::kDrainFinished, { { "cut", cut } });
 }
 
