Count calls to the store by kind and show what it costs at rest

Cause: the platform counts each call, and nothing told how many a host makes.

Change: RestStore tells of each call by kind, kept as gooseberrylift_store_calls_total.

--- a/include/gooseberrylift/internal/gooseberrylift-rest-store.h
+++ b/include/gooseberrylift/internal/gooseberrylift-rest-store.h
@@ -5,7 +5,9 @@
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_REST_STORE_H_
 
 #include <atomic>
+#include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
@@ -21,6 +23,8 @@
   struct Options
   {
     std::vector<std::string> addresses_; // IP:port, at least one
+    // Told of each call before it is sent: "read", "list", "write", "watch".
+    std::function<void(std::string_view aKind)> onCall_;
   };
 
   RestStore(HttpClient& aClient, Options aOptions);
@@ -48,6 +52,7 @@
   boost::asio::awaitable<Outcome<nlohmann::json>> Call(HttpRequest aRequest,
                                                        TimePoint aDeadline);
   const std::string& Address() const;
+  void Count(std::string_view aKind) const;
 
   HttpClient& client_;
   Options options_;
--- a/src/clients/gooseberrylift-rest-store.cc
+++ b/src/clients/gooseberrylift-rest-store.cc
@@ -87,6 +87,13 @@
   return options_.addresses_[current_ % options_.addresses_.size()];
 }
 
+void RestStore::Count(std::string_view aKind) const
+{
+  if (options_.onCall_) {
+    options_.onCall_(aKind);
+  }
+}
+
 asio::awaitable<Outcome<json>> RestStore::Call(HttpRequest aRequest,
                                                TimePoint aDeadline)
 {
@@ -110,6 +117,7 @@
                                                       std::string aName,
                                                       TimePoint aDeadline)
 {
+  Count("read");
   const auto body = co_await Call(MakeRequest(PathOf(aKind, aName)), aDeadline);
   if (!body) {
     co_return body.error();
@@ -120,6 +128,7 @@
 asio::awaitable<Outcome<StoreList>> RestStore::List(std::string aKind,
                                                     TimePoint aDeadline)
 {
+  Count("list");
   const auto body = co_await Call(MakeRequest(PathOf(aKind)), aDeadline);
   if (!body) {
     co_return body.error();
@@ -136,6 +145,7 @@
 asio::awaitable<Outcome<StoreObject>> RestStore::Create(StoreObject aObject,
                                                         TimePoint aDeadline)
 {
+  Count("write");
   const auto body = co_await Call(
     MakeRequest("POST", PathOf(aObject.kind_), BodyOf(aObject)), aDeadline);
   if (!body) {
@@ -147,6 +157,7 @@
 asio::awaitable<Outcome<StoreObject>> RestStore::Update(StoreObject aObject,
                                                         TimePoint aDeadline)
 {
+  Count("write");
   const auto body = co_await Call(
     MakeRequest("PUT", PathOf(aObject.kind_, aObject.name_), BodyOf(aObject)),
     aDeadline);
@@ -161,6 +172,7 @@
                                                  std::string aVersion,
                                                  TimePoint aDeadline)
 {
+  Count("write");
   const auto body = co_await Call(
     MakeRequest(
       "DELETE", PathOf(aKind, aName) + "?resourceVersion=" + aVersion, {}),
@@ -176,6 +188,7 @@
                                                 EventSink aSink,
                                                 TimePoint aDeadline)
 {
+  Count("watch");
   const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
     aDeadline - TimerService::Now());
   HttpRequest request =
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -23,7 +23,13 @@
   , context_(settings_.threads_)
   , burn_({ .settings_ = settings_, .board_ = board_, .metrics_ = metrics_ })
   , client_(context_.get_executor(), HttpClient::Options{})
-  , store_(client_, { .addresses_ = settings_.storeAddresses_ })
+  , store_(client_,
+           { .addresses_ = settings_.storeAddresses_,
+             .onCall_ =
+               [this](std::string_view aKind) {
+                 metrics_.Count("gooseberrylift_store_calls_total",
+                                "kind=\"" + std::string(aKind) + "\"");
+               } })
   , configFollower_(store_,
                     board_,
                     { .host_ = settings_.hostName_,
--- a/test/integration/gooseberrylift-peers-test.cc
+++ b/test/integration/gooseberrylift-peers-test.cc
@@ -3,6 +3,7 @@
 #include "harness.h"
 
 #include <csignal>
+#include <cstdio>
 
 #include "gooseberrylift/internal/gooseberrylift-json-rpc.h"
 
@@ -112,3 +113,30 @@
     MakeRequest("POST", "/rpc", MakeJsonRpcRequest("exchange", params.dump())));
   STRCMP_CONTAINS("refused", old.value().body_.c_str());
 }
+
+// The platform counts each call to the store. At rest, after all have joined,
+// nine hosts poll once a second each; beside that only watches and lists of
+// members are renewed, and nothing is written.
+TEST(PeersTest, CallTheStoreLittleWhenNothingChanges)
+{
+  constexpr int kHosts = 9;
+  constexpr int kSeconds = 10;
+  Deployment deployment({ .hosts_ = kHosts });
+  CHECK_TRUE(AllSee(deployment, kHosts - 1));
+  const json before = deployment.Store().Stats();
+  CHECK_FALSE(WaitUntil(std::chrono::seconds(kSeconds), [] { return false; }));
+  const json after = deployment.Store().Stats();
+  for (const char* kind : { "read", "list", "watch", "write" }) {
+    const double calls = after.value(kind, 0.0) - before.value(kind, 0.0);
+    std::printf("store calls a second and host at rest: %s %.2f\n",
+                kind,
+                calls / kHosts / kSeconds);
+  }
+  LONGS_EQUAL(before.value("write", 0), after.value("write", 0));
+  CHECK_TRUE(after.value("read", 0) - before.value("read", 0) <=
+             2 * kHosts * kSeconds);
+  const auto metrics =
+    Send(deployment.At(0).AdminPort(), MakeRequest("/metrics"));
+  STRCMP_CONTAINS("gooseberrylift_store_calls_total{kind=\"read\"}",
+                  metrics.value().body_.c_str());
+}
