--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -61,6 +61,11 @@
   kOnceUnknown = 173,
   kOnceResultDropped = 174,
   kOnceBucketFull = 175,
+  kJobStoreUnavailable = 180,
+  kJobUnknown = 181,
+  kJobTeamFull = 182,
+  kJobClaimsUsed = 183,
+  kJobExpired = 184,
 };
 
 // Whether any endpoint may have begun the work of a request. kNo is said only
--- a/include/gooseberrylift/gooseberrylift-settings.h
+++ b/include/gooseberrylift/gooseberrylift-settings.h
@@ -47,6 +47,7 @@
   std::chrono::milliseconds drainLag_{ 2000 };
   std::chrono::milliseconds drainLimit_{ 60'000 };
   std::size_t onceMaxBatch_ = 256; // calls in one write of the group commit
+  std::chrono::milliseconds jobLease_{ 15'000 };
   std::string logLevel_ = "info";
 
   /// Checks settings and fills in the defaults.
--- a/include/gooseberrylift/internal/gooseberrylift-caller-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-caller-front.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
+#include "gooseberrylift/internal/gooseberrylift-job-front.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-once-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
@@ -34,6 +35,7 @@
     ModelRunner& models_;
     ServiceRunner& services_;
     OnceRunner& once_;
+    JobFront& jobs_;
     Metrics& metrics_;
   };
 
@@ -56,6 +58,9 @@
   boost::asio::awaitable<Outcome<void>> HandleService(
     HttpExchange& aExchange,
     const CallerRequest& aRequest);
+  boost::asio::awaitable<Outcome<void>> HandleJobs(
+    HttpExchange& aExchange,
+    const CallerRequest& aRequest);
   boost::asio::awaitable<Outcome<void>> HandleOnce(HttpExchange& aExchange,
                                                    ServiceCall aCall,
                                                    std::string aKey);
--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -12,6 +12,8 @@
 #include "gooseberrylift/internal/gooseberrylift-config-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
+#include "gooseberrylift/internal/gooseberrylift-job-front.h"
+#include "gooseberrylift/internal/gooseberrylift-job-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-once-runner.h"
@@ -53,6 +55,8 @@
   ServiceRunner services_;
   OnceLedger onceLedger_;
   OnceRunner once_;
+  JobRunner jobs_;
+  JobFront jobFront_;
   CallerFront callerFront_;
   AdminFront adminFront_;
   HttpServer callerServer_;
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -37,6 +37,8 @@
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
+  kJobEnded = 1520,
+  kJobClaimLost = 1521,
 };
 
 // One row of the catalogue.
--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -90,6 +90,9 @@
       "properties": {
         "max_batch": { "type": "integer", "minimum": 1, "maximum": 4096 }
       } },
+    "jobs": {
+      "type": "object", "additionalProperties": false,
+      "properties": { "lease_ms": { "$ref": "#/definitions/ms" } } },
     "log": {
       "type": "object", "additionalProperties": false,
       "properties": {
@@ -167,6 +170,8 @@
     ReadTime(section("drain"), "limit_ms", settings.drainLimit_);
   settings.onceMaxBatch_ =
     section("once").value("max_batch", settings.onceMaxBatch_);
+  settings.jobLease_ =
+    ReadTime(section("jobs"), "lease_ms", settings.jobLease_);
   settings.logLevel_ = section("log").value("level", settings.logLevel_);
   return settings;
 }
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -214,6 +214,8 @@
   { "/v1/chat/completions", false, "POST", &CallerFront::HandleModel },
   { "/v1/completions", false, "POST", &CallerFront::HandleModel },
   { kServicesPrefix, true, "", &CallerFront::HandleService },
+  { kJobsPath, false, "", &CallerFront::HandleJobs },
+  { kJobsPrefix, true, "", &CallerFront::HandleJobs },
 };
 
 CallerFront::CallerFront(Parts aParts)
@@ -397,6 +399,14 @@
   co_return passed;
 }
 
+asio::awaitable<Outcome<void>> CallerFront::HandleJobs(
+  HttpExchange& aExchange,
+  const CallerRequest& aRequest)
+{
+  co_return co_await parts_.jobs_.Handle(
+    aExchange, aRequest.configuration_, aRequest.team_->name_);
+}
+
 asio::awaitable<Outcome<void>> CallerFront::HandleOnce(HttpExchange& aExchange,
                                                        ServiceCall aCall,
                                                        std::string aKey)
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -47,10 +47,17 @@
           context_.get_executor(),
           metrics_,
           OnceRunner::Options{})
+  , jobs_(store_,
+          models_,
+          board_,
+          context_.get_executor(),
+          { .lease_ = settings_.jobLease_ })
+  , jobFront_(store_, jobs_, JobFront::Options{})
   , callerFront_({ .board_ = board_,
                    .models_ = models_,
                    .services_ = services_,
                    .once_ = once_,
+                   .jobs_ = jobFront_,
                    .metrics_ = metrics_ })
   , adminFront_({ .settings_ = settings_,
                   .board_ = board_,
@@ -115,6 +122,7 @@
 {
   asio::co_spawn(context_, configFollower_.Run(), asio::detached);
   asio::co_spawn(context_, endpointTracker_.Run(), asio::detached);
+  jobs_.Start();
 }
 
 asio::awaitable<void> EntryHost::WaitForStop()
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -64,6 +64,14 @@
                 LogLevel::kInfo,
                 "attempt-failed",
                 "An endpoint failed a request, which may be tried again." },
+  LogEventInfo{ kJobEnded,
+                LogLevel::kInfo,
+                "job-ended",
+                "A job ended; 'code' is 0 when it has a result." },
+  LogEventInfo{ kJobClaimLost,
+                LogLevel::kWarning,
+                "job-claim-lost",
+                "Another host took the job over, or its caller removed it." },
 };
 
 std::atomic<LogLevel> sLowest = LogLevel::kInfo;
--- /dev/null
+++ b/test/integration/gooseberrylift-job-test.cc
@@ -0,0 +1,230 @@
+// Jobs on real processes: work that may wait is never lost.
+
+#include "harness.h"
+
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <thread>
+
+#include "../../fakes/gooseberrylift-fake-tokens.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr seconds kPatience{ 120 };
+constexpr int kTokens = 20;
+
+HttpRequest JobRequestOf(const std::string& aPrompt,
+                         const std::string& aKey = {})
+{
+  const json message = { { "role", "user" }, { "content", aPrompt } };
+  const json body = { { "url", "/v1/chat/completions" },
+                      { "body",
+                        { { "model", "m" },
+                          { "max_tokens", kTokens },
+                          { "messages", json::array({ message }) } } } };
+  HttpRequest request = MakeRequest("POST", "/v1/jobs", body.dump());
+  request.fields_.push_back({ "Authorization", "Bearer team-one-key" });
+  if (!aKey.empty()) {
+    request.fields_.push_back({ "Idempotency-Key", aKey });
+  }
+  return request;
+}
+
+HttpRequest OnJob(const std::string& aMethod,
+                  const std::string& aId,
+                  const std::string& aTeamKey = "team-one-key")
+{
+  HttpRequest request = MakeRequest("/v1/jobs/" + aId);
+  request.method_ = aMethod;
+  request.fields_.push_back({ "Authorization", "Bearer " + aTeamKey });
+  return request;
+}
+
+json BodyOf(const Outcome<HttpResponse>& aResponse)
+{
+  return aResponse ? json::parse(aResponse.value().body_, nullptr, false)
+                   : json::object();
+}
+
+// Adds a job. @return its identifier; empty when it was not acknowledged
+std::string AddJob(std::uint16_t aPort,
+                   const std::string& aPrompt,
+                   const std::string& aKey = {})
+{
+  const auto response = Send(aPort, JobRequestOf(aPrompt, aKey));
+  return response && response.value().status_ == 202
+           ? BodyOf(response).value("id", "")
+           : "";
+}
+
+// Waits until a job has ended. @return its view; null when it did not end
+json WaitForEnd(std::uint16_t aPort, const std::string& aId)
+{
+  json view;
+  const bool ended = WaitUntil(kPatience, [&] {
+    view = BodyOf(Send(aPort, OnJob("GET", aId)));
+    const std::string state = view.value("state", "");
+    std::this_thread::sleep_for(milliseconds(20));
+    return state == "done" || state == "failed";
+  });
+  return ended ? view : json();
+}
+
+std::string TextOf(const json& aView)
+{
+  return aView.value("/result/choices/0/message/content"_json_pointer, "");
+}
+
+json ShortLease()
+{
+  return { { "jobs", { { "lease_ms", 1500 } } } };
+}
+
+} // namespace
+
+TEST_GROUP(JobCallTest){
+  void CheckDone(const json& aView, const std::string& aPrompt){
+    STRCMP_EQUAL("done", aView.value("state", "").c_str());
+STRCMP_EQUAL(fakes::ReferenceAnswer(aPrompt, kTokens).c_str(),
+             TextOf(aView).c_str());
+}
+}
+;
+
+TEST(JobCallTest, RunsAJobAndShowsItsResultAtEveryHost)
+{
+  Deployment deployment({ .hosts_ = 2 });
+  const std::string id = AddJob(deployment.At(0).Port(), "a season review");
+  CHECK_FALSE(id.empty());
+  CheckDone(WaitForEnd(deployment.At(1).Port(), id), "a season review");
+  LONGS_EQUAL(
+    static_cast<int>(ResultCode::kJobUnknown),
+    CodeOf(
+      Send(deployment.At(0).Port(), OnJob("GET", id, "team-two-key")).value()));
+  LONGS_EQUAL(
+    200, Send(deployment.At(0).Port(), OnJob("DELETE", id)).value().status_);
+  LONGS_EQUAL(static_cast<int>(ResultCode::kJobUnknown),
+              CodeOf(Send(deployment.At(1).Port(), OnJob("GET", id)).value()));
+}
+
+// The answer to the first try is lost, so the caller sends again, through
+// another host. There must be one job, not two.
+TEST(JobCallTest, MakesOneJobOfRepeatedTriesWithAKey)
+{
+  Deployment deployment({ .hosts_ = 2 });
+  deployment.Store().Control({ { "lose_answers", 1 } });
+  const std::string first = AddJob(deployment.At(0).Port(), "review", "key");
+  CHECK_FALSE(first.empty());
+  STRCMP_EQUAL(first.c_str(),
+               AddJob(deployment.At(1).Port(), "review", "key").c_str());
+  const auto other =
+    Send(deployment.At(0).Port(), JobRequestOf("other", "key"));
+  LONGS_EQUAL(static_cast<int>(ResultCode::kOnceKeyReused),
+              CodeOf(other.value()));
+}
+
+TEST(JobCallTest, DoesNotAcknowledgeAJobThatItCouldNotStore)
+{
+  Deployment deployment({});
+  deployment.Store().Control({ { "outage", true } });
+  const auto refused = Send(deployment.At(0).Port(), JobRequestOf("review"));
+  LONGS_EQUAL(static_cast<int>(ResultCode::kJobStoreUnavailable),
+              CodeOf(refused.value()));
+}
+
+// A million tokens that hardly compress need several objects of the store,
+// which takes at most 1 MB in each.
+TEST(JobCallTest, StoresAMillionTokensInChunks)
+{
+  Deployment deployment({ .engine_ = { { "kv_tokens", 4'000'000 },
+                                       { "prefill_linear_us", 0.1 } } });
+  std::mt19937 random(1);
+  std::string prompt(4'000'000, ' ');
+  for (char& letter : prompt) {
+    letter = static_cast<char>(' ' + 1 + random() % 90);
+  }
+  const std::string id = AddJob(deployment.At(0).Port(), prompt);
+  CHECK_FALSE(id.empty());
+  CheckDone(WaitForEnd(deployment.At(0).Port(), id), prompt);
+}
+
+TEST(JobCallTest, WritesThreeTimesForAShortJob)
+{
+  Deployment deployment({});
+  const int before = deployment.Store().Stats().value("write", 0);
+  std::vector<std::string> ids;
+  for (int job = 0; job < 20; ++job) {
+    ids.push_back(
+      AddJob(deployment.At(0).Port(), "review " + std::to_string(job)));
+  }
+  for (const std::string& id : ids) {
+    STRCMP_EQUAL(
+      "done",
+      WaitForEnd(deployment.At(0).Port(), id).value("state", "").c_str());
+  }
+  LONGS_EQUAL(60, deployment.Store().Stats().value("write", 0) - before);
+}
+
+// A job's content crashes every engine that reads it. The job must end failed
+// with the reason, not wait for ever or take all engines with it.
+TEST(JobCallTest, EndsAPoisonJobFailedWithItsReason)
+{
+  Deployment deployment({ .engines_ = 9,
+                          .engine_ = { { "crash_on", "poison" } },
+                          .host_ = ShortLease() });
+  const std::string id = AddJob(deployment.At(0).Port(), "a poison pill");
+  const json view = WaitForEnd(deployment.At(0).Port(), id);
+  STRCMP_EQUAL("failed", view.value("state", "").c_str());
+  CHECK_TRUE(view.value("/error/code"_json_pointer, 0) != 0);
+  CHECK_FALSE(view.value("/error/message"_json_pointer, "").empty());
+  const std::string good = AddJob(deployment.At(0).Port(), "a good one");
+  CheckDone(WaitForEnd(deployment.At(0).Port(), good), "a good one");
+}
+
+// 200 jobs run on three hosts. Each host is killed in turn and replaced, the
+// store is down for a while, then all hosts are killed at once. Every job that
+// was acknowledged ends with its one right result.
+TEST(JobCallTest, EndsEveryJobWhenHostsDieAndTheStoreIsDown)
+{
+  constexpr int kJobs = 200;
+  Deployment deployment({ .hosts_ = 3,
+                          .engines_ = 2,
+                          .engine_ = { { "decode_us", 20'000 } },
+                          .host_ = ShortLease() });
+  std::map<std::string, std::string> prompts; // by job
+  for (int job = 0; job < kJobs; ++job) {
+    const std::string prompt = "review " + std::to_string(job);
+    const std::string id = AddJob(deployment.At(job % 3).Port(), prompt);
+    CHECK_FALSE(id.empty());
+    prompts[id] = prompt;
+  }
+  for (std::size_t host = 0; host < 3; ++host) {
+    deployment.At(host).Handle().Signal(SIGKILL);
+    deployment.AddHost().WaitReady();
+    deployment.Store().Control({ { "outage", true } });
+    std::this_thread::sleep_for(milliseconds(700));
+    deployment.Store().Control({ { "outage", false } });
+  }
+  for (std::size_t host = 3; host < 6; ++host) {
+    deployment.At(host).Handle().Signal(SIGKILL);
+  }
+  Host& last = deployment.AddHost();
+  CHECK_TRUE(last.WaitReady());
+  deployment.AddHost();
+  int claims = 0;
+  for (const auto& [id, prompt] : prompts) {
+    const json view = WaitForEnd(last.Port(), id);
+    CheckDone(view, prompt);
+    claims += view.value("claims", 0);
+  }
+  CHECK_TRUE(claims > kJobs); // some were taken over
+  std::cout << "jobs " << kJobs << ", claims " << claims << std::endl;
+}
--- a/test/integration/gooseberrylift-once-fault-test.cc
+++ b/test/integration/gooseberrylift-once-fault-test.cc
@@ -56,6 +56,7 @@
   void Run()
   {
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([this, caller] { Call(caller); });
     }
@@ -75,6 +76,7 @@
     std::atomic<std::uint64_t> next = 0;
     const std::uint64_t keys = (calls_ + kSharers - 1) / kSharers;
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&] {
         for (std::uint64_t key = next++; key < keys; key = next++) {
@@ -298,6 +300,7 @@
   std::mutex mutex;
   std::vector<Seen> seen;
   std::vector<std::thread> callers;
+  callers.reserve(6);
   for (int caller = 0; caller < 6; ++caller) {
     callers.emplace_back([&] {
       for (int key = next++; key < 300; key = next++) {
--- a/test/integration/gooseberrylift-once-figures-test.cc
+++ b/test/integration/gooseberrylift-once-figures-test.cc
@@ -49,6 +49,7 @@
   std::mutex mutex;
   std::vector<double> times;
   std::vector<std::thread> callers;
+  callers.reserve(aInFlight);
   for (int caller = 0; caller < aInFlight; ++caller) {
     callers.emplace_back([&] {
       for (int call = next++; call < kCalls; call = next++) {
