--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -25,6 +25,8 @@
   kSettingsUnreadable = 10,
   kSettingsInvalid = 11,
   kListenFailed = 12,
+  kHostsSilent = 13,
+  kAdminRefused = 14,
   kMalformedHttp = 30,
   kMalformedJson = 31,
   kBodyTooLarge = 32,
@@ -50,6 +52,14 @@
   kStoreGone = 93,
   kConfigurationInvalid = 94,
   kConfigurationUnreadable = 95,
+  kConfigurationConflict = 96,
+  kConfigurationLagging = 97,
+  kConfigurationBaseMissing = 98,
+  kWriteUnsettled = 99,
+  kPeerUnreachable = 100,
+  kPeerRefused = 101,
+  kStoreBudget = 102,
+  kHostUnreachable = 103,
   kEndpointUnreachable = 126,
   kEndpointBroken = 127,
   kEndpointRefused = 128,
@@ -66,6 +76,7 @@
   kJobTeamFull = 182,
   kJobClaimsUsed = 183,
   kJobExpired = 184,
+  kReportPartial = 210,
 };
 
 // Whether any endpoint may have begun the work of a request. kNo is said only
--- a/include/gooseberrylift/internal/gooseberrylift-caller-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-caller-front.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-burn-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
 #include "gooseberrylift/internal/gooseberrylift-job-front.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
@@ -15,6 +16,13 @@
 
 namespace gooseberrylift {
 
+// What the burn report is to know of a request; filled on its way.
+struct BurnNote
+{
+  const ServiceConfig* service_ = nullptr; // null until it is known
+  BurnSample sample_;
+};
+
 // What the handlers of one request share.
 struct CallerRequest
 {
@@ -22,6 +30,7 @@
   TimePoint arrived_;
   Configuration::Ptr configuration_;
   const TeamConfig* team_ = nullptr;
+  BurnNote* burn_ = nullptr; // lives as long as the request
 };
 
 // Answers every request exactly once: whole, as a stream, or with a numbered
@@ -37,6 +46,7 @@
     OnceRunner& once_;
     JobFront& jobs_;
     Metrics& metrics_;
+    BurnRecorder& burn_;
   };
 
   explicit CallerFront(Parts aParts);
@@ -64,6 +74,7 @@
   boost::asio::awaitable<Outcome<void>> HandleOnce(HttpExchange& aExchange,
                                                    ServiceCall aCall,
                                                    std::string aKey);
+  void RecordBurn(const CallerRequest& aRequest, ResultCode aCode);
   boost::asio::awaitable<void> AnswerFailure(HttpExchange& aExchange,
                                              const CallerRequest& aRequest,
                                              Error aError);
--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -8,6 +8,7 @@
 #include "gooseberrylift/gooseberrylift-settings.h"
 #include "gooseberrylift/internal/gooseberrylift-admin-front.h"
 #include "gooseberrylift/internal/gooseberrylift-blackboard.h"
+#include "gooseberrylift/internal/gooseberrylift-burn-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-caller-front.h"
 #include "gooseberrylift/internal/gooseberrylift-config-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
@@ -17,6 +18,7 @@
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-once-runner.h"
+#include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-pool-broker.h"
 #include "gooseberrylift/internal/gooseberrylift-rest-store.h"
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
@@ -39,6 +41,7 @@
 private:
   Outcome<void> Listen();
   void StartControllers();
+  void AddRoutes();
   boost::asio::awaitable<void> WaitForStop();
   boost::asio::awaitable<void> Drain();
 
@@ -46,9 +49,11 @@
   boost::asio::io_context context_;
   Blackboard board_;
   Metrics metrics_;
+  BurnRecorder burn_;
   HttpClient client_;
   RestStore store_;
   ConfigFollower configFollower_;
+  PeerExchange peers_;
   EndpointTracker endpointTracker_;
   PoolBroker broker_;
   ModelRunner models_;
@@ -61,6 +66,7 @@
   AdminFront adminFront_;
   HttpServer callerServer_;
   HttpServer adminServer_;
+  HttpServer peerServer_;
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/internal/gooseberrylift-metrics.h
+++ b/include/gooseberrylift/internal/gooseberrylift-metrics.h
@@ -6,10 +6,13 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include "gooseberrylift/gooseberrylift-first-token-histogram.h"
+
 namespace gooseberrylift {
 
 // State is split into shards by thread, each under its own lock, and merged
@@ -36,6 +39,12 @@
   /// code="63"; may be empty
   void Count(std::string_view aName, std::string_view aLabel = {});
 
+  /// Gives a counter's values by label.
+  std::map<std::string, std::uint64_t> Counts(const std::string& aName) const;
+
+  /// Gives the times to first token since the start, of all shards.
+  FirstTokenHistogram FirstTokens() const;
+
   /// Gives all metrics in Prometheus text.
   std::string Text() const;
 
--- a/src/front/gooseberrylift-admin-front.cc
+++ b/src/front/gooseberrylift-admin-front.cc
@@ -40,6 +40,33 @@
            { "kv_total", aView.load_.kvTokensTotal_ } };
 }
 
+json StatusOf(const Digest& aDigest)
+{
+  return { { "host", aDigest.host_ },
+           { "zone", aDigest.zone_ },
+           { "generation", aDigest.generation_ },
+           { "store_reachable", aDigest.storeReachable_ },
+           { "draining", aDigest.draining_ } };
+}
+
+// Says why requests failed since the start, as counted for /metrics.
+json FailuresOf(const Metrics& aMetrics)
+{
+  const auto counts = aMetrics.Counts("gooseberrylift_requests_total");
+  json failures = json::array();
+  for (const ResultInfo& info : AllResults()) {
+    const auto found = counts.find(
+      "code=\"" + std::to_string(static_cast<int>(info.code_)) + "\"");
+    if (found != counts.end() && info.code_ != ResultCode::kOk) {
+      failures.push_back({ { "code", static_cast<int>(info.code_) },
+                           { "name", info.name_ },
+                           { "meaning", info.meaning_ },
+                           { "count", found->second } });
+    }
+  }
+  return failures;
+}
+
 } // namespace
 
 AdminFront::AdminFront(Parts aParts)
@@ -150,6 +177,10 @@
     pools[name] = { { "waiting", load.waiting_ },
                     { "running", load.running_ } };
   }
+  json peers = json::array();
+  for (const Digest& digest : parts_.board_.peers_.Read()->digests_) {
+    peers.push_back(StatusOf(digest));
+  }
   const json status = {
     { "host", parts_.settings_.hostName_ },
     { "zone", parts_.settings_.zone_ },
@@ -157,6 +188,8 @@
     { "why_not_ready", WhyNotReady() },
     { "generation", configuration ? configuration->Generation() : 0 },
     { "store_reachable", parts_.board_.store_.Read()->reachable_ },
+    { "peers", peers },
+    { "failures", FailuresOf(parts_.metrics_) },
     { "pools", pools },
     { "endpoints", endpoints },
   };
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -1,7 +1,6 @@
 #include "gooseberrylift/internal/gooseberrylift-caller-front.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <random>
 
@@ -9,6 +8,7 @@
 #include <boost/system/system_error.hpp>
 #include <xxhash.h>
 
+#include "gooseberrylift/internal/gooseberrylift-forward-fields.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-model-request.h"
 
@@ -57,54 +57,46 @@
   return milliseconds(value);
 }
 
-// Header fields that concern one connection, or that this host sets itself.
-bool IsOwnField(std::string_view aName)
+HttpResponse EventStreamHead(const std::string& aRequestId)
 {
-  constexpr std::array<std::string_view, 14> kOwn = {
-    "connection", "keep-alive",        "transfer-encoding", "te",
-    "trailer",    "upgrade",           "proxy-connection",  "host",
-    "expect",     "content-length",    "authorization",     "x-request-id",
-    "x-team",     "proxy-authenticate"
-  };
-  std::string lower(aName);
-  std::transform(lower.begin(),
-                 lower.end(),
-                 lower.begin(),
-                 [](unsigned char aLetter) { return std::tolower(aLetter); });
-  return std::find(kOwn.begin(), kOwn.end(), lower) != kOwn.end();
+  return { .status_ = 200,
+           .fields_ = { { "Content-Type", "text/event-stream" },
+                        { "Cache-Control", "no-store" },
+                        { "X-Request-Id", aRequestId } } };
 }
 
-HttpFields WithoutOwnFields(const HttpFields& aFields)
+void NoteService(const CallerRequest& aRequest,
+                 const ServiceConfig& aService,
+                 std::uint64_t aPromptTokens)
 {
-  HttpFields kept;
-  std::copy_if(
-    aFields.begin(),
-    aFields.end(),
-    std::back_inserter(kept),
-    [](const HttpField& aField) { return !IsOwnField(aField.name_); });
-  return kept;
+  *aRequest.burn_ = { .service_ = &aService,
+                      .sample_ = { .team_ = aRequest.team_->name_,
+                                   .service_ = aService.name_,
+                                   .promptTokens_ = aPromptTokens } };
 }
 
-HttpResponse EventStreamHead(const std::string& aRequestId)
+void NoteFirstToken(const CallerRequest& aRequest)
 {
-  return { .status_ = 200,
-           .fields_ = { { "Content-Type", "text/event-stream" },
-                        { "Cache-Control", "no-store" },
-                        { "X-Request-Id", aRequestId } } };
+  auto& firstToken = aRequest.burn_->sample_.firstToken_;
+  if (!firstToken) {
+    firstToken = std::chrono::duration_cast<std::chrono::microseconds>(
+      TimerService::Now() - aRequest.arrived_);
+  }
 }
 
 // Passes each event on as it comes.
 class StreamSink : public TokenSink
 {
 public:
-  explicit StreamSink(HttpExchange& aExchange, const std::string& aRequestId)
+  StreamSink(HttpExchange& aExchange, const CallerRequest& aRequest)
     : exchange_(aExchange)
-    , requestId_(aRequestId)
+    , request_(aRequest)
   {
   }
 
   asio::awaitable<bool> OnToken(const TokenEvent& aToken) override
   {
+    NoteFirstToken(request_);
     const bool open = co_await Open();
     if (!open) {
       co_return false;
@@ -133,19 +125,25 @@
     if (exchange_.Started()) {
       co_return true;
     }
-    co_return co_await exchange_.StartStream(EventStreamHead(requestId_));
+    co_return co_await exchange_.StartStream(EventStreamHead(request_.id_));
   }
 
   HttpExchange& exchange_;
-  const std::string& requestId_;
+  const CallerRequest& request_;
 };
 
 // Gathers the whole answer.
 class CollectSink : public TokenSink
 {
 public:
+  explicit CollectSink(const CallerRequest& aRequest)
+    : request_(aRequest)
+  {
+  }
+
   asio::awaitable<bool> OnToken(const TokenEvent& aToken) override
   {
+    NoteFirstToken(request_);
     text_ += aToken.text_;
     finishReason_ = aToken.finishReason_;
     co_return true;
@@ -153,6 +151,9 @@
 
   std::string text_;
   std::string finishReason_;
+
+private:
+  const CallerRequest& request_;
 };
 
 // Sends an endpoint's answer on: whole while it is small, piece by piece when
@@ -225,16 +226,18 @@
 
 asio::awaitable<void> CallerFront::Handle(HttpExchange& aExchange)
 {
-  CallerRequest request{
-    .id_ = MakeRequestId(),
-    .arrived_ = TimerService::Now(),
-    .configuration_ = parts_.board_.configuration_.Read()->configuration_
-  };
+  BurnNote burn;
+  CallerRequest request{ .id_ = MakeRequestId(),
+                         .arrived_ = TimerService::Now(),
+                         .configuration_ =
+                           parts_.board_.configuration_.Read()->configuration_,
+                         .burn_ = &burn };
   Error error;
   try {
     const auto done = co_await Dispatch(aExchange, request);
     if (done) {
       parts_.metrics_.Count("gooseberrylift_requests_total", "code=\"0\"");
+      RecordBurn(request, ResultCode::kOk);
       co_return;
     }
     error = done.error();
@@ -303,6 +306,7 @@
   if (!deadline) {
     co_return deadline.error();
   }
+  NoteService(aRequest, *service, model.promptTokens_);
   Generation generation{
     .requestId_ = aRequest.id_,
     .pool_ = service->pool_,
@@ -320,7 +324,7 @@
   aExchange.MutableRequest().body_ = {}; // held once, as JSON, from here on
   aExchange.SetDeadline(generation.info_.deadline_);
   if (model.stream_) {
-    StreamSink sink(aExchange, aRequest.id_);
+    StreamSink sink(aExchange, aRequest);
     const auto done = co_await parts_.models_.Run(std::move(generation), sink);
     if (!done) {
       co_return done.error();
@@ -328,7 +332,7 @@
     co_await sink.Finish();
     co_return boost::outcome_v2::success();
   }
-  CollectSink sink;
+  CollectSink sink(aRequest);
   const auto done = co_await parts_.models_.Run(std::move(generation), sink);
   if (!done) {
     co_return done.error();
@@ -368,6 +372,7 @@
   HttpFields fields = WithoutOwnFields(request.fields_);
   fields.push_back({ "X-Request-Id", aRequest.id_ });
   fields.push_back({ "X-Team", aRequest.team_->name_ });
+  NoteService(aRequest, *service, 0);
   ServiceCall call{
     .requestId_ = aRequest.id_,
     .pool_ = service->pool_,
@@ -399,36 +404,12 @@
   co_return passed;
 }
 
-asio::awaitable<Outcome<void>> CallerFront::HandleJobs(
-  HttpExchange& aExchange,
-  const CallerRequest& aRequest)
-{
-  co_return co_await parts_.jobs_.Handle(
-    aExchange, aRequest.configuration_, aRequest.team_->name_);
-}
-
-asio::awaitable<Outcome<void>> CallerFront::HandleOnce(HttpExchange& aExchange,
-                                                       ServiceCall aCall,
-                                                       std::string aKey)
+void CallerFront::RecordBurn(const CallerRequest& aRequest, ResultCode aCode)
 {
-  constexpr std::size_t kMaxKeyBytes = 255;
-  if (aKey.size() > kMaxKeyBytes) {
-    co_return Error{ .code_ = ResultCode::kBadField,
-                     .text_ = "Idempotency-Key: at most 255 bytes" };
+  if (aRequest.burn_->service_ != nullptr) {
+    parts_.burn_.Record(
+      *aRequest.burn_->service_, aRequest.burn_->sample_, aCode);
   }
-  const std::string requestId = aCall.requestId_;
-  auto answer = co_await parts_.once_.Run(std::move(aCall), std::move(aKey));
-  if (!answer) {
-    co_return answer.error();
-  }
-  HttpResponse response = std::move(answer.value());
-  response.fields_ = WithoutOwnFields(response.fields_);
-  response.fields_.push_back({ "X-Request-Id", requestId });
-  const bool sent = co_await aExchange.Send(std::move(response));
-  if (!sent) {
-    co_return Error{ .code_ = ResultCode::kCallerLeft, .ran_ = RanState::kYes };
-  }
-  co_return boost::outcome_v2::success();
 }
 
 asio::awaitable<void> CallerFront::AnswerFailure(HttpExchange& aExchange,
@@ -436,6 +417,7 @@
                                                  Error aError)
 {
   const int code = static_cast<int>(aError.code_);
+  RecordBurn(aRequest, aError.code_);
   parts_.metrics_.Count("gooseberrylift_requests_total",
                         "code=\"" + std::to_string(code) + "\"");
   Log(LogEvent::kRequestFailed,
--- /dev/null
+++ b/src/front/gooseberrylift-caller-kept.cc
@@ -0,0 +1,42 @@
+// The requests of CallerFront whose outcome is kept in the store.
+
+#include "gooseberrylift/internal/gooseberrylift-caller-front.h"
+#include "gooseberrylift/internal/gooseberrylift-forward-fields.h"
+
+namespace gooseberrylift {
+
+namespace asio = boost::asio;
+
+asio::awaitable<Outcome<void>> CallerFront::HandleJobs(
+  HttpExchange& aExchange,
+  const CallerRequest& aRequest)
+{
+  co_return co_await parts_.jobs_.Handle(
+    aExchange, aRequest.configuration_, aRequest.team_->name_);
+}
+
+asio::awaitable<Outcome<void>> CallerFront::HandleOnce(HttpExchange& aExchange,
+                                                       ServiceCall aCall,
+                                                       std::string aKey)
+{
+  constexpr std::size_t kMaxKeyBytes = 255;
+  if (aKey.size() > kMaxKeyBytes) {
+    co_return Error{ .code_ = ResultCode::kBadField,
+                     .text_ = "Idempotency-Key: at most 255 bytes" };
+  }
+  const std::string requestId = aCall.requestId_;
+  auto answer = co_await parts_.once_.Run(std::move(aCall), std::move(aKey));
+  if (!answer) {
+    co_return answer.error();
+  }
+  HttpResponse response = std::move(answer.value());
+  response.fields_ = WithoutOwnFields(response.fields_);
+  response.fields_.push_back({ "X-Request-Id", requestId });
+  const bool sent = co_await aExchange.Send(std::move(response));
+  if (!sent) {
+    co_return Error{ .code_ = ResultCode::kCallerLeft, .ran_ = RanState::kYes };
+  }
+  co_return boost::outcome_v2::success();
+}
+
+} // namespace gooseberrylift
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-log-routes.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 
 namespace gooseberrylift {
@@ -18,9 +19,17 @@
 EntryHost::EntryHost(Settings aSettings)
   : settings_(std::move(aSettings))
   , context_(settings_.threads_)
+  , burn_({ .settings_ = settings_, .board_ = board_, .metrics_ = metrics_ })
   , client_(context_.get_executor(), HttpClient::Options{})
   , store_(client_, { .addresses_ = settings_.storeAddresses_ })
   , configFollower_(store_, board_, ConfigFollower::Options{})
+  , peers_({ .settings_ = settings_,
+             .board_ = board_,
+             .store_ = store_,
+             .follower_ = configFollower_,
+             .client_ = client_,
+             .executor_ = context_.get_executor() },
+           PeerExchange::Options{})
   , endpointTracker_(client_,
                      context_.get_executor(),
                      board_,
@@ -58,7 +67,8 @@
                    .services_ = services_,
                    .once_ = once_,
                    .jobs_ = jobFront_,
-                   .metrics_ = metrics_ })
+                   .metrics_ = metrics_,
+                   .burn_ = burn_ })
   , adminFront_({ .settings_ = settings_,
                   .board_ = board_,
                   .broker_ = broker_,
@@ -79,7 +89,23 @@
       { .address_ = settings_.admin_.address_,
         .port_ = settings_.admin_.port_ },
       [this](HttpExchange& aExchange) { return adminFront_.Handle(aExchange); })
+  , peerServer_(
+      context_.get_executor(),
+      { .address_ = settings_.peer_.address_, .port_ = settings_.peer_.port_ },
+      [this](HttpExchange& aExchange) { return peers_.Handle(aExchange); })
 {
+  AddRoutes();
+}
+
+void EntryHost::AddRoutes()
+{
+  burn_.AddRoutes(adminFront_);
+  AddLogRoutes(adminFront_);
+  adminFront_.Add(
+    "POST", "/drain", [](HttpExchange& aExchange) -> asio::awaitable<void> {
+      co_await aExchange.Send(TextResponse(202, "draining\n"));
+      std::raise(SIGTERM);
+    });
 }
 
 Outcome<void> EntryHost::Run()
@@ -111,9 +137,15 @@
   if (!adminPort) {
     return adminPort.error();
   }
+  const auto peerPort = peerServer_.Listen();
+  if (!peerPort) {
+    return peerPort.error();
+  }
+  peers_.Start(peerPort.value());
   Log(LogEvent::kStarted,
       { { "caller_port", callerPort.value() },
         { "admin_port", adminPort.value() },
+        { "peer_port", peerPort.value() },
         { "zone", settings_.zone_ } });
   return boost::outcome_v2::success();
 }
--- a/test/integration/gooseberrylift-job-test.cc
+++ b/test/integration/gooseberrylift-job-test.cc
@@ -161,6 +161,7 @@
   Deployment deployment({});
   const int before = deployment.Store().Stats().value("write", 0);
   std::vector<std::string> ids;
+  ids.reserve(20);
   for (int job = 0; job < 20; ++job) {
     ids.push_back(
       AddJob(deployment.At(0).Port(), "review " + std::to_string(job)));
--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -60,7 +60,9 @@
     impl_->child_.terminate(ignored);
   }
   impl_->child_.wait(ignored);
-  impl_->reader_.join();
+  if (impl_->reader_.joinable()) {
+    impl_->reader_.join();
+  }
 }
 
 std::string Process::WaitForLine(const std::string& aText, milliseconds aLimit)
@@ -89,6 +91,9 @@
   std::error_code ignored;
   const bool ended =
     WaitUntil(aLimit, [&] { return !impl_->child_.running(ignored); });
+  if (ended && impl_->reader_.joinable()) {
+    impl_->reader_.join(); // so that Output() is whole
+  }
   return ended ? impl_->child_.exit_code() : -1;
 }
 
@@ -274,7 +279,7 @@
            : nullptr;
 }
 
-Host& Deployment::AddHost()
+Host& Deployment::AddHost(const json& aSettings)
 {
   const std::string store =
     storeProxy_ ? storeProxy_->Address() : store_->Address();
@@ -287,6 +292,7 @@
                     { "load_poll_ms", 100 },
                     { "drain", { { "lag_ms", 100 }, { "limit_ms", 20000 } } } };
   settings.merge_patch(options_.host_);
+  settings.merge_patch(aSettings);
   hosts_.push_back(std::make_unique<Host>(settings));
   return *hosts_.back();
 }
