Count only engines that took a stream as its attempts

A killed engine stands in the list until three polls fail, looks idle and draws requests; a stream that met a death and two such engines had used its three attempts.

An engine that can't be reached or refuses no longer counts; at most ten are tried.

--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -62,7 +62,8 @@
 public:
   struct Options
   {
-    int maxAttempts_ = 3; // engines tried for one generation
+    int maxAttempts_ = 3; // engines that may begin one generation
+    int maxEngines_ = 10; // and engines tried, with those that did not
   };
 
   ModelRunner(HttpClient& aClient,
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -138,7 +138,14 @@
   Error last{ .code_ = ResultCode::kNoEndpoint };
   // Once a byte was given to an engine, no later "not run" is true any more.
   RanState ran = RanState::kNo;
-  for (int attempt = 1; attempt <= options_.maxAttempts_; ++attempt) {
+  // An engine that can't be reached or refuses costs nothing but a moment, and
+  // after a death several such stand in the list until polls notice. Only
+  // engines that took the request count as attempts, or a stream that meets one
+  // death and two dead engines would be cut with live ones left.
+  int broken = 0;
+  for (int attempt = 1;
+       broken < options_.maxAttempts_ && attempt <= options_.maxEngines_;
+       ++attempt) {
     auto placement =
       co_await broker_.Acquire(aGeneration.pool_, aGeneration.info_);
     if (!placement) {
@@ -165,6 +172,7 @@
       break;
     }
     ran = last.ran_ == RanState::kNo ? ran : RanState::kUnknown;
+    broken += last.ran_ == RanState::kNo ? 0 : 1;
     NoteFailure(aGeneration, name, last);
     aGeneration.info_.excluded_.push_back(name);
   }
