--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -10,6 +10,7 @@
 #include "gooseberrylift/internal/gooseberrylift-blackboard.h"
 #include "gooseberrylift/internal/gooseberrylift-burn-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-caller-front.h"
+#include "gooseberrylift/internal/gooseberrylift-config-admin.h"
 #include "gooseberrylift/internal/gooseberrylift-config-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
@@ -64,6 +65,7 @@
   JobFront jobFront_;
   CallerFront callerFront_;
   AdminFront adminFront_;
+  ConfigAdmin configAdmin_;
   HttpServer callerServer_;
   HttpServer adminServer_;
   HttpServer peerServer_;
--- a/src/cli/gooseberrylift-command.h
+++ b/src/cli/gooseberrylift-command.h
@@ -22,6 +22,7 @@
 
 void AddServeCommand(CLI::App& aApp, const CommandSink& aSink);
 void AddCheckCommand(CLI::App& aApp, const CommandSink& aSink);
+void AddConfigurationCommands(CLI::App& aApp, const CommandSink& aSink);
 void AddStatusCommand(CLI::App& aApp, const CommandSink& aSink);
 void AddReportCommand(CLI::App& aApp, const CommandSink& aSink);
 void AddDrainCommand(CLI::App& aApp, const CommandSink& aSink);
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -89,6 +89,7 @@
   };
   gooseberrylift::AddServeCommand(app, sink);
   gooseberrylift::AddCheckCommand(app, sink);
+  gooseberrylift::AddConfigurationCommands(app, sink);
   gooseberrylift::AddStatusCommand(app, sink);
   gooseberrylift::AddReportCommand(app, sink);
   gooseberrylift::AddDrainCommand(app, sink);
