Count a pause before the host goes on

One of three full runs said that an answer was late: a call that began while its host was stopped and was answered at once when it went on, before the test counted the end of the pause, could look as if no pause had touched it. The count now rises first, and a late answer is printed. Whether the one late answer came from this or from the load of the machine (35 on 12 cores) is not proved.

--- a/test/integration/gooseberrylift-once-fault-test.cc
+++ b/test/integration/gooseberrylift-once-fault-test.cc
@@ -196,8 +196,10 @@
     Process& process = deployment_.At(index_[aHost]).Handle();
     process.Signal(SIGSTOP);
     std::this_thread::sleep_for(aLength);
-    process.Signal(SIGCONT);
+    // Before the host goes on: an answer to a call that began in the pause may
+    // come at once, and must not look as if no pause had touched it.
     ++pauses_;
+    process.Signal(SIGCONT);
   }
 
   void Replace(std::size_t aHost)
@@ -233,6 +235,10 @@
               : answer.replayed_ ? "replayed"
                                  : "answered"];
     counts_["late"] += answer.late_ ? 1 : 0;
+    if (answer.late_) {
+      std::cout << "late: " << aSeen.key_ << " status " << answer.status_ << " "
+                << answer.body_.dump() << std::endl;
+    }
     if (answer.answered_ && answer.code_ == 0) {
       // What the caller or the record holds is what the one run gave.
       LONGS_EQUAL(200, answer.status_);
