--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -75,6 +75,11 @@
   kOnceUnknown = 173,
   kOnceResultDropped = 174,
   kOnceBucketFull = 175,
+  kJobStoreUnavailable = 180,
+  kJobUnknown = 181,
+  kJobTeamFull = 182,
+  kJobClaimsUsed = 183,
+  kJobExpired = 184,
   kReportPartial = 210,
 };
 
--- a/include/gooseberrylift/internal/gooseberrylift-caller-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-caller-front.h
@@ -9,6 +9,7 @@
 
 #include "gooseberrylift/internal/gooseberrylift-burn-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
+#include "gooseberrylift/internal/gooseberrylift-job-front.h"
 #include "gooseberrylift/internal/gooseberrylift-model-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-once-runner.h"
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
@@ -43,6 +44,7 @@
     ModelRunner& models_;
     ServiceRunner& services_;
     OnceRunner& once_;
+    JobFront& jobs_;
     Metrics& metrics_;
     BurnRecorder& burn_;
   };
@@ -66,10 +68,13 @@
   boost::asio::awaitable<Outcome<void>> HandleService(
     HttpExchange& aExchange,
     const CallerRequest& aRequest);
-  void RecordBurn(const CallerRequest& aRequest, ResultCode aCode);
+  boost::asio::awaitable<Outcome<void>> HandleJobs(
+    HttpExchange& aExchange,
+    const CallerRequest& aRequest);
   boost::asio::awaitable<Outcome<void>> HandleOnce(HttpExchange& aExchange,
                                                    ServiceCall aCall,
                                                    std::string aKey);
+  void RecordBurn(const CallerRequest& aRequest, ResultCode aCode);
   boost::asio::awaitable<void> AnswerFailure(HttpExchange& aExchange,
                                              const CallerRequest& aRequest,
                                              Error aError);
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -40,6 +40,8 @@
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
+  kJobEnded = 1520,
+  kJobClaimLost = 1521,
   kPeerRefused = 1600,
 };
 
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -1,7 +1,6 @@
 #include "gooseberrylift/internal/gooseberrylift-caller-front.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <random>
 
@@ -9,6 +8,7 @@
 #include <boost/system/system_error.hpp>
 #include <xxhash.h>
 
+#include "gooseberrylift/internal/gooseberrylift-forward-fields.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-model-request.h"
 
@@ -57,34 +57,6 @@
   return milliseconds(value);
 }
 
-// Header fields that concern one connection, or that this host sets itself.
-bool IsOwnField(std::string_view aName)
-{
-  constexpr std::array<std::string_view, 14> kOwn = {
-    "connection", "keep-alive",        "transfer-encoding", "te",
-    "trailer",    "upgrade",           "proxy-connection",  "host",
-    "expect",     "content-length",    "authorization",     "x-request-id",
-    "x-team",     "proxy-authenticate"
-  };
-  std::string lower(aName);
-  std::transform(lower.begin(),
-                 lower.end(),
-                 lower.begin(),
-                 [](unsigned char aLetter) { return std::tolower(aLetter); });
-  return std::find(kOwn.begin(), kOwn.end(), lower) != kOwn.end();
-}
-
-HttpFields WithoutOwnFields(const HttpFields& aFields)
-{
-  HttpFields kept;
-  std::copy_if(
-    aFields.begin(),
-    aFields.end(),
-    std::back_inserter(kept),
-    [](const HttpField& aField) { return !IsOwnField(aField.name_); });
-  return kept;
-}
-
 HttpResponse EventStreamHead(const std::string& aRequestId)
 {
   return { .status_ = 200,
@@ -257,6 +229,8 @@
   { "/v1/chat/completions", false, "POST", &CallerFront::HandleModel },
   { "/v1/completions", false, "POST", &CallerFront::HandleModel },
   { kServicesPrefix, true, "", &CallerFront::HandleService },
+  { kJobsPath, false, "", &CallerFront::HandleJobs },
+  { kJobsPrefix, true, "", &CallerFront::HandleJobs },
 };
 
 CallerFront::CallerFront(Parts aParts)
@@ -459,30 +433,6 @@
   }
 }
 
-asio::awaitable<Outcome<void>> CallerFront::HandleOnce(HttpExchange& aExchange,
-                                                       ServiceCall aCall,
-                                                       std::string aKey)
-{
-  constexpr std::size_t kMaxKeyBytes = 255;
-  if (aKey.size() > kMaxKeyBytes) {
-    co_return Error{ .code_ = ResultCode::kBadField,
-                     .text_ = "Idempotency-Key: at most 255 bytes" };
-  }
-  const std::string requestId = aCall.requestId_;
-  auto answer = co_await parts_.once_.Run(std::move(aCall), std::move(aKey));
-  if (!answer) {
-    co_return answer.error();
-  }
-  HttpResponse response = std::move(answer.value());
-  response.fields_ = WithoutOwnFields(response.fields_);
-  response.fields_.push_back({ "X-Request-Id", requestId });
-  const bool sent = co_await aExchange.Send(std::move(response));
-  if (!sent) {
-    co_return Error{ .code_ = ResultCode::kCallerLeft, .ran_ = RanState::kYes };
-  }
-  co_return boost::outcome_v2::success();
-}
-
 asio::awaitable<void> CallerFront::AnswerFailure(HttpExchange& aExchange,
                                                  const CallerRequest& aRequest,
                                                  Error aError)
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/runtime/gooseberrylift-entry-host.cc
@@ -72,10 +72,17 @@
           context_.get_executor(),
           metrics_,
           OnceRunner::Options{})
+  , jobs_(store_,
+          models_,
+          board_,
+          context_.get_executor(),
+          { .lease_ = settings_.jobLease_ })
+  , jobFront_(store_, jobs_, JobFront::Options{})
   , callerFront_({ .board_ = board_,
                    .models_ = models_,
                    .services_ = services_,
                    .once_ = once_,
+                   .jobs_ = jobFront_,
                    .metrics_ = metrics_,
                    .burn_ = burn_ })
   , adminFront_({ .settings_ = settings_,
@@ -167,6 +174,7 @@
   asio::co_spawn(context_, configFollower_.Poll(), asio::detached);
   endpointTracker_.FollowPeers();
   asio::co_spawn(context_, endpointTracker_.Run(), asio::detached);
+  jobs_.Start();
 }
 
 asio::awaitable<void> EntryHost::WaitForStop()
--- a/test/integration/gooseberrylift-once-fault-test.cc
+++ b/test/integration/gooseberrylift-once-fault-test.cc
@@ -56,6 +56,7 @@
   void Run()
   {
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([this, caller] { Call(caller); });
     }
@@ -75,6 +76,7 @@
     std::atomic<std::uint64_t> next = 0;
     const std::uint64_t keys = (calls_ + kSharers - 1) / kSharers;
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&] {
         for (std::uint64_t key = next++; key < keys; key = next++) {
@@ -194,8 +196,10 @@
     Process& process = deployment_.At(index_[aHost]).Handle();
     process.Signal(SIGSTOP);
     std::this_thread::sleep_for(aLength);
-    process.Signal(SIGCONT);
+    // Before the host goes on: an answer to a call that began in the pause may
+    // come at once, and must not look as if no pause had touched it.
     ++pauses_;
+    process.Signal(SIGCONT);
   }
 
   void Replace(std::size_t aHost)
@@ -231,6 +235,10 @@
               : answer.replayed_ ? "replayed"
                                  : "answered"];
     counts_["late"] += answer.late_ ? 1 : 0;
+    if (answer.late_) {
+      std::cout << "late: " << aSeen.key_ << " status " << answer.status_ << " "
+                << answer.body_.dump() << std::endl;
+    }
     if (answer.answered_ && answer.code_ == 0) {
       // What the caller or the record holds is what the one run gave.
       LONGS_EQUAL(200, answer.status_);
@@ -298,6 +306,7 @@
   std::mutex mutex;
   std::vector<Seen> seen;
   std::vector<std::thread> callers;
+  callers.reserve(6);
   for (int caller = 0; caller < 6; ++caller) {
     callers.emplace_back([&] {
       for (int key = next++; key < 300; key = next++) {
