Charge no retry budget for a stream that goes on

Change: a second try is free when no engine took the first, or when the caller already has tokens; a stream that meets an empty pool waits 250 ms for the next list instead of ending. Full tries stay charged, which a new test holds. Conclusion: streams outlive engine deaths and the budget still bounds storms.

--- a/fakes/gooseberrylift-fake-store.cc
+++ b/fakes/gooseberrylift-fake-store.cc
@@ -152,6 +152,9 @@
     const std::string name = whole ? "" : aPath.substr(slash + 1);
     const bool reads = aRequest.method_ == "GET";
     ++counts_[!reads ? "write" : whole ? "list" : "read"];
+    if (!reads) {
+      ++counts_["write_" + kind];
+    }
     const bool allowed =
       reads ? reads_.Allow(readsPerSecond_) : writes_.Allow(writesPerSecond_);
     if (!allowed) {
--- a/include/gooseberrylift/gooseberrylift-scheduler-types.h
+++ b/include/gooseberrylift/gooseberrylift-scheduler-types.h
@@ -26,6 +26,9 @@
   std::uint64_t prefixHash_ = 0;        // of the prompt's head; 0 is none
   TimePoint deadline_;                  // for the whole answer
   std::vector<std::string> excluded_{}; // endpoints already tried
+  // A second try that the budget is not charged for: the endpoint before took
+  // no work, or the caller already has tokens of the answer.
+  bool freeRetry_ = false;
 };
 
 // What came of a request at an endpoint.
--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -70,6 +70,7 @@
   {
     int maxAttempts_ = 3; // engines that may begin one generation
     int maxEngines_ = 10; // and engines tried, with those that did not
+    std::chrono::milliseconds noEnginePause_{ 250 }; // of a stream under way
   };
 
   ModelRunner(HttpClient& aClient,
--- a/src/core/gooseberrylift-scheduler.cc
+++ b/src/core/gooseberrylift-scheduler.cc
@@ -98,7 +98,8 @@
   const bool first = aInfo.excluded_.empty();
   if (first) {
     retries_.OnFirstTry(aInfo.service_);
-  } else if (Fair() && !retries_.TakeRetry(aInfo.service_)) {
+  } else if (Fair() && !aInfo.freeRetry_ &&
+             !retries_.TakeRetry(aInfo.service_)) {
     Refuse(aInfo.id_, ResultCode::kRetryBudgetSpent, {}, soon);
     return;
   }
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -190,6 +190,16 @@
        ++attempt) {
     auto placement =
       co_await broker_.Acquire(aGeneration.pool_, aGeneration.info_);
+    const bool noneLeft =
+      !placement && placement.error().code_ == ResultCode::kNoEndpoint;
+    if (noneLeft && progress.next_ > 0) {
+      // Engines that replace the dead show with the next list, so the caller of
+      // a stream that has begun waits a moment. An engine that only cut the
+      // stream may serve it after all.
+      aGeneration.info_.excluded_.clear();
+      co_await TimerService::SleepFor(options_.noEnginePause_);
+      continue;
+    }
     if (!placement) {
       // With engines tried in vain, their failure says more than "none left".
       last = attempt == 1 || placement.error().code_ != ResultCode::kNoEndpoint
@@ -217,6 +227,11 @@
     broken += last.ran_ == RanState::kNo ? 0 : 1;
     NoteFailure(aGeneration, name, last);
     aGeneration.info_.excluded_.push_back(name);
+    // The budget keeps second tries from multiplying load. A try that no engine
+    // took made none; and a caller whose stream were refused here would send
+    // the whole request again, which is more than the rest of it.
+    aGeneration.info_.freeRetry_ =
+      progress.next_ > 0 || last.ran_ == RanState::kNo;
   }
   last.ran_ = last.ran_ == RanState::kNo ? ran : last.ran_;
   co_return last;
--- a/test/core/gooseberrylift-scheduler-test.cc
+++ b/test/core/gooseberrylift-scheduler-test.cc
@@ -67,6 +67,31 @@
   }
 }
 
+// Half of the engines die under thousands of streams. Their callers already
+// have tokens; were each charged to the budget, most would be cut with live
+// engines left. A second try of a request that gave nothing is still bounded.
+TEST(SchedulerTest, ChargesNoBudgetForAStreamThatGoesOn)
+{
+  Scheduler scheduler({ .maxConcurrency_ = 1000 });
+  scheduler.SetEndpoints(Engines(3), now_);
+  const auto refusedOf = [&](bool aFree) {
+    int refused = 0;
+    for (int index = 0; index < 100; ++index) {
+      RequestInfo request = Request(100);
+      request.excluded_.push_back("engine-0");
+      request.freeRetry_ = aFree;
+      scheduler.OnRequest(request, now_);
+      for (const SchedulerAction& action : scheduler.TakeActions()) {
+        refused +=
+          action.refusal_.code_ == ResultCode::kRetryBudgetSpent ? 1 : 0;
+      }
+    }
+    return refused;
+  };
+  LONGS_EQUAL(0, refusedOf(true));
+  CHECK(refusedOf(false) >= 89);
+}
+
 // An operator changes the placement while requests wait. They must neither be
 // lost nor started twice.
 TEST(SchedulerTest, KeepsWaitingRequestsWhenThePlacementChanges)
