Know a pool's endpoints before its first requests use its shard

PoolBroker put a new shard into its map and set its endpoints after, so requests that came together with the first found an empty pool. Ruled out: readiness (the host knew its endpoints) and the list (all were live). Change: a shard gets its endpoints before it is in the map, and updates are applied one at a time, each from the board's latest, so that an older one can't win.

--- a/include/gooseberrylift/internal/gooseberrylift-pool-broker.h
+++ b/include/gooseberrylift/internal/gooseberrylift-pool-broker.h
@@ -107,11 +107,12 @@
   void Tick();
   void PublishDemand();
   void OnConfiguration();
-  void OnEndpoints(const EndpointsState& aState);
+  void UpdateEndpoints();
   void OnPeers(const PeersState& aState);
 
   boost::asio::any_io_executor executor_;
   Blackboard& board_;
+  std::mutex endpointsMutex_;       // updates of endpoints, one at a time
   mutable std::shared_mutex mutex_; // guards the map, not the shards
   std::map<std::string, std::shared_ptr<PoolShard>> shards_;
   Options options_;
--- a/src/runtime/gooseberrylift-pool-broker.cc
+++ b/src/runtime/gooseberrylift-pool-broker.cc
@@ -40,6 +40,16 @@
   std::optional<SchedulerAction> action_; // guarded by the shard's lock
 };
 
+std::map<std::string, std::vector<EndpointView>> ByPool(
+  const EndpointsState& aState)
+{
+  std::map<std::string, std::vector<EndpointView>> byPool;
+  for (const EndpointView& view : aState.endpoints_) {
+    byPool[view.pool_].push_back(view);
+  }
+  return byPool;
+}
+
 } // namespace
 
 class PoolShard : public std::enable_shared_from_this<PoolShard>
@@ -199,8 +209,8 @@
   , random_(static_cast<std::uint32_t>(options_.seed_))
 {
   board_.endpoints_.Subscribe(
-    [this](const BlackboardSection<EndpointsState>::Snapshot& aState) {
-      OnEndpoints(*aState);
+    [this](const BlackboardSection<EndpointsState>::Snapshot& /*aState*/) {
+      UpdateEndpoints();
     });
   board_.configuration_.Subscribe(
     [this](const BlackboardSection<ConfigurationState>::Snapshot&) {
@@ -260,11 +270,14 @@
   }
   auto shard = std::make_shared<PoolShard>(OptionsOf(aPool));
   shard->SetHosts(board_.peers_.Read()->digests_.size() + 1);
+  // A shard in the map is used at once by others. Were its endpoints set after,
+  // the first requests of a pool would be refused with "no live endpoint".
+  shard->SetEndpoints(std::move(ByPool(*board_.endpoints_.Read())[aPool]));
   {
     const std::unique_lock lock(mutex_);
     shard = shards_.emplace(aPool, shard).first->second;
   }
-  OnEndpoints(*board_.endpoints_.Read());
+  UpdateEndpoints(); // those that changed before the shard was in the map
   return shard;
 }
 
@@ -352,12 +365,12 @@
   }
 }
 
-void PoolBroker::OnEndpoints(const EndpointsState& aState)
+// Two updates at once could end with the older one. The lock keeps their order,
+// and each reads the board's latest under it.
+void PoolBroker::UpdateEndpoints()
 {
-  std::map<std::string, std::vector<EndpointView>> byPool;
-  for (const EndpointView& view : aState.endpoints_) {
-    byPool[view.pool_].push_back(view);
-  }
+  const std::lock_guard order(endpointsMutex_);
+  auto byPool = ByPool(*board_.endpoints_.Read());
   const std::shared_lock lock(mutex_);
   for (const auto& [name, shard] : shards_) {
     shard->SetEndpoints(std::move(byPool[name]));
--- a/test/integration/gooseberrylift-path-test.cc
+++ b/test/integration/gooseberrylift-path-test.cc
@@ -4,6 +4,7 @@
 #include "harness.h"
 
 #include <csignal>
+#include <future>
 
 #include "../../fakes/gooseberrylift-fake-tokens.h"
 
@@ -38,6 +39,27 @@
   CHECK_TRUE(ended);
 }
 
+// The first requests of a pool reach a ready host together. One of them makes
+// the pool's shard; were the others let in before it knows its endpoints, they
+// would be refused with "no live endpoint" although all are live.
+TEST(PathTest, AnswersTheFirstRequestsOfAPoolThatComeTogether)
+{
+  constexpr int kHosts = 6;
+  constexpr int kCallsEach = 16;
+  Deployment deployment({ .hosts_ = kHosts });
+  std::vector<std::future<int>> calls;
+  for (int call = 0; call < kHosts * kCallsEach; ++call) {
+    const std::uint16_t port = deployment.At(call / kCallsEach).Port();
+    calls.push_back(std::async(std::launch::async, [port] {
+      const auto answer = Send(port, ChatRequest("hello", 1, false));
+      return answer ? answer.value().status_ : 0;
+    }));
+  }
+  for (std::future<int>& call : calls) {
+    LONGS_EQUAL(200, call.get());
+  }
+}
+
 TEST(PathTest, PassesACallToAPlainService)
 {
   Deployment deployment({});
