Put what attempts of a request share into one place

Change: Attempts in the core with its own tests, one function to note a failed attempt, EndWith for commands. A plain call's second try is free, too, when no endpoint took the first; so far only engines had that. The free second try of plain calls has no process test of its own: with one of several endpoints dead, ejection hides it before the budget is spent.

--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -102,9 +102,6 @@
                                                   Placement& aPlacement,
                                                   const std::string& aData,
                                                   TokenSink& aSink);
-  void NoteFailure(const Generation& aGeneration,
-                   const std::string& aEndpoint,
-                   const Error& aError);
 
   HttpClient& client_;
   boost::asio::any_io_executor executor_;
--- a/src/cli/gooseberrylift-admin-client.cc
+++ b/src/cli/gooseberrylift-admin-client.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
@@ -104,4 +105,13 @@
   return error;
 }
 
+boost::leaf::result<void> EndWith(const std::vector<AdminAnswer>& aAnswers)
+{
+  Error fault = FaultOf(aAnswers);
+  if (fault.code_ != ResultCode::kOk) {
+    return boost::leaf::new_error(std::move(fault));
+  }
+  return {};
+}
+
 } // namespace gooseberrylift
--- a/src/cli/gooseberrylift-admin-client.h
+++ b/src/cli/gooseberrylift-admin-client.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <CLI/CLI.hpp>
+#include <boost/leaf/result.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-http.h"
 
@@ -50,6 +51,9 @@
 /// @return kHostsSilent or kAdminRefused with their addresses; kOk when none
 Error FaultOf(const std::vector<AdminAnswer>& aAnswers);
 
+/// Ends a subcommand: with FaultOf's error, or well when there is none.
+boost::leaf::result<void> EndWith(const std::vector<AdminAnswer>& aAnswers);
+
 } // namespace gooseberrylift
 
 #endif // GOOSEBERRYLIFT_CLI_GOOSEBERRYLIFT_ADMIN_CLIENT_H_
--- a/src/cli/gooseberrylift-drain.cc
+++ b/src/cli/gooseberrylift-drain.cc
@@ -35,11 +35,7 @@
     std::cout << items.dump(2) << '\n';
   }
   std::cout << std::flush;
-  Error fault = FaultOf(answers);
-  if (fault.code_ != ResultCode::kOk) {
-    return leaf::new_error(std::move(fault));
-  }
-  return {};
+  return EndWith(answers);
 }
 
 } // namespace
--- a/src/cli/gooseberrylift-status.cc
+++ b/src/cli/gooseberrylift-status.cc
@@ -206,11 +206,7 @@
               << OthersText(hosts);
   }
   std::cout << std::flush;
-  Error fault = FaultOf(answers);
-  if (fault.code_ != ResultCode::kOk) {
-    return leaf::new_error(std::move(fault));
-  }
-  return {};
+  return EndWith(answers);
 }
 
 } // namespace
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -5,8 +5,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "gooseberrylift/gooseberrylift-attempts.h"
 #include "gooseberrylift/gooseberrylift-sse.h"
-#include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-failed-attempt.h"
 
 namespace gooseberrylift {
 
@@ -177,9 +178,7 @@
   TokenSink& aSink)
 {
   Progress progress;
-  Error last{ .code_ = ResultCode::kNoEndpoint };
-  // Once a byte was given to an engine, no later "not run" is true any more.
-  RanState ran = RanState::kNo;
+  Attempts attempts;
   // An engine that can't be reached or refuses costs nothing but a moment, and
   // after a death several such stand in the list until polls notice. Only
   // engines that took the request count as attempts, or a stream that meets one
@@ -201,10 +200,7 @@
       continue;
     }
     if (!placement) {
-      // With engines tried in vain, their failure says more than "none left".
-      last = attempt == 1 || placement.error().code_ != ResultCode::kNoEndpoint
-               ? placement.error()
-               : last;
+      attempts.OnRefused(placement.error());
       break;
     }
     const std::string name = placement.value().Endpoint().name_;
@@ -216,25 +212,28 @@
                                   .attempts_ = attempt,
                                   .firstToken_ = progress.firstToken_ };
     }
-    last = done.error();
+    const Error& failure = done.error();
+    attempts.OnFailed(failure);
     placement.value().Finish(
-      { .endpointAtFault_ = IsEndpointFault(last.code_) });
-    if (progress.callerLeft_ || last.code_ == ResultCode::kDeadlineExceeded ||
-        last.code_ == ResultCode::kCallerLeft) {
+      { .endpointAtFault_ = IsEndpointFault(failure.code_) });
+    if (progress.callerLeft_ ||
+        failure.code_ == ResultCode::kDeadlineExceeded ||
+        failure.code_ == ResultCode::kCallerLeft) {
       break;
     }
-    ran = last.ran_ == RanState::kNo ? ran : RanState::kUnknown;
-    broken += last.ran_ == RanState::kNo ? 0 : 1;
-    NoteFailure(aGeneration, name, last);
+    const bool untaken = failure.ran_ == RanState::kNo;
+    broken += untaken ? 0 : 1;
+    if (failure.code_ == ResultCode::kEndpointUnreachable) {
+      tracker_.ReportFailure(name);
+    }
+    NoteFailedAttempt(metrics_, aGeneration.requestId_, name, failure);
     aGeneration.info_.excluded_.push_back(name);
     // The budget keeps second tries from multiplying load. A try that no engine
     // took made none; and a caller whose stream were refused here would send
     // the whole request again, which is more than the rest of it.
-    aGeneration.info_.freeRetry_ =
-      progress.next_ > 0 || last.ran_ == RanState::kNo;
+    aGeneration.info_.freeRetry_ = progress.next_ > 0 || untaken;
   }
-  last.ran_ = last.ran_ == RanState::kNo ? ran : last.ran_;
-  co_return last;
+  co_return attempts.Final();
 }
 
 asio::awaitable<Outcome<void>> ModelRunner::Attempt(
@@ -379,21 +378,4 @@
   co_return boost::outcome_v2::success();
 }
 
-void ModelRunner::NoteFailure(const Generation& aGeneration,
-                              const std::string& aEndpoint,
-                              const Error& aError)
-{
-  metrics_.Count("gooseberrylift_attempts_failed_total",
-                 "code=\"" + std::to_string(static_cast<int>(aError.code_)) +
-                   "\"");
-  if (aError.code_ == ResultCode::kEndpointUnreachable) {
-    tracker_.ReportFailure(aEndpoint);
-  }
-  Log(LogEvent::kAttemptFailed,
-      { { "request_id", aGeneration.requestId_ },
-        { "endpoint", aEndpoint },
-        { "code", static_cast<int>(aError.code_) },
-        { "text", aError.text_ } });
-}
-
 } // namespace gooseberrylift
--- a/src/runtime/gooseberrylift-service-runner.cc
+++ b/src/runtime/gooseberrylift-service-runner.cc
@@ -1,8 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
 
-#include <nlohmann/json.hpp>
-
-#include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/gooseberrylift-attempts.h"
+#include "gooseberrylift/internal/gooseberrylift-failed-attempt.h"
 
 namespace gooseberrylift {
 
@@ -23,14 +22,11 @@
 
 asio::awaitable<Outcome<ServiceAnswer>> ServiceRunner::Run(ServiceCall aCall)
 {
-  Error last{ .code_ = ResultCode::kNoEndpoint };
-  RanState ran = RanState::kNo;
+  Attempts attempts;
   for (int attempt = 1; attempt <= options_.maxAttempts_; ++attempt) {
     auto placement = co_await broker_.Acquire(aCall.pool_, aCall.info_);
     if (!placement) {
-      last = attempt == 1 || placement.error().code_ != ResultCode::kNoEndpoint
-               ? placement.error()
-               : last;
+      attempts.OnRefused(placement.error());
       break;
     }
     const std::string name = placement.value().Endpoint().name_;
@@ -39,27 +35,21 @@
       co_return ServiceAnswer{ .call_ = std::move(call.value()),
                                .placement_ = std::move(placement.value()) };
     }
-    last = call.error();
+    const Error& failure = call.error();
+    attempts.OnFailed(failure);
     placement.value().Finish(
-      { .endpointAtFault_ = last.code_ != ResultCode::kCallerLeft });
-    ran = last.ran_ == RanState::kNo ? ran : RanState::kUnknown;
-    const bool mayRepeat = last.ran_ == RanState::kNo || aCall.repeatable_;
-    if (!mayRepeat || last.code_ == ResultCode::kCallerLeft ||
-        last.code_ == ResultCode::kDeadlineExceeded) {
+      { .endpointAtFault_ = failure.code_ != ResultCode::kCallerLeft });
+    const bool untaken = failure.ran_ == RanState::kNo;
+    if ((!untaken && !aCall.repeatable_) ||
+        failure.code_ == ResultCode::kCallerLeft ||
+        failure.code_ == ResultCode::kDeadlineExceeded) {
       break;
     }
-    metrics_.Count("gooseberrylift_attempts_failed_total",
-                   "code=\"" + std::to_string(static_cast<int>(last.code_)) +
-                     "\"");
-    Log(LogEvent::kAttemptFailed,
-        { { "request_id", aCall.requestId_ },
-          { "endpoint", name },
-          { "code", static_cast<int>(last.code_) },
-          { "text", last.text_ } });
+    NoteFailedAttempt(metrics_, aCall.requestId_, name, failure);
     aCall.info_.excluded_.push_back(name);
+    aCall.info_.freeRetry_ = untaken; // it made no load on an endpoint
   }
-  last.ran_ = last.ran_ == RanState::kNo ? ran : last.ran_;
-  co_return last;
+  co_return attempts.Final();
 }
 
 asio::awaitable<Outcome<std::unique_ptr<HttpCall>>> ServiceRunner::Attempt(
