--- a/samples/demo.sh
+++ b/samples/demo.sh
@@ -41,15 +41,24 @@
   done
 done
 
-# ask HOST MODEL PROMPT_FILE: sends one streamed request.
+# ask HOST MODEL PROMPT_FILE: sends one streamed request and times its first
+# event.
 ask() {
+  local begin first line status text
+  begin=$(date +%s%N)
   curl -sN "http://127.0.0.1:1808$1/v1/chat/completions" \
     -H "Authorization: Bearer front-desk-demo-key" \
-    -H "Content-Type: application/json" -H "Expect:" --data-binary "@$3" \
-    -o "$logs/answer" -w '%{http_code} %{time_starttransfer}\n' > "$logs/figures"
-  read -r status first < "$logs/figures"
+    -H "Content-Type: application/json" --data-binary "@$3" \
+    -w 'status %{http_code}\n' | {
+    IFS= read -r line
+    date +%s%N > "$logs/first"
+    printf '%s\n' "$line"
+    cat
+  } > "$logs/answer"
+  first=$(( ($(cat "$logs/first") - begin) / 1000000 ))
+  status=$(grep -o '^status [0-9]*' "$logs/answer" | cut -d' ' -f2)
   text=$(grep -o '"content":"[^"]*"' "$logs/answer" | cut -d'"' -f4 | tr -d '\n')
-  printf 'entry-%s  %-14s status %s  first token %ss  answer: %s\n' \
+  printf 'entry-%s  %-14s status %s  first token %5s ms  answer: %s\n' \
     "$1" "$2" "$status" "$first" "$text"
   [ "$status" = 200 ] && grep -q '\[DONE\]' "$logs/answer"
 }
--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -207,7 +207,8 @@
               "once-store-unavailable",
               503,
               "The call may not be repeated, and its intent could not be "
-              "written; it was not sent." },
+              "written: this request was not sent. An earlier one with the "
+              "key may have run; send again with the same key." },
   ResultInfo{ kOnceKeyReused,
               "once-key-reused",
               422,
