Tell callers when to come back after a failure of this side

Cause: refusals carried Retry-After, but failures after dispatch (502 to 504, a passed deadline among them) did not, so a caller could only guess, and all callers of a hanging engine would return in one moment. Change: such failures get a spread 0.5 to 2 s, where the request did not run or is a completion; a call that may have run and must not be repeated gets none. Conclusion: every final answer that may be retried says when.

--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -84,6 +84,24 @@
   }
 }
 
+// Says when to come back after a failure of this side, unless the call may have
+// run and must not be repeated. The times are spread, so that the callers of
+// one failed endpoint do not return in one moment.
+void AddRetryAfter(const HttpRequest& aRequest, Error& aError)
+{
+  constexpr int kLeastMs = 500;
+  constexpr int kMostMs = 2000;
+  const int status = InfoOf(aError.code_).httpStatus_;
+  const bool mayRepeat =
+    aError.ran_ == RanState::kNo || aRequest.Path().ends_with("/completions");
+  if (aError.retryAfter_ || status < 502 || status > 504 || !mayRepeat) {
+    return;
+  }
+  thread_local std::mt19937 sGenerator{ std::random_device{}() };
+  std::uniform_int_distribution<int> spread(kLeastMs, kMostMs);
+  aError.retryAfter_ = milliseconds(spread(sGenerator));
+}
+
 // Passes each event on as it comes.
 class StreamSink : public TokenSink
 {
@@ -438,6 +456,7 @@
                                                  Error aError)
 {
   const int code = static_cast<int>(aError.code_);
+  AddRetryAfter(aExchange.Request(), aError);
   RecordBurn(aRequest, aError.code_);
   parts_.metrics_.Count("gooseberrylift_requests_total",
                         "code=\"" + std::to_string(code) + "\"");
--- a/test/integration/gooseberrylift-path-test.cc
+++ b/test/integration/gooseberrylift-path-test.cc
@@ -72,6 +72,35 @@
   LONGS_EQUAL(1, deployment.Service(0).Stats().value("total", 0));
 }
 
+// The engine takes the request and says nothing until the deadline. The caller
+// gets its final answer then, with the time to come back; without that time all
+// callers of a hanging engine would return in the same moment.
+TEST(PathTest, TellsWhenToComeBackAfterTheDeadline)
+{
+  Deployment deployment({ .engines_ = 1 });
+  deployment.Engine(0).Control({ { "hang", true } });
+  HttpRequest request = ChatRequest("hello", 1, false);
+  request.fields_.push_back({ "X-Deadline-Ms", "800" });
+  const auto answer = Send(deployment.At(0).Port(), std::move(request));
+  CHECK_TRUE(answer.has_value());
+  CHECK(answer.value().status_ >= 500);
+  CHECK_FALSE(answer.value().Field("Retry-After").empty());
+}
+
+// The same for a call that may not be repeated and has no key: it may have run,
+// so the caller must not be asked to send it again.
+TEST(PathTest, AsksNobodyToRepeatACallThatMayHaveRun)
+{
+  Deployment deployment({});
+  deployment.Service(0).Control({ { "hang", true } });
+  HttpRequest request = BoardRequest("POST", "/rooms/12", "ready");
+  request.fields_.push_back({ "X-Deadline-Ms", "800" });
+  const auto answer = Send(deployment.At(0).Port(), std::move(request));
+  CHECK_TRUE(answer.has_value());
+  LONGS_EQUAL(504, answer.value().status_);
+  CHECK_TRUE(answer.value().Field("Retry-After").empty());
+}
+
 TEST(PathTest, RecordsTheTimeToFirstToken)
 {
   Deployment deployment({});
