Prove that a leaving plain service gets no new call

Cause: only engines that leave had a test under load. Change: two tests with checked calls over three hosts: by the service's own word and by the list alone; the fake service counts its refusals. Conclusion: leaving holds for both kinds of endpoint.

--- a/fakes/gooseberrylift-fake-service.cc
+++ b/fakes/gooseberrylift-fake-service.cc
@@ -2,8 +2,8 @@
 // whether a call ran twice or not at all.
 //   any  /...       runs: {"service", "path", "body", "runs", "tag"}
 //   GET  /load      {"state": "live"|"leaving"}
-//   GET  /stats     {"runs": {key: count}, "total": n, "bodies": {key: body},
-//                    "requests": {X-Request-Id: count}}
+//   GET  /stats     {"runs": {key: count}, "total": n, "refused": n,
+//                    "bodies": {key: body}, "requests": {X-Request-Id: count}}
 //   POST /control   {"delay_ms", "leaving", "hang", "status"}
 // The key is the header Idempotency-Key, else X-Request-Id.
 
@@ -41,6 +41,7 @@
       co_await Reply(aExchange, 200, load);
     } else if (leaving_) {
       // Refused before it ran, and says so.
+      ++refused_;
       HttpResponse refusal{ .status_ = 503 };
       refusal.fields_.push_back({ "X-Endpoint-State", "leaving" });
       refusal.fields_.push_back({ "X-Not-Run", "true" });
@@ -58,6 +59,7 @@
   {
     return { { "runs", runs_ },
              { "total", total_ },
+             { "refused", refused_ },
              { "bodies", bodies_ },
              { "requests", requests_ } };
   }
@@ -116,6 +118,7 @@
   std::map<std::string, int> requests_;
   std::map<std::string, std::string> bodies_;
   std::uint64_t total_ = 0;
+  std::uint64_t refused_ = 0;
 };
 
 } // namespace
--- a/test/integration/gooseberrylift-planned-stop-test.cc
+++ b/test/integration/gooseberrylift-planned-stop-test.cc
@@ -342,3 +342,46 @@
   CHECK_TRUE(refused <= kUnderWay);
   LONGS_EQUAL(0, load.Failed());
 }
+
+// The same for a plain service: first its own word, while the list still shows
+// it live. Calls that meet its refusal go to the other endpoint, as none ran.
+TEST(PlannedStopTest, BelievesALeavingServicesOwnWordWithoutFailingACall)
+{
+  constexpr int kUnderWay = kCallers;
+  UseHosts({ 0, 1, 2 });
+  CheckedLoad load(balancer_, kCallers);
+  CHECK_TRUE(load.WaitForMore(100));
+  deployment_.Service(0).Control({ { "leaving", true } });
+  CHECK_TRUE(load.WaitForMore(200));
+  load.Stop();
+  const json stats = deployment_.Service(0).Stats();
+  const int refused = stats.value("refused", -1);
+  std::printf(
+    "own word of a service: %d refusals, %d failed\n", refused, load.Failed());
+  CHECK_TRUE(stats.value("total", 0) > 0);
+  CHECK_TRUE(refused >= 0);
+  CHECK_TRUE(refused <= kUnderWay);
+  LONGS_EQUAL(0, load.Failed());
+}
+
+// And by the list alone: three seconds later no call begins there.
+TEST(PlannedStopTest, GivesALeavingServiceNoNewCallThreeSecondsAfterTheList)
+{
+  UseHosts({ 0, 1, 2 });
+  CheckedLoad load(balancer_, kCallers);
+  CHECK_TRUE(load.WaitForMore(100));
+  json list = deployment_.HostList();
+  for (json& host : list) {
+    if (host["name"] == "board-0") {
+      host["state"] = "leaving";
+    }
+  }
+  deployment_.List().Control({ { "hosts", list } });
+  std::this_thread::sleep_for(seconds(3)); // the bound that is promised
+  const int total = deployment_.Service(0).Stats().value("total", -1);
+  CHECK_TRUE(total > 0);
+  CHECK_TRUE(load.WaitForMore(200));
+  LONGS_EQUAL(total, deployment_.Service(0).Stats().value("total", -1));
+  load.Stop();
+  LONGS_EQUAL(0, load.Failed());
+}
