Make the hot and the cool team of the bench from one function

Cause: two functions of the decision bench differed in one number. Change: BesideTeam takes the team's share of the capacity.

--- a/bench/gooseberrylift-bench-load.cc
+++ b/bench/gooseberrylift-bench-load.cc
@@ -175,33 +175,19 @@
   Append(aPattern.arrivals_, std::move(burst));
 }
 
-void HotTeam(Pattern& aPattern, LoadOptions aLoad)
+// The usual mix beside one team that asks for so much of the capacity.
+void BesideTeam(Pattern& aPattern, LoadOptions aLoad, double aTeamLoad)
 {
   aLoad.load_ = 0.6;
   aPattern.arrivals_ = Mix(aLoad);
-  // A tenth of the load is one team's share; it asks eight times that.
-  aLoad.load_ = 0.8;
+  aLoad.load_ = aTeamLoad;
   aLoad.longPrompts_ = false;
   aLoad.seed_ += 1000;
-  std::vector<Arrival> hot = Mix(aLoad);
-  for (Arrival& arrival : hot) {
+  std::vector<Arrival> team = Mix(aLoad);
+  for (Arrival& arrival : team) {
     arrival.info_.team_ = "hot";
   }
-  Append(aPattern.arrivals_, std::move(hot));
-}
-
-void CoolTeam(Pattern& aPattern, LoadOptions aLoad)
-{
-  aLoad.load_ = 0.6;
-  aPattern.arrivals_ = Mix(aLoad);
-  aLoad.load_ = 0.1;
-  aLoad.longPrompts_ = false;
-  aLoad.seed_ += 1000;
-  std::vector<Arrival> share = Mix(aLoad);
-  for (Arrival& arrival : share) {
-    arrival.info_.team_ = "hot";
-  }
-  Append(aPattern.arrivals_, std::move(share));
+  Append(aPattern.arrivals_, std::move(team));
 }
 
 void HotPrefix(Pattern& aPattern, LoadOptions aLoad)
@@ -309,7 +295,8 @@
       Burst(pattern, load);
       break;
     case 'b':
-      aName == "b" ? HotTeam(pattern, load) : CoolTeam(pattern, load);
+      // A tenth of the load is one team's share; hot, it asks eight times that.
+      BesideTeam(pattern, load, aName == "b" ? 0.8 : 0.1);
       break;
     case 'c':
       HotPrefix(pattern, load);
