Tell a first try by one definition

Cause: a stream that waits for a new engine forgets the engines it tried, and an empty list of them was taken for a first try in three places: the scheduler refilled the retry budget and admitted it as new, and the team's limit was charged a second time and could refuse it. Found by reading the change again. Change: RequestInfo::IsFirstTry, used in all three, in place of three checks of the list. The charge to the team has no test of its own; it uses the same definition. Conclusion: a stream under way is one request for budget, admission and limit.

--- a/include/gooseberrylift/gooseberrylift-scheduler-types.h
+++ b/include/gooseberrylift/gooseberrylift-scheduler-types.h
@@ -29,6 +29,10 @@
   // A second try that the budget is not charged for: the endpoint before took
   // no work, or the caller already has tokens of the answer.
   bool freeRetry_ = false;
+
+  /// Says whether no attempt came before. A stream that waits for a new engine
+  /// forgets those it tried, so an empty list alone does not tell.
+  bool IsFirstTry() const { return excluded_.empty() && !freeRetry_; }
 };
 
 // What came of a request at an endpoint.
--- a/src/core/gooseberrylift-scheduler.cc
+++ b/src/core/gooseberrylift-scheduler.cc
@@ -95,7 +95,7 @@
       { .id_ = aInfo.id_, .refusal_ = MakeError(ResultCode::kPromptTooLarge) });
     return;
   }
-  const bool first = aInfo.excluded_.empty();
+  const bool first = aInfo.IsFirstTry();
   if (first) {
     retries_.OnFirstTry(aInfo.service_);
   } else if (Fair() && !aInfo.freeRetry_ &&
@@ -227,7 +227,7 @@
   Admission& admission = lane.Of(info.class_);
   const bool empty = lane.queue_->Size() == 0;
   // A second try was admitted before and goes first by its deadline.
-  const bool first = info.excluded_.empty();
+  const bool first = info.IsFirstTry();
   const microseconds wait =
     empty || !first ? microseconds(0) : PredictWait(info);
   const microseconds service = Between(aRequest.latestStart_, info.deadline_);
--- a/src/runtime/gooseberrylift-pool-broker.cc
+++ b/src/runtime/gooseberrylift-pool-broker.cc
@@ -302,7 +302,7 @@
 // A second try was counted with the first.
 std::optional<Error> PoolBroker::TakeTeamTokens(const RequestInfo& aInfo)
 {
-  if (!aInfo.excluded_.empty()) {
+  if (!aInfo.IsFirstTry()) {
     return std::nullopt;
   }
   const std::lock_guard lock(limiterMutex_);
--- a/test/core/gooseberrylift-scheduler-test.cc
+++ b/test/core/gooseberrylift-scheduler-test.cc
@@ -92,6 +92,34 @@
   CHECK(refusedOf(false) >= 89);
 }
 
+// A stream under way waits for a new engine and forgets which it had tried.
+// Were it then taken for a first try, each wait would refill the budget, and a
+// storm could feed on it.
+TEST(SchedulerTest, RefillsNoBudgetForAStreamThatForgotItsEngines)
+{
+  Scheduler scheduler({ .maxConcurrency_ = 1000 });
+  scheduler.SetEndpoints(Engines(3), now_);
+  const auto refusedOf = [&](bool aFree, int aCount) {
+    int refused = 0;
+    for (int index = 0; index < aCount; ++index) {
+      RequestInfo request = Request(100);
+      if (!aFree) {
+        request.excluded_.push_back("engine-0");
+      }
+      request.freeRetry_ = aFree;
+      scheduler.OnRequest(request, now_);
+      for (const SchedulerAction& action : scheduler.TakeActions()) {
+        refused +=
+          action.refusal_.code_ == ResultCode::kRetryBudgetSpent ? 1 : 0;
+      }
+    }
+    return refused;
+  };
+  CHECK(refusedOf(false, 50) > 0); // the budget is spent
+  LONGS_EQUAL(0, refusedOf(true, 100));
+  LONGS_EQUAL(5, refusedOf(false, 5));
+}
+
 // An operator changes the placement while requests wait. They must neither be
 // lost nor started twice.
 TEST(SchedulerTest, KeepsWaitingRequestsWhenThePlacementChanges)
