--- a/include/gooseberrylift/gooseberrylift-digest.h
+++ b/include/gooseberrylift/gooseberrylift-digest.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gooseberrylift/gooseberrylift-endpoint.h"
+#include "gooseberrylift/routing/gooseberrylift-fleet-load.h"
 
 namespace gooseberrylift {
 
@@ -55,6 +56,8 @@
   std::vector<EndpointDigest> endpoints_; // those not plainly live
   std::vector<QuarantineEntry> quarantine_;
   std::vector<TeamDemand> demand_;
+  std::vector<EndpointShare> shares_; // what it has in work, by endpoint
+  bool keysProven_ = false;           // it may let in callers by their keys
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/gooseberrylift-peer-table.h
+++ b/include/gooseberrylift/gooseberrylift-peer-table.h
@@ -77,6 +77,7 @@
     std::uint64_t incarnation_ = 0;
     std::uint64_t seed_ = 0;
     std::chrono::milliseconds round_{ 1000 };
+    std::size_t partners_ = 2; // a round, in a small fleet
     // Eight digests of about 130 bytes keep a message below 1.5 KB.
     std::size_t relayedPerMessage_ = 8;
     // Rounds without news of a host until it is taken for gone: a lost message
--- a/include/gooseberrylift/gooseberrylift-settings.h
+++ b/include/gooseberrylift/gooseberrylift-settings.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,21 @@
 {
   std::string address_ = "127.0.0.1";
   std::uint16_t port_ = 0; // 0 picks a free port
+  std::size_t maxConnections_ = 10'000;
+};
+
+// What a host that serves routes promises of them. The platform that it runs
+// on states the figures; these are those of a small deployment.
+struct GatewaySettings
+{
+  bool strictRevocation_ = true; // by hosts without a store as well
+  // How long after a key was taken away it may still be served.
+  std::chrono::milliseconds revokeWithin_{ 5'000 };
+  double retryRatio_ = 0.2; // repeats for each request, over all hosts
+  std::chrono::milliseconds retryWindow_{ 10'000 };
+  double retryAllowance_ = 100; // repeats in a window beside these
+  // The longest time for which an engine sets memory aside.
+  std::chrono::milliseconds longestHold_{ 20'000 };
 };
 
 struct Settings
@@ -35,6 +51,7 @@
   std::chrono::milliseconds headerTimeout_{ 10'000 };
   std::chrono::milliseconds bodyTimeout_{ 60'000 };
   std::chrono::milliseconds writeTimeout_{ 30'000 };
+  ListenSettings ready_; // only with gateway_: where the balancer asks
   ListenSettings admin_;
   std::vector<std::string> adminKeys_;
   ListenSettings peer_;
@@ -50,6 +67,9 @@
   std::size_t onceMaxBatch_ = 256; // calls in one write of the group commit
   std::chrono::milliseconds jobLease_{ 15'000 };
   std::string logLevel_ = "info";
+  // Set on a host that serves routes instead of the services of the
+  // operators' own configuration.
+  std::optional<GatewaySettings> gateway_{};
 
   /// Checks settings and fills in the defaults.
   /// @param aText the JSON text of the settings file
--- /dev/null
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -0,0 +1,137 @@
+// The endpoints of all services as this host knows them, and the requests that
+// it and its peers have in work there.
+
+#ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_FLEET_H_
+#define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_FLEET_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
+#include "gooseberrylift/routing/gooseberrylift-endpoint-trust.h"
+#include "gooseberrylift/routing/gooseberrylift-fleet-load.h"
+#include "gooseberrylift/routing/gooseberrylift-fleet-placement.h"
+#include "gooseberrylift/routing/gooseberrylift-route-table.h"
+
+namespace gooseberrylift {
+
+// A request that wants an endpoint.
+struct FleetQuery
+{
+  std::uint64_t id_ = 0; // this host's own number of it
+  std::string service_;
+  std::optional<EngineFigures> figures_; // none for a plain service
+  std::chrono::milliseconds tightestGap_{ 0 };
+  PlacementRequest request_;
+  std::set<std::string> tried_; // endpoints that failed it
+};
+
+// Where it is to go.
+struct FleetPlacement
+{
+  ListedEndpoint endpoint_;
+  std::vector<ListedEndpoint> helpers_;
+  std::chrono::microseconds firstAnswer_{ 0 }; // predicted
+  EndpointLoad load_;                          // at the endpoint, before it
+  std::size_t candidates_ = 0;
+  RequestCost cost_;
+  RequestCost helperCost_;
+};
+
+// Safe from any thread: the directory has a lock, and so has each service's
+// load and trust.
+class Fleet
+{
+public:
+  struct Options
+  {
+    std::string host_;
+    std::string zone_;
+  };
+
+  explicit Fleet(Options aOptions);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  /// Changes the directory, under its lock.
+  template<typename Change>
+  void WithDirectory(const Change& aChange)
+  {
+    const std::lock_guard lock(directoryMutex_);
+    aChange(directory_);
+  }
+
+  /// Chooses an endpoint, without sending anything.
+  /// @return nothing when no endpoint can take the request
+  std::optional<FleetPlacement> Place(const FleetQuery& aQuery);
+
+  // A request in work at its endpoint and helpers. It counts in their load
+  // until it is ended or goes.
+  class Use
+  {
+  public:
+    Use(Fleet& aFleet, const FleetQuery& aQuery, FleetPlacement aPlacement);
+    ~Use();
+    Use(const Use&) = delete;
+    Use& operator=(const Use&) = delete;
+
+    const FleetPlacement& Placement() const { return placement_; }
+
+    /// Notes that the endpoint sent something.
+    /// @param aFirst whether it was the first of its answer
+    void OnHeard(bool aFirst);
+
+    /// Ends the use and notes how it went.
+    void End(EndpointOutcome aOutcome);
+
+  private:
+    void Release();
+
+    Fleet& fleet_;
+    std::uint64_t id_;
+    std::string service_;
+    FleetPlacement placement_;
+    TimePoint sent_;
+    bool ended_ = false;
+  };
+
+  /// Takes in what a peer has in work.
+  /// @param aSequence rises with each word of the peer; one that is known
+  /// already changes nothing
+  void OnPeer(const std::string& aHost,
+              std::uint64_t aSequence,
+              const std::vector<EndpointShare>& aShares);
+
+  /// Gives what this host has in work, for its peers.
+  std::vector<EndpointShare> OwnShares();
+
+  /// Gives the ids of endpoints known to leave.
+  std::set<std::string> Leaving();
+
+  /// Drops what has become old; called now and then.
+  void Sweep();
+
+private:
+  struct Shard;
+
+  Shard& ShardOf(const std::string& aService);
+  std::vector<ListedEndpoint> Ordered(const FleetQuery& aQuery);
+
+  Options options_;
+  std::mutex peersMutex_;
+  std::map<std::string, std::uint64_t> peerSequences_; // the last taken in
+  std::mutex directoryMutex_;
+  EndpointDirectory directory_;
+  std::mutex shardsMutex_; // guards the map; each shard has its own lock
+  std::map<std::string, std::unique_ptr<Shard>> shards_; // by service
+};
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_FLEET_H_
--- a/include/gooseberrylift/internal/gooseberrylift-forward-fields.h
+++ b/include/gooseberrylift/internal/gooseberrylift-forward-fields.h
@@ -7,6 +7,10 @@
 
 namespace gooseberrylift {
 
+/// Gives the fields without those that concern one connection, which a message
+/// may name itself in its Connection field.
+HttpFields WithoutConnectionFields(const HttpFields& aFields);
+
 /// Gives the fields without those that concern one connection or that this
 /// host sets itself.
 HttpFields WithoutOwnFields(const HttpFields& aFields);
--- /dev/null
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -0,0 +1,80 @@
+// One running host that serves routes: all its parts, put together in one
+// place.
+
+#ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_GATEWAY_HOST_H_
+#define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_GATEWAY_HOST_H_
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "gooseberrylift/gooseberrylift-settings.h"
+#include "gooseberrylift/internal/gooseberrylift-fleet.h"
+#include "gooseberrylift/internal/gooseberrylift-gateway-front.h"
+#include "gooseberrylift/internal/gooseberrylift-http-client.h"
+#include "gooseberrylift/internal/gooseberrylift-http-server.h"
+#include "gooseberrylift/internal/gooseberrylift-metrics.h"
+#include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
+#include "gooseberrylift/internal/gooseberrylift-route-follower.h"
+
+namespace gooseberrylift {
+
+// Runs until SIGTERM or SIGINT, then stops in good order; SIGHUP and a changed
+// settings file put new bounds in force:
+//
+//   GatewayHost host(settings, path);
+//   const Outcome<void> ended = host.Run();
+class GatewayHost
+{
+public:
+  /// @param aSettings with gateway_ set
+  /// @param aPath of the settings file, which is looked at again
+  GatewayHost(Settings aSettings, std::string aPath);
+  ~GatewayHost();
+
+  /// Serves until a planned stop is done.
+  /// @return an error when a port can't be listened on
+  Outcome<void> Run();
+
+private:
+  Outcome<void> Listen();
+  Digest OwnDigest();
+  void TakeInPeers(const PeersState& aPeers);
+  boost::asio::awaitable<void> StartPeers();
+  void ApplyBounds(const GatewaySettings& aBounds);
+  void Reload();
+  std::string WhyNotReady() const;
+  std::string StatusText();
+  boost::asio::awaitable<void> HandleReady(HttpExchange& aExchange);
+  boost::asio::awaitable<void> HandleAdmin(HttpExchange& aExchange);
+  boost::asio::awaitable<void> WatchSettings();
+  boost::asio::awaitable<void> WaitForReload();
+  boost::asio::awaitable<void> WaitForStop();
+  boost::asio::awaitable<void> Drain();
+
+  Settings settings_;
+  std::string path_;
+  boost::asio::io_context context_;
+  GatewayBoard board_;
+  Metrics metrics_;
+  HttpClient client_;      // to endpoints
+  HttpClient storeClient_; // a pool of its own, as each has its time-outs
+  HttpClient peerClient_;
+  std::unique_ptr<ObjectStore> store_;
+  std::unique_ptr<WireDialect> dialect_;
+  Fleet fleet_;
+  RouteFollower routes_;
+  EndpointFollower endpoints_;
+  SharedRepeatBudget repeats_;
+  PeerExchange peers_;
+  GatewayFront front_;
+  HttpServer callerServer_;
+  HttpServer readyServer_;
+  HttpServer adminServer_;
+  HttpServer peerServer_;
+};
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_GATEWAY_HOST_H_
--- a/include/gooseberrylift/internal/gooseberrylift-http-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-client.h
@@ -25,10 +25,15 @@
 public:
   virtual ~HttpCall() = default;
 
-  /// Gives status and header fields; the body stays empty.
+  /// Waits for status and header fields. After a time-out it may be called
+  /// again and goes on waiting.
+  virtual boost::asio::awaitable<Outcome<void>> ReadHead() = 0;
+
+  /// Gives status and header fields once they were read; the body stays empty.
   virtual const HttpResponse& Head() const = 0;
 
-  /// Reads the next piece of the body, as soon as there is one.
+  /// Reads the next piece of the body, as soon as there is one. After a
+  /// time-out it may be called again and goes on reading.
   /// @return a piece, nothing at the proper end, or an error with kNo,
   /// kUnknown or kYes for what may have run
   virtual boost::asio::awaitable<Outcome<std::optional<std::string>>>
@@ -53,13 +58,18 @@
   {
     std::chrono::milliseconds connectTimeout_{ 1000 };
     std::size_t idlePerAddress_ = 64;
-    std::chrono::milliseconds idleFor_{ 20'000 }; // below a server's own limit
+    // At most; a server that states a shorter time is believed.
+    std::chrono::milliseconds idleFor_{ 20'000 };
     std::uint64_t maxBodyBytes_ = 64 * 1024 * 1024;
   };
 
   struct CallOptions
   {
     bool freshConnection_ = false; // never one that was used before
+    // A kept connection that was idle for longer is passed over.
+    std::chrono::milliseconds maxIdle_{ std::chrono::hours(1) };
+    // Instead of the client's own.
+    std::optional<std::chrono::milliseconds> connectTimeout_{};
   };
 
   HttpClient(boost::asio::any_io_executor aExecutor, Options aOptions);
@@ -67,13 +77,22 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /// Sends a request and waits for the head of its answer.
+  /// Sends a request. Its answer's head is to be read next.
   /// @param aAddress the server as IP:port
-  /// @param aRequest what to send; Host and Content-Length are added
+  /// @param aRequest what to send; Content-Length is added, and Host unless
+  /// it is there
   /// @param aDeadline when to give up; it holds for the call's reads too
   /// @param aCall how to send it
   /// @return the call, or an error whose ran_ is kNo only when no byte was
   /// handed to the socket
+  boost::asio::awaitable<Outcome<std::unique_ptr<HttpCall>>> Send(
+    std::string aAddress,
+    HttpRequest aRequest,
+    TimePoint aDeadline,
+    CallOptions aCall);
+
+  /// Sends a request and waits for the head of its answer.
+  /// @return like Send
   boost::asio::awaitable<Outcome<std::unique_ptr<HttpCall>>> Start(
     std::string aAddress,
     HttpRequest aRequest,
@@ -81,6 +100,12 @@
     CallOptions aCall);
 
   /// Sends a request and reads the whole answer.
+  boost::asio::awaitable<Outcome<HttpResponse>> Fetch(std::string aAddress,
+                                                      HttpRequest aRequest,
+                                                      TimePoint aDeadline,
+                                                      CallOptions aCall);
+
+  /// The same on any connection.
   boost::asio::awaitable<Outcome<HttpResponse>> Fetch(std::string aAddress,
                                                       HttpRequest aRequest,
                                                       TimePoint aDeadline);
--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -109,6 +109,18 @@
   /// @return an error with kListenFailed when the address can't be had
   Outcome<std::uint16_t> Listen();
 
+  // What a caller may send, and how long it may take or stay idle.
+  struct Limits
+  {
+    std::uint32_t maxHeaderBytes_ = 16 * 1024;
+    std::uint64_t maxBodyBytes_ = 16 * 1024 * 1024;
+    std::chrono::milliseconds headerTimeout_{ 10'000 };
+    std::chrono::milliseconds idleTimeout_{ 75'000 };
+  };
+
+  /// Changes the limits for requests that are not being read yet.
+  void SetLimits(const Limits& aLimits);
+
   /// Gives the port listened on; 0 before Listen.
   std::uint16_t Port() const;
 
--- a/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
@@ -4,7 +4,9 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_PEER_EXCHANGE_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_PEER_EXCHANGE_H_
 
+#include <atomic>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -12,7 +14,6 @@
 #include "gooseberrylift/gooseberrylift-peer-table.h"
 #include "gooseberrylift/gooseberrylift-settings.h"
 #include "gooseberrylift/internal/gooseberrylift-blackboard.h"
-#include "gooseberrylift/internal/gooseberrylift-config-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-rpc.h"
 #include "gooseberrylift/internal/gooseberrylift-store.h"
 
@@ -21,22 +22,34 @@
 // One object of this kind per availability zone lists its hosts.
 constexpr const char* kMembersKind = "members";
 
-// Writes the section peers_; reads configuration_, endpoints_, quarantine_,
-// demand_, store_ and host_. Safe to use from several threads.
+// What a host has in force, as a peer that is behind fetches it.
+struct OfferedConfiguration
+{
+  std::uint64_t generation_ = 0; // 0 when there is none
+  std::string text_;
+};
+
+// Knows nothing of what its host serves: that comes and goes through the
+// functions of Parts. Safe to use from several threads when these are.
 //
 //   PeerExchange peers({ ... }, {});
-//   peers.Start(port);          // once the peer port is known
+//   peers.Start(port);          // once the peer port and the keys are known
 class PeerExchange
 {
 public:
   struct Parts
   {
     const Settings& settings_;
-    Blackboard& board_;
     ObjectStore& store_;
-    ConfigFollower& follower_;
     HttpClient& client_;
     boost::asio::any_io_executor executor_;
+    // Gives this host's word of itself, but for names and sequence.
+    std::function<Digest()> own_;
+    // Takes the latest words of the other hosts.
+    std::function<void(PeersState aPeers)> publish_;
+    // Gives and takes configurations; empty when hosts get them elsewhere.
+    std::function<OfferedConfiguration()> configuration_;
+    std::function<void(const OfferedConfiguration& aOffered)> offer_;
   };
 
   struct Options
@@ -47,13 +60,18 @@
     std::chrono::milliseconds joinRetry_{ 1000 };    // while not yet listed
     std::chrono::milliseconds listPeriod_{ 30'000 }; // when listed
     std::size_t newsFanout_ = 3;
+    std::size_t partners_ = 2; // a round, in a small fleet
   };
 
   PeerExchange(Parts aParts, Options aOptions);
 
   /// Begins to exchange and to join the store's list.
   /// @param aPort the port that peers reach this host on
-  void Start(std::uint16_t aPort);
+  /// @param aKeys the keys of the hosts: the first signs, all are accepted
+  void Start(std::uint16_t aPort, std::vector<std::string> aKeys);
+
+  /// Tells peers of something new at once instead of with the next round.
+  void TellNews();
 
   /// Handles one request of the peer port's HTTP server.
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
@@ -69,9 +87,7 @@
   boost::asio::awaitable<void> FetchConfiguration(PeerMember aPeer);
   std::vector<PeerMember> SeedPeers() const;
   void StartExchanges(const std::vector<PeerMember>& aPeers);
-  void OnConfiguration();
   void Refresh();
-  Digest OwnDigest() const;
   nlohmann::json Answer(const nlohmann::json& aParams);
   nlohmann::json AnswerConfiguration() const;
   void TakeIn(const PeerMessage& aMessage);
@@ -84,6 +100,7 @@
   std::unique_ptr<PeerTable> table_;
   bool fetching_ = false;
   std::mutex publishMutex_; // snapshots are written in their order
+  std::atomic<bool> started_ = false;
   PeerMember self_;
 };
 
--- a/include/gooseberrylift/internal/gooseberrylift-peer-rpc.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-rpc.h
@@ -49,6 +49,12 @@
   /// Adds a method; only before the first request.
   void Add(const std::string& aName, Method aMethod);
 
+  /// Sets the keys; only before the first request.
+  void SetKeys(std::vector<std::string> aKeys)
+  {
+    options_.keys_ = std::move(aKeys);
+  }
+
   /// Sets the address that stands for this host beside its name, for callers
   /// that know only that; only before the first request.
   void SetAddress(std::string aAddress) { address_ = std::move(aAddress); }
--- /dev/null
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -0,0 +1,136 @@
+// Takes one admitted request to an endpoint, and to others when one fails it,
+// until its caller has an answer or there is none to be had.
+
+#ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_REQUEST_RUN_H_
+#define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_REQUEST_RUN_H_
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "gooseberrylift/gooseberrylift-attempts.h"
+#include "gooseberrylift/internal/gooseberrylift-fleet.h"
+#include "gooseberrylift/internal/gooseberrylift-http-client.h"
+#include "gooseberrylift/internal/gooseberrylift-http-server.h"
+#include "gooseberrylift/internal/gooseberrylift-route-follower.h"
+#include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
+#include "gooseberrylift/limits/gooseberrylift-repeat-budget.h"
+#include "gooseberrylift/streams/gooseberrylift-event-splitter.h"
+
+namespace gooseberrylift {
+
+// The repeat budget of this host, shared by its requests.
+struct SharedRepeatBudget
+{
+  std::mutex mutex_; // guards what follows
+  RepeatBudget budget_{ RepeatBudget::Options{} };
+  std::size_t hosts_ = 1; // that share the budget
+};
+
+// A request whose route and team are known.
+struct RoutedRequest
+{
+  std::uint64_t id_ = 0; // this host's own number
+  CallerFacts facts_;
+  RouteTable::Ptr table_;
+  const Route* route_ = nullptr; // of table_
+  std::string service_;
+  std::string team_;
+  bool keyed_ = false; // the caller was let in by a key
+  TimePoint arrived_;
+  TimePoint deadline_;
+};
+
+// One request on its way; lives as long as its handler. The promises it keeps:
+// a request that may not be repeated gives bytes to one endpoint only, unless
+// that one proves that it did not run it; an answer reaches the caller only
+// whole, or as a stream that is visibly cut; the events of a stream follow each
+// other without a gap, from however many engines they come.
+class RequestRun
+{
+public:
+  struct Parts
+  {
+    HttpClient& client_;
+    const WireDialect& dialect_;
+    Fleet& fleet_;
+    RouteFollower& routes_;
+    SharedRepeatBudget& repeats_;
+  };
+
+  RequestRun(Parts aParts, HttpExchange& aExchange, RoutedRequest aRequest);
+
+  /// Runs until the caller has its answer.
+  /// @return an error when it has none yet, or when its stream was cut
+  boost::asio::awaitable<Outcome<void>> Run();
+
+  /// Gives the time from arrival to the first byte of the answer; nothing
+  /// before it.
+  std::optional<std::chrono::microseconds> FirstAnswer() const
+  {
+    return firstAnswer_;
+  }
+
+  /// Gives the status that the caller was sent; 0 while none was.
+  int Status() const { return status_; }
+
+  /// Gives how many endpoints the request was given to.
+  int Sends() const { return sends_; }
+
+private:
+  using Call = std::unique_ptr<HttpCall>;
+
+  std::optional<Error> WhyNotSend() const;
+  std::optional<Error> Admit(const FleetPlacement& aPlacement) const;
+  FleetQuery MakeQuery() const;
+  HttpRequest MakeSend(const FleetPlacement& aPlacement) const;
+  boost::asio::awaitable<Outcome<void>> Attempt(FleetPlacement aPlacement);
+  boost::asio::awaitable<Outcome<void>> ReadHead(HttpCall& aCall,
+                                                 Fleet::Use& aUse);
+  boost::asio::awaitable<Outcome<std::optional<std::string>>> ReadPiece(
+    HttpCall& aCall,
+    std::chrono::microseconds aPredicted);
+  std::optional<Error> CheckHead(const HttpResponse& aHead,
+                                 const ListedEndpoint& aEndpoint);
+  boost::asio::awaitable<Outcome<void>> PassWhole(HttpCall& aCall,
+                                                  Fleet::Use& aUse);
+  boost::asio::awaitable<Outcome<void>> PassLarge(HttpCall& aCall,
+                                                  std::string aBegin);
+  boost::asio::awaitable<Outcome<void>> PassStream(HttpCall& aCall,
+                                                   Fleet::Use& aUse);
+  Outcome<std::string> TakeEvents(EventSplitter& aSplitter);
+  boost::asio::awaitable<Outcome<void>> WriteEvents(const HttpResponse& aHead,
+                                                    std::string aEvents);
+  boost::asio::awaitable<bool> OpenStream(const HttpResponse& aHead);
+  boost::asio::awaitable<Outcome<void>> SendKept();
+  bool MayRepeat(const Error& aError);
+  bool MayLeave() const;
+  bool PayRepeat();
+  void NoteAnswer(int aStatus);
+  void LogPlaced(const FleetPlacement& aPlacement) const;
+  void LogFailed(const FleetPlacement& aPlacement, const Error& aError) const;
+
+  Parts parts_;
+  HttpExchange& exchange_;
+  RoutedRequest request_;
+  Attempts attempts_;
+  EventSequence events_;
+  std::set<std::string> tried_;
+  int sends_ = 0;           // endpoints that got bytes of the request
+  int unreachable_ = 0;     // endpoints that could not be connected to
+  bool repeatPaid_ = false; // for the next send
+  bool streaming_ = false;  // the head of a stream is out
+  int status_ = 0;
+  // An endpoint's failure, kept to be delivered when a repeat brings nothing
+  // better.
+  std::optional<HttpResponse> kept_;
+  std::optional<std::chrono::microseconds> firstAnswer_;
+};
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_REQUEST_RUN_H_
--- a/include/gooseberrylift/internal/gooseberrylift-rest-store.h
+++ b/include/gooseberrylift/internal/gooseberrylift-rest-store.h
@@ -43,10 +43,12 @@
                                                std::string aName,
                                                std::string aVersion,
                                                TimePoint aDeadline) override;
-  boost::asio::awaitable<Outcome<void>> Watch(std::string aKind,
-                                              std::string aVersion,
-                                              EventSink aSink,
-                                              TimePoint aDeadline) override;
+  boost::asio::awaitable<Outcome<std::string>> Watch(
+    std::string aKind,
+    std::string aVersion,
+    EventSink aSink,
+    std::chrono::milliseconds aWait,
+    TimePoint aDeadline) override;
 
 private:
   boost::asio::awaitable<Outcome<nlohmann::json>> Call(HttpRequest aRequest,
--- a/include/gooseberrylift/internal/gooseberrylift-store.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_STORE_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_STORE_H_
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <vector>
@@ -74,12 +75,17 @@
                                                        std::string aVersion,
                                                        TimePoint aDeadline) = 0;
 
-  /// Follows changes of a kind from a version on, until the deadline, the
-  /// store's end of the watch, or an error. kStoreGone asks for a new List.
-  virtual boost::asio::awaitable<Outcome<void>> Watch(std::string aKind,
-                                                      std::string aVersion,
-                                                      EventSink aSink,
-                                                      TimePoint aDeadline) = 0;
+  /// Follows changes of a kind from a version on, until the wait has passed,
+  /// the store ends the watch, or an error.
+  /// @param aWait how long to wait for changes
+  /// @param aDeadline when the connection counts as dead; after the wait
+  /// @return the version to go on from; kStoreGone asks for a new List
+  virtual boost::asio::awaitable<Outcome<std::string>> Watch(
+    std::string aKind,
+    std::string aVersion,
+    EventSink aSink,
+    std::chrono::milliseconds aWait,
+    TimePoint aDeadline) = 0;
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/internal/gooseberrylift-timer-service.h
+++ b/include/gooseberrylift/internal/gooseberrylift-timer-service.h
@@ -12,6 +12,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "gooseberrylift/gooseberrylift-endpoint.h"
+#include "gooseberrylift/membership/gooseberrylift-freshness-lease.h"
 
 namespace gooseberrylift {
 
@@ -48,6 +49,9 @@
   /// Gives the current monotonic time.
   static TimePoint Now() { return std::chrono::steady_clock::now(); }
 
+  /// Gives the time since the machine started, suspension counted.
+  static BootTime BootNow();
+
   /// Calls back every period, measured from the end of the call before.
   /// @param aPeriod the pause between two calls
   /// @param aExecutor where the callback runs
--- /dev/null
+++ b/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
@@ -0,0 +1,109 @@
+// How the messages of a deployment's platform are spelled. The gateway speaks
+// in the types below; a dialect turns them into header fields and documents
+// and back, and decides nothing.
+
+#ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_WIRE_DIALECT_H_
+#define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_WIRE_DIALECT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gooseberrylift/internal/gooseberrylift-http.h"
+#include "gooseberrylift/internal/gooseberrylift-store.h"
+#include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
+#include "gooseberrylift/routing/gooseberrylift-route-table.h"
+
+namespace gooseberrylift {
+
+// What a caller says of its request beside method, path and body.
+struct CallerFacts
+{
+  std::string attemptId_; // new with each of the caller's own tries
+  std::string host_;
+  std::string teamKey_;
+  std::optional<std::chrono::milliseconds> patience_; // until it gives up
+  std::uint64_t promptTokens_ = 0; // 0 when the request is no generation
+  std::uint64_t answerTokens_ = 0; // at most
+  std::optional<std::uint64_t> lastEventId_; // of a stream it goes on with
+};
+
+// An engine that reads a part of a prompt for another one.
+struct PromptHelper
+{
+  std::string address_;  // IP:port
+  std::string ticketId_; // of memory set aside there; empty: none
+};
+
+// What this host adds to a request on its way to an endpoint.
+struct EndpointSend
+{
+  std::string endpointId_; // any other incarnation must turn it away
+  std::string team_;       // empty when the request needs no key
+  bool hidesKey_ = false;  // the caller's key is for this host only
+  std::chrono::milliseconds remaining_{ 0 };
+  std::optional<std::uint64_t> lastEventId_;
+  std::optional<int> urgency_; // 0 is the most urgent, 9 the least
+  std::vector<PromptHelper> helpers_;
+};
+
+// What an endpoint says about an answer, beside its status and body.
+struct EndpointFacts
+{
+  std::string attemptId_; // of the request that it answers
+  bool genuine_ = false;  // bears the endpoint's own signature
+  bool notRun_ = false;   // proves that the request was not run
+  bool replaced_ = false; // another incarnation has the address now
+  std::string atFault_;   // address of a helper that failed; empty: none
+};
+
+// Where the platform's store keeps what the gateway follows.
+struct StoreKinds
+{
+  std::string routes_;     // the kind that holds the route document
+  std::string routesName_; // the document's name
+  std::string endpoints_;  // the kind in which endpoints list themselves
+};
+
+class WireDialect
+{
+public:
+  virtual ~WireDialect() = default;
+
+  virtual CallerFacts ReadCaller(const HttpRequest& aRequest) const = 0;
+
+  /// Makes the request that goes to an endpoint: the caller's, without what
+  /// concerns one connection or is this host's to say.
+  virtual HttpRequest ForEndpoint(const HttpRequest& aCaller,
+                                  const EndpointSend& aSend) const = 0;
+
+  virtual EndpointFacts ReadEndpoint(const HttpResponse& aHead) const = 0;
+
+  /// Gives the head of an endpoint's answer as the caller gets it.
+  virtual HttpResponse ForCaller(const HttpResponse& aHead) const = 0;
+
+  /// Makes an answer of this host's own, for an error.
+  /// @param aStatus the status that promises just what is true of the request
+  /// @param aAttemptId the request's, empty when it gave none
+  virtual HttpResponse OwnAnswer(int aStatus,
+                                 const Error& aError,
+                                 const std::string& aAttemptId) const = 0;
+
+  virtual StoreKinds Kinds() const = 0;
+
+  /// Decodes a route document.
+  /// @return the routes, or kConfigurationInvalid with the path of the fault
+  virtual Outcome<RouteDocument> ReadRoutes(
+    const nlohmann::json& aSpec) const = 0;
+
+  /// Decodes an endpoint's entry.
+  /// @return the entry, or kEntryInvalid with the path of the fault
+  virtual Outcome<ListedEndpoint> ReadListed(
+    const StoreObject& aObject) const = 0;
+};
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_WIRE_DIALECT_H_
--- /dev/null
+++ b/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
@@ -0,0 +1,102 @@
+// Which endpoints stand behind each service, as the platform's store lists
+// them, and which of them may still get requests.
+
+#ifndef GOOSEBERRYLIFT_ROUTING_GOOSEBERRYLIFT_ENDPOINT_DIRECTORY_H_
+#define GOOSEBERRYLIFT_ROUTING_GOOSEBERRYLIFT_ENDPOINT_DIRECTORY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gooseberrylift/gooseberrylift-endpoint.h"
+
+namespace gooseberrylift {
+
+// One incarnation of an endpoint. The id is new with each start, so whatever
+// is known of an id never has to be taken back.
+struct ListedEndpoint
+{
+  std::string id_;
+  std::string service_;
+  std::string address_; // IP:port
+  std::string zone_;
+  int slots_ = 1;
+  bool leaving_ = false;
+  std::chrono::milliseconds coldFor_{ 0 }; // slower than usual for so long
+};
+
+// Two rules carry it. Leaving is sticky: once an id was listed as leaving, or
+// answered that it is not there any more, no later word makes it usable. An
+// entry that is missing is gone at once, except after an outage of the store:
+// entries then lapse though their endpoints live, and each gets a while to
+// come back. Not thread-safe.
+class EndpointDirectory
+{
+public:
+  struct Options
+  {
+    // Live endpoints are listed again within about 2 s of the store's return;
+    // the platform states that figure. A tenth more covers the watch's delay.
+    std::chrono::milliseconds relistWithin_{ 2'200 };
+  };
+
+  explicit EndpointDirectory(Options aOptions)
+    : options_(aOptions)
+  {
+  }
+
+  /// Takes in a whole list.
+  void OnList(const std::vector<ListedEndpoint>& aListed, TimePoint aNow);
+
+  /// Takes in one new or changed entry.
+  void OnListed(const ListedEndpoint& aListed);
+
+  /// Notes that an entry was removed.
+  void OnRemoved(const std::string& aId, TimePoint aNow);
+
+  /// Notes that the store answers again after it did not.
+  void OnStoreReturned(TimePoint aNow);
+
+  /// Notes that an address answered as another incarnation: the one looked for
+  /// is gone for good.
+  void OnReplaced(const std::string& aId);
+
+  /// Notes that an endpoint is leaving, by a peer's word.
+  void OnLeaving(const std::string& aId);
+
+  /// Drops entries whose time to come back has passed.
+  void Sweep(TimePoint aNow);
+
+  /// Gives the endpoints of a service that may get requests, by rising id.
+  std::vector<const ListedEndpoint*> Usable(const std::string& aService) const;
+
+  /// Finds an endpoint, usable or not; null when it is not known.
+  const ListedEndpoint* Find(const std::string& aId) const;
+
+  /// Gives the ids known to be leaving.
+  const std::set<std::string>& Leaving() const { return leaving_; }
+
+  std::size_t Size() const { return entries_.size(); }
+
+private:
+  struct Entry
+  {
+    ListedEndpoint listed_;
+    std::optional<TimePoint> dropAt_; // set while it is missing
+  };
+
+  void Drop(std::map<std::string, Entry>::iterator aEntry, TimePoint aNow);
+
+  Options options_;
+  std::map<std::string, Entry> entries_;
+  std::set<std::string> leaving_; // ids; a few bytes for each that ever left
+  TimePoint relistUntil_{};
+};
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_ROUTING_GOOSEBERRYLIFT_ENDPOINT_DIRECTORY_H_
--- /dev/null
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -0,0 +1,129 @@
+// What is in work at each endpoint, from this host's own sends and its peers'
+// word. The load it answers: many hosts before the same endpoints. With only
+// its own sends in view each host takes the endpoints that it does not use
+// itself for idle, and all of them place the next long prompt on the same one.
+
+#ifndef GOOSEBERRYLIFT_ROUTING_GOOSEBERRYLIFT_FLEET_LOAD_H_
+#define GOOSEBERRYLIFT_ROUTING_GOOSEBERRYLIFT_FLEET_LOAD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gooseberrylift/gooseberrylift-endpoint.h"
+
+namespace gooseberrylift {
+
+// What one request adds to the load of an endpoint.
+struct RequestCost
+{
+  std::uint64_t memoryTokens_ = 0;      // prompt and answer
+  std::chrono::microseconds read_{ 0 }; // until its first token
+  bool tight_ = false;                  // bears only short gaps
+  bool helping_ = false; // only reads a part; it takes no slot and no memory
+};
+
+// What one host has in work at one endpoint.
+struct EndpointShare
+{
+  std::string id_;
+  int running_ = 0; // requests that hold or wait for a slot
+  int tight_ = 0;   // of these, that bear only short gaps
+  std::uint64_t memoryTokens_ = 0;
+  std::chrono::microseconds backlog_{ 0 }; // still to be read
+};
+
+// What all known hosts have in work at one endpoint.
+struct EndpointLoad
+{
+  int running_ = 0;
+  int tight_ = 0;
+  std::uint64_t memoryTokens_ = 0;
+  std::chrono::microseconds backlog_{ 0 };
+};
+
+// Not thread-safe.
+class FleetLoad
+{
+public:
+  struct Options
+  {
+    // A peer's word is dropped when none newer came for so long: its host is
+    // gone or cut off, and what it had in work has mostly ended. Ten times the
+    // usual pause between two words.
+    std::chrono::milliseconds forgetPeer_{ 2'000 };
+  };
+
+  explicit FleetLoad(Options aOptions)
+    : options_(aOptions)
+  {
+  }
+
+  /// Notes that a request was sent to an endpoint.
+  void OnSent(const std::string& aEndpoint,
+              std::uint64_t aRequest,
+              const RequestCost& aCost,
+              TimePoint aNow);
+
+  /// Notes that a request's prompt was read: its first token came.
+  void OnStarted(const std::string& aEndpoint,
+                 std::uint64_t aRequest,
+                 TimePoint aNow);
+
+  /// Notes that a request ended at an endpoint.
+  void OnEnded(const std::string& aEndpoint,
+               std::uint64_t aRequest,
+               TimePoint aNow);
+
+  /// Takes in all that a peer has in work.
+  /// @param aAt when the peer said so, on this host's clock
+  void OnPeer(const std::string& aHost,
+              std::vector<EndpointShare> aShares,
+              TimePoint aAt);
+
+  /// Gives the load of an endpoint as far as it is known.
+  EndpointLoad Of(const std::string& aEndpoint, TimePoint aNow) const;
+
+  /// Gives this host's own part, for its peers.
+  std::vector<EndpointShare> OwnShares(TimePoint aNow) const;
+
+  /// Gives since when this host waits for an endpoint that sent nothing to any
+  /// of its requests; zero when it waits for none.
+  std::chrono::milliseconds SilentFor(const std::string& aEndpoint,
+                                      TimePoint aNow) const;
+
+  /// Notes that an endpoint sent something.
+  void OnHeard(const std::string& aEndpoint, TimePoint aNow);
+
+private:
+  struct Sent
+  {
+    RequestCost cost_;
+    TimePoint at_;
+    bool started_ = false;
+  };
+  struct Own
+  {
+    std::map<std::uint64_t, Sent> requests_;
+    TimePoint heard_{}; // the last sign of life, or when the wait began
+  };
+  struct Peer
+  {
+    std::map<std::string, EndpointShare> shares_;
+    TimePoint at_{};
+  };
+
+  static EndpointShare ShareOf(const std::string& aId,
+                               const Own& aOwn,
+                               TimePoint aNow);
+
+  Options options_;
+  std::map<std::string, Own> own_;    // by endpoint
+  std::map<std::string, Peer> peers_; // by host
+};
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_ROUTING_GOOSEBERRYLIFT_FLEET_LOAD_H_
--- /dev/null
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
@@ -0,0 +1,135 @@
+// Decides which endpoint, or which engines together, a request goes to, and
+// what its caller may expect there.
+
+#ifndef GOOSEBERRYLIFT_ROUTING_GOOSEBERRYLIFT_FLEET_PLACEMENT_H_
+#define GOOSEBERRYLIFT_ROUTING_GOOSEBERRYLIFT_FLEET_PLACEMENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
+#include "gooseberrylift/routing/gooseberrylift-engine-figures.h"
+#include "gooseberrylift/routing/gooseberrylift-fleet-load.h"
+
+namespace gooseberrylift {
+
+// An endpoint that a request might go to.
+struct PlacementCandidate
+{
+  const ListedEndpoint* endpoint_ = nullptr;
+  EndpointLoad load_;
+  bool setAside_ = false; // failing or silent: only when there is no other
+  bool tried_ = false;    // by this request, in vain
+};
+
+// What placement needs to know of a request.
+struct PlacementRequest
+{
+  std::uint64_t promptTokens_ = 0;
+  std::uint64_t answerTokens_ = 0; // at most
+  std::chrono::milliseconds objective_{ 1'000 };
+  std::chrono::milliseconds maxGap_{ 0 };
+  std::string zone_; // of this host
+};
+
+// Where a request goes.
+struct PlacementChoice
+{
+  const ListedEndpoint* endpoint_ = nullptr;
+  std::vector<const ListedEndpoint*> helpers_; // that read parts of the prompt
+  std::chrono::microseconds firstAnswer_{ 0 }; // predicted, from now
+  RequestCost cost_;                           // at the endpoint
+  RequestCost helperCost_;                     // at each helper
+};
+
+// Engines. The load it answers: many short prompts whose callers bear only
+// short gaps, and few prompts that are read for seconds, on the same engines.
+// A read stretches the pass it falls into, and so the gap of every request
+// that writes there; spread evenly, each long prompt makes late what a dozen
+// short requests write. So short requests fill engines in one order that all
+// hosts share, and long ones take engines from the other end of that order;
+// where the two meet follows the load. A long prompt is read by as many
+// engines as its objective needs. Not thread-safe, holds no state.
+class EnginePlacement
+{
+public:
+  struct Options
+  {
+    // A read longer than this part of the shortest gap that callers bear is
+    // kept away from requests that bear only that. The rest of the gap is the
+    // pass's own steps and a second short read.
+    double longRead_ = 0.6;
+    // Short requests fill an engine up to this part of its slots before they
+    // take the next one: a batch of ten costs a step 1.2 times as much as one
+    // of two, so filling is nearly free, and the rest of the slots is for what
+    // other hosts sent in the moment that their word takes.
+    double comfortable_ = 0.6;
+    // A read is spread until it is predicted to take this part of the
+    // objective; the rest is for the wait before it and errors of prediction.
+    double readShare_ = 0.4;
+    int mostEngines_ = 8; // that read one prompt together
+    // An engine's memory that a prompt may count on; the rest is for answers
+    // of other hosts' requests that are not known yet.
+    double memoryShare_ = 0.9;
+    // What a request that is made late weighs, in time to the first answer of
+    // the request to be placed.
+    std::chrono::milliseconds harm_{ 150 };
+  };
+
+  explicit EnginePlacement(Options aOptions)
+    : options_(aOptions)
+  {
+  }
+
+  /// Chooses engines for a request.
+  /// @param aFigures the service's engines
+  /// @param aTightestGap the shortest gap that any caller of the service bears
+  /// @param aCandidates the usable engines in the order that all hosts share
+  /// @return the choice; nothing when no engine can run the request
+  std::optional<PlacementChoice> Choose(
+    const EngineFigures& aFigures,
+    std::chrono::milliseconds aTightestGap,
+    const std::vector<PlacementCandidate>& aCandidates,
+    const PlacementRequest& aRequest) const;
+
+  /// Predicts the time until an engine begins with a new request.
+  static std::chrono::microseconds WaitAt(const EngineFigures& aFigures,
+                                          const EndpointLoad& aLoad);
+
+private:
+  struct Task;
+
+  std::optional<PlacementChoice> ChooseShort(
+    const Task& aTask,
+    const std::vector<const PlacementCandidate*>& aCandidates) const;
+  std::optional<PlacementChoice> ChooseLong(
+    const Task& aTask,
+    const std::vector<const PlacementCandidate*>& aCandidates) const;
+  std::chrono::microseconds HarmAt(const Task& aTask,
+                                   const EndpointLoad& aLoad,
+                                   std::chrono::microseconds aRead) const;
+
+  Options options_;
+};
+
+// Plain services: the endpoint with the fewest requests for its slots; of
+// equals the one in this host's zone, which saves its caller the way there and
+// back. Not thread-safe.
+class ServicePlacement
+{
+public:
+  /// Chooses an endpoint.
+  /// @param aUsual the usual time of a request of the service
+  /// @param aCandidates the usable endpoints, in an order of this host's own
+  std::optional<PlacementChoice> Choose(
+    std::chrono::microseconds aUsual,
+    const std::vector<PlacementCandidate>& aCandidates,
+    const PlacementRequest& aRequest) const;
+};
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_ROUTING_GOOSEBERRYLIFT_FLEET_PLACEMENT_H_
--- a/src/cli/gooseberrylift-serve.cc
+++ b/src/cli/gooseberrylift-serve.cc
@@ -6,6 +6,7 @@
 
 #include "gooseberrylift/gooseberrylift-settings.h"
 #include "gooseberrylift/internal/gooseberrylift-entry-host.h"
+#include "gooseberrylift/internal/gooseberrylift-gateway-host.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 
 namespace gooseberrylift {
@@ -19,8 +20,9 @@
   BOOST_LEAF_AUTO(text, ReadTextFile(aPath, ResultCode::kSettingsUnreadable));
   BOOST_LEAF_AUTO(settings, Settings::Parse(text));
   StartLogging(settings.logLevel_, settings.hostName_);
-  EntryHost host(std::move(settings));
-  const auto ended = host.Run();
+  const auto ended = settings.gateway_
+                       ? GatewayHost(std::move(settings), aPath).Run()
+                       : EntryHost(std::move(settings)).Run();
   if (!ended) {
     return leaf::new_error(ended.error());
   }
--- a/src/clients/gooseberrylift-rest-store.cc
+++ b/src/clients/gooseberrylift-rest-store.cc
@@ -183,22 +183,21 @@
   co_return boost::outcome_v2::success();
 }
 
-asio::awaitable<Outcome<void>> RestStore::Watch(std::string aKind,
-                                                std::string aVersion,
-                                                EventSink aSink,
-                                                TimePoint aDeadline)
+asio::awaitable<Outcome<std::string>> RestStore::Watch(
+  std::string aKind,
+  std::string aVersion,
+  EventSink aSink,
+  std::chrono::milliseconds aWait,
+  TimePoint aDeadline)
 {
   Count("watch");
-  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
-    aDeadline - TimerService::Now());
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(aWait);
   HttpRequest request =
     MakeRequest(PathOf(aKind) + "?watch=true&resourceVersion=" + aVersion +
                 "&timeoutSeconds=" + std::to_string(seconds.count()));
   const HttpClient::CallOptions options;
-  auto call = co_await client_.Start(Address(),
-                                     std::move(request),
-                                     aDeadline + std::chrono::seconds(1),
-                                     options);
+  auto call =
+    co_await client_.Start(Address(), std::move(request), aDeadline, options);
   if (!call) {
     ++current_;
     co_return Unavailable(call.error().text_, RanState::kNo);
@@ -213,7 +212,7 @@
       co_return Unavailable(piece.error().text_, RanState::kNo);
     }
     if (!piece.value()) {
-      co_return boost::outcome_v2::success();
+      co_return aVersion;
     }
     text += *piece.value();
     std::size_t end = 0;
@@ -221,8 +220,10 @@
       const json event = json::parse(text.substr(0, end), nullptr, false);
       text.erase(0, end + 1);
       if (event.is_object() && event.contains("object")) {
+        StoreObject object = ObjectOf(event.at("object"));
+        aVersion = object.version_;
         aSink({ .deleted_ = event.value("type", "") == "DELETED",
-                .object_ = ObjectOf(event.at("object")) });
+                .object_ = std::move(object) });
       }
     }
   }
--- a/src/core/gooseberrylift-digest-codec.cc
+++ b/src/core/gooseberrylift-digest-codec.cc
@@ -70,6 +70,19 @@
   return list;
 }
 
+json SharesToJson(const std::vector<EndpointShare>& aShares)
+{
+  json list = json::array();
+  for (const EndpointShare& share : aShares) {
+    list.push_back({ share.id_,
+                     share.running_,
+                     share.tight_,
+                     share.memoryTokens_,
+                     share.backlog_.count() });
+  }
+  return list;
+}
+
 const json& ListOf(const json& aDocument, const char* aName)
 {
   static const json kEmpty = json::array();
@@ -96,6 +109,14 @@
     aDigest.demand_.push_back(
       { .team_ = item.at(0), .tokensPerSecond_ = item.at(1) });
   }
+  for (const json& item : ListOf(aDocument, "w")) {
+    aDigest.shares_.push_back({ .id_ = item.at(0),
+                                .running_ = item.at(1),
+                                .tight_ = item.at(2),
+                                .memoryTokens_ = item.at(3),
+                                .backlog_ = std::chrono::microseconds(
+                                  item.at(4).get<std::int64_t>()) });
+  }
 }
 
 } // namespace
@@ -125,6 +146,12 @@
   if (!aDigest.demand_.empty()) {
     document["d"] = DemandToJson(aDigest.demand_);
   }
+  if (!aDigest.shares_.empty()) {
+    document["w"] = SharesToJson(aDigest.shares_);
+  }
+  if (aDigest.keysProven_) {
+    document["k"] = true;
+  }
   return document;
 }
 
@@ -146,6 +173,7 @@
       .configurationHash_ = aDocument.value("c", std::uint64_t{ 0 }),
       .storeReachable_ = aDocument.value("o", false),
       .draining_ = aDocument.value("l", false),
+      .keysProven_ = aDocument.value("k", false),
     };
     ReadLists(aDocument, digest);
     return digest;
--- a/src/core/gooseberrylift-peer-table.cc
+++ b/src/core/gooseberrylift-peer-table.cc
@@ -130,7 +130,9 @@
   std::vector<PeerMember> picked;
   PickOne(near, picked);
   if (IsSmall()) {
-    PickOne(near, picked);
+    for (std::size_t partner = 1; partner < options_.partners_; ++partner) {
+      PickOne(near, picked);
+    }
   } else if (rounds_ % kRoundsPerFarPeer == 0) {
     PickOne(far, picked);
   }
--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -1,5 +1,7 @@
 #include "gooseberrylift/gooseberrylift-settings.h"
 
+#include <cstdlib>
+
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
@@ -15,7 +17,7 @@
 
 constexpr std::string_view kSchema = R"json({
   "type": "object",
-  "required": ["host", "caller", "store", "host_list"],
+  "required": ["host", "caller", "store"],
   "additionalProperties": false,
   "definitions": {
     "endpoint": { "type": "string",
@@ -32,9 +34,10 @@
         "region": { "type": "string", "maxLength": 128 }
       } },
     "caller": {
-      "type": "object", "required": ["port"],
-      "additionalProperties": false,
+      "type": "object", "additionalProperties": false,
+      "anyOf": [ { "required": ["port"] }, { "required": ["listen"] } ],
       "properties": {
+        "listen": { "$ref": "#/definitions/endpoint" },
         "address": { "type": "string" },
         "port": { "type": "integer", "minimum": 0, "maximum": 65535 },
         "max_body_bytes": { "type": "integer", "minimum": 1024,
@@ -43,21 +46,43 @@
                               "maximum": 1048576 },
         "header_timeout_ms": { "$ref": "#/definitions/ms" },
         "body_timeout_ms": { "$ref": "#/definitions/ms" },
-        "write_timeout_ms": { "$ref": "#/definitions/ms" }
+        "write_timeout_ms": { "$ref": "#/definitions/ms" },
+        "max_connections": { "type": "integer", "minimum": 1,
+                             "maximum": 1000000 }
+      } },
+    "ready": {
+      "type": "object", "additionalProperties": false,
+      "anyOf": [ { "required": ["port"] }, { "required": ["listen"] } ],
+      "properties": {
+        "listen": { "$ref": "#/definitions/endpoint" },
+        "address": { "type": "string" },
+        "port": { "type": "integer", "minimum": 0, "maximum": 65535 }
+      } },
+    "gateway": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "strict_revocation": { "type": "boolean" },
+        "revoke_ms": { "$ref": "#/definitions/ms" },
+        "retry_ratio": { "type": "number", "minimum": 0, "maximum": 10 },
+        "retry_window_ms": { "$ref": "#/definitions/ms" },
+        "retry_allowance": { "type": "number", "minimum": 0 },
+        "hold_max_ms": { "$ref": "#/definitions/ms" }
       } },
     "admin": {
-      "type": "object", "required": ["port"],
-      "additionalProperties": false,
+      "type": "object", "additionalProperties": false,
+      "anyOf": [ { "required": ["port"] }, { "required": ["listen"] } ],
       "properties": {
+        "listen": { "$ref": "#/definitions/endpoint" },
         "address": { "type": "string" },
         "port": { "type": "integer", "minimum": 0, "maximum": 65535 },
         "keys": { "type": "array",
                   "items": { "type": "string", "minLength": 16 } }
       } },
     "peer": {
-      "type": "object", "required": ["port"],
-      "additionalProperties": false,
+      "type": "object", "additionalProperties": false,
+      "anyOf": [ { "required": ["port"] }, { "required": ["listen"] } ],
       "properties": {
+        "listen": { "$ref": "#/definitions/endpoint" },
         "address": { "type": "string" },
         "port": { "type": "integer", "minimum": 0, "maximum": 65535 },
         "seeds": { "type": "array",
@@ -121,8 +146,16 @@
   if (aKeys != nullptr) {
     *aKeys = aSection.value("keys", std::vector<std::string>{});
   }
-  return { .address_ = aSection.value("address", "127.0.0.1"),
-           .port_ = aSection.value("port", std::uint16_t{ 0 }) };
+  ListenSettings listen{ .address_ = aSection.value("address", "127.0.0.1"),
+                         .port_ = aSection.value("port", std::uint16_t{ 0 }) };
+  const std::string both = aSection.value("listen", "");
+  if (!both.empty()) {
+    const std::size_t colon = both.rfind(':'); // the schema asks for one
+    listen.address_ = both.substr(0, colon);
+    listen.port_ =
+      static_cast<std::uint16_t>(std::atoi(both.c_str() + colon + 1));
+  }
+  return listen;
 }
 
 milliseconds ReadTime(const json& aSection,
@@ -148,6 +181,23 @@
     ReadTime(aSection, "write_timeout_ms", aSettings.writeTimeout_);
 }
 
+GatewaySettings ReadGateway(const json& aSection)
+{
+  GatewaySettings gateway;
+  gateway.strictRevocation_ =
+    aSection.value("strict_revocation", gateway.strictRevocation_);
+  gateway.revokeWithin_ =
+    ReadTime(aSection, "revoke_ms", gateway.revokeWithin_);
+  gateway.retryRatio_ = aSection.value("retry_ratio", gateway.retryRatio_);
+  gateway.retryWindow_ =
+    ReadTime(aSection, "retry_window_ms", gateway.retryWindow_);
+  gateway.retryAllowance_ =
+    aSection.value("retry_allowance", gateway.retryAllowance_);
+  gateway.longestHold_ =
+    ReadTime(aSection, "hold_max_ms", gateway.longestHold_);
+  return gateway;
+}
+
 Settings Read(const json& aDocument)
 {
   const json empty = json::object();
@@ -159,12 +209,18 @@
   settings.zone_ = section("host").at("zone");
   settings.region_ = section("host").value("region", "");
   ReadCaller(section("caller"), settings);
+  settings.caller_.maxConnections_ = section("caller").value(
+    "max_connections", settings.caller_.maxConnections_);
   settings.admin_ = ReadListener(section("admin"), &settings.adminKeys_);
+  settings.ready_ = ReadListener(section("ready"));
+  if (aDocument.contains("gateway")) {
+    settings.gateway_ = ReadGateway(aDocument.at("gateway"));
+  }
   settings.peer_ = ReadListener(section("peer"), &settings.peerKeys_);
   settings.peerSeeds_ =
     section("peer").value("seeds", std::vector<std::string>{});
   settings.storeAddresses_ = section("store").at("addresses");
-  settings.hostListAddress_ = section("host_list").at("address");
+  settings.hostListAddress_ = section("host_list").value("address", "");
   settings.hostListPoll_ =
     ReadTime(section("host_list"), "poll_ms", settings.hostListPoll_);
   settings.loadPoll_ = ReadTime(aDocument, "load_poll_ms", settings.loadPoll_);
@@ -199,6 +255,12 @@
   Settings settings = Read(document);
   // An open port without a key would let anyone on the network drain hosts or
   // feed them a forged state.
+  if (!settings.gateway_ && settings.hostListAddress_.empty()) {
+    return Invalid("<root>: missing required property 'host_list'");
+  }
+  if (settings.gateway_) {
+    return settings; // its hosts find their keys in the store
+  }
   if (!IsLoopback(settings.admin_.address_) && settings.adminKeys_.empty()) {
     return Invalid("<root>[admin]: keys are needed off the loopback address");
   }
--- /dev/null
+++ b/src/core/limits/gooseberrylift-repeat-budget.cc
@@ -0,0 +1,74 @@
+#include "gooseberrylift/limits/gooseberrylift-repeat-budget.h"
+
+#include <algorithm>
+
+namespace gooseberrylift {
+
+std::int64_t SlidingCount::SliceOf(TimePoint aNow,
+                                   std::chrono::milliseconds aWindow)
+{
+  const auto length = std::max<std::int64_t>(aWindow.count() / kSlices, 1);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           aNow.time_since_epoch())
+           .count() /
+         length;
+}
+
+void SlidingCount::Add(TimePoint aNow, std::chrono::milliseconds aWindow)
+{
+  const std::int64_t number = SliceOf(aNow, aWindow);
+  Slice& slice = slices_.at(static_cast<std::size_t>(number % (kSlices + 1)));
+  if (slice.number_ != number) {
+    slice = { .number_ = number };
+  }
+  ++slice.count_;
+}
+
+std::uint64_t SlidingCount::Sum(TimePoint aNow,
+                                std::chrono::milliseconds aWindow) const
+{
+  const std::int64_t number = SliceOf(aNow, aWindow);
+  std::uint64_t sum = 0;
+  for (const Slice& slice : slices_) {
+    if (slice.number_ >= 0 && slice.number_ >= number - kSlices) {
+      sum += slice.count_;
+    }
+  }
+  return sum;
+}
+
+void RepeatBudget::OnRequest(const std::string& aService, TimePoint aNow)
+{
+  services_[aService].requests_.Add(aNow, options_.window_);
+}
+
+bool RepeatBudget::TryRepeat(const std::string& aService,
+                             std::size_t aHosts,
+                             TimePoint aNow)
+{
+  if (Left(aService, aHosts, aNow) < 1) {
+    return false;
+  }
+  services_[aService].repeats_.Add(aNow, options_.window_);
+  return true;
+}
+
+double RepeatBudget::Left(const std::string& aService,
+                          std::size_t aHosts,
+                          TimePoint aNow) const
+{
+  const double share =
+    options_.allowance_ / static_cast<double>(std::max<std::size_t>(aHosts, 1));
+  const auto found = services_.find(aService);
+  double requests = 0;
+  double repeats = 0;
+  if (found != services_.end()) {
+    const Counts& counts = found->second;
+    requests =
+      static_cast<double>(counts.requests_.Sum(aNow, options_.window_));
+    repeats = static_cast<double>(counts.repeats_.Sum(aNow, options_.window_));
+  }
+  return (options_.ratio_ * requests + share) * options_.safety_ - repeats;
+}
+
+} // namespace gooseberrylift
--- /dev/null
+++ b/src/core/limits/gooseberrylift-route-admission.cc
@@ -0,0 +1,39 @@
+#include "gooseberrylift/limits/gooseberrylift-route-admission.h"
+
+#include <algorithm>
+
+namespace gooseberrylift {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// The part of the time at hand that a prediction may take: predictions of the
+// first answer are off by a quarter at times, and one that fits in barely
+// leaves no time for the rest of the answer.
+constexpr double kUsable = 0.8;
+constexpr milliseconds kSoonest{ 100 }; // a pass or two of an engine
+// Callers come back after at most a third of the time they have left.
+constexpr int kLatestPart = 3;
+
+} // namespace
+
+std::optional<milliseconds> RefuseFor(const AdmissionQuestion& aQuestion)
+{
+  const milliseconds atHand =
+    std::min(aQuestion.remaining_, aQuestion.patience_);
+  const auto usable = std::chrono::duration_cast<milliseconds>(
+    std::chrono::duration<double, std::milli>(atHand) * kUsable);
+  const auto predicted =
+    std::chrono::duration_cast<milliseconds>(aQuestion.predicted_);
+  if (predicted <= usable) {
+    return std::nullopt;
+  }
+  const milliseconds excess = std::max(predicted - usable, kSoonest);
+  const milliseconds spread(aQuestion.draw_ %
+                            static_cast<std::uint64_t>(excess.count()));
+  return std::min(excess + spread,
+                  std::max(aQuestion.remaining_ / kLatestPart, kSoonest));
+}
+
+} // namespace gooseberrylift
--- /dev/null
+++ b/src/core/routing/gooseberrylift-endpoint-directory.cc
@@ -0,0 +1,95 @@
+#include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
+
+#include <iterator>
+
+namespace gooseberrylift {
+
+void EndpointDirectory::OnList(const std::vector<ListedEndpoint>& aListed,
+                               TimePoint aNow)
+{
+  std::set<std::string> seen;
+  for (const ListedEndpoint& listed : aListed) {
+    seen.insert(listed.id_);
+    OnListed(listed);
+  }
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    const auto next = std::next(entry);
+    if (!seen.contains(entry->first)) {
+      Drop(entry, aNow);
+    }
+    entry = next;
+  }
+}
+
+void EndpointDirectory::OnListed(const ListedEndpoint& aListed)
+{
+  entries_[aListed.id_] = { .listed_ = aListed, .dropAt_ = std::nullopt };
+  if (aListed.leaving_) {
+    leaving_.insert(aListed.id_);
+  }
+}
+
+void EndpointDirectory::OnRemoved(const std::string& aId, TimePoint aNow)
+{
+  const auto found = entries_.find(aId);
+  if (found != entries_.end()) {
+    Drop(found, aNow);
+  }
+}
+
+void EndpointDirectory::OnStoreReturned(TimePoint aNow)
+{
+  relistUntil_ = aNow + options_.relistWithin_;
+}
+
+void EndpointDirectory::OnReplaced(const std::string& aId)
+{
+  leaving_.insert(aId);
+}
+
+void EndpointDirectory::OnLeaving(const std::string& aId)
+{
+  leaving_.insert(aId);
+}
+
+// Right after an outage a missing entry says little: its lease lapsed because
+// nothing could be renewed. Dropped at once, a service would stand without
+// endpoints for two seconds while all of them live.
+void EndpointDirectory::Drop(std::map<std::string, Entry>::iterator aEntry,
+                             TimePoint aNow)
+{
+  if (aNow >= relistUntil_) {
+    entries_.erase(aEntry);
+    return;
+  }
+  if (!aEntry->second.dropAt_) {
+    aEntry->second.dropAt_ = relistUntil_;
+  }
+}
+
+void EndpointDirectory::Sweep(TimePoint aNow)
+{
+  std::erase_if(entries_, [aNow](const auto& aEntry) {
+    return aEntry.second.dropAt_ && aNow >= *aEntry.second.dropAt_;
+  });
+}
+
+std::vector<const ListedEndpoint*> EndpointDirectory::Usable(
+  const std::string& aService) const
+{
+  std::vector<const ListedEndpoint*> usable;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.listed_.service_ == aService && !leaving_.contains(id)) {
+      usable.push_back(&entry.listed_);
+    }
+  }
+  return usable;
+}
+
+const ListedEndpoint* EndpointDirectory::Find(const std::string& aId) const
+{
+  const auto found = entries_.find(aId);
+  return found == entries_.end() ? nullptr : &found->second.listed_;
+}
+
+} // namespace gooseberrylift
--- /dev/null
+++ b/src/core/routing/gooseberrylift-engine-figures.cc
@@ -0,0 +1,37 @@
+#include "gooseberrylift/routing/gooseberrylift-engine-figures.h"
+
+#include <algorithm>
+
+namespace gooseberrylift {
+
+namespace {
+
+std::chrono::microseconds FromMilliseconds(double aMilliseconds)
+{
+  return std::chrono::microseconds(
+    static_cast<std::int64_t>(aMilliseconds * 1000));
+}
+
+} // namespace
+
+std::chrono::microseconds EngineFigures::ReadTime(std::uint64_t aTokens,
+                                                  int aEngines) const
+{
+  const auto tokens = static_cast<double>(aTokens);
+  const double millionPairs = tokens * tokens / 2 / 1e6;
+  const double wholeMs = tokens / std::max(readTokensPerMs_, 1e-6) +
+                         millionPairs * readPerMillionPairsMs_;
+  return FromMilliseconds(wholeMs / std::max(aEngines, 1));
+}
+
+std::chrono::microseconds EngineFigures::PassTime(
+  int aWriters,
+  std::uint64_t aContextTokens) const
+{
+  const double step =
+    stepMs_ + aWriters * stepPerSequenceMs_ +
+    static_cast<double>(aContextTokens) / 1000 * stepPerThousandMs_;
+  return FromMilliseconds(step * std::max(stride_, 1));
+}
+
+} // namespace gooseberrylift
--- /dev/null
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -0,0 +1,151 @@
+#include "gooseberrylift/routing/gooseberrylift-fleet-load.h"
+
+#include <algorithm>
+
+namespace gooseberrylift {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+// What is left of a backlog after a while of work on it.
+microseconds After(microseconds aBacklog, TimePoint::duration aWhile)
+{
+  return std::max(aBacklog - duration_cast<microseconds>(aWhile),
+                  microseconds(0));
+}
+
+} // namespace
+
+void FleetLoad::OnSent(const std::string& aEndpoint,
+                       std::uint64_t aRequest,
+                       const RequestCost& aCost,
+                       TimePoint aNow)
+{
+  Own& own = own_[aEndpoint];
+  if (own.requests_.empty()) {
+    own.heard_ = aNow;
+  }
+  own.requests_[aRequest] = { .cost_ = aCost, .at_ = aNow };
+}
+
+void FleetLoad::OnStarted(const std::string& aEndpoint,
+                          std::uint64_t aRequest,
+                          TimePoint aNow)
+{
+  Own& own = own_[aEndpoint];
+  own.heard_ = aNow;
+  const auto found = own.requests_.find(aRequest);
+  if (found != own.requests_.end()) {
+    found->second.started_ = true;
+  }
+}
+
+void FleetLoad::OnEnded(const std::string& aEndpoint,
+                        std::uint64_t aRequest,
+                        TimePoint aNow)
+{
+  const auto found = own_.find(aEndpoint);
+  if (found == own_.end()) {
+    return;
+  }
+  found->second.requests_.erase(aRequest);
+  if (found->second.requests_.empty()) {
+    own_.erase(found);
+    return;
+  }
+  found->second.heard_ = std::max(found->second.heard_, aNow);
+}
+
+void FleetLoad::OnHeard(const std::string& aEndpoint, TimePoint aNow)
+{
+  const auto found = own_.find(aEndpoint);
+  if (found != own_.end()) {
+    found->second.heard_ = aNow;
+  }
+}
+
+void FleetLoad::OnPeer(const std::string& aHost,
+                       std::vector<EndpointShare> aShares,
+                       TimePoint aAt)
+{
+  Peer& peer = peers_[aHost];
+  if (aAt < peer.at_) {
+    return; // words may overtake each other
+  }
+  peer.at_ = aAt;
+  peer.shares_.clear();
+  for (EndpointShare& share : aShares) {
+    std::string id = share.id_;
+    peer.shares_.emplace(std::move(id), std::move(share));
+  }
+}
+
+EndpointShare FleetLoad::ShareOf(const std::string& aId,
+                                 const Own& aOwn,
+                                 TimePoint aNow)
+{
+  EndpointShare share{ .id_ = aId };
+  TimePoint oldestRead = aNow;
+  for (const auto& [request, sent] : aOwn.requests_) {
+    if (!sent.cost_.helping_) {
+      share.running_ += 1;
+      share.tight_ += sent.cost_.tight_ ? 1 : 0;
+      share.memoryTokens_ += sent.cost_.memoryTokens_;
+    }
+    if (!sent.started_) {
+      share.backlog_ += sent.cost_.read_;
+      oldestRead = std::min(oldestRead, sent.at_);
+    }
+  }
+  // An engine reads its prompts one after the other, so the time since the
+  // oldest was sent is taken from the sum once.
+  share.backlog_ = After(share.backlog_, aNow - oldestRead);
+  return share;
+}
+
+EndpointLoad FleetLoad::Of(const std::string& aEndpoint, TimePoint aNow) const
+{
+  EndpointLoad load;
+  const auto add = [&load](const EndpointShare& aShare,
+                           TimePoint::duration aAge) {
+    load.running_ += aShare.running_;
+    load.tight_ += aShare.tight_;
+    load.memoryTokens_ += aShare.memoryTokens_;
+    load.backlog_ += After(aShare.backlog_, aAge);
+  };
+  const auto own = own_.find(aEndpoint);
+  if (own != own_.end()) {
+    add(ShareOf(aEndpoint, own->second, aNow), TimePoint::duration(0));
+  }
+  for (const auto& [host, peer] : peers_) {
+    const auto share = peer.shares_.find(aEndpoint);
+    if (share != peer.shares_.end() && aNow - peer.at_ < options_.forgetPeer_) {
+      add(share->second, aNow - peer.at_);
+    }
+  }
+  return load;
+}
+
+std::vector<EndpointShare> FleetLoad::OwnShares(TimePoint aNow) const
+{
+  std::vector<EndpointShare> shares;
+  shares.reserve(own_.size());
+  for (const auto& [id, own] : own_) {
+    shares.push_back(ShareOf(id, own, aNow));
+  }
+  return shares;
+}
+
+std::chrono::milliseconds FleetLoad::SilentFor(const std::string& aEndpoint,
+                                               TimePoint aNow) const
+{
+  const auto own = own_.find(aEndpoint);
+  if (own == own_.end()) {
+    return std::chrono::milliseconds(0);
+  }
+  return duration_cast<std::chrono::milliseconds>(aNow - own->second.heard_);
+}
+
+} // namespace gooseberrylift
--- /dev/null
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -0,0 +1,206 @@
+#include "gooseberrylift/internal/gooseberrylift-gateway-front.h"
+
+#include <algorithm>
+#include <random>
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/system/system_error.hpp>
+
+#include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
+namespace gooseberrylift {
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+// For a host that has just started: the store answers within a few ms, and
+// peers are there for the caller meanwhile.
+constexpr milliseconds kUntilConfigured{ 300 };
+
+std::uint64_t Draw()
+{
+  thread_local std::mt19937_64 sGenerator{ std::random_device{}() };
+  return sGenerator();
+}
+
+Error NotConfigured()
+{
+  Error error = MakeError(ResultCode::kNoConfiguration);
+  error.retryAfter_ = kUntilConfigured;
+  return error;
+}
+
+} // namespace
+
+int StatusOf(const Error& aError)
+{
+  if (aError.code_ == ResultCode::kUnknownTeamKey) {
+    return 401; // as client libraries and the fleet's callers expect it
+  }
+  const int status = InfoOf(aError.code_).httpStatus_;
+  const bool promises =
+    status == 408 || status == 421 || status == 429 || status == 503;
+  if (aError.ran_ != RanState::kNo) {
+    return promises ? 502 : status;
+  }
+  return status >= 500 ? 503 : status;
+}
+
+GatewayFront::GatewayFront(Parts aParts)
+  : parts_(aParts)
+{
+}
+
+Outcome<RoutedRequest> GatewayFront::Resolve(const HttpRequest& aRequest,
+                                             CallerFacts aFacts,
+                                             TimePoint aArrived)
+{
+  RoutedRequest request{ .id_ = ++nextId_,
+                         .table_ = parts_.board_.routes_.Read()->table_,
+                         .arrived_ = aArrived };
+  request.facts_ = std::move(aFacts);
+  if (!request.table_) {
+    return NotConfigured();
+  }
+  request.route_ = request.table_->Match(request.facts_.host_, aRequest.Path());
+  if (request.route_ == nullptr) {
+    return MakeError(ResultCode::kUnknownRoute);
+  }
+  if (request.table_->NeedsKeys() && !request.route_->public_) {
+    // Before a key is judged, it must be sure that the keys are the newest.
+    if (!parts_.run_.routes_.KeysAreProven()) {
+      Error error = MakeError(ResultCode::kFreshnessLost);
+      error.retryAfter_ = kUntilConfigured;
+      return error;
+    }
+    const RoutedTeam* team = request.table_->TeamByKey(request.facts_.teamKey_);
+    if (team == nullptr) {
+      return MakeError(request.facts_.teamKey_.empty()
+                         ? ResultCode::kMissingTeamKey
+                         : ResultCode::kUnknownTeamKey);
+    }
+    request.team_ = team->name_;
+    request.keyed_ = true;
+  }
+  request.service_ = RouteTable::ChooseService(*request.route_, Draw());
+  const milliseconds patience =
+    request.facts_.patience_.value_or(request.route_->timeout_);
+  request.deadline_ = aArrived + std::min(patience, request.route_->timeout_);
+  return request;
+}
+
+asio::awaitable<void> GatewayFront::Handle(HttpExchange& aExchange)
+{
+  const TimePoint arrived = TimerService::Now();
+  CallerFacts facts = parts_.dialect_.ReadCaller(aExchange.Request());
+  const std::string attemptId = facts.attemptId_;
+  auto request = Resolve(aExchange.Request(), std::move(facts), arrived);
+  if (!request) {
+    NoteFailed(attemptId, {}, request.error(), arrived);
+    co_await AnswerFailure(aExchange, attemptId, request.error());
+    co_return;
+  }
+  const RoutedRequest& routed = request.value();
+  {
+    const std::lock_guard lock(parts_.run_.repeats_.mutex_);
+    parts_.run_.repeats_.budget_.OnRequest(routed.service_, arrived);
+  }
+  aExchange.SetDeadline(routed.deadline_);
+  RequestRun run(parts_.run_, aExchange, routed);
+  const auto done = co_await Serve(aExchange, run);
+  if (done) {
+    NoteServed(routed, run);
+    co_return;
+  }
+  NoteFailed(attemptId, routed.route_->name_, done.error(), arrived);
+  if (!aExchange.Started()) {
+    co_await AnswerFailure(aExchange, attemptId, done.error());
+  }
+  // A stream that was begun stays unfinished, which shows that it was cut.
+}
+
+asio::awaitable<Outcome<void>> GatewayFront::Serve(HttpExchange& aExchange,
+                                                   RequestRun& aRun)
+{
+  Outcome<void> done = boost::outcome_v2::success();
+  bool aborted = false;
+  try {
+    done = co_await aRun.Run();
+  } catch (const boost::system::system_error&) {
+    aborted = true; // what the run awaited was cancelled; see Reason
+  }
+  co_await asio::this_coro::reset_cancellation_state();
+  if (!aborted) {
+    co_return done;
+  }
+  Error error = MakeError(aExchange.Reason() == AbortReason::kDeadline
+                            ? ResultCode::kDeadlineExceeded
+                            : ResultCode::kCallerLeft);
+  error.ran_ = aRun.Sends() > 0 ? RanState::kUnknown : RanState::kNo;
+  co_return error;
+}
+
+asio::awaitable<void> GatewayFront::AnswerFailure(HttpExchange& aExchange,
+                                                  const std::string& aAttemptId,
+                                                  const Error& aError)
+{
+  if (aExchange.Reason() == AbortReason::kCallerLeft ||
+      aExchange.Reason() == AbortReason::kCallerStalled) {
+    co_return;
+  }
+  HttpResponse answer =
+    parts_.dialect_.OwnAnswer(StatusOf(aError), aError, aAttemptId);
+  co_await aExchange.Send(std::move(answer));
+}
+
+void GatewayFront::NoteServed(const RoutedRequest& aRequest,
+                              const RequestRun& aRun)
+{
+  parts_.metrics_.Count("gooseberrylift_requests_total",
+                        "code=\"0\",kind=\"" +
+                          std::string(NameOf(aRequest.route_->kind_)) + "\"");
+  if (aRun.FirstAnswer()) {
+    parts_.metrics_.RecordFirstToken(
+      aRequest.service_, aRequest.facts_.promptTokens_, *aRun.FirstAnswer());
+  }
+  Log(LogEvent::kRequestFinished,
+      { { "request_id", aRequest.facts_.attemptId_ },
+        { "route", aRequest.route_->name_ },
+        { "status", aRun.Status() },
+        { "sends", aRun.Sends() },
+        { "first_ms",
+          aRun.FirstAnswer()
+            ? duration_cast<milliseconds>(*aRun.FirstAnswer()).count()
+            : -1 },
+        { "whole_ms",
+          duration_cast<milliseconds>(TimerService::Now() - aRequest.arrived_)
+            .count() } });
+}
+
+void GatewayFront::NoteFailed(const std::string& aAttemptId,
+                              const std::string& aRoute,
+                              const Error& aError,
+                              TimePoint aArrived)
+{
+  const int code = static_cast<int>(aError.code_);
+  parts_.metrics_.Count("gooseberrylift_requests_total",
+                        "code=\"" + std::to_string(code) + "\"");
+  Log(LogEvent::kRequestFailed,
+      { { "request_id", aAttemptId },
+        { "route", aRoute },
+        { "code", code },
+        { "status", StatusOf(aError) },
+        { "text", aError.text_ },
+        { "ran", NameOf(aError.ran_) },
+        { "retry_after_ms",
+          aError.retryAfter_ ? aError.retryAfter_->count() : -1 },
+        { "elapsed_ms",
+          duration_cast<milliseconds>(TimerService::Now() - aArrived)
+            .count() } });
+}
+
+} // namespace gooseberrylift
--- /dev/null
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -0,0 +1,559 @@
+#include "gooseberrylift/internal/gooseberrylift-request-run.h"
+
+#include <algorithm>
+#include <random>
+
+#include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+#include "gooseberrylift/limits/gooseberrylift-patience.h"
+#include "gooseberrylift/limits/gooseberrylift-route-admission.h"
+
+namespace gooseberrylift {
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+// An endpoint's answer is held back up to this size, so that one that breaks
+// off can still be fetched elsewhere; what is larger is passed on as it comes.
+constexpr std::size_t kHeldBytes = 256 * 1024;
+
+// A connection within a region is there in a few ms. An endpoint that takes
+// longer is dead or over its limit, and its caller is better served elsewhere.
+constexpr milliseconds kConnectTimeout{ 250 };
+
+// A request that may not be repeated takes no connection that was idle for
+// longer: what the endpoint closes in that moment can't be sent again.
+constexpr milliseconds kUnsafeMaxIdle{ 2'000 };
+
+// Endpoints that can't be connected to cost no budget, but time: after so many
+// the rest of the fleet is no better.
+constexpr int kMostUnreachable = 4;
+
+// With less than this left no endpoint can answer any more.
+constexpr milliseconds kLeastRemaining{ 10 };
+
+constexpr milliseconds kRetrySoonest{ 200 };
+constexpr milliseconds kRetrySpread{ 600 };
+
+std::uint64_t Draw()
+{
+  thread_local std::mt19937_64 sGenerator{ std::random_device{}() };
+  return sGenerator();
+}
+
+milliseconds RetrySoon()
+{
+  return kRetrySoonest + milliseconds(Draw() % static_cast<std::uint64_t>(
+                                                 kRetrySpread.count()));
+}
+
+Error Broken(std::string aText)
+{
+  return { .code_ = ResultCode::kEndpointBroken,
+           .text_ = std::move(aText),
+           .ran_ = RanState::kUnknown };
+}
+
+EndpointOutcome OutcomeOf(const Error& aError)
+{
+  switch (aError.code_) {
+    case ResultCode::kEndpointUnreachable:
+    case ResultCode::kEndpointSilent:
+      return EndpointOutcome::kUnreachable;
+    case ResultCode::kEndpointRefused:
+    case ResultCode::kCallerLeft:
+      return EndpointOutcome::kRefused;
+    default:
+      return EndpointOutcome::kFailed;
+  }
+}
+
+} // namespace
+
+RequestRun::RequestRun(Parts aParts,
+                       HttpExchange& aExchange,
+                       RoutedRequest aRequest)
+  : parts_(aParts)
+  , exchange_(aExchange)
+  , request_(std::move(aRequest))
+  , events_(request_.facts_.lastEventId_)
+{
+}
+
+asio::awaitable<Outcome<void>> RequestRun::Run()
+{
+  while (true) {
+    if (const auto refusal = WhyNotSend()) {
+      attempts_.OnRefused(*refusal);
+      break;
+    }
+    auto placement = parts_.fleet_.Place(MakeQuery());
+    if (!placement) {
+      Error none = MakeError(ResultCode::kNoEndpoint);
+      none.retryAfter_ = RetrySoon();
+      attempts_.OnRefused(none);
+      break;
+    }
+    if (const auto refusal = Admit(*placement)) {
+      attempts_.OnRefused(*refusal);
+      break;
+    }
+    LogPlaced(*placement);
+    const FleetPlacement chosen = *placement;
+    const auto done = co_await Attempt(std::move(*placement));
+    if (done) {
+      co_return boost::outcome_v2::success();
+    }
+    LogFailed(chosen, done.error());
+    attempts_.OnFailed(done.error());
+    tried_.insert(chosen.endpoint_.id_);
+    if (!MayRepeat(done.error())) {
+      break;
+    }
+  }
+  if (kept_) {
+    co_return co_await SendKept();
+  }
+  co_return attempts_.Final();
+}
+
+// Looked at again before each send: a host that was paused meanwhile must not
+// go on with keys or deadlines of before.
+std::optional<Error> RequestRun::WhyNotSend() const
+{
+  if (TimerService::Now() + kLeastRemaining >= request_.deadline_) {
+    return MakeError(ResultCode::kDeadlineExceeded);
+  }
+  if (request_.keyed_ && !parts_.routes_.KeysAreProven()) {
+    Error error = MakeError(ResultCode::kFreshnessLost);
+    error.retryAfter_ = RetrySoon();
+    return error;
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> RequestRun::Admit(const FleetPlacement& aPlacement) const
+{
+  if (sends_ > 0) {
+    return std::nullopt; // its first try was admitted
+  }
+  const AdmissionQuestion question{ .predicted_ = aPlacement.firstAnswer_,
+                                    .remaining_ = duration_cast<milliseconds>(
+                                      request_.deadline_ - TimerService::Now()),
+                                    .patience_ =
+                                      CallerPatience(*request_.route_),
+                                    .draw_ = Draw() };
+  const auto wait = RefuseFor(question);
+  if (!wait) {
+    return std::nullopt;
+  }
+  Log(LogEvent::kRequestRefused,
+      { { "request_id", request_.facts_.attemptId_ },
+        { "service", request_.service_ },
+        { "predicted_ms",
+          duration_cast<milliseconds>(question.predicted_).count() },
+        { "remaining_ms", question.remaining_.count() },
+        { "patience_ms", question.patience_.count() },
+        { "candidates", aPlacement.candidates_ },
+        { "running", aPlacement.load_.running_ },
+        { "retry_after_ms", wait->count() } });
+  Error refusal = MakeError(ResultCode::kDeadlineUnreachable);
+  refusal.retryAfter_ = wait;
+  return refusal;
+}
+
+FleetQuery RequestRun::MakeQuery() const
+{
+  FleetQuery query{
+    .id_ = request_.id_,
+    .service_ = request_.service_,
+    .request_ = { .promptTokens_ = request_.facts_.promptTokens_,
+                  .answerTokens_ = request_.facts_.answerTokens_,
+                  .objective_ = request_.route_->objective_,
+                  .maxGap_ = request_.route_->maxGap_ },
+    .tried_ = tried_
+  };
+  const RoutedService* service =
+    request_.table_->ServiceByName(request_.service_);
+  if (service != nullptr) {
+    query.figures_ = service->engine_;
+  }
+  query.tightestGap_ = request_.table_->TightestGap(request_.service_)
+                         .value_or(request_.route_->objective_);
+  return query;
+}
+
+HttpRequest RequestRun::MakeSend(const FleetPlacement& aPlacement) const
+{
+  EndpointSend send{ .endpointId_ = aPlacement.endpoint_.id_,
+                     .team_ = request_.team_,
+                     .hidesKey_ = request_.table_->NeedsKeys(),
+                     .remaining_ = duration_cast<milliseconds>(
+                       request_.deadline_ - TimerService::Now()) };
+  if (events_.Last()) {
+    send.lastEventId_ = events_.Last();
+  }
+  for (const ListedEndpoint& helper : aPlacement.helpers_) {
+    send.helpers_.push_back({ .address_ = helper.address_, .ticketId_ = {} });
+  }
+  return parts_.dialect_.ForEndpoint(exchange_.Request(), send);
+}
+
+asio::awaitable<Outcome<void>> RequestRun::Attempt(FleetPlacement aPlacement)
+{
+  const FleetQuery query = MakeQuery();
+  HttpRequest send = MakeSend(aPlacement);
+  Fleet::Use use(parts_.fleet_, query, std::move(aPlacement));
+  const ListedEndpoint& endpoint = use.Placement().endpoint_;
+  HttpClient::CallOptions options;
+  options.connectTimeout_ = kConnectTimeout;
+  if (!request_.route_->IsRepeatable()) {
+    options.maxIdle_ = kUnsafeMaxIdle;
+  }
+  auto sent = co_await parts_.client_.Send(
+    endpoint.address_, std::move(send), request_.deadline_, options);
+  const bool gaveBytes = sent || sent.error().ran_ != RanState::kNo;
+  sends_ += gaveBytes ? 1 : 0;
+  unreachable_ += gaveBytes ? 0 : 1;
+  repeatPaid_ = repeatPaid_ && !gaveBytes;
+  if (!sent) {
+    use.End(OutcomeOf(sent.error()));
+    co_return sent.error();
+  }
+  HttpCall& call = *sent.value();
+  auto done = co_await ReadHead(call, use);
+  if (done) {
+    const bool streams = request_.route_->kind_ == RouteKind::kStreaming &&
+                         call.Head().status_ == 200;
+    if (streams) {
+      done = co_await PassStream(call, use);
+    } else if (!streaming_) {
+      done = co_await PassWhole(call, use);
+    } else {
+      done = Broken("status " + std::to_string(call.Head().status_) +
+                    " for the rest of a stream");
+    }
+  }
+  use.End(done ? EndpointOutcome::kServed : OutcomeOf(done.error()));
+  co_return done;
+}
+
+asio::awaitable<Outcome<void>> RequestRun::ReadHead(HttpCall& aCall,
+                                                    Fleet::Use& aUse)
+{
+  const ListedEndpoint& endpoint = aUse.Placement().endpoint_;
+  const TimePoint silentAt =
+    TimerService::Now() +
+    SilenceLimit(*request_.route_, aUse.Placement().firstAnswer_);
+  aCall.SetDeadline(std::min(request_.deadline_, silentAt));
+  auto read = co_await aCall.ReadHead();
+  const bool silent = !read &&
+                      read.error().code_ == ResultCode::kDeadlineExceeded &&
+                      TimerService::Now() < request_.deadline_;
+  if (silent) {
+    if (MayLeave() && PayRepeat()) {
+      co_return Error{ .code_ = ResultCode::kEndpointSilent,
+                       .ran_ = RanState::kUnknown };
+    }
+    aCall.SetDeadline(request_.deadline_);
+    read = co_await aCall.ReadHead();
+  }
+  if (!read) {
+    co_return read.error();
+  }
+  if (const auto fault = CheckHead(aCall.Head(), endpoint)) {
+    co_return *fault;
+  }
+  aUse.OnHeard(request_.route_->kind_ != RouteKind::kStreaming);
+  co_return boost::outcome_v2::success();
+}
+
+// What the head of an answer must show before anything it says is believed.
+std::optional<Error> RequestRun::CheckHead(const HttpResponse& aHead,
+                                           const ListedEndpoint& aEndpoint)
+{
+  const EndpointFacts facts = parts_.dialect_.ReadEndpoint(aHead);
+  // A late answer to an earlier request looks like one to this; its refusal
+  // would prove nothing about this one.
+  if (facts.attemptId_ != request_.facts_.attemptId_) {
+    return Error{ .code_ = ResultCode::kEndpointCrossed,
+                  .text_ = "answer to '" + facts.attemptId_ + "'",
+                  .ran_ = RanState::kUnknown };
+  }
+  if (facts.replaced_) {
+    parts_.fleet_.WithDirectory([&](EndpointDirectory& aDirectory) {
+      aDirectory.OnReplaced(aEndpoint.id_);
+    });
+  }
+  if (facts.notRun_) {
+    return Error{ .code_ = ResultCode::kEndpointRefused,
+                  .text_ =
+                    "status " + std::to_string(aHead.status_) +
+                    (facts.atFault_.empty() ? "" : " at " + facts.atFault_),
+                  .retryAfter_ = RetrySoon() };
+  }
+  if (!facts.genuine_) {
+    return Broken("an answer without the endpoint's signature");
+  }
+  if (!aHead.Field("Content-Encoding").empty()) {
+    return Broken("an encoded answer that nobody asked for");
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<Outcome<std::optional<std::string>>> RequestRun::ReadPiece(
+  HttpCall& aCall,
+  microseconds aPredicted)
+{
+  const TimePoint silentAt =
+    TimerService::Now() + SilenceLimit(*request_.route_, aPredicted);
+  aCall.SetDeadline(std::min(request_.deadline_, silentAt));
+  auto piece = co_await aCall.ReadSome();
+  const bool silent = !piece &&
+                      piece.error().code_ == ResultCode::kDeadlineExceeded &&
+                      TimerService::Now() < request_.deadline_;
+  if (!silent) {
+    co_return piece;
+  }
+  if (MayLeave() && PayRepeat()) {
+    co_return Error{ .code_ = ResultCode::kEndpointSilent,
+                     .ran_ = RanState::kUnknown };
+  }
+  aCall.SetDeadline(request_.deadline_);
+  co_return co_await aCall.ReadSome();
+}
+
+asio::awaitable<Outcome<void>> RequestRun::PassWhole(HttpCall& aCall,
+                                                     Fleet::Use& aUse)
+{
+  HttpResponse answer = parts_.dialect_.ForCaller(aCall.Head());
+  while (true) {
+    auto piece = co_await ReadPiece(aCall, aUse.Placement().firstAnswer_);
+    if (!piece) {
+      co_return piece.error();
+    }
+    if (!piece.value()) {
+      break;
+    }
+    answer.body_ += *piece.value();
+    if (answer.body_.size() > kHeldBytes) {
+      co_return co_await PassLarge(aCall, std::move(answer.body_));
+    }
+  }
+  const bool failed = answer.status_ >= 500;
+  if (failed && MayLeave() && PayRepeat()) {
+    const std::string text = "status " + std::to_string(answer.status_);
+    kept_ = std::move(answer);
+    co_return Error{ .code_ = ResultCode::kEndpointFailed,
+                     .text_ = text,
+                     .ran_ = RanState::kYes };
+  }
+  NoteAnswer(answer.status_);
+  const bool sent = co_await exchange_.Send(std::move(answer));
+  if (!sent) {
+    co_return MakeError(ResultCode::kCallerLeft);
+  }
+  co_return boost::outcome_v2::success();
+}
+
+asio::awaitable<Outcome<void>> RequestRun::PassLarge(HttpCall& aCall,
+                                                     std::string aBegin)
+{
+  streaming_ = true;
+  NoteAnswer(aCall.Head().status_);
+  bool open =
+    co_await exchange_.StartStream(parts_.dialect_.ForCaller(aCall.Head()));
+  if (open) {
+    open = co_await exchange_.Write(aBegin);
+  }
+  while (open) {
+    aCall.SetDeadline(request_.deadline_);
+    auto piece = co_await aCall.ReadSome();
+    if (!piece) {
+      co_return piece.error();
+    }
+    if (!piece.value()) {
+      co_await exchange_.Finish();
+      co_return boost::outcome_v2::success();
+    }
+    open = co_await exchange_.Write(*piece.value());
+  }
+  co_return MakeError(ResultCode::kCallerLeft);
+}
+
+asio::awaitable<Outcome<void>> RequestRun::PassStream(HttpCall& aCall,
+                                                      Fleet::Use& aUse)
+{
+  EventSplitter splitter;
+  bool first = true;
+  while (true) {
+    auto piece = co_await ReadPiece(
+      aCall, first ? aUse.Placement().firstAnswer_ : microseconds(0));
+    if (!piece) {
+      co_return piece.error();
+    }
+    if (!piece.value()) {
+      break;
+    }
+    aUse.OnHeard(first);
+    first = false;
+    splitter.Feed(*piece.value());
+    auto events = TakeEvents(splitter);
+    if (!events) {
+      co_return events.error();
+    }
+    auto written =
+      co_await WriteEvents(aCall.Head(), std::move(events.value()));
+    if (!written) {
+      co_return written.error();
+    }
+  }
+  if (splitter.Pending() > 0) {
+    co_return Broken("the stream ended within an event");
+  }
+  // A stream without events may be the proper end of one that the caller goes
+  // on with.
+  bool open = co_await OpenStream(aCall.Head());
+  if (open) {
+    open = co_await exchange_.Finish();
+  }
+  if (!open) {
+    co_return MakeError(ResultCode::kCallerLeft);
+  }
+  co_return boost::outcome_v2::success();
+}
+
+// Gives the whole events that have come, as far as they follow each other.
+Outcome<std::string> RequestRun::TakeEvents(EventSplitter& aSplitter)
+{
+  std::string events;
+  while (auto event = aSplitter.Next()) {
+    switch (events_.Take(*event)) {
+      case EventSequence::Verdict::kPass:
+        events += event->bytes_;
+        break;
+      case EventSequence::Verdict::kRepeated:
+        break;
+      case EventSequence::Verdict::kBroken:
+        return Broken("an event of the stream is missing");
+    }
+  }
+  return events;
+}
+
+asio::awaitable<Outcome<void>> RequestRun::WriteEvents(
+  const HttpResponse& aHead,
+  std::string aEvents)
+{
+  if (aEvents.empty()) {
+    co_return boost::outcome_v2::success();
+  }
+  bool open = co_await OpenStream(aHead);
+  if (open) {
+    open = co_await exchange_.Write(aEvents);
+  }
+  if (!open) {
+    co_return MakeError(ResultCode::kCallerLeft);
+  }
+  co_return boost::outcome_v2::success();
+}
+
+// Sends the head, but for a stream that another engine has begun.
+asio::awaitable<bool> RequestRun::OpenStream(const HttpResponse& aHead)
+{
+  if (streaming_) {
+    co_return true;
+  }
+  streaming_ = true;
+  NoteAnswer(aHead.status_);
+  co_return co_await exchange_.StartStream(parts_.dialect_.ForCaller(aHead));
+}
+
+asio::awaitable<Outcome<void>> RequestRun::SendKept()
+{
+  NoteAnswer(kept_->status_);
+  const bool sent = co_await exchange_.Send(std::move(*kept_));
+  if (!sent) {
+    co_return MakeError(ResultCode::kCallerLeft);
+  }
+  co_return boost::outcome_v2::success();
+}
+
+bool RequestRun::MayRepeat(const Error& aError)
+{
+  if (aError.code_ == ResultCode::kCallerLeft ||
+      aError.code_ == ResultCode::kDeadlineExceeded) {
+    return false;
+  }
+  const bool untaken = aError.ran_ == RanState::kNo;
+  if (!untaken && !request_.route_->IsRepeatable()) {
+    return false;
+  }
+  if (sends_ >= request_.route_->maxAttempts_ ||
+      unreachable_ >= kMostUnreachable) {
+    return false;
+  }
+  return sends_ == 0 || repeatPaid_ || PayRepeat();
+}
+
+// Says whether a request at work may be given to another endpoint.
+bool RequestRun::MayLeave() const
+{
+  return request_.route_->IsRepeatable() &&
+         sends_ < request_.route_->maxAttempts_;
+}
+
+bool RequestRun::PayRepeat()
+{
+  const std::lock_guard lock(parts_.repeats_.mutex_);
+  repeatPaid_ = parts_.repeats_.budget_.TryRepeat(
+    request_.service_, parts_.repeats_.hosts_, TimerService::Now());
+  return repeatPaid_;
+}
+
+void RequestRun::NoteAnswer(int aStatus)
+{
+  status_ = aStatus;
+  firstAnswer_ =
+    duration_cast<microseconds>(TimerService::Now() - request_.arrived_);
+}
+
+void RequestRun::LogPlaced(const FleetPlacement& aPlacement) const
+{
+  const auto proof = parts_.routes_.ProofAge();
+  Log(LogEvent::kRequestPlaced,
+      { { "request_id", request_.facts_.attemptId_ },
+        { "route", request_.route_->name_ },
+        { "generation", request_.table_->Version() },
+        { "proof_age_ms", proof ? proof->count() : -1 },
+        { "endpoint", aPlacement.endpoint_.id_ },
+        { "helpers", aPlacement.helpers_.size() },
+        { "candidates", aPlacement.candidates_ },
+        { "running", aPlacement.load_.running_ },
+        { "backlog_ms",
+          duration_cast<milliseconds>(aPlacement.load_.backlog_).count() },
+        { "predicted_ms",
+          duration_cast<milliseconds>(aPlacement.firstAnswer_).count() },
+        { "send", sends_ + 1 } });
+}
+
+void RequestRun::LogFailed(const FleetPlacement& aPlacement,
+                           const Error& aError) const
+{
+  Log(LogEvent::kAttemptFailed,
+      { { "request_id", request_.facts_.attemptId_ },
+        { "endpoint", aPlacement.endpoint_.id_ },
+        { "code", static_cast<int>(aError.code_) },
+        { "text", aError.text_ },
+        { "ran", NameOf(aError.ran_) },
+        { "send", sends_ },
+        { "elapsed_ms",
+          duration_cast<milliseconds>(TimerService::Now() - request_.arrived_)
+            .count() } });
+}
+
+} // namespace gooseberrylift
--- /dev/null
+++ b/src/gateway/gooseberrylift-route-follower.cc
@@ -0,0 +1,190 @@
+#include "gooseberrylift/internal/gooseberrylift-route-follower.h"
+
+#include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
+namespace gooseberrylift {
+
+RouteFollower::RouteFollower(ObjectStore& aStore,
+                             const WireDialect& aDialect,
+                             GatewayBoard& aBoard,
+                             std::uint64_t aSeed)
+  : dialect_(aDialect)
+  , board_(aBoard)
+  , follower_(
+      aStore,
+      { .kind_ = aDialect.Kinds().routes_,
+        .readsAfterWatch_ = true,
+        .seed_ = aSeed },
+      { .onList_ =
+          [this](const std::vector<StoreObject>& aObjects) {
+            for (const StoreObject& object : aObjects) {
+              Offer(object);
+            }
+          },
+        .onEvent_ =
+          [this](const StoreEvent& aEvent) {
+            if (!aEvent.deleted_) {
+              Offer(aEvent.object_);
+            }
+          },
+        .onProof_ = [this](FreshnessProof aProof,
+                           BootTime aBegan) { OnProof(aProof, aBegan); },
+        .onStore_ = [this](bool aReachable) { OnStore(aReachable); } })
+{
+}
+
+void RouteFollower::Offer(const StoreObject& aObject)
+{
+  if (aObject.name_ != dialect_.Kinds().routesName_ ||
+      aObject.version_ == seenVersion_) {
+    return; // a proof that nothing changed costs no decoding
+  }
+  auto document = dialect_.ReadRoutes(aObject.spec_);
+  if (!document) {
+    if (refusedVersion_ != aObject.version_) {
+      refusedVersion_ = aObject.version_;
+      Log(LogEvent::kConfigurationRejected,
+          { { "store_version", aObject.version_ },
+            { "fault", document.error().text_ } });
+    }
+    return;
+  }
+  seenVersion_ = aObject.version_;
+  const RouteTable::Ptr current = board_.routes_.Read()->table_;
+  const std::uint64_t version = document.value().version_;
+  if (current && version <= current->Version()) {
+    if (version < current->Version()) {
+      Log(LogEvent::kConfigurationOlder,
+          { { "generation", version }, { "in_force", current->Version() } });
+    }
+    return;
+  }
+  auto table = std::make_shared<const RouteTable>(std::move(document.value()));
+  Log(LogEvent::kConfigurationApplied,
+      { { "generation", version },
+        { "before", current ? current->Version() : 0 },
+        { "routes", table->Routes().size() },
+        { "source", "store" } });
+  board_.routes_.Write({ .table_ = std::move(table) });
+}
+
+void RouteFollower::OnProof(FreshnessProof aProof, BootTime aBegan)
+{
+  const std::lock_guard lock(leaseMutex_);
+  lease_.OnProof(aProof, aBegan);
+}
+
+bool RouteFollower::KeysAreProven()
+{
+  const auto bounds = board_.bounds_.Read();
+  if (!bounds->bounds_.strictRevocation_) {
+    return true;
+  }
+  const std::lock_guard lock(leaseMutex_);
+  lease_.SetRevokeWithin(bounds->bounds_.revokeWithin_);
+  const BootTime now = TimerService::BootNow();
+  const bool proven = lease_.IsValid(now);
+  if (proven != proven_) {
+    proven_ = proven;
+    const auto age = lease_.Age(now);
+    Log(proven ? LogEvent::kKeysProven : LogEvent::kKeysUnproven,
+        { { "proof_age_ms", age ? age->count() : -1 } });
+  }
+  return proven;
+}
+
+std::optional<std::chrono::milliseconds> RouteFollower::ProofAge()
+{
+  const std::lock_guard lock(leaseMutex_);
+  return lease_.Age(TimerService::BootNow());
+}
+
+void RouteFollower::OnStore(bool aReachable)
+{
+  board_.store_.Write(
+    { .reachable_ = aReachable, .since_ = TimerService::Now() });
+  Log(aReachable ? LogEvent::kStoreReached : LogEvent::kStoreLost,
+      { { "kind", "routes" } });
+}
+
+EndpointFollower::EndpointFollower(ObjectStore& aStore,
+                                   const WireDialect& aDialect,
+                                   Fleet& aFleet,
+                                   std::uint64_t aSeed)
+  : dialect_(aDialect)
+  , fleet_(aFleet)
+  , follower_(
+      aStore,
+      { .kind_ = aDialect.Kinds().endpoints_, .seed_ = aSeed },
+      { .onList_ =
+          [this](const std::vector<StoreObject>& aObjects) {
+            OnList(aObjects);
+          },
+        .onEvent_ = [this](const StoreEvent& aEvent) { OnEvent(aEvent); },
+        .onStore_ = [this](bool aReachable) { OnStore(aReachable); } })
+{
+}
+
+std::optional<ListedEndpoint> EndpointFollower::Read(
+  const StoreObject& aObject) const
+{
+  auto listed = dialect_.ReadListed(aObject);
+  if (!listed) {
+    Log(LogEvent::kEntryRefused,
+        { { "endpoint", aObject.name_ }, { "fault", listed.error().text_ } });
+    return std::nullopt;
+  }
+  return std::move(listed.value());
+}
+
+void EndpointFollower::OnList(const std::vector<StoreObject>& aObjects)
+{
+  std::vector<ListedEndpoint> all;
+  all.reserve(aObjects.size());
+  for (const StoreObject& object : aObjects) {
+    if (auto listed = Read(object)) {
+      all.push_back(std::move(*listed));
+    }
+  }
+  const TimePoint now = TimerService::Now();
+  fleet_.WithDirectory(
+    [&](EndpointDirectory& aDirectory) { aDirectory.OnList(all, now); });
+}
+
+void EndpointFollower::OnEvent(const StoreEvent& aEvent)
+{
+  const std::string& id = aEvent.object_.name_;
+  if (aEvent.deleted_) {
+    Log(LogEvent::kEndpointState, { { "endpoint", id }, { "state", "gone" } });
+    const TimePoint now = TimerService::Now();
+    fleet_.WithDirectory(
+      [&](EndpointDirectory& aDirectory) { aDirectory.OnRemoved(id, now); });
+    return;
+  }
+  const auto listed = Read(aEvent.object_);
+  if (!listed) {
+    return;
+  }
+  Log(LogEvent::kEndpointState,
+      { { "endpoint", id },
+        { "service", listed->service_ },
+        { "state", listed->leaving_ ? "leaving" : "live" } });
+  fleet_.WithDirectory(
+    [&](EndpointDirectory& aDirectory) { aDirectory.OnListed(*listed); });
+}
+
+void EndpointFollower::OnStore(bool aReachable)
+{
+  if (aReachable && lost_) {
+    const TimePoint now = TimerService::Now();
+    fleet_.WithDirectory([now](EndpointDirectory& aDirectory) {
+      aDirectory.OnStoreReturned(now);
+    });
+  }
+  lost_ = !aReachable;
+  Log(aReachable ? LogEvent::kStoreReached : LogEvent::kStoreLost,
+      { { "kind", "endpoints" } });
+}
+
+} // namespace gooseberrylift
--- a/src/runtime/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -18,6 +18,43 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Gives what this host tells its peers of itself.
+Digest DigestOf(const Blackboard& aBoard)
+{
+  Digest digest;
+  const auto configuration = aBoard.configuration_.Read()->configuration_;
+  if (configuration) {
+    digest.generation_ = configuration->Generation();
+    digest.configurationHash_ =
+      XXH64(configuration->Text().data(), configuration->Text().size(), 0);
+  }
+  digest.storeReachable_ = aBoard.store_.Read()->reachable_;
+  digest.draining_ = aBoard.host_.Read()->draining_;
+  for (const EndpointView& view : aBoard.endpoints_.Read()->endpoints_) {
+    if (view.state_ != EndpointState::kLive) {
+      digest.endpoints_.push_back({ .name_ = view.name_,
+                                    .incarnation_ = view.incarnation_,
+                                    .state_ = view.state_ });
+    }
+  }
+  digest.quarantine_ = aBoard.quarantine_.Read()->entries_;
+  digest.demand_ = aBoard.demand_.Read()->demand_;
+  return digest;
+}
+
+OfferedConfiguration OfferedBy(const Blackboard& aBoard)
+{
+  const auto current = aBoard.configuration_.Read()->configuration_;
+  if (!current) {
+    return {};
+  }
+  return { .generation_ = current->Generation(), .text_ = current->Text() };
+}
+
+} // namespace
+
 EntryHost::EntryHost(Settings aSettings)
   : settings_(std::move(aSettings))
   , context_(settings_.threads_)
@@ -35,13 +72,20 @@
                     { .host_ = settings_.hostName_,
                       .zone_ = settings_.zone_,
                       .seed_ = std::random_device{}() })
-  , peers_({ .settings_ = settings_,
-             .board_ = board_,
-             .store_ = store_,
-             .follower_ = configFollower_,
-             .client_ = client_,
-             .executor_ = context_.get_executor() },
-           PeerExchange::Options{})
+  , peers_(
+      { .settings_ = settings_,
+        .store_ = store_,
+        .client_ = client_,
+        .executor_ = context_.get_executor(),
+        .own_ = [this] { return DigestOf(board_); },
+        .publish_ = [this](PeersState aPeers) { board_.peers_.Write(aPeers); },
+        .configuration_ = [this] { return OfferedBy(board_); },
+        .offer_ =
+          [this](const OfferedConfiguration& aOffered) {
+            configFollower_.OfferText(
+              aOffered.generation_, aOffered.text_, ConfigSource::kPeer);
+          } },
+      PeerExchange::Options{})
   , endpointTracker_(client_,
                      context_.get_executor(),
                      board_,
@@ -159,7 +203,9 @@
   if (!peerPort) {
     return peerPort.error();
   }
-  peers_.Start(peerPort.value());
+  peers_.Start(peerPort.value(), settings_.peerKeys_);
+  board_.configuration_.Subscribe(
+    [this](const auto& /*aSnapshot*/) { peers_.TellNews(); });
   Log(LogEvent::kStarted,
       { { "caller_port", callerPort.value() },
         { "admin_port", adminPort.value() },
--- /dev/null
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -0,0 +1,349 @@
+#include "gooseberrylift/internal/gooseberrylift-gateway-host.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "gooseberrylift-fleet-dialect.h"
+#include "gooseberrylift-fleet-store.h"
+#include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
+namespace gooseberrylift {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+using std::chrono::milliseconds;
+
+namespace {
+
+// The settings file may change without a signal; it is small and in memory.
+constexpr milliseconds kSettingsPoll{ 1'000 };
+
+// How old a peer's word of its load is at most, beside its way here. In this
+// time a small fleet places about ten requests; at half of it a host of a
+// quarter of a core spends a tenth of its processor on words.
+constexpr milliseconds kPeerRound{ 200 };
+
+// The hosts' shared key. The first host to start writes it; whoever can read
+// the store can change the routes as well, so nothing is lost by its lying
+// there.
+constexpr const char* kPeerKeysKind = "peer-keys";
+constexpr const char* kPeerKeysName = "main";
+constexpr milliseconds kPeerKeysTimeout{ 1'000 };
+constexpr milliseconds kPeerKeysPause{ 500 };
+
+StoreObject NewPeerKey()
+{
+  std::random_device device;
+  std::string key;
+  for (int word = 0; word < 8; ++word) { // 256 bits
+    key += std::to_string(device()) + "-";
+  }
+  StoreObject object{ .kind_ = kPeerKeysKind, .name_ = kPeerKeysName };
+  object.spec_["key"] = key;
+  return object;
+}
+
+std::unique_ptr<ObjectStore> MakeStore(HttpClient& aClient,
+                                       const Settings& aSettings,
+                                       Metrics& aMetrics)
+{
+  return std::make_unique<platform::FleetStore>(
+    aClient,
+    platform::FleetStore::Options{
+      .address_ = aSettings.storeAddresses_.front(),
+      .onCall_ = [&aMetrics](std::string_view aKind) {
+        aMetrics.Count("gooseberrylift_store_calls_total",
+                       "kind=\"" + std::string(aKind) + "\"");
+      } });
+}
+
+std::uint64_t Seed()
+{
+  return std::random_device{}();
+}
+
+} // namespace
+
+GatewayHost::GatewayHost(Settings aSettings, std::string aPath)
+  : settings_(std::move(aSettings))
+  , path_(std::move(aPath))
+  , context_(1)
+  , client_(context_.get_executor(), HttpClient::Options{})
+  , storeClient_(context_.get_executor(),
+                 { .connectTimeout_ = milliseconds(500) })
+  , peerClient_(context_.get_executor(),
+                { .connectTimeout_ = milliseconds(300) })
+  , store_(MakeStore(storeClient_, settings_, metrics_))
+  , dialect_(std::make_unique<platform::FleetDialect>())
+  , fleet_({ .host_ = settings_.hostName_, .zone_ = settings_.zone_ })
+  , routes_(*store_, *dialect_, board_, Seed())
+  , endpoints_(*store_, *dialect_, fleet_, Seed())
+  , peers_(
+      { .settings_ = settings_,
+        .store_ = *store_,
+        .client_ = peerClient_,
+        .executor_ = context_.get_executor(),
+        .own_ = [this] { return OwnDigest(); },
+        .publish_ = [this](const PeersState& aPeers) { TakeInPeers(aPeers); } },
+      { .round_ = kPeerRound, .callTimeout_ = milliseconds(500) })
+  , front_({ .board_ = board_,
+             .dialect_ = *dialect_,
+             .metrics_ = metrics_,
+             .run_ = { .client_ = client_,
+                       .dialect_ = *dialect_,
+                       .fleet_ = fleet_,
+                       .routes_ = routes_,
+                       .repeats_ = repeats_ } })
+  , callerServer_(
+      context_.get_executor(),
+      { .address_ = settings_.caller_.address_,
+        .port_ = settings_.caller_.port_,
+        .maxConnections_ = settings_.caller_.maxConnections_,
+        .writeTimeout_ = settings_.writeTimeout_ },
+      [this](HttpExchange& aExchange) { return front_.Handle(aExchange); })
+  , readyServer_(
+      context_.get_executor(),
+      { .address_ = settings_.ready_.address_,
+        .port_ = settings_.ready_.port_ },
+      [this](HttpExchange& aExchange) { return HandleReady(aExchange); })
+  , adminServer_(
+      context_.get_executor(),
+      { .address_ = settings_.admin_.address_,
+        .port_ = settings_.admin_.port_ },
+      [this](HttpExchange& aExchange) { return HandleAdmin(aExchange); })
+  , peerServer_(
+      context_.get_executor(),
+      { .address_ = settings_.peer_.address_, .port_ = settings_.peer_.port_ },
+      [this](HttpExchange& aExchange) { return peers_.Handle(aExchange); })
+{
+  ApplyBounds(*settings_.gateway_);
+  board_.routes_.Subscribe([this](const auto& aSnapshot) {
+    const CallerLimits& limits = aSnapshot->table_->Limits();
+    callerServer_.SetLimits({ .maxHeaderBytes_ = limits.maxHeaderBytes_,
+                              .maxBodyBytes_ = limits.maxBodyBytes_,
+                              .headerTimeout_ = limits.headerTimeout_,
+                              .idleTimeout_ = limits.idleTimeout_ });
+  });
+}
+
+GatewayHost::~GatewayHost() = default;
+
+Digest GatewayHost::OwnDigest()
+{
+  Digest digest;
+  const RouteTable::Ptr table = board_.routes_.Read()->table_;
+  digest.generation_ = table ? table->Version() : 0;
+  digest.storeReachable_ = board_.store_.Read()->reachable_;
+  digest.draining_ = board_.host_.Read()->draining_;
+  digest.keysProven_ = routes_.KeysAreProven();
+  digest.shares_ = fleet_.OwnShares();
+  return digest;
+}
+
+void GatewayHost::TakeInPeers(const PeersState& aPeers)
+{
+  for (const Digest& digest : aPeers.digests_) {
+    fleet_.OnPeer(digest.host_, digest.sequence_, digest.shares_);
+  }
+  fleet_.Sweep();
+  const std::lock_guard lock(repeats_.mutex_);
+  repeats_.hosts_ = aPeers.known_ + 1;
+}
+
+asio::awaitable<void> GatewayHost::StartPeers()
+{
+  while (true) {
+    const TimePoint limit = TimerService::Now() + kPeerKeysTimeout;
+    auto object = co_await store_->Read(kPeerKeysKind, kPeerKeysName, limit);
+    const bool missing =
+      !object && object.error().code_ == ResultCode::kStoreNotFound;
+    if (missing) {
+      // Another host may be faster; then the next reading shows its key.
+      object = co_await store_->Create(NewPeerKey(), limit);
+    }
+    const std::string key =
+      object ? object.value().spec_.value("key", "") : std::string();
+    if (!key.empty()) {
+      peers_.Start(peerServer_.Port(), { key });
+      co_return;
+    }
+    co_await TimerService::SleepFor(kPeerKeysPause);
+  }
+}
+
+void GatewayHost::ApplyBounds(const GatewaySettings& aBounds)
+{
+  board_.bounds_.Write({ .bounds_ = aBounds });
+  const std::lock_guard lock(repeats_.mutex_);
+  repeats_.budget_.SetOptions({ .ratio_ = aBounds.retryRatio_,
+                                .window_ = aBounds.retryWindow_,
+                                .allowance_ = aBounds.retryAllowance_ });
+}
+
+Outcome<void> GatewayHost::Run()
+{
+  const auto listening = Listen();
+  if (!listening) {
+    return listening.error();
+  }
+  asio::co_spawn(context_, routes_.Run(), asio::detached);
+  asio::co_spawn(context_, endpoints_.Run(), asio::detached);
+  asio::co_spawn(context_, StartPeers(), asio::detached);
+  asio::co_spawn(context_, WatchSettings(), asio::detached);
+  asio::co_spawn(context_, WaitForReload(), asio::detached);
+  asio::co_spawn(context_, WaitForStop(), asio::detached);
+  context_.run();
+  return boost::outcome_v2::success();
+}
+
+Outcome<void> GatewayHost::Listen()
+{
+  for (HttpServer* server :
+       { &callerServer_, &readyServer_, &adminServer_, &peerServer_ }) {
+    const auto port = server->Listen();
+    if (!port) {
+      return port.error();
+    }
+  }
+  Log(LogEvent::kStarted,
+      { { "caller_port", callerServer_.Port() },
+        { "ready_port", readyServer_.Port() },
+        { "admin_port", adminServer_.Port() },
+        { "peer_port", peerServer_.Port() },
+        { "zone", settings_.zone_ } });
+  return boost::outcome_v2::success();
+}
+
+std::string GatewayHost::WhyNotReady() const
+{
+  if (board_.host_.Read()->draining_) {
+    return "draining";
+  }
+  if (!board_.routes_.Read()->table_) {
+    return "no configuration yet";
+  }
+  return {};
+}
+
+asio::awaitable<void> GatewayHost::HandleReady(HttpExchange& aExchange)
+{
+  const std::string reason = WhyNotReady();
+  const std::string text = reason.empty() ? "ready" : reason;
+  co_await aExchange.Send(
+    TextResponse(reason.empty() ? 200 : 503, text + "\n"));
+}
+
+std::string GatewayHost::StatusText()
+{
+  const RouteTable::Ptr table = board_.routes_.Read()->table_;
+  const auto age = routes_.ProofAge();
+  const std::string reason = WhyNotReady();
+  const nlohmann::json status = {
+    { "host", settings_.hostName_ },
+    { "zone", settings_.zone_ },
+    { "ready", reason.empty() },
+    { "why_not_ready", reason },
+    { "generation", table ? table->Version() : 0 },
+    { "store_reachable", board_.store_.Read()->reachable_ },
+    { "proof_age_ms", age ? age->count() : -1 },
+    { "keys_proven", routes_.KeysAreProven() },
+  };
+  return status.dump();
+}
+
+asio::awaitable<void> GatewayHost::HandleAdmin(HttpExchange& aExchange)
+{
+  const std::string path(aExchange.Request().Path());
+  if (path == "/metrics") {
+    HttpResponse metrics = TextResponse(200, metrics_.Text());
+    co_await aExchange.Send(std::move(metrics));
+    co_return;
+  }
+  if (path == "/status") {
+    HttpResponse status = JsonResponse(200, StatusText());
+    co_await aExchange.Send(std::move(status));
+    co_return;
+  }
+  if (path == "/readyz") {
+    co_await HandleReady(aExchange);
+    co_return;
+  }
+  HttpResponse unknown =
+    ErrorResponse(MakeError(ResultCode::kUnknownRoute), {});
+  co_await aExchange.Send(std::move(unknown));
+}
+
+void GatewayHost::Reload()
+{
+  std::ifstream file(path_);
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(settings, Settings::Parse(text));
+      if (!settings.gateway_) {
+        return leaf::new_error(
+          MakeError(ResultCode::kSettingsInvalid, "<root>: no 'gateway'"));
+      }
+      ApplyBounds(*settings.gateway_);
+      SetLogLevel("all", settings.logLevel_);
+      Log(LogEvent::kSettingsReloaded, { { "path", path_ } });
+      return {};
+    },
+    [&](const Error& aError) {
+      Log(LogEvent::kSettingsRefused,
+          { { "path", path_ }, { "fault", aError.text_ } });
+    },
+    [] { Log(LogEvent::kSettingsRefused); });
+}
+
+asio::awaitable<void> GatewayHost::WatchSettings()
+{
+  std::error_code fault;
+  auto seen = std::filesystem::last_write_time(path_, fault);
+  while (!fault) {
+    co_await TimerService::SleepFor(kSettingsPoll);
+    const auto changed = std::filesystem::last_write_time(path_, fault);
+    if (!fault && changed != seen) {
+      seen = changed;
+      Reload();
+    }
+  }
+}
+
+asio::awaitable<void> GatewayHost::WaitForReload()
+{
+  asio::signal_set signals(context_, SIGHUP);
+  while (true) {
+    co_await signals.async_wait(asio::use_awaitable);
+    Reload();
+  }
+}
+
+asio::awaitable<void> GatewayHost::WaitForStop()
+{
+  asio::signal_set signals(context_, SIGTERM, SIGINT);
+  co_await signals.async_wait(asio::use_awaitable);
+  co_await Drain();
+  context_.stop();
+}
+
+asio::awaitable<void> GatewayHost::Drain()
+{
+  Log(LogEvent::kDrainStarted);
+  board_.host_.Write({ .draining_ = true });
+  const std::size_t cut = co_await callerServer_.Drain(
+    settings_.drainLag_,
+    TimerService::Now() + settings_.drainLag_ + settings_.drainLimit_);
+  Log(LogEvent::kDrainFinished, { { "cut", cut } });
+}
+
+} // namespace gooseberrylift
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -1,5 +1,6 @@
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 
+#include <cstdlib>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -31,8 +32,26 @@
   tcp::socket socket_;
   beast::flat_buffer buffer_;
   TimePoint idleSince_;
+  TimePoint idleUntil_;
 };
 
+// The time for which the server keeps an idle connection, less a part for the
+// way there: what is sent in the moment of its close is lost.
+std::chrono::milliseconds IdleTimeOf(const HttpResponse& aHead,
+                                     std::chrono::milliseconds aDefault)
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view field = aHead.Field("Keep-Alive");
+  const std::size_t at = field.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return aDefault;
+  }
+  const std::chrono::seconds stated(
+    std::atoi(std::string(field.substr(at + kTimeout.size())).c_str()));
+  const std::chrono::milliseconds safe(stated);
+  return std::min(aDefault, safe * 3 / 4);
+}
+
 // A server that closed its end shows as readable at once; so do bytes that
 // nobody asked for. Either way the connection is useless.
 bool IsStillQuiet(tcp::socket& aSocket)
@@ -72,18 +91,20 @@
   {
   }
 
-  std::unique_ptr<Connection> TakeIdle(const std::string& aAddress)
+  std::unique_ptr<Connection> TakeIdle(const std::string& aAddress,
+                                       std::chrono::milliseconds aMaxIdle)
   {
     const std::lock_guard lock(mutex_);
     const auto found = idle_.find(aAddress);
     if (found == idle_.end()) {
       return nullptr;
     }
-    const TimePoint oldest = TimerService::Now() - options_.idleFor_;
+    const TimePoint now = TimerService::Now();
     while (!found->second.empty()) {
       std::unique_ptr<Connection> connection = std::move(found->second.back());
       found->second.pop_back();
-      if (connection->idleSince_ > oldest &&
+      if (now < connection->idleUntil_ &&
+          now - connection->idleSince_ <= aMaxIdle &&
           IsStillQuiet(connection->socket_)) {
         return connection;
       }
@@ -92,9 +113,12 @@
     return nullptr;
   }
 
-  void PutIdle(const std::string& aAddress, std::unique_ptr<Connection> aIdle)
+  void PutIdle(const std::string& aAddress,
+               std::unique_ptr<Connection> aIdle,
+               std::chrono::milliseconds aIdleFor)
   {
     aIdle->idleSince_ = TimerService::Now();
+    aIdle->idleUntil_ = aIdle->idleSince_ + aIdleFor;
     const std::lock_guard lock(mutex_);
     auto& line = idle_[aAddress];
     if (line.size() >= options_.idlePerAddress_) {
@@ -105,6 +129,7 @@
 
   asio::awaitable<Outcome<std::unique_ptr<Connection>>> Connect(
     const std::string& aAddress,
+    std::chrono::milliseconds aTimeout,
     TimePoint aDeadline)
   {
     const auto endpoint = ParseAddress(aAddress);
@@ -113,8 +138,7 @@
     }
     const auto executor = co_await asio::this_coro::executor;
     auto connection = std::make_unique<Connection>(executor);
-    const TimePoint limit =
-      std::min(aDeadline, TimerService::Now() + options_.connectTimeout_);
+    const TimePoint limit = std::min(aDeadline, TimerService::Now() + aTimeout);
     const OpGuard guard(connection->socket_, executor, limit);
     const auto [code] =
       co_await connection->socket_.async_connect(endpoint.value(), kAwait);
@@ -142,7 +166,9 @@
   message.version(11);
   message.method_string(aRequest.method_);
   message.target(aRequest.target_);
-  message.set(http::field::host, aAddress);
+  if (aRequest.Field("Host").empty()) {
+    message.set(http::field::host, aAddress);
+  }
   for (const HttpField& field : aRequest.fields_) {
     message.insert(field.name_, field.value_);
   }
@@ -157,7 +183,8 @@
 class ClientCall : public HttpCall
 {
 public:
-  using PutBack = std::function<void(std::unique_ptr<Connection> aConnection)>;
+  using PutBack = std::function<void(std::unique_ptr<Connection> aConnection,
+                                     const HttpResponse& aHead)>;
 
   ClientCall(std::unique_ptr<Connection> aConnection,
              TimePoint aDeadline,
@@ -185,7 +212,7 @@
     co_return boost::outcome_v2::success();
   }
 
-  asio::awaitable<Outcome<void>> ReadHead()
+  asio::awaitable<Outcome<void>> ReadHead() override
   {
     const OpGuard guard(
       connection_->socket_, co_await asio::this_coro::executor, deadline_);
@@ -252,7 +279,7 @@
     const bool clean = parser_.keep_alive() && !parser_.need_eof() &&
                        connection_->buffer_.size() == 0;
     if (clean) {
-      putBack_(std::move(connection_));
+      putBack_(std::move(connection_), head_);
     }
   }
 
@@ -271,7 +298,7 @@
 
 HttpClient::~HttpClient() = default;
 
-asio::awaitable<Outcome<std::unique_ptr<HttpCall>>> HttpClient::Start(
+asio::awaitable<Outcome<std::unique_ptr<HttpCall>>> HttpClient::Send(
   std::string aAddress,
   HttpRequest aRequest,
   TimePoint aDeadline,
@@ -280,10 +307,13 @@
   const std::shared_ptr<Impl> impl = impl_;
   std::unique_ptr<Connection> connection;
   if (!aCall.freshConnection_) {
-    connection = impl->TakeIdle(aAddress);
+    connection = impl->TakeIdle(aAddress, aCall.maxIdle_);
   }
   if (!connection) {
-    auto connected = co_await impl->Connect(aAddress, aDeadline);
+    auto connected = co_await impl->Connect(
+      aAddress,
+      aCall.connectTimeout_.value_or(impl->options_.connectTimeout_),
+      aDeadline);
     if (!connected) {
       co_return connected.error();
     }
@@ -297,19 +327,36 @@
     std::move(connection),
     aDeadline,
     impl->options_.maxBodyBytes_,
-    [impl, aAddress](std::unique_ptr<Connection> aConnection) {
-      impl->PutIdle(aAddress, std::move(aConnection));
+    [impl, aAddress](std::unique_ptr<Connection> aConnection,
+                     const HttpResponse& aHead) {
+      impl->PutIdle(aAddress,
+                    std::move(aConnection),
+                    IdleTimeOf(aHead, impl->options_.idleFor_));
     });
   const auto sent =
     co_await call->Send(MessageOf(aAddress, std::move(aRequest)));
   if (!sent) {
     co_return sent.error();
   }
-  const auto read = co_await call->ReadHead();
+  co_return std::unique_ptr<HttpCall>(std::move(call));
+}
+
+asio::awaitable<Outcome<std::unique_ptr<HttpCall>>> HttpClient::Start(
+  std::string aAddress,
+  HttpRequest aRequest,
+  TimePoint aDeadline,
+  CallOptions aCall)
+{
+  auto call =
+    co_await Send(std::move(aAddress), std::move(aRequest), aDeadline, aCall);
+  if (!call) {
+    co_return call.error();
+  }
+  const auto read = co_await call.value()->ReadHead();
   if (!read) {
     co_return read.error();
   }
-  co_return std::unique_ptr<HttpCall>(std::move(call));
+  co_return std::move(call.value());
 }
 
 asio::awaitable<Outcome<HttpResponse>> HttpClient::Fetch(std::string aAddress,
@@ -317,8 +364,16 @@
                                                          TimePoint aDeadline)
 {
   const CallOptions options;
-  auto call = co_await Start(
-    std::move(aAddress), std::move(aRequest), aDeadline, options);
+  return Fetch(std::move(aAddress), std::move(aRequest), aDeadline, options);
+}
+
+asio::awaitable<Outcome<HttpResponse>> HttpClient::Fetch(std::string aAddress,
+                                                         HttpRequest aRequest,
+                                                         TimePoint aDeadline,
+                                                         CallOptions aCall)
+{
+  auto call =
+    co_await Start(std::move(aAddress), std::move(aRequest), aDeadline, aCall);
   if (!call) {
     co_return call.error();
   }
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -23,6 +23,10 @@
     : executor_(std::move(aExecutor))
     , acceptor_(asio::make_strand(executor_))
   {
+    state_->limits_ = { .maxHeaderBytes_ = aOptions.maxHeaderBytes_,
+                        .maxBodyBytes_ = aOptions.maxBodyBytes_,
+                        .headerTimeout_ = aOptions.headerTimeout_,
+                        .idleTimeout_ = aOptions.idleTimeout_ };
     state_->options_ = std::move(aOptions);
     state_->handler_ = std::move(aHandler);
   }
@@ -128,6 +132,12 @@
   return impl_->Listen();
 }
 
+void HttpServer::SetLimits(const Limits& aLimits)
+{
+  const std::lock_guard lock(impl_->state_->mutex_);
+  impl_->state_->limits_ = aLimits;
+}
+
 std::uint16_t HttpServer::Port() const
 {
   return impl_->port_;
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -223,10 +223,10 @@
       }
     }
     SetBusy(true);
-    const HttpServer::Options& options = server_->options_;
+    const HttpServer::Limits limits = server_->Limits();
     http::request_parser<http::string_body> parser;
-    parser.header_limit(options.maxHeaderBytes_);
-    parser.body_limit(options.maxBodyBytes_);
+    parser.header_limit(limits.maxHeaderBytes_);
+    parser.body_limit(limits.maxBodyBytes_);
     const bool headerRead = co_await ReadHeader(parser);
     if (!headerRead) {
       co_return false;
@@ -249,7 +249,7 @@
     idle_ = true;
     const OpGuard guard(socket_,
                         socket_.get_executor(),
-                        TimerService::Now() + server_->options_.idleTimeout_);
+                        TimerService::Now() + server_->Limits().idleTimeout_);
     const auto [code, size] =
       co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAwait);
     idle_ = false;
@@ -262,7 +262,7 @@
   {
     const OpGuard guard(socket_,
                         socket_.get_executor(),
-                        TimerService::Now() + server_->options_.headerTimeout_);
+                        TimerService::Now() + server_->Limits().headerTimeout_);
     const auto [code, size] =
       co_await http::async_read_header(socket_, buffer_, aParser, kAwait);
     if (code) {
--- a/src/net/gooseberrylift-http-session.h
+++ b/src/net/gooseberrylift-http-session.h
@@ -30,12 +30,19 @@
 // What a server and its connections share.
 struct HttpServerState
 {
-  HttpServer::Options options_;
+  HttpServer::Options options_; // but for the limits, set once
   HttpHandler handler_;
   std::atomic<bool> draining_ = false;
   std::atomic<std::ptrdiff_t> active_ = 0; // connections that are busy
-  std::mutex mutex_;                       // guards sessions_
-  std::set<HttpSession*> sessions_{};      // each adds and removes itself
+  std::mutex mutex_;                       // guards sessions_ and limits_
+  HttpServer::Limits limits_{};
+  std::set<HttpSession*> sessions_{}; // each adds and removes itself
+
+  HttpServer::Limits Limits()
+  {
+    const std::lock_guard lock(mutex_);
+    return limits_;
+  }
 };
 
 /// Serves a connection until it ends.
--- a/src/net/gooseberrylift-timer-service.cc
+++ b/src/net/gooseberrylift-timer-service.cc
@@ -1,6 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 #include <atomic>
+#include <ctime>
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/dispatch.hpp>
@@ -98,6 +99,14 @@
   }
 }
 
+BootTime TimerService::BootNow()
+{
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return BootTime(std::chrono::seconds(now.tv_sec) +
+                  std::chrono::nanoseconds(now.tv_nsec));
+}
+
 TimerSubscription TimerService::Every(std::chrono::milliseconds aPeriod,
                                       const asio::any_io_executor& aExecutor,
                                       Callback aCallback)
--- a/src/runtime/gooseberrylift-config-follower.cc
+++ b/src/runtime/gooseberrylift-config-follower.cc
@@ -121,7 +121,8 @@
         Offer(aEvent.object_);
       }
     },
-    TimerService::Now() + options_.watchFor_);
+    options_.watchFor_,
+    TimerService::Now() + options_.watchFor_ + std::chrono::seconds(1));
   co_return watched.has_value() ||
     watched.error().code_ == ResultCode::kStoreGone;
 }
--- a/src/runtime/gooseberrylift-job-runner.cc
+++ b/src/runtime/gooseberrylift-job-runner.cc
@@ -131,7 +131,8 @@
         Note(aEvent.object_);
       }
     },
-    TimerService::Now() + options_.watchFor_);
+    options_.watchFor_,
+    TimerService::Now() + options_.watchFor_ + std::chrono::seconds(1));
   co_return watched.has_value();
 }
 
--- a/src/runtime/gooseberrylift-peer-exchange.cc
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -6,7 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <xxhash.h>
 
 #include "gooseberrylift/gooseberrylift-digest-codec.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
@@ -66,17 +65,16 @@
 PeerExchange::PeerExchange(Parts aParts, Options aOptions)
   : parts_(std::move(aParts))
   , options_(aOptions)
-  , rpc_(parts_.client_,
-         { .host_ = parts_.settings_.hostName_,
-           .keys_ = parts_.settings_.peerKeys_ })
+  , rpc_(parts_.client_, { .host_ = parts_.settings_.hostName_, .keys_ = {} })
 {
   rpc_.Add("exchange", [this](const json& aParams) { return Answer(aParams); });
   rpc_.Add("configuration",
            [this](const json& /*aParams*/) { return AnswerConfiguration(); });
 }
 
-void PeerExchange::Start(std::uint16_t aPort)
+void PeerExchange::Start(std::uint16_t aPort, std::vector<std::string> aKeys)
 {
+  rpc_.SetKeys(std::move(aKeys));
   const Settings& settings = parts_.settings_;
   self_ = { .host_ = settings.hostName_,
             .zone_ = settings.zone_,
@@ -92,16 +90,23 @@
                         .address_ = self_.address_,
                         .incarnation_ = self_.incarnation_,
                         .seed_ = device(),
-                        .round_ = options_.round_ });
+                        .round_ = options_.round_,
+                        .partners_ = options_.partners_ });
   Refresh();
-  parts_.board_.configuration_.Subscribe(
-    [this](const auto& /*aSnapshot*/) { OnConfiguration(); });
+  started_ = true;
   asio::co_spawn(parts_.executor_, RunRounds(), asio::detached);
   asio::co_spawn(parts_.executor_, RunMembership(), asio::detached);
 }
 
 asio::awaitable<void> PeerExchange::Handle(HttpExchange& aExchange)
 {
+  // Without its keys a host can't tell a peer from a stranger.
+  if (!started_) {
+    HttpResponse refusal =
+      ErrorResponse(MakeError(ResultCode::kPeerRefused), {});
+    co_await aExchange.Send(std::move(refusal));
+    co_return;
+  }
   co_await rpc_.Handle(aExchange);
 }
 
@@ -229,7 +234,8 @@
   {
     const std::lock_guard lock(mutex_);
     news = table_->OnMessage(aMessage, TimerService::Now());
-    fetch = news.generation_ > table_->Own().generation_ && !fetching_;
+    fetch = parts_.offer_ && !fetching_ &&
+            news.generation_ > table_->Own().generation_;
     fetching_ = fetching_ || fetch;
   }
   if (fetch) {
@@ -256,25 +262,30 @@
     fetching_ = false;
   }
   if (answer) {
-    parts_.follower_.OfferText(answer.value().value("generation", 0ULL),
-                               answer.value().value("text", ""),
-                               ConfigSource::kPeer);
+    parts_.offer_({ .generation_ = answer.value().value("generation", 0ULL),
+                    .text_ = answer.value().value("text", "") });
   }
 }
 
 json PeerExchange::AnswerConfiguration() const
 {
-  const auto current = parts_.board_.configuration_.Read()->configuration_;
+  OfferedConfiguration offered;
+  if (parts_.configuration_) {
+    offered = parts_.configuration_();
+  }
   json answer;
-  answer["generation"] = current ? current->Generation() : 0;
-  answer["text"] = current ? current->Text() : "";
+  answer["generation"] = offered.generation_;
+  answer["text"] = offered.text_;
   return answer;
 }
 
-// News of a configuration goes out at once instead of with the next round, so
-// that it crosses the fleet in round trips, not in rounds.
-void PeerExchange::OnConfiguration()
+// News goes out at once instead of with the next round, so that it crosses the
+// fleet in round trips, not in rounds.
+void PeerExchange::TellNews()
 {
+  if (!started_) {
+    return;
+  }
   Refresh();
   std::vector<PeerMember> peers;
   {
@@ -286,35 +297,11 @@
 
 void PeerExchange::Refresh()
 {
-  Digest own = OwnDigest();
+  Digest own = parts_.own_();
   const std::lock_guard lock(mutex_);
   table_->SetOwn(std::move(own), TimerService::Now());
 }
 
-Digest PeerExchange::OwnDigest() const
-{
-  Blackboard& board = parts_.board_;
-  Digest digest;
-  const auto configuration = board.configuration_.Read()->configuration_;
-  if (configuration) {
-    digest.generation_ = configuration->Generation();
-    digest.configurationHash_ =
-      XXH64(configuration->Text().data(), configuration->Text().size(), 0);
-  }
-  digest.storeReachable_ = board.store_.Read()->reachable_;
-  digest.draining_ = board.host_.Read()->draining_;
-  for (const EndpointView& view : board.endpoints_.Read()->endpoints_) {
-    if (view.state_ != EndpointState::kLive) {
-      digest.endpoints_.push_back({ .name_ = view.name_,
-                                    .incarnation_ = view.incarnation_,
-                                    .state_ = view.state_ });
-    }
-  }
-  digest.quarantine_ = board.quarantine_.Read()->entries_;
-  digest.demand_ = board.demand_.Read()->demand_;
-  return digest;
-}
-
 void PeerExchange::Publish()
 {
   const std::lock_guard order(publishMutex_);
@@ -325,7 +312,7 @@
     live = table_->Live(TimerService::Now());
     known = table_->FleetSize();
   }
-  parts_.board_.peers_.Write({ .digests_ = std::move(live), .known_ = known });
+  parts_.publish_({ .digests_ = std::move(live), .known_ = known });
 }
 
 } // namespace gooseberrylift
