Spread long prompts over engines by memory and by time

Cause: prompts beyond one engine's memory were refused, and peers learnt of a long prompt only with the next round: a word told within a round had the sequence of the one before and was dropped.

Prompts that no engine can hold set memory aside at several, all or nothing in one order, for 3 s at a time and renewed. Words of load carry a new sequence whenever the load changed; long prompts are told at once.

--- a/include/gooseberrylift/gooseberrylift-peer-table.h
+++ b/include/gooseberrylift/gooseberrylift-peer-table.h
@@ -101,6 +101,9 @@
   /// not known to be at this host's generation.
   std::vector<PeerMember> PickForNews(std::size_t aCount);
 
+  /// Chooses partners for news that concerns all hosts of the own scope.
+  std::vector<PeerMember> PickNear(std::size_t aCount);
+
   /// Makes the message for a partner in a zone; also the answer to one.
   PeerMessage MakeMessage(const std::string& aZone);
 
--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -36,6 +36,7 @@
 {
   ListedEndpoint endpoint_;
   std::vector<ListedEndpoint> helpers_;
+  std::uint64_t heldTokens_ = 0; // to be set aside at each helper
   std::chrono::microseconds firstAnswer_{ 0 }; // predicted
   EndpointLoad load_;                          // at the endpoint, before it
   std::size_t candidates_ = 0;
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -45,6 +45,7 @@
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
+  kRequestServed = 1303,
   kRequestPlaced = 1400,
   kRequestRefused = 1401,
   kJobEnded = 1520,
--- a/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
@@ -60,7 +60,10 @@
     std::chrono::milliseconds joinRetry_{ 1000 };    // while not yet listed
     std::chrono::milliseconds listPeriod_{ 30'000 }; // when listed
     std::size_t newsFanout_ = 3;
-    std::size_t partners_ = 2; // a round, in a small fleet
+    std::size_t partners_ = 2;   // a round, in a small fleet
+    int roundsUntilGone_ = 5;
+    std::size_t relayed_ = 8; // words of others in a message
+    std::size_t loadFanout_ = 8; // all of a small fleet
   };
 
   PeerExchange(Parts aParts, Options aOptions);
@@ -70,9 +73,13 @@
   /// @param aKeys the keys of the hosts: the first signs, all are accepted
   void Start(std::uint16_t aPort, std::vector<std::string> aKeys);
 
-  /// Tells peers of something new at once instead of with the next round.
+  /// Tells peers that are behind of a new configuration, at once instead of
+  /// with the next round.
   void TellNews();
 
+  /// Tells peers nearby at once what this host has in work.
+  void TellLoad();
+
   /// Handles one request of the peer port's HTTP server.
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
 
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_REQUEST_RUN_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_REQUEST_RUN_H_
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -16,6 +17,7 @@
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
+#include "gooseberrylift/internal/gooseberrylift-memory-holds.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 #include "gooseberrylift/limits/gooseberrylift-repeat-budget.h"
@@ -60,6 +62,9 @@
     Fleet& fleet_;
     RouteFollower& routes_;
     SharedRepeatBudget& repeats_;
+    boost::asio::any_io_executor executor_;
+    // Tells the other hosts at once what this one has in work.
+    std::function<void()> tellLoad_;
   };
 
   RequestRun(Parts aParts, HttpExchange& aExchange, RoutedRequest aRequest);
@@ -87,7 +92,10 @@
   std::optional<Error> WhyNotSend() const;
   std::optional<Error> Admit(const FleetPlacement& aPlacement) const;
   FleetQuery MakeQuery() const;
-  HttpRequest MakeSend(const FleetPlacement& aPlacement) const;
+  HttpRequest MakeSend(const FleetPlacement& aPlacement,
+                       const MemoryHolds* aHolds) const;
+  boost::asio::awaitable<Outcome<std::unique_ptr<MemoryHolds>>> TakeMemory(
+    const FleetPlacement& aPlacement);
   boost::asio::awaitable<Outcome<void>> Attempt(FleetPlacement aPlacement);
   boost::asio::awaitable<Outcome<void>> ReadHead(HttpCall& aCall,
                                                  Fleet::Use& aUse);
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -21,8 +21,8 @@
 {
   std::uint64_t memoryTokens_ = 0;      // prompt and answer
   std::chrono::microseconds read_{ 0 }; // until its first token
-  bool tight_ = false;                  // bears only short gaps
-  bool helping_ = false; // only reads a part; it takes no slot and no memory
+  bool tight_ = false; // bears only the shortest gaps of the service
+  bool helping_ = false; // only reads and holds a part; it takes no slot
 };
 
 // What one host has in work at one endpoint.
@@ -30,7 +30,7 @@
 {
   std::string id_;
   int running_ = 0; // requests that hold or wait for a slot
-  int tight_ = 0;   // of these, that bear only short gaps
+  int tight_ = 0;   // of these, that bear only the shortest gaps
   std::uint64_t memoryTokens_ = 0;
   std::chrono::microseconds backlog_{ 0 }; // still to be read
 };
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
@@ -40,6 +40,9 @@
 {
   const ListedEndpoint* endpoint_ = nullptr;
   std::vector<const ListedEndpoint*> helpers_; // that read parts of the prompt
+  // What each helper sets aside for its part of the prompt; 0: all of it lies
+  // at the endpoint.
+  std::uint64_t heldTokens_ = 0;
   std::chrono::microseconds firstAnswer_{ 0 }; // predicted, from now
   RequestCost cost_;                           // at the endpoint
   RequestCost helperCost_;                     // at each helper
@@ -47,8 +50,9 @@
 
 // Engines. The load it answers: many short prompts whose callers bear only
 // short gaps, and few prompts that are read for seconds, on the same engines.
-// A read stretches the pass it falls into, and so the gap of every request
-// that writes there; spread evenly, each long prompt makes late what a dozen
+// A read stretches the pass it falls into, for a second and more with the
+// longest prompts, and so the gap of every request that writes there; spread
+// evenly, each long prompt makes late what a dozen
 // short requests write. So short requests fill engines in one order that all
 // hosts share, and long ones take engines from the other end of that order;
 // where the two meet follows the load. A long prompt is read by as many
@@ -70,13 +74,17 @@
     // A read is spread until it is predicted to take this part of the
     // objective; the rest is for the wait before it and errors of prediction.
     double readShare_ = 0.4;
-    int mostEngines_ = 8; // that read one prompt together
+    int mostEngines_ = 12; // that read one prompt together
     // An engine's memory that a prompt may count on; the rest is for answers
     // of other hosts' requests that are not known yet.
     double memoryShare_ = 0.9;
     // What a request that is made late weighs, in time to the first answer of
-    // the request to be placed.
-    std::chrono::milliseconds harm_{ 150 };
+    // the request to be placed: as much as the whole objective of the shortest
+    // kind, since it loses three quarters of its worth.
+    std::chrono::milliseconds harm_{ 300 };
+    // Of a short request's objective, the wait before its own read with which
+    // an engine is still taken in order.
+    double waitShare_ = 0.35;
   };
 
   explicit EnginePlacement(Options aOptions)
@@ -108,6 +116,15 @@
   std::optional<PlacementChoice> ChooseLong(
     const Task& aTask,
     const std::vector<const PlacementCandidate*>& aCandidates) const;
+  struct Ranked;
+  std::vector<Ranked> RankForPart(
+    const Task& aTask,
+    const std::vector<const PlacementCandidate*>& aCandidates,
+    std::size_t aHolders,
+    std::size_t aReaders) const;
+  bool HasMemory(const Task& aTask,
+                 const EndpointLoad& aLoad,
+                 std::size_t aEngines) const;
   std::chrono::microseconds HarmAt(const Task& aTask,
                                    const EndpointLoad& aLoad,
                                    std::chrono::microseconds aRead) const;
--- a/src/core/gooseberrylift-peer-table.cc
+++ b/src/core/gooseberrylift-peer-table.cc
@@ -31,7 +31,18 @@
     return aOne.fingerprint_ == aOther.fingerprint_ &&
            aOne.version_ == aOther.version_;
   };
-  return aLeft.generation_ == aRight.generation_ &&
+  const auto sameShare = [](const EndpointShare& aOne,
+                            const EndpointShare& aOther) {
+    return aOne.id_ == aOther.id_ && aOne.running_ == aOther.running_ &&
+           aOne.backlog_ == aOther.backlog_;
+  };
+  return std::equal(aLeft.shares_.begin(),
+                    aLeft.shares_.end(),
+                    aRight.shares_.begin(),
+                    aRight.shares_.end(),
+                    sameShare) &&
+         aLeft.keysProven_ == aRight.keysProven_ &&
+         aLeft.generation_ == aRight.generation_ &&
          aLeft.storeReachable_ == aRight.storeReachable_ &&
          aLeft.draining_ == aRight.draining_ &&
          std::equal(aLeft.endpoints_.begin(),
@@ -154,6 +165,19 @@
   return picked;
 }
 
+std::vector<PeerMember> PeerTable::PickNear(std::size_t aCount)
+{
+  std::vector<PeerMember> near;
+  for (const auto& [name, entry] : entries_) {
+    if (InScope(entry.member_.zone_) && IsLive(entry, lastRound_)) {
+      near.push_back(entry.member_);
+    }
+  }
+  std::shuffle(near.begin(), near.end(), random_);
+  near.resize(std::min(near.size(), aCount));
+  return near;
+}
+
 void PeerTable::PickOne(const std::vector<const Entry*>& aFrom,
                         std::vector<PeerMember>& aPicked)
 {
--- a/src/core/routing/gooseberrylift-fleet-load.cc
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -16,6 +16,12 @@
                   microseconds(0));
 }
 
+// A prompt whose first token has not come is not read yet, however long ago it
+// was sent: other reads went first, or a pass took longer. This part of its
+// read is counted until then; with none, short requests were sent behind reads
+// that seemed done.
+constexpr int kUnreadPart = 2; // a half
+
 } // namespace
 
 void FleetLoad::OnSent(const std::string& aEndpoint,
@@ -88,20 +94,22 @@
 {
   EndpointShare share{ .id_ = aId };
   TimePoint oldestRead = aNow;
+  microseconds unread(0);
   for (const auto& [request, sent] : aOwn.requests_) {
+    share.memoryTokens_ += sent.cost_.memoryTokens_;
     if (!sent.cost_.helping_) {
       share.running_ += 1;
       share.tight_ += sent.cost_.tight_ ? 1 : 0;
-      share.memoryTokens_ += sent.cost_.memoryTokens_;
     }
     if (!sent.started_) {
       share.backlog_ += sent.cost_.read_;
+      unread += sent.cost_.read_ / kUnreadPart;
       oldestRead = std::min(oldestRead, sent.at_);
     }
   }
   // An engine reads its prompts one after the other, so the time since the
   // oldest was sent is taken from the sum once.
-  share.backlog_ = After(share.backlog_, aNow - oldestRead);
+  share.backlog_ = std::max(After(share.backlog_, aNow - oldestRead), unread);
   return share;
 }
 
--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -68,6 +68,8 @@
   return wait;
 }
 
+// Those that bear only the shortest gaps are late when a pass, with what is
+// read in it, takes longer than these.
 microseconds EnginePlacement::HarmAt(const Task& aTask,
                                      const EndpointLoad& aLoad,
                                      microseconds aRead) const
@@ -80,6 +82,21 @@
   return duration_cast<microseconds>(options_.harm_) * aLoad.tight_;
 }
 
+// Says whether an engine has room for a part of the request.
+bool EnginePlacement::HasMemory(const Task& aTask,
+                                const EndpointLoad& aLoad,
+                                std::size_t aEngines) const
+{
+  if (aTask.figures_.memoryTokens_ == 0) {
+    return true;
+  }
+  const double part =
+    static_cast<double>(aTask.memory_) / static_cast<double>(aEngines);
+  return static_cast<double>(aLoad.memoryTokens_) + part <=
+         static_cast<double>(aTask.figures_.memoryTokens_) *
+           options_.memoryShare_;
+}
+
 std::optional<PlacementChoice> EnginePlacement::Choose(
   const EngineFigures& aFigures,
   std::chrono::milliseconds aTightestGap,
@@ -94,24 +111,17 @@
                    .tightestGap_ = gap,
                    .isLong_ = read > Scaled(gap, options_.longRead_),
                    .memory_ = aRequest.promptTokens_ + aRequest.answerTokens_ };
-  std::vector<const PlacementCandidate*> candidates = BestOf(aCandidates);
-  const auto memory =
-    static_cast<double>(aFigures.memoryTokens_) * options_.memoryShare_;
-  std::erase_if(candidates, [&](const PlacementCandidate* aCandidate) {
-    return aFigures.memoryTokens_ > 0 &&
-           static_cast<double>(aCandidate->load_.memoryTokens_ + task.memory_) >
-             memory;
-  });
-  if (candidates.empty()) {
-    return std::nullopt;
-  }
+  const std::vector<const PlacementCandidate*> candidates =
+    BestOf(aCandidates);
   auto choice =
     task.isLong_ ? ChooseLong(task, candidates) : ChooseShort(task, candidates);
   if (choice) {
-    choice->cost_.memoryTokens_ = task.memory_;
     choice->cost_.tight_ =
       aRequest.maxGap_.count() > 0 && aRequest.maxGap_ <= aTightestGap;
     choice->helperCost_.helping_ = true;
+    choice->helperCost_.memoryTokens_ = choice->heldTokens_;
+    choice->cost_.memoryTokens_ =
+      task.memory_ - choice->heldTokens_ * choice->helpers_.size();
   }
   return choice;
 }
@@ -121,18 +131,22 @@
   const std::vector<const PlacementCandidate*>& aCandidates) const
 {
   const EngineFigures& figures = aTask.figures_;
-  const microseconds enough =
-    duration_cast<microseconds>(aTask.request_.objective_) / 2;
+  const microseconds enough = Scaled(
+    duration_cast<microseconds>(aTask.request_.objective_), options_.waitShare_);
   const PlacementCandidate* best = nullptr;
   microseconds bestFirst = microseconds::max();
   for (const PlacementCandidate* candidate : aCandidates) {
     const EndpointLoad& load = candidate->load_;
+    if (!HasMemory(aTask, load, 1)) {
+      continue;
+    }
+    const microseconds wait = WaitAt(figures, load);
     const microseconds first =
-      WaitAt(figures, load) + aTask.read_ +
+      wait + aTask.read_ +
       figures.PassTime(load.running_ + 1, load.memoryTokens_);
     const bool comfortable =
       load.running_ < figures.slots_ * options_.comfortable_;
-    if (comfortable && first <= enough) {
+    if (comfortable && wait <= enough) {
       best = candidate;
       bestFirst = first;
       break;
@@ -142,69 +156,110 @@
       bestFirst = first;
     }
   }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
   return PlacementChoice{ .endpoint_ = best->endpoint_,
                           .firstAnswer_ = bestFirst,
                           .cost_ = { .read_ = aTask.read_ } };
 }
 
-std::optional<PlacementChoice> EnginePlacement::ChooseLong(
+// An engine as one that might read a part.
+struct EnginePlacement::Ranked
+{
+  const PlacementCandidate* candidate_;
+  microseconds wait_;
+  microseconds harm_;
+};
+
+// Gives the engines with room for the part of one holder, best reader first.
+std::vector<EnginePlacement::Ranked> EnginePlacement::RankForPart(
   const Task& aTask,
-  const std::vector<const PlacementCandidate*>& aCandidates) const
+  const std::vector<const PlacementCandidate*>& aCandidates,
+  std::size_t aHolders,
+  std::size_t aReaders) const
 {
-  struct Ranked
-  {
-    const PlacementCandidate* candidate_;
-    microseconds wait_; // with the harm to others
-  };
-  const EngineFigures& figures = aTask.figures_;
-  const auto mostEngines = std::min<std::size_t>(
-    static_cast<std::size_t>(options_.mostEngines_), aCandidates.size());
-  // The harm of a part as small as it can get: engines are ranked by it.
-  const microseconds smallestPart =
-    aTask.read_ / static_cast<std::int64_t>(mostEngines);
+  const microseconds part = aTask.read_ / static_cast<std::int64_t>(aReaders);
   std::vector<Ranked> ranked;
   ranked.reserve(aCandidates.size());
   for (auto candidate = aCandidates.rbegin(); candidate != aCandidates.rend();
        ++candidate) {
     const EndpointLoad& load = (*candidate)->load_;
-    ranked.push_back(
-      { .candidate_ = *candidate,
-        .wait_ = WaitAt(figures, load) + HarmAt(aTask, load, smallestPart) });
+    if (HasMemory(aTask, load, aHolders)) {
+      ranked.push_back({ .candidate_ = *candidate,
+                         .wait_ = WaitAt(aTask.figures_, load),
+                         .harm_ = HarmAt(aTask, load, part) });
+    }
   }
   std::stable_sort(ranked.begin(),
                    ranked.end(),
                    [](const Ranked& aLeft, const Ranked& aRight) {
-                     return aLeft.wait_ < aRight.wait_;
+                     return aLeft.wait_ + aLeft.harm_ <
+                            aRight.wait_ + aRight.harm_;
                    });
-  const microseconds target =
-    Scaled(duration_cast<microseconds>(aTask.request_.objective_),
-           options_.readShare_);
-  std::size_t best = 1;
-  microseconds bestFirst = microseconds::max();
+  return ranked;
+}
+
+std::optional<PlacementChoice> EnginePlacement::ChooseLong(
+  const Task& aTask,
+  const std::vector<const PlacementCandidate*>& aCandidates) const
+{
+  const EngineFigures& figures = aTask.figures_;
+  const auto mostEngines =
+    std::min<std::size_t>(static_cast<std::size_t>(options_.mostEngines_),
+                          aCandidates.size());
+  const microseconds target = Scaled(
+    duration_cast<microseconds>(aTask.request_.objective_), options_.readShare_);
+  const bool fitsOne = std::any_of(
+    aCandidates.begin(), aCandidates.end(), [&](const auto* aCandidate) {
+      return HasMemory(aTask, aCandidate->load_, 1);
+    });
+  std::vector<Ranked> best;
+  microseconds bestValue = microseconds::max();
   for (std::size_t engines = 1; engines <= mostEngines; ++engines) {
-    const microseconds first = ranked[engines - 1].wait_ +
-                               aTask.read_ / static_cast<std::int64_t>(engines);
-    if (first < bestFirst) {
-      best = engines;
-      bestFirst = first;
+    std::vector<Ranked> ranked =
+      RankForPart(aTask, aCandidates, fitsOne ? 1 : engines, engines);
+    if (ranked.size() < engines) {
+      continue; // too few have room for parts of this size
+    }
+    ranked.resize(engines);
+    microseconds wait(0);
+    microseconds harm(0);
+    for (const Ranked& one : ranked) {
+      wait = std::max(wait, one.wait_);
+      harm += one.harm_;
+    }
+    const microseconds value =
+      wait + harm + aTask.read_ / static_cast<std::int64_t>(engines);
+    if (value < bestValue) {
+      best = std::move(ranked);
+      bestValue = value;
     }
-    if (bestFirst <= target) {
+    if (bestValue <= target) {
       break;
     }
   }
-  const microseconds part = aTask.read_ / static_cast<std::int64_t>(best);
-  const PlacementCandidate& first = *ranked.front().candidate_;
-  PlacementChoice choice{ .endpoint_ = first.endpoint_,
+  if (best.empty()) {
+    return std::nullopt;
+  }
+  const microseconds part =
+    aTask.read_ / static_cast<std::int64_t>(best.size());
+  const EndpointLoad& load = best.front().candidate_->load_;
+  PlacementChoice choice{ .endpoint_ = best.front().candidate_->endpoint_,
                           .cost_ = { .read_ = part },
                           .helperCost_ = { .read_ = part } };
-  microseconds wait = WaitAt(figures, first.load_);
-  for (std::size_t index = 1; index < best; ++index) {
-    choice.helpers_.push_back(ranked[index].candidate_->endpoint_);
-    wait = std::max(wait, WaitAt(figures, ranked[index].candidate_->load_));
+  microseconds wait(0);
+  for (const Ranked& one : best) {
+    wait = std::max(wait, one.wait_);
+    if (&one != &best.front()) {
+      choice.helpers_.push_back(one.candidate_->endpoint_);
+    }
+  }
+  if (!fitsOne) {
+    choice.heldTokens_ = (aTask.memory_ + best.size() - 1) / best.size();
   }
   choice.firstAnswer_ =
-    wait + part +
-    figures.PassTime(first.load_.running_ + 1, first.load_.memoryTokens_);
+    wait + part + figures.PassTime(load.running_ + 1, load.memoryTokens_);
   return choice;
 }
 
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -19,6 +19,10 @@
 constexpr double kLearn = 0.1;
 constexpr microseconds kFirstGuess{ 20'000 }; // until the first answer came
 
+// Engines in a block of the shared order: about as many as hosts place requests
+// between two words of load.
+constexpr std::size_t kBlock = 4;
+
 // An endpoint that has sent nothing for so long to any of this host's requests
 // there is passed over: no engine's pass is longer, so it hangs or is dead.
 constexpr milliseconds kSilent{ 1'000 };
@@ -56,9 +60,10 @@
   return *shard;
 }
 
-// Engines stand in one order for all hosts, so that hosts fill the same ones;
-// endpoints of plain services in an order of each host's own, so that hosts
-// with equal views don't all take the first.
+// Engines stand in one order for all hosts, so that hosts fill the same ones,
+// but in blocks, within which each host has an order of its own: until a
+// peer's word arrives, two hosts then seldom take the same one. Endpoints of
+// plain services stand in an order of each request's own.
 std::vector<ListedEndpoint> Fleet::Ordered(const FleetQuery& aQuery)
 {
   const std::uint64_t seed =
@@ -71,10 +76,22 @@
       ranked.emplace_back(HashOf(listed->id_, seed), *listed);
     }
   }
-  std::sort(
-    ranked.begin(), ranked.end(), [](const auto& aOne, const auto& aTwo) {
-      return aOne.first < aTwo.first;
-    });
+  const auto byRank = [](const auto& aOne, const auto& aTwo) {
+    return aOne.first < aTwo.first;
+  };
+  std::sort(ranked.begin(), ranked.end(), byRank);
+  if (aQuery.figures_) {
+    const std::uint64_t own = HashOf(options_.host_, 0);
+    for (auto& [rank, listed] : ranked) {
+      rank = HashOf(listed.id_, own);
+    }
+    for (std::size_t begin = 0; begin < ranked.size(); begin += kBlock) {
+      const std::size_t end = std::min(begin + kBlock, ranked.size());
+      std::sort(ranked.begin() + static_cast<std::ptrdiff_t>(begin),
+                ranked.begin() + static_cast<std::ptrdiff_t>(end),
+                byRank);
+    }
+  }
   std::vector<ListedEndpoint> ordered;
   ordered.reserve(ranked.size());
   for (auto& [rank, listed] : ranked) {
@@ -113,6 +130,7 @@
     return std::nullopt;
   }
   FleetPlacement placed{ .endpoint_ = *choice->endpoint_,
+                         .heldTokens_ = choice->heldTokens_,
                          .firstAnswer_ = choice->firstAnswer_,
                          .load_ = shard.load_.Of(choice->endpoint_->id_, now),
                          .candidates_ = candidates.size(),
@@ -217,7 +235,7 @@
   }
   shard.load_.OnStarted(placement_.endpoint_.id_, id_, now);
   for (const ListedEndpoint& helper : placement_.helpers_) {
-    shard.load_.OnEnded(helper.id_, id_, now); // its part is read
+    shard.load_.OnStarted(helper.id_, id_, now); // its part is read
   }
 }
 
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -167,7 +167,7 @@
     parts_.metrics_.RecordFirstToken(
       aRequest.service_, aRequest.facts_.promptTokens_, *aRun.FirstAnswer());
   }
-  Log(LogEvent::kRequestFinished,
+  Log(LogEvent::kRequestServed,
       { { "request_id", aRequest.facts_.attemptId_ },
         { "route", aRequest.route_->name_ },
         { "status", aRun.Status() },
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -33,6 +33,10 @@
 // the rest of the fleet is no better.
 constexpr int kMostUnreachable = 4;
 
+// A prompt that takes longer to read is told to the other hosts at once: the
+// time between two of their words, in which they would not know of it.
+constexpr microseconds kToldRead{ 100'000 };
+
 // With less than this left no endpoint can answer any more.
 constexpr milliseconds kLeastRemaining{ 10 };
 
@@ -58,6 +62,15 @@
            .ran_ = RanState::kUnknown };
 }
 
+std::vector<std::string> IdsOf(const std::vector<ListedEndpoint>& aEndpoints)
+{
+  std::vector<std::string> ids;
+  for (const ListedEndpoint& endpoint : aEndpoints) {
+    ids.push_back(endpoint.id_);
+  }
+  return ids;
+}
+
 EndpointOutcome OutcomeOf(const Error& aError)
 {
   switch (aError.code_) {
@@ -77,7 +90,7 @@
 RequestRun::RequestRun(Parts aParts,
                        HttpExchange& aExchange,
                        RoutedRequest aRequest)
-  : parts_(aParts)
+  : parts_(std::move(aParts))
   , exchange_(aExchange)
   , request_(std::move(aRequest))
   , events_(request_.facts_.lastEventId_)
@@ -187,7 +200,8 @@
   return query;
 }
 
-HttpRequest RequestRun::MakeSend(const FleetPlacement& aPlacement) const
+HttpRequest RequestRun::MakeSend(const FleetPlacement& aPlacement,
+                                 const MemoryHolds* aHolds) const
 {
   EndpointSend send{ .endpointId_ = aPlacement.endpoint_.id_,
                      .team_ = request_.team_,
@@ -198,16 +212,46 @@
     send.lastEventId_ = events_.Last();
   }
   for (const ListedEndpoint& helper : aPlacement.helpers_) {
-    send.helpers_.push_back({ .address_ = helper.address_, .ticketId_ = {} });
+    send.helpers_.push_back(
+      { .address_ = helper.address_,
+        .ticketId_ = aHolds == nullptr ? std::string() : aHolds->TicketId() });
   }
   return parts_.dialect_.ForEndpoint(exchange_.Request(), send);
 }
 
+// Sets memory aside at the helpers where one engine can't hold the prompt.
+asio::awaitable<Outcome<std::unique_ptr<MemoryHolds>>> RequestRun::TakeMemory(
+  const FleetPlacement& aPlacement)
+{
+  if (aPlacement.heldTokens_ == 0) {
+    co_return std::unique_ptr<MemoryHolds>();
+  }
+  MemoryHolds::Parts parts{ .client_ = parts_.client_,
+                            .dialect_ = parts_.dialect_,
+                            .executor_ = parts_.executor_ };
+  const MemoryHolds::Options options;
+  co_return co_await MemoryHolds::Take(std::move(parts),
+                                       request_.facts_.attemptId_ + "-" +
+                                         std::to_string(sends_),
+                                       aPlacement.helpers_,
+                                       aPlacement.heldTokens_,
+                                       options);
+}
+
 asio::awaitable<Outcome<void>> RequestRun::Attempt(FleetPlacement aPlacement)
 {
   const FleetQuery query = MakeQuery();
-  HttpRequest send = MakeSend(aPlacement);
   Fleet::Use use(parts_.fleet_, query, std::move(aPlacement));
+  if (use.Placement().cost_.read_ > kToldRead) {
+    // Peers would place theirs on the same idle engines until the next word.
+    parts_.tellLoad_();
+  }
+  auto holds = co_await TakeMemory(use.Placement());
+  if (!holds) {
+    ++unreachable_; // bounds the tries; nothing was sent
+    co_return holds.error();
+  }
+  HttpRequest send = MakeSend(use.Placement(), holds.value().get());
   const ListedEndpoint& endpoint = use.Placement().endpoint_;
   HttpClient::CallOptions options;
   options.connectTimeout_ = kConnectTimeout;
@@ -531,7 +575,9 @@
         { "generation", request_.table_->Version() },
         { "proof_age_ms", proof ? proof->count() : -1 },
         { "endpoint", aPlacement.endpoint_.id_ },
-        { "helpers", aPlacement.helpers_.size() },
+        { "helpers", IdsOf(aPlacement.helpers_) },
+        { "held_tokens", aPlacement.heldTokens_ },
+        { "prompt_tokens", request_.facts_.promptTokens_ },
         { "candidates", aPlacement.candidates_ },
         { "running", aPlacement.load_.running_ },
         { "backlog_ms",
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -27,10 +27,16 @@
 // The settings file may change without a signal; it is small and in memory.
 constexpr milliseconds kSettingsPoll{ 1'000 };
 
-// How old a peer's word of its load is at most, beside its way here. In this
-// time a small fleet places about ten requests; at half of it a host of a
-// quarter of a core spends a tenth of its processor on words.
-constexpr milliseconds kPeerRound{ 200 };
+// Words of load. Each round a host exchanges with so many others, so that in a
+// fleet of nine each has the word of every other about every 150 ms; long
+// prompts are told at once. In that time such a fleet places some eight
+// requests.
+constexpr milliseconds kPeerRound{ 150 };
+constexpr std::size_t kPeerPartners = 3;
+constexpr int kPeerRoundsUntilGone = 15; // two seconds and a bit
+// What others said is old by the time it is passed on; two of them are enough
+// for hosts to learn of each other.
+constexpr std::size_t kPeerRelayed = 2;
 
 // The hosts' shared key. The first host to start writes it; whoever can read
 // the store can change the routes as well, so nothing is lost by its lying
@@ -94,7 +100,11 @@
         .executor_ = context_.get_executor(),
         .own_ = [this] { return OwnDigest(); },
         .publish_ = [this](const PeersState& aPeers) { TakeInPeers(aPeers); } },
-      { .round_ = kPeerRound, .callTimeout_ = milliseconds(500) })
+      { .round_ = kPeerRound,
+             .callTimeout_ = milliseconds(500),
+             .partners_ = kPeerPartners,
+             .roundsUntilGone_ = kPeerRoundsUntilGone,
+             .relayed_ = kPeerRelayed })
   , front_({ .board_ = board_,
              .dialect_ = *dialect_,
              .metrics_ = metrics_,
@@ -102,7 +112,9 @@
                        .dialect_ = *dialect_,
                        .fleet_ = fleet_,
                        .routes_ = routes_,
-                       .repeats_ = repeats_ } })
+                       .repeats_ = repeats_,
+                       .executor_ = context_.get_executor(),
+                       .tellLoad_ = [this] { peers_.TellLoad(); } } })
   , callerServer_(
       context_.get_executor(),
       { .address_ = settings_.caller_.address_,
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -103,6 +103,11 @@
                 LogLevel::kInfo,
                 "attempt-failed",
                 "An endpoint failed a request, which may be tried again." },
+  LogEventInfo{ kRequestServed,
+                LogLevel::kInfo,
+                "request-served",
+                "A routed request was answered whole; the fields give its "
+                "times." },
   LogEventInfo{ kRequestPlaced,
                 LogLevel::kInfo,
                 "request-placed",
--- a/src/runtime/gooseberrylift-peer-exchange.cc
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -91,7 +91,9 @@
                         .incarnation_ = self_.incarnation_,
                         .seed_ = device(),
                         .round_ = options_.round_,
-                        .partners_ = options_.partners_ });
+                        .partners_ = options_.partners_,
+                        .relayedPerMessage_ = options_.relayed_,
+                        .roundsUntilGone_ = options_.roundsUntilGone_ });
   Refresh();
   started_ = true;
   asio::co_spawn(parts_.executor_, RunRounds(), asio::detached);
@@ -295,6 +297,20 @@
   StartExchanges(peers);
 }
 
+void PeerExchange::TellLoad()
+{
+  if (!started_) {
+    return;
+  }
+  Refresh();
+  std::vector<PeerMember> peers;
+  {
+    const std::lock_guard lock(mutex_);
+    peers = table_->PickNear(options_.loadFanout_);
+  }
+  StartExchanges(peers);
+}
+
 void PeerExchange::Refresh()
 {
   Digest own = parts_.own_();
