--- a/fakes/gooseberrylift-fake.h
+++ b/fakes/gooseberrylift-fake.h
@@ -39,6 +39,8 @@
 int RunFakeStore(const json& aSettings);
 int RunFakeHosts(const json& aSettings);
 int RunFakeProxy(const json& aSettings);
+int RunFakeFleetStore(const json& aSettings);
+int RunFakeFleetEngine(const json& aSettings);
 
 } // namespace gooseberrylift::fakes
 
--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -28,14 +28,22 @@
 {
   namespace fakes = gooseberrylift::fakes;
   const std::map<std::string, std::function<int(const json&)>> kinds = {
-    { "engine", fakes::RunFakeEngine }, { "service", fakes::RunFakeService },
-    { "store", fakes::RunFakeStore },   { "hosts", fakes::RunFakeHosts },
+    { "engine", fakes::RunFakeEngine },
+    { "service", fakes::RunFakeService },
+    { "store", fakes::RunFakeStore },
+    { "hosts", fakes::RunFakeHosts },
     { "proxy", fakes::RunFakeProxy },
+    { "fleet-store", fakes::RunFakeFleetStore },
+    { "fleet-engine", fakes::RunFakeFleetEngine },
   };
   CLI::App app("Small fakes of the systems around gooseberrylift");
   std::string kind;
   std::string settings = "{}";
-  app.add_option("kind", kind, "engine, service, store, hosts or proxy")
+  app
+    .add_option("kind",
+                kind,
+                "engine, service, store, hosts, proxy, fleet-store or "
+                "fleet-engine")
     ->required();
   app.add_option("--settings", settings, "a JSON file, or JSON itself");
   CLI11_PARSE(app, aCount, aArguments);
--- /dev/null
+++ b/fakes/platform/gooseberrylift-fake-fleet-store.cc
@@ -0,0 +1,267 @@
+// The fleet platform's store, with the failures that its users describe.
+//   GET|POST /-/objects/KIND, GET|PUT|DELETE /-/objects/KIND/NAME
+//   POST /control  {"outage", "delay_ms", "lose_answers": n, "mute_ms",
+//                   "forget_history": true, "page": n,
+//                   "put": {"KIND/NAME": spec}, "remove": ["KIND/NAME"]}
+//   GET  /stats    counts by kind of call
+// A lost answer: the call is carried out, and its connection says nothing more.
+
+#include <map>
+#include <vector>
+
+#include "gooseberrylift-fake.h"
+#include "gooseberrylift-fleet-names.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
+namespace gooseberrylift::fakes {
+
+namespace asio = boost::asio;
+namespace names = gooseberrylift::platform;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct Change
+{
+  std::uint64_t revision_ = 0;
+  std::string kind_;
+  bool removed_ = false;
+  json object_;
+};
+
+class FakeFleetStore
+{
+public:
+  explicit FakeFleetStore(const json& aSettings) { Control(aSettings); }
+
+  asio::awaitable<void> Handle(HttpExchange& aExchange)
+  {
+    const HttpRequest& request = aExchange.Request();
+    const std::string path(request.Path());
+    if (path == "/control") {
+      Control(BodyOf(request));
+      co_await Reply(aExchange, 200, json::object());
+      co_return;
+    }
+    if (path == "/stats") {
+      co_await Reply(aExchange, 200, json(counts_));
+      co_return;
+    }
+    ++counts_[request.method_];
+    if (delay_.count() > 0) {
+      co_await TimerService::SleepFor(delay_);
+    }
+    if (outage_) {
+      ++counts_["refused"];
+      co_await Reply(aExchange, 503, json::object());
+      co_return;
+    }
+    co_await Serve(aExchange,
+                   path.substr(std::string(names::kObjectsPath).size()));
+  }
+
+private:
+  asio::awaitable<void> Serve(HttpExchange& aExchange, std::string aKey)
+  {
+    const HttpRequest& request = aExchange.Request();
+    const std::size_t slash = aKey.find('/');
+    const std::string kind = aKey.substr(0, slash);
+    const std::string name =
+      slash == std::string::npos ? "" : aKey.substr(slash + 1);
+    if (request.method_ == "GET" && !request.Query("watch").empty()) {
+      co_await Watch(aExchange, kind);
+      co_return;
+    }
+    json body = json::object();
+    int status = 200;
+    if (request.method_ == "GET") {
+      status =
+        name.empty() ? List(request, kind, body) : Find(kind, name, body);
+    } else {
+      status = Write(request, kind, name, body);
+    }
+    if (loseAnswers_ > 0) {
+      --loseAnswers_;
+      ++counts_["lost"];
+      co_await TimerService::SleepFor(std::chrono::seconds(30));
+      co_return;
+    }
+    co_await Reply(aExchange, status, body);
+  }
+
+  int List(const HttpRequest& aRequest, const std::string& aKind, json& aBody)
+  {
+    const std::string after(aRequest.Query("after"));
+    json items = json::array();
+    bool more = false;
+    for (const auto& [name, object] : kinds_[aKind]) {
+      if (name <= after && !after.empty()) {
+        continue;
+      }
+      if (items.size() >= page_) {
+        more = true;
+        break;
+      }
+      items.push_back(object);
+    }
+    aBody[names::kItems] = items;
+    aBody[names::kHasMore] = more;
+    aBody[names::kAsOf] = revision_;
+    return 200;
+  }
+
+  int Find(const std::string& aKind, const std::string& aName, json& aBody)
+  {
+    const auto found = kinds_[aKind].find(aName);
+    if (found == kinds_[aKind].end()) {
+      return 404;
+    }
+    aBody = found->second;
+    return 200;
+  }
+
+  int Write(const HttpRequest& aRequest,
+            const std::string& aKind,
+            std::string aName,
+            json& aBody)
+  {
+    const json body = BodyOf(aRequest);
+    const json metadata = body.value(names::kMetadata, json::object());
+    const bool creates = aRequest.method_ == "POST";
+    if (creates) {
+      aName = metadata.value(names::kName, "");
+    }
+    auto& objects = kinds_[aKind];
+    const auto found = objects.find(aName);
+    if (creates == (found != objects.end())) {
+      aBody = creates ? found->second : json::object();
+      return creates ? 409 : 404;
+    }
+    const auto expected = metadata.value(names::kRevision, std::uint64_t{ 0 });
+    if (!creates && expected != 0 &&
+        expected != found->second[names::kMetadata][names::kRevision]) {
+      aBody = found->second;
+      return 409;
+    }
+    if (aRequest.method_ == "DELETE") {
+      Remove(aKind, aName);
+      return 200;
+    }
+    aBody = Put(aKind, aName, body.value(names::kSpec, json::object()));
+    return 200;
+  }
+
+  asio::awaitable<void> Watch(HttpExchange& aExchange, std::string aKind)
+  {
+    const HttpRequest& request = aExchange.Request();
+    const auto from = std::stoull("0" + std::string(request.Query("watch")));
+    const auto wait = std::atoi(std::string(request.Query("waitMs")).c_str());
+    const TimePoint end = TimerService::Now() + milliseconds(wait);
+    while (TimerService::Now() < end && (IsMute() || !HasNews(aKind, from))) {
+      if (outage_) {
+        co_return; // a waiting watch is cut
+      }
+      co_await TimerService::SleepFor(milliseconds(5));
+    }
+    json body;
+    if (from < forgotten_) {
+      co_await Reply(aExchange, 410, json::object());
+      co_return;
+    }
+    json events = json::array();
+    for (const Change& change : history_) {
+      if (!IsMute() && change.kind_ == aKind && change.revision_ > from) {
+        events.push_back({ { names::kRemoved, change.removed_ },
+                           { names::kObject, change.object_ } });
+      }
+    }
+    body[names::kEvents] = events;
+    body[names::kAsOf] = IsMute() ? from : revision_;
+    co_await Reply(aExchange, 200, body);
+  }
+
+  bool IsMute() const { return TimerService::Now() < muteUntil_; }
+
+  bool HasNews(const std::string& aKind, std::uint64_t aFrom) const
+  {
+    for (const Change& change : history_) {
+      if (change.kind_ == aKind && change.revision_ > aFrom) {
+        return true;
+      }
+    }
+    return aFrom < forgotten_;
+  }
+
+  const json& Put(const std::string& aKind,
+                  const std::string& aName,
+                  const json& aSpec)
+  {
+    json& object = kinds_[aKind][aName];
+    object[names::kMetadata] = { { names::kName, aName },
+                                 { names::kRevision, ++revision_ } };
+    object[names::kSpec] = aSpec;
+    history_.push_back(
+      { .revision_ = revision_, .kind_ = aKind, .object_ = object });
+    return object;
+  }
+
+  void Remove(const std::string& aKind, const std::string& aName)
+  {
+    json object = kinds_[aKind][aName];
+    kinds_[aKind].erase(aName);
+    ++revision_;
+    history_.push_back({ .revision_ = revision_,
+                         .kind_ = aKind,
+                         .removed_ = true,
+                         .object_ = std::move(object) });
+  }
+
+  void Control(const json& aBody)
+  {
+    outage_ = aBody.value("outage", outage_);
+    delay_ =
+      milliseconds(aBody.value("delay_ms", static_cast<int>(delay_.count())));
+    loseAnswers_ = aBody.value("lose_answers", loseAnswers_);
+    page_ = aBody.value("page", page_);
+    if (aBody.contains("mute_ms")) {
+      muteUntil_ = TimerService::Now() + milliseconds(aBody.at("mute_ms"));
+    }
+    const json put = aBody.value("put", json::object());
+    for (const auto& [key, spec] : put.items()) {
+      const std::size_t slash = key.find('/');
+      Put(key.substr(0, slash), key.substr(slash + 1), spec);
+    }
+    for (const std::string key : aBody.value("remove", json::array())) {
+      const std::size_t slash = key.find('/');
+      Remove(key.substr(0, slash), key.substr(slash + 1));
+    }
+    if (aBody.value("forget_history", false)) {
+      history_.clear();
+      forgotten_ = revision_;
+    }
+  }
+
+  std::map<std::string, std::map<std::string, json>> kinds_;
+  std::vector<Change> history_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t forgotten_ = 0; // watches from before it get 410
+  std::map<std::string, int> counts_;
+  bool outage_ = false;
+  milliseconds delay_{ 0 };
+  int loseAnswers_ = 0;
+  std::size_t page_ = 500;
+  TimePoint muteUntil_{};
+};
+
+} // namespace
+
+int RunFakeFleetStore(const json& aSettings)
+{
+  asio::io_context context(1);
+  FakeFleetStore store(aSettings);
+  return RunFake(context, aSettings, [&store](HttpExchange& aExchange) {
+    return store.Handle(aExchange);
+  });
+}
+
+} // namespace gooseberrylift::fakes
--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -61,6 +61,9 @@
   /// Ends a stream properly. A stream that is not finished is seen as cut.
   virtual boost::asio::awaitable<bool> Finish() = 0;
 
+  /// Closes the connection without an answer, or without the rest of one.
+  virtual void Drop() = 0;
+
   /// Says whether the head of an answer was sent.
   virtual bool Started() const = 0;
 
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -109,6 +109,14 @@
   AbortReason Reason() const override { return reason_; }
   void KeepRunningWithoutCaller() override { keepRunning_ = true; }
 
+  void Drop() override
+  {
+    started_ = true; // nothing is to be sent any more
+    reusable_ = false;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+  }
+
   void SetDeadline(TimePoint aDeadline) override
   {
     deadline_ = TimerService::At(
--- /dev/null
+++ b/test/integration/gooseberrylift-gateway-test.cc
@@ -0,0 +1,349 @@
+// Hosts that serve routes, against stand-ins of the fleet platform's store and
+// endpoints.
+
+#include "harness-gateway.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <thread>
+
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+using namespace std::chrono_literals;
+namespace names = gooseberrylift::platform;
+
+namespace {
+
+std::string EventsText(int aFrom, int aTo)
+{
+  std::string text;
+  for (int event = aFrom; event <= aTo; ++event) {
+    text += "id: " + std::to_string(event) + "\ndata: piece\n\n";
+  }
+  return text;
+}
+
+std::string TextOf(std::string_view aView)
+{
+  return std::string(aView);
+}
+
+} // namespace
+
+TEST_GROUP(GatewayTest){};
+
+TEST(GatewayTest, ServesEveryKindOfRouteUnchanged)
+{
+  GatewayDeployment deployment({});
+  const auto safe = deployment.Ask(RouteRequest("GET", "/safe/a?b=c", "at-1"));
+  LONGS_EQUAL(200, safe.value().status_);
+  CHECK_TRUE(safe.value().body_.starts_with("GET /safe/a?b=c"));
+  CHECK_TRUE(safe.value().Field(names::kResponseStamp).starts_with("stamp-"));
+  HttpRequest post = RouteRequest("POST", "/unsafe/x", "at-2");
+  post.body_ = "once";
+  CHECK_TRUE(deployment.Ask(post).value().body_.find("once") !=
+             std::string::npos);
+  const auto stream = deployment.Ask(StreamRequest("at-3"));
+  STRCMP_EQUAL(EventsText(1, 5).c_str(), stream.value().body_.c_str());
+  STRCMP_EQUAL("at-3", TextOf(stream.value().Field(names::kAttemptId)).c_str());
+}
+
+TEST(GatewayTest, KeepsTheKeyAndNamesTheTeamWhateverTheCallerSets)
+{
+  GatewayDeployment deployment({ .boards_ = 1 });
+  HttpRequest request = RouteRequest("GET", "/safe/a", "at-1");
+  request.fields_.push_back({ names::kTenant, "someone-else" });
+  request.fields_.push_back({ names::kHelpers, "10.0.0.1:1/stolen" });
+  LONGS_EQUAL(200, deployment.Ask(request).value().status_);
+  const json fields = deployment.Board(0).Stats().at("fields");
+  CHECK_FALSE(fields.contains(names::kAuthorization));
+  CHECK_FALSE(fields.contains(names::kHelpers));
+  STRCMP_EQUAL("porters", fields.value(names::kTenant, "").c_str());
+  STRCMP_EQUAL("board-0", fields.value(names::kExpectInstance, "").c_str());
+  CHECK_TRUE(std::stoi(fields.value(names::kDeadlineMs, "0")) <= 2500);
+}
+
+TEST(GatewayTest, AnswersUnknownRoutesAndKeysItself)
+{
+  GatewayDeployment deployment({});
+  const auto status = [&](const std::string& aPath, const std::string& aKey) {
+    return deployment.Ask(RouteRequest("GET", aPath, "at", aKey))
+      .value()
+      .status_;
+  };
+  LONGS_EQUAL(404, status("/none/a", "team-key"));
+  LONGS_EQUAL(401, status("/safe/a", "wrong"));
+  LONGS_EQUAL(401, status("/safe/a", ""));
+  LONGS_EQUAL(200, status("/open/a", ""));
+}
+
+// The caller sees one whole stream with the head of the first engine. The
+// order: an engine breaks off in the middle of its third event, and the other
+// one goes on after the second. Why: only whole events are passed on.
+TEST(GatewayTest, ContinuesABrokenStreamAtAnotherEngine)
+{
+  GatewayDeployment deployment({});
+  for (std::size_t engine : { 0, 1 }) {
+    deployment.Engine(engine).Control(
+      { { "fault", "cut" }, { "times", engine == 0 ? 1 : 0 } });
+  }
+  for (int round = 0; round < 4; ++round) {
+    const std::string attempt = "at-" + std::to_string(round);
+    const auto stream = deployment.Ask(StreamRequest(attempt));
+    LONGS_EQUAL(200, stream.value().status_);
+    STRCMP_EQUAL(EventsText(1, 5).c_str(), stream.value().body_.c_str());
+  }
+}
+
+// A stream that can't go on must not look whole: the caller sees it cut. The
+// order: each engine leaves out an event, so no other one has the rest.
+TEST(GatewayTest, CutsAStreamThatLacksAnEvent)
+{
+  GatewayDeployment deployment({});
+  for (std::size_t engine : { 0, 1 }) {
+    deployment.Engine(engine).Control({ { "fault", "gap" }, { "times", 9 } });
+  }
+  const auto stream = deployment.Ask(StreamRequest("at-1"));
+  CHECK_FALSE(stream.has_value());
+}
+
+// The caller of a request that may run once gets 502, which promises nothing.
+// The order: the endpoint runs it and the answer is lost. A repeat would run it
+// again, and a 503 would say that it had not run.
+TEST(GatewayTest, NeverRepeatsAnUnsafeRequestThatMayHaveRun)
+{
+  GatewayDeployment deployment({});
+  for (std::size_t board : { 0, 1 }) {
+    deployment.Board(board).Control({ { "fault", "drop" }, { "times", 9 } });
+  }
+  const auto answer = deployment.Ask(RouteRequest("POST", "/unsafe/x", "at-1"));
+  LONGS_EQUAL(502, answer.value().status_);
+  LONGS_EQUAL(1, deployment.Count("ran", "at-1"));
+  LONGS_EQUAL(1, deployment.Count("arrived", "at-1"));
+}
+
+TEST(GatewayTest, PassesATrueRefusalOnAndSaysWhenToReturn)
+{
+  GatewayDeployment deployment({});
+  for (std::size_t board : { 0, 1 }) {
+    deployment.Board(board).Control({ { "fault", "full" }, { "times", 9 } });
+  }
+  const auto answer = deployment.Ask(RouteRequest("POST", "/unsafe/x", "at-1"));
+  LONGS_EQUAL(503, answer.value().status_);
+  const double wait =
+    std::stod(TextOf(answer.value().Field(names::kRetryAfter)));
+  CHECK_TRUE(wait > 0 && wait < 2);
+  LONGS_EQUAL(0, deployment.Count("ran", "at-1"));
+}
+
+// A late answer to another request arrives where this one's is expected. It
+// reaches nobody: a safe request is asked again, an unsafe one fails.
+TEST(GatewayTest, GivesNobodyAnotherRequestsAnswer)
+{
+  GatewayDeployment deployment({ .boards_ = 2 });
+  deployment.Board(0).Control({ { "fault", "crossed" }, { "times", 50 } });
+  for (int round = 0; round < 6; ++round) {
+    const std::string attempt = "safe-" + std::to_string(round);
+    const auto safe = deployment.Ask(RouteRequest("GET", "/safe/a", attempt));
+    LONGS_EQUAL(200, safe.value().status_);
+    CHECK_TRUE(safe.value().body_.ends_with("by board-1"));
+    const std::string once = "once-" + std::to_string(round);
+    const auto unsafe = deployment.Ask(RouteRequest("POST", "/unsafe/a", once));
+    CHECK_TRUE(unsafe.value().status_ == 502 ||
+               unsafe.value().body_.ends_with("by board-1"));
+    LONGS_EQUAL(1, deployment.Count("ran", once));
+  }
+}
+
+TEST(GatewayTest, AsksASafeRequestAgainWhenAnEndpointFailsIt)
+{
+  GatewayDeployment deployment({});
+  for (const char* fault : { "status", "drop", "unsigned" }) {
+    deployment.Board(0).Control({ { "fault", fault }, { "times", 50 } });
+    for (int round = 0; round < 4; ++round) {
+      const std::string attempt = fault + std::to_string(round);
+      LONGS_EQUAL(200,
+                  deployment.Ask(RouteRequest("GET", "/safe/a", attempt))
+                    .value()
+                    .status_);
+    }
+  }
+}
+
+// Callers of an endpoint that leaves are served by the others, from the moment
+// at which the store lists it as leaving; also when its address has already
+// gone to another endpoint, which says so.
+TEST(GatewayTest, SendsNothingToEndpointsThatLeaveOrWereReplaced)
+{
+  GatewayDeployment deployment({});
+  deployment.List("board-0", deployment.Board(0), "board", "draining");
+  deployment.At(0).Handle().WaitForLine("\"state\":\"leaving\"", 5s);
+  for (int round = 0; round < 6; ++round) {
+    const std::string attempt = "at-" + std::to_string(round);
+    const auto answer = deployment.Ask(RouteRequest("GET", "/safe/a", attempt));
+    CHECK_TRUE(answer.value().body_.ends_with("by board-1"));
+  }
+  deployment.Engine(0).Control({ { "id", "newcomer" } });
+  for (int round = 0; round < 6; ++round) {
+    const std::string attempt = "st-" + std::to_string(round);
+    LONGS_EQUAL(200, deployment.Ask(StreamRequest(attempt)).value().status_);
+  }
+}
+
+// Callers with keys are refused truthfully once nothing proves their keys any
+// more; public routes go on. The order: the store falls silent, the last proof
+// grows older than the revocation time, the store returns.
+TEST(GatewayTest, RefusesKeysWhenTheStoreIsAwayForTooLong)
+{
+  GatewayDeployment deployment({ .gateway_ = { { "revoke_ms", 2500 } } });
+  const auto status = [&](const std::string& aPath) {
+    return deployment.Ask(RouteRequest("GET", aPath, "at")).value().status_;
+  };
+  deployment.Store().Control({ { "outage", true } });
+  CHECK_TRUE(WaitUntil(6s, [&] { return status("/safe/a") == 503; }));
+  LONGS_EQUAL(200, status("/open/a"));
+  deployment.Store().Control({ { "outage", false } });
+  CHECK_TRUE(WaitUntil(5s, [&] { return status("/safe/a") == 200; }));
+}
+
+// A key that is taken away while watches are mute is refused within the
+// revocation time, because the host reads as well as watches.
+TEST(GatewayTest, LearnsOfARevokedKeyThroughAMuteWatch)
+{
+  GatewayDeployment deployment({});
+  deployment.Store().Control({ { "mute_ms", 1000 } });
+  json document = deployment.Document();
+  document["version"] = 2;
+  document["tenants"][0]["apiKeys"] = { "other-key" };
+  deployment.PutDocument(document);
+  deployment.Store().Control({ { "forget_history", true } });
+  CHECK_TRUE(WaitUntil(5s, [&] {
+    return deployment.Ask(RouteRequest("GET", "/safe/a", "at"))
+             .value()
+             .status_ == 401;
+  }));
+}
+
+TEST(GatewayTest, KeepsTheRoutesInForceThroughWrongAndOlderDocuments)
+{
+  GatewayDeployment deployment({});
+  json document = deployment.Document();
+  document["version"] = 7;
+  deployment.PutDocument(document);
+  deployment.At(0).Handle().WaitForLine("\"generation\":7", 5s);
+  deployment.PutDocument({ { "version", 8 }, { "routes", "none" } });
+  const std::string refused =
+    deployment.At(0).Handle().WaitForLine("\"event\":1101", 5s);
+  CHECK_TRUE(refused.find("spec.routes") != std::string::npos);
+  document["version"] = 3;
+  deployment.PutDocument(document);
+  CHECK_FALSE(
+    deployment.At(0).Handle().WaitForLine("\"event\":1104", 5s).empty());
+  LONGS_EQUAL(
+    200, deployment.Ask(RouteRequest("GET", "/safe/a", "at")).value().status_);
+}
+
+TEST(GatewayTest, ReadsALongListOfEndpointsPageByPage)
+{
+  GatewayDeployment deployment({ .boards_ = 1 });
+  deployment.Store().Control({ { "page", 2 } });
+  for (int index = 0; index < 7; ++index) {
+    deployment.List(
+      "zz-" + std::to_string(index), deployment.Board(0), "other");
+  }
+  deployment.Store().Control({ { "forget_history", true } });
+  json document = deployment.Document();
+  document["version"] = 2;
+  document["routes"][1]["service"] = "other";
+  deployment.PutDocument(document);
+  // The address answers as board-0, so each of the seven is found out.
+  CHECK_TRUE(WaitUntil(5s, [&] {
+    return deployment.Ask(RouteRequest("GET", "/safe/a", "at"))
+             .value()
+             .status_ == 503;
+  }));
+}
+
+// A prompt that no engine can hold is read by two, with memory set aside at one
+// of them and freed when the answer is whole.
+TEST(GatewayTest, SetsMemoryAsideForAPromptBeyondOneEngineAndFreesIt)
+{
+  GatewayDeployment deployment({ .engines_ = 3 });
+  const auto stream = deployment.Ask(StreamRequest("at-1", 600'000));
+  STRCMP_EQUAL(EventsText(1, 5).c_str(), stream.value().body_.c_str());
+  int reserved = 0;
+  std::string helpers;
+  for (std::size_t engine = 0; engine < 3; ++engine) {
+    const json stats = deployment.Engine(engine).Stats();
+    reserved += stats.at("orders").value("reserve", 0);
+    helpers += stats.at("helpers").value("at-1", "");
+  }
+  CHECK_TRUE(reserved >= 1);
+  CHECK_TRUE(helpers.find("/at-1-0") != std::string::npos);
+  CHECK_TRUE(WaitUntil(3s, [&] {
+    for (std::size_t engine = 0; engine < 3; ++engine) {
+      if (!deployment.Engine(engine).Stats().at("tickets").empty()) {
+        return false;
+      }
+    }
+    return true;
+  }));
+}
+
+// The caller of a running stream gets it whole. The order: the stream begins,
+// the host gets SIGTERM, says that it is not ready, and ends after the stream.
+TEST(GatewayTest, EndsAfterItsStreamsWhenStopped)
+{
+  GatewayDeployment deployment({ .engine_ = { { "event_ms", 200 } } });
+  std::optional<Outcome<HttpResponse>> answer;
+  std::thread caller([&] { answer = deployment.Ask(StreamRequest("at-1")); });
+  CHECK_TRUE(
+    WaitUntil(5s, [&] { return deployment.Count("ran", "at-1") == 1; }));
+  deployment.At(0).Handle().Signal(SIGTERM);
+  caller.join();
+  STRCMP_EQUAL(EventsText(1, 5).c_str(), answer->value().body_.c_str());
+  LONGS_EQUAL(0, deployment.At(0).Handle().WaitForExit(5s));
+}
+
+TEST(GatewayTest, PutsChangedSettingsInForceAndRefusesWrongOnes)
+{
+  const std::string path =
+    "/tmp/gateway-test-" + std::to_string(::getpid()) + ".json";
+  GatewayDeployment deployment({ .settingsPath_ = path });
+  Process& host = deployment.At(0).Handle();
+  std::ofstream(path) << "{ wrong";
+  host.Signal(SIGHUP);
+  CHECK_FALSE(host.WaitForLine("\"event\":1004", 5s).empty());
+  std::ofstream(path) << deployment.HostSettings("host-0").dump();
+  host.Signal(SIGHUP);
+  CHECK_FALSE(host.WaitForLine("\"event\":1003", 5s).empty());
+  std::remove(path.c_str());
+  LONGS_EQUAL(
+    200, deployment.Ask(RouteRequest("GET", "/safe/a", "at")).value().status_);
+}
+
+// Two hosts find each other through the store, and a request that ended two
+// endpoints at one of them is refused by the other, truthfully.
+TEST(GatewayTest, TellsOtherHostsOfARequestThatEndsEndpoints)
+{
+  GatewayDeployment deployment({ .hosts_ = 2 });
+  for (std::size_t board : { 0, 1 }) {
+    deployment.Board(board).Control({ { "fault", "drop" }, { "times", 99 } });
+  }
+  const auto ask = [&](std::size_t aHost, const std::string& aAttempt) {
+    return Send(deployment.At(aHost).Port(),
+                RouteRequest("GET", "/safe/poison", aAttempt))
+      .value()
+      .status_;
+  };
+  LONGS_EQUAL(502, ask(0, "at-1"));
+  CHECK_TRUE(WaitUntil(10s, [&] { return ask(1, "at-2") == 503; }));
+  const int before = deployment.Count("arrived", "at-2");
+  LONGS_EQUAL(503, ask(1, "at-2"));
+  LONGS_EQUAL(before, deployment.Count("arrived", "at-2"));
+}
--- /dev/null
+++ b/test/integration/harness-gateway.cc
@@ -0,0 +1,159 @@
+#include "harness-gateway.h"
+
+#include <fstream>
+
+namespace gooseberrylift::test {
+
+namespace names = gooseberrylift::platform;
+
+namespace {
+
+json RouteOf(const char* aName, const char* aType, const char* aService)
+{
+  return { { "name", aName },
+           { "host", "house.example" },
+           { "pathPrefix", std::string("/") + aName + "/" },
+           { "type", aType },
+           { "service", aService },
+           { "timeoutMs", 3000 },
+           { "targetLatencyMs", 200 },
+           { "maxAttempts", 2 } };
+}
+
+json DefaultDocument()
+{
+  json stream = RouteOf("stream", "streaming", "engines");
+  stream["resumable"] = true;
+  stream["targetGapMs"] = 200;
+  json open = RouteOf("open", "safe", "board");
+  open["public"] = true;
+  json unsafe = RouteOf("unsafe", "unsafe", "board");
+  unsafe["maxAttempts"] = 1;
+  return {
+    { "version", 1 },
+    { "routes", { stream, RouteOf("safe", "safe", "board"), unsafe, open } },
+    { "services",
+      { { { "name", "engines" },
+          { "engine",
+            { { "slots", 16 },
+              { "kvCapacity", 450'000 },
+              { "stride", 46 },
+              { "step_ms", 0.9 },
+              { "read_per_s", 256'000.0 },
+              { "pairs_per_m", 0.001 },
+              { "chunk", 2048 } } } },
+        { { "name", "board" } } } },
+    { "tenants", { { { "name", "porters" }, { "apiKeys", { "team-key" } } } } }
+  };
+}
+
+} // namespace
+
+GatewayDeployment::GatewayDeployment(Options aOptions)
+  : options_(std::move(aOptions))
+  , document_(DefaultDocument())
+  , store_(std::make_unique<Fake>("fleet-store", json::object()))
+{
+  const auto start = [this](std::vector<std::unique_ptr<Fake>>& aFakes,
+                            int aCount,
+                            const std::string& aService) {
+    for (int index = 0; index < aCount; ++index) {
+      json settings = options_.engine_;
+      settings["id"] = aService + "-" + std::to_string(index);
+      aFakes.push_back(std::make_unique<Fake>("fleet-engine", settings));
+      List(settings["id"], *aFakes.back(), aService);
+    }
+  };
+  start(engines_, options_.engines_, "engines");
+  start(boards_, options_.boards_, "board");
+  PutDocument(document_);
+  for (int index = 0; index < options_.hosts_; ++index) {
+    const json settings = HostSettings("host-" + std::to_string(index));
+    if (index == 0 && !options_.settingsPath_.empty()) {
+      std::ofstream(options_.settingsPath_) << settings.dump();
+      hosts_.push_back(std::make_unique<Host>(options_.settingsPath_));
+    } else {
+      hosts_.push_back(std::make_unique<Host>(settings));
+    }
+  }
+  for (const auto& host : hosts_) {
+    host->WaitReady();
+  }
+}
+
+json GatewayDeployment::HostSettings(const std::string& aName) const
+{
+  json gateway = { { "revoke_ms", 5000 } };
+  gateway.merge_patch(options_.gateway_);
+  return { { "host", { { "name", aName }, { "zone", "zone-a" } } },
+           { "caller", { { "port", 0 } } },
+           { "store", { { "addresses", { store_->Address() } } } },
+           { "drain", { { "lag_ms", 300 }, { "limit_ms", 5000 } } },
+           { "gateway", gateway } };
+}
+
+void GatewayDeployment::PutDocument(const json& aDocument)
+{
+  const std::string key =
+    std::string(names::kRoutesKind) + "/" + names::kRoutesName;
+  store_->Control({ { "put", { { key, aDocument } } } });
+}
+
+void GatewayDeployment::List(const std::string& aId,
+                             const Fake& aFake,
+                             const std::string& aService,
+                             const std::string& aState)
+{
+  const std::string key = std::string(names::kEndpointsKind) + "/" + aId;
+  const json entry = { { "service", aService },
+                       { "address", aFake.Address() },
+                       { "zone", "zone-a" },
+                       { "slots", 16 },
+                       { "state", aState } };
+  store_->Control({ { "put", { { key, entry } } } });
+}
+
+int GatewayDeployment::Count(const std::string& aCount,
+                             const std::string& aAttemptId)
+{
+  int sum = 0;
+  for (const auto* fakes : { &engines_, &boards_ }) {
+    for (const auto& fake : *fakes) {
+      sum += fake->Stats().at(aCount).value(aAttemptId, 0);
+    }
+  }
+  return sum;
+}
+
+Outcome<HttpResponse> GatewayDeployment::Ask(HttpRequest aRequest)
+{
+  return Send(At(0).Port(), std::move(aRequest));
+}
+
+HttpRequest RouteRequest(const std::string& aMethod,
+                         const std::string& aPath,
+                         const std::string& aAttemptId,
+                         const std::string& aKey)
+{
+  HttpRequest request{ .method_ = aMethod, .target_ = aPath };
+  request.fields_ = { { "Host", "house.example" },
+                      { names::kAttemptId, aAttemptId },
+                      { names::kDeadlineMs, "2500" } };
+  if (!aKey.empty()) {
+    request.fields_.push_back(
+      { names::kAuthorization, names::kKeyScheme + aKey });
+  }
+  return request;
+}
+
+HttpRequest StreamRequest(const std::string& aAttemptId,
+                          std::uint64_t aPromptTokens)
+{
+  HttpRequest request = RouteRequest("POST", "/stream/x", aAttemptId);
+  request.fields_.push_back(
+    { names::kTokenUsage, std::to_string(aPromptTokens) + ",200" });
+  request.body_ = "a prompt";
+  return request;
+}
+
+} // namespace gooseberrylift::test
--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -194,9 +194,15 @@
 }
 
 Host::Host(const json& aSettings)
+  : Host(aSettings.dump())
+{
+}
+
+// The program takes JSON itself as well as a path.
+Host::Host(const std::string& aSettingsPath)
   : process_(std::make_unique<Process>(
       PRODUCT_BINARY,
-      std::vector<std::string>{ "serve", "--settings", aSettings.dump() }))
+      std::vector<std::string>{ "serve", "--settings", aSettingsPath }))
 {
   const json started = json::parse(
     process_->WaitForLine("\"event\":1000", std::chrono::seconds(10)),
--- a/test/integration/harness.h
+++ b/test/integration/harness.h
@@ -118,6 +118,9 @@
 public:
   Host(const json& aSettings);
 
+  /// Starts a host whose settings stand in a file.
+  explicit Host(const std::string& aSettingsPath);
+
   std::uint16_t Port() const { return callerPort_; }
   std::uint16_t AdminPort() const { return adminPort_; }
   Process& Handle() { return *process_; }
