Write logs to standard output and never wait for their reader

Cause: a collector that stopped reading would have held up every request, since lines were written with a write that waits; and on-call engineers read standard output. A line that finds its pipe full is left out, and the next one written tells how many.

--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -1,4 +1,4 @@
-// Numbered log events, one JSON object a line on standard error. The catalogue
+// Numbered log events, one JSON object a line on standard output. The catalogue
 // is docs/LOG-EVENTS.md.
 
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_LOG_H_
@@ -94,7 +94,9 @@
 std::string_view NameOf(LogLevel aLevel);
 
 /// Writes one event, unless its component's level or its rate forbids it. The
-/// next one written of the same number then has the field "left_out".
+/// next one written of the same number then has the field "left_out". A line
+/// that the reader of standard output has no room for is dropped, and the next
+/// one written has the field "unwritten".
 /// @param aEvent which
 /// @param aFields an object with what is particular to this occurrence
 void Log(LogEvent aEvent, nlohmann::json aFields = nlohmann::json::object());
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -8,7 +8,9 @@
 #include <optional>
 
 #include <easylogging++.h>
+#include <unistd.h>
 
+#include "gooseberrylift-log-sink.h"
 #include "gooseberrylift/gooseberrylift-event-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -187,6 +189,20 @@
   return event.limit_.Pass(TimerService::Now());
 }
 
+// Lines that their reader had no room for; the next one written tells.
+std::atomic<std::uint64_t> sUnwritten = 0;
+
+class StandardOutput : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override
+  {
+    if (!WriteWithoutWaiting(STDOUT_FILENO, aData->logMessage()->message())) {
+      sUnwritten.fetch_add(1, std::memory_order_relaxed);
+    }
+  }
+};
+
 const LogEventInfo& InfoOf(LogEvent aEvent)
 {
   return *std::find_if(
@@ -243,9 +259,11 @@
   configurations.setToDefault();
   configurations.setGlobally(el::ConfigurationType::Format, "%msg");
   configurations.setGlobally(el::ConfigurationType::ToFile, "false");
-  // The build sends easylogging's console sink to standard error.
-  configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::reconfigureAllLoggers(configurations);
+  el::Helpers::uninstallLogDispatchCallback<
+    el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<StandardOutput>("StandardOutput");
 }
 
 void Log(LogEvent aEvent, nlohmann::json aFields)
@@ -262,6 +280,10 @@
   if (*leftOut > 0) {
     aFields["left_out"] = *leftOut;
   }
+  const std::uint64_t unwritten = sUnwritten.exchange(0);
+  if (unwritten > 0) {
+    aFields["unwritten"] = unwritten;
+  }
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   aFields["at_ms"] =
     std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
