--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -27,6 +27,7 @@
   kListenFailed = 12,
   kHostsSilent = 13,
   kAdminRefused = 14,
+  kRequestNotLogged = 15,
   kMalformedHttp = 30,
   kMalformedJson = 31,
   kBodyTooLarge = 32,
--- a/src/cli/gooseberrylift-command.h
+++ b/src/cli/gooseberrylift-command.h
@@ -27,6 +27,7 @@
 void AddReportCommand(CLI::App& aApp, const CommandSink& aSink);
 void AddDrainCommand(CLI::App& aApp, const CommandSink& aSink);
 void AddLogCommand(CLI::App& aApp, const CommandSink& aSink);
+void AddExplainCommand(CLI::App& aApp, const CommandSink& aSink);
 void AddTableCommands(CLI::App& aApp, const CommandSink& aSink);
 void AddVersionCommand(CLI::App& aApp, const CommandSink& aSink);
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -94,6 +94,7 @@
   gooseberrylift::AddReportCommand(app, sink);
   gooseberrylift::AddDrainCommand(app, sink);
   gooseberrylift::AddLogCommand(app, sink);
+  gooseberrylift::AddExplainCommand(app, sink);
   gooseberrylift::AddTableCommands(app, sink);
   gooseberrylift::AddVersionCommand(app, sink);
   try {
--- a/test/integration/gooseberrylift-log-test.cc
+++ b/test/integration/gooseberrylift-log-test.cc
@@ -5,7 +5,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <csignal>
+#include <cstdio>
+#include <fstream>
 
 #include "../../src/runtime/gooseberrylift-log-sink.h"
 
@@ -59,6 +60,35 @@
 
 TEST_GROUP(LogTest){};
 
+// The same from the command, with lines of two hosts in the wrong order.
+TEST(LogTest, ExplainsARequestFromTheLogsOfAllHosts)
+{
+  const std::string path =
+    "/tmp/explain-test-" + std::to_string(::getpid()) + ".log";
+  std::ofstream(path)
+    << R"({"at_ms":1200,"host":"b","event":1301,"name":"request-failed",)"
+    << R"("request_id":"x1","code":62,"ran":"no"})"
+    << "\n"
+    << "not a log line\n"
+    << R"({"at_ms":1000,"host":"a","event":1400,"name":"request-placed",)"
+    << R"("request_id":"x1","predicted_ms":1626})"
+    << "\n";
+  const auto run = [&](const std::string& aId) {
+    const std::string command =
+      std::string(PRODUCT_BINARY) + " explain " + aId + " < " + path;
+    return std::make_unique<Process>("/bin/sh",
+                                     std::vector<std::string>{ "-c", command });
+  };
+  const auto found = run("x1");
+  LONGS_EQUAL(0, found->WaitForExit(10s));
+  const std::string text = found->Output();
+  CHECK_TRUE(text.find("+0 ms a: 1400") < text.find("+200 ms b: 1301"));
+  CHECK_TRUE(text.find("deadline-unreachable") != std::string::npos);
+  LONGS_EQUAL(static_cast<int>(ResultCode::kRequestNotLogged),
+              run("x2")->WaitForExit(10s));
+  std::remove(path.c_str());
+}
+
 // An on-call engineer looks for a refused request by its id, and finds what
 // decided it: the code, whether it ran, the routes in force, the proof's age.
 TEST(LogTest, TellsWhatDecidedEachRequestByItsId)
