Let long prompts wait for memory, also in the short lane's engines

Ruled out: refusing with a time to come back, which is what was done; the caller has one more try only. Before: the second of two prompts that fill three engines got 503 (test red); after: both are served. A prompt beyond the whole fleet's memory is still refused at once.

--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -75,6 +75,9 @@
   /// @return nothing when no endpoint can take the request
   std::optional<FleetPlacement> Place(const FleetQuery& aQuery);
 
+  /// Gives how many endpoints of a service may get requests.
+  std::size_t CountUsable(const std::string& aService);
+
   // A request in work at its endpoint and helpers. It counts in their load
   // until it is ended or goes.
   class Use
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -21,6 +21,7 @@
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 #include "gooseberrylift/limits/gooseberrylift-crash-suspects.h"
+#include "gooseberrylift/limits/gooseberrylift-long-hold.h"
 #include "gooseberrylift/limits/gooseberrylift-repeat-budget.h"
 #include "gooseberrylift/streams/gooseberrylift-event-splitter.h"
 
@@ -103,6 +104,10 @@
   std::optional<Error> Admit(const FleetPlacement& aPlacement) const;
   std::optional<std::chrono::milliseconds> HoldFor(
     const FleetPlacement& aPlacement) const;
+  std::optional<std::chrono::milliseconds> WaitForRoom();
+  HoldQuestion MakeHoldQuestion(const EngineFigures& aFigures,
+                                std::chrono::microseconds aWait) const;
+  const EngineFigures* Figures() const;
   FleetQuery MakeQuery() const;
   HttpRequest MakeSend(const FleetPlacement& aPlacement,
                        const MemoryHolds* aHolds) const;
--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -127,6 +127,10 @@
   const std::size_t lane = ShortLane(aFigures, candidates);
   auto choice = task.isLong_ ? ChooseLong(task, candidates, lane)
                              : ChooseShort(task, candidates, lane);
+  if (!choice && task.isLong_) {
+    // A prompt that needs the memory of the short lane's engines as well.
+    choice = ChooseLong(task, candidates, 0);
+  }
   if (choice) {
     choice->cost_.tight_ =
       aRequest.maxGap_.count() > 0 && aRequest.maxGap_ <= aGaps.shortest_;
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -112,6 +112,12 @@
   return placed;
 }
 
+std::size_t Fleet::CountUsable(const std::string& aService)
+{
+  const std::lock_guard lock(directoryMutex_);
+  return directory_.Usable(aService).size();
+}
+
 void Fleet::OnPeer(const std::string& aHost,
                    std::uint64_t aSequence,
                    const std::vector<EndpointShare>& aShares)
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -5,7 +5,6 @@
 #include "gooseberrylift-request-errors.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
-#include "gooseberrylift/limits/gooseberrylift-long-hold.h"
 #include "gooseberrylift/limits/gooseberrylift-patience.h"
 #include "gooseberrylift/limits/gooseberrylift-route-admission.h"
 
@@ -34,6 +33,10 @@
 // time between two of their words, in which they would not know of it.
 constexpr microseconds kToldRead{ 100'000 };
 
+// Of what its caller bears, how long a prompt waits for memory: a refusal after
+// that still leaves the caller most of its time.
+constexpr double kRoomShare = 0.25;
+
 // With less than this left no endpoint can answer any more.
 constexpr milliseconds kLeastRemaining{ 10 };
 
@@ -85,6 +88,10 @@
     }
     auto placement = parts_.fleet_.Place(MakeQuery());
     if (!placement) {
+      if (const auto wait = WaitForRoom()) {
+        co_await TimerService::SleepFor(*wait);
+        continue;
+      }
       Error none = MakeError(ResultCode::kNoEndpoint);
       none.retryAfter_ = RetrySoon();
       attempts_.OnRefused(none);
@@ -142,27 +149,55 @@
   return std::nullopt;
 }
 
+const EngineFigures* RequestRun::Figures() const
+{
+  const RoutedService* service =
+    request_.table_->ServiceByName(request_.service_);
+  return service != nullptr && service->engine_ ? &*service->engine_ : nullptr;
+}
+
+HoldQuestion RequestRun::MakeHoldQuestion(const EngineFigures& aFigures,
+                                          microseconds aWait) const
+{
+  const TimePoint now = TimerService::Now();
+  return { .wait_ = aWait,
+           .read_ = aFigures.ReadTime(request_.facts_.promptTokens_),
+           .waited_ = duration_cast<milliseconds>(now - request_.arrived_),
+           .remaining_ = duration_cast<milliseconds>(request_.deadline_ - now),
+           .patience_ = CallerPatience(*request_.route_) };
+}
+
 // Says how long a long prompt is kept here before its engines are looked at
 // again; nothing when it is to be sent.
 std::optional<milliseconds> RequestRun::HoldFor(
   const FleetPlacement& aPlacement) const
 {
-  const RoutedService* service =
-    request_.table_->ServiceByName(request_.service_);
-  if (!aPlacement.long_ || sends_ > 0 || service == nullptr ||
-      !service->engine_) {
+  const EngineFigures* figures = Figures();
+  if (!aPlacement.long_ || sends_ > 0 || figures == nullptr) {
     return std::nullopt;
   }
-  const TimePoint now = TimerService::Now();
-  const HoldQuestion question{
-    .wait_ = aPlacement.wait_,
-    .read_ = service->engine_->ReadTime(request_.facts_.promptTokens_),
-    .waited_ = duration_cast<milliseconds>(now - request_.arrived_),
-    .remaining_ = duration_cast<milliseconds>(request_.deadline_ - now),
-    .patience_ = CallerPatience(*request_.route_)
-  };
   const HoldOptions options;
-  return HoldLong(question, options);
+  return HoldLong(MakeHoldQuestion(*figures, aPlacement.wait_), options);
+}
+
+// The same for a prompt for which no engines have room now. Memory is freed by
+// every request that ends, so a fleet that could hold the prompt at all is
+// worth a while; one that could not is no better later.
+std::optional<milliseconds> RequestRun::WaitForRoom()
+{
+  const EngineFigures* figures = Figures();
+  if (sends_ > 0 || figures == nullptr) {
+    return std::nullopt;
+  }
+  const std::uint64_t needed =
+    request_.facts_.promptTokens_ + request_.facts_.answerTokens_;
+  const std::uint64_t whole =
+    parts_.fleet_.CountUsable(request_.service_) * figures->memoryTokens_;
+  if (needed > whole) {
+    return std::nullopt;
+  }
+  const HoldOptions options{ .latestShare_ = kRoomShare };
+  return HoldLong(MakeHoldQuestion(*figures, microseconds::max()), options);
 }
 
 std::optional<Error> RequestRun::Admit(const FleetPlacement& aPlacement) const
--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -121,6 +121,13 @@
   CHECK_TRUE(choice->cost_.memoryTokens_ <= 405'000);
 }
 
+TEST(FleetPlacementTest, TakesTheShortLanesEnginesForAPromptThatNeedsThem)
+{
+  Engines(3);
+  const auto choice = Choose(Long(1'000'000));
+  LONGS_EQUAL(2, choice->helpers_.size());
+}
+
 TEST(FleetPlacementTest, GivesNothingWhenNoEnginesTogetherHaveRoom)
 {
   Engines(2);
--- a/test/integration/gooseberrylift-gateway-test.cc
+++ b/test/integration/gooseberrylift-gateway-test.cc
@@ -295,6 +295,23 @@
   }));
 }
 
+// Two callers ask for prompts that fill the memory of all engines. The second
+// is served when the first has ended, half a second later, instead of refused.
+TEST(GatewayTest, LetsAPromptWaitUntilEnginesHaveRoom)
+{
+  GatewayDeployment deployment(
+    { .engines_ = 3, .engine_ = { { "event_ms", 60 } } });
+  std::optional<Outcome<HttpResponse>> first;
+  std::thread caller(
+    [&] { first = deployment.Ask(StreamRequest("at-1", 900'000)); });
+  CHECK_TRUE(
+    WaitUntil(5s, [&] { return deployment.Count("ran", "at-1") == 1; }));
+  const auto second = deployment.Ask(StreamRequest("at-2", 900'000));
+  caller.join();
+  LONGS_EQUAL(200, first->value().status_);
+  LONGS_EQUAL(200, second.value().status_);
+}
+
 // The caller of a running stream gets it whole. The order: the stream begins,
 // the host gets SIGTERM, says that it is not ready, and ends after the stream.
 TEST(GatewayTest, EndsAfterItsStreamsWhenStopped)
