Bound holds by the settings, and drop what nothing uses

hold_max_ms was read and never looked at: on a platform with a shorter bound than 3 s every order that sets memory aside would be refused. Words of peers on leaving endpoints had no sender.

--- a/bench/gooseberrylift-pass-engine.cc
+++ b/bench/gooseberrylift-pass-engine.cc
@@ -98,11 +98,10 @@
     static_cast<double>(figures_.PassTime(writers, context).count()) / 1000 *
     steps / figures_.stride_;
   const double ms = pass + PlanReads(steps);
-  clock_.After(static_cast<std::int64_t>(ms * 1000),
-               [this, steps] { EndPass(steps); });
+  clock_.After(static_cast<std::int64_t>(ms * 1000), [this] { EndPass(); });
 }
 
-void PassEngine::EndPass(double /*aSteps*/)
+void PassEngine::EndPass()
 {
   busy_ = false;
   const auto jobs = jobs_; // callbacks may add to it
--- a/bench/gooseberrylift-pass-engine.h
+++ b/bench/gooseberrylift-pass-engine.h
@@ -80,7 +80,7 @@
 
 private:
   void StartPass();
-  void EndPass(double aSteps);
+  void EndPass();
   double PlanReads(double aSteps);
   bool IsWriter(const PassJob& aJob) const;
 
--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -118,9 +118,6 @@
   /// Gives what this host has in work, for its peers.
   std::vector<EndpointShare> OwnShares();
 
-  /// Gives the ids of endpoints known to leave.
-  std::set<std::string> Leaving();
-
   /// Drops what has become old; called now and then.
   void Sweep();
 
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -67,6 +67,7 @@
 public:
   struct Parts
   {
+    const GatewayBoard& board_;
     HttpClient& client_;
     const WireDialect& dialect_;
     Fleet& fleet_;
--- a/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
+++ b/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
@@ -65,9 +65,6 @@
   /// is gone for good.
   void OnReplaced(const std::string& aId);
 
-  /// Notes that an endpoint is leaving, by a peer's word.
-  void OnLeaving(const std::string& aId);
-
   /// Drops entries whose time to come back has passed.
   void Sweep(TimePoint aNow);
 
@@ -77,11 +74,6 @@
   /// Finds an endpoint, usable or not; null when it is not known.
   const ListedEndpoint* Find(const std::string& aId) const;
 
-  /// Gives the ids known to be leaving.
-  const std::set<std::string>& Leaving() const { return leaving_; }
-
-  std::size_t Size() const { return entries_.size(); }
-
 private:
   struct Entry
   {
--- a/src/core/routing/gooseberrylift-endpoint-directory.cc
+++ b/src/core/routing/gooseberrylift-endpoint-directory.cc
@@ -47,11 +47,6 @@
   leaving_.insert(aId);
 }
 
-void EndpointDirectory::OnLeaving(const std::string& aId)
-{
-  leaving_.insert(aId);
-}
-
 // Right after an outage a missing entry says little: its lease lapsed because
 // nothing could be renewed. Dropped at once, a service would stand without
 // endpoints for two seconds while all of them live.
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -162,12 +162,6 @@
   return all;
 }
 
-std::set<std::string> Fleet::Leaving()
-{
-  const std::lock_guard lock(directoryMutex_);
-  return directory_.Leaving();
-}
-
 void Fleet::Sweep()
 {
   const TimePoint now = TimerService::Now();
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -280,7 +280,9 @@
   MemoryHolds::Parts parts{ .client_ = parts_.client_,
                             .dialect_ = parts_.dialect_,
                             .executor_ = parts_.executor_ };
-  const MemoryHolds::Options options;
+  MemoryHolds::Options options;
+  options.holdFor_ = std::min(
+    options.holdFor_, parts_.board_.bounds_.Read()->bounds_.longestHold_);
   co_return co_await MemoryHolds::Take(std::move(parts),
                                        request_.facts_.attemptId_ + "-" +
                                          std::to_string(sends_),
