Test the limits in force and a host that starts without a store

Both held already; neither had a process test. A body over maxBodyBytes gets 413 and fields over maxHeaderBytes 431 from the version on that sets them; a host that has no routes yet answers 503 with a time to come back.

--- a/test/integration/gooseberrylift-gateway-test.cc
+++ b/test/integration/gooseberrylift-gateway-test.cc
@@ -248,6 +248,41 @@
     200, deployment.Ask(RouteRequest("GET", "/safe/a", "at")).value().status_);
 }
 
+TEST(GatewayTest, HoldsCallersToTheLimitsOfTheRoutesInForce)
+{
+  GatewayDeployment deployment({});
+  HttpRequest request = RouteRequest("POST", "/unsafe/x", "at-1");
+  request.body_ = std::string(4'000, 'b');
+  LONGS_EQUAL(200, deployment.Ask(request).value().status_);
+  json document = deployment.Document();
+  document["version"] = 2;
+  document["limits"] = { { "maxBodyBytes", 1'000 },
+                         { "maxHeaderBytes", 2'000 } };
+  deployment.PutDocument(document);
+  deployment.At(0).Handle().WaitForLine("\"generation\":2", 5s);
+  LONGS_EQUAL(413, deployment.Ask(request).value().status_);
+  HttpRequest wide = RouteRequest("GET", "/safe/a", "at-2");
+  wide.fields_.push_back({ "X-Wide", std::string(4'000, 'h') });
+  LONGS_EQUAL(431, deployment.Ask(wide).value().status_);
+}
+
+// A host that starts while the store is away serves nobody, and says so: it is
+// not ready, and a caller that comes all the same is told when to return. A 404
+// would tell the caller that its route is gone.
+TEST(GatewayTest, IsNotReadyBeforeItKnowsRoutes)
+{
+  GatewayDeployment deployment({});
+  json settings = deployment.HostSettings("host-alone");
+  settings["store"]["addresses"] = { "127.0.0.1:1" };
+  Host alone(settings);
+  const auto ready = Send(alone.AdminPort(), MakeRequest("/readyz"));
+  LONGS_EQUAL(503, ready.value().status_);
+  const auto answer =
+    Send(alone.Port(), RouteRequest("GET", "/safe/a", "at-1"));
+  LONGS_EQUAL(503, answer.value().status_);
+  CHECK_FALSE(answer.value().Field(names::kRetryAfter).empty());
+}
+
 TEST(GatewayTest, ReadsALongListOfEndpointsPageByPage)
 {
   GatewayDeployment deployment({ .boards_ = 1 });
