--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -3,8 +3,9 @@
 // "kv_total", "work_ms".
 //   POST /control  {"fault": F, "times": n, "after_events": k, "id": new}
 //     F: "cut" (after k events, in the middle of the next), "drop" (no answer),
-//     "full" (503, not run), "crossed" (another request's answer), "status"
-//     (500), "unsigned", "hang", "gap" (leaves an event out)
+//     "full" (503, not run), "helper" (the same, for the first helper's fault),
+//     "crossed" (another request's answer), "status" (500), "unsigned", "hang",
+//     "gap" (leaves an event out)
 //   GET  /stats    what arrived, what ran, the tickets
 
 #include <map>
@@ -59,9 +60,13 @@
 
   json Stats() const
   {
-    return { { "arrived", arrived_ }, { "ran", ran_ },
-             { "fields", fields_ },   { "helpers", helpers_ },
-             { "orders", orders_ },   { "tickets", tickets_ } };
+    return { { "arrived", arrived_ },
+             { "ran", ran_ },
+             { "fields", fields_ },
+             { "last_us", last_.time_since_epoch().count() / 1000 },
+             { "helpers", helpers_ },
+             { "orders", orders_ },
+             { "tickets", tickets_ } };
   }
 
   // Takes the fault, if one is set, and counts it down.
@@ -133,6 +138,7 @@
     const HttpRequest& request = aExchange.Request();
     const std::string attempt(request.Field(names::kAttemptId));
     ++arrived_[attempt];
+    last_ = TimerService::Now();
     for (const HttpField& field : request.fields_) {
       fields_[field.name_] = field.value_;
     }
@@ -142,8 +148,13 @@
       co_return;
     }
     const std::string fault = TakeFault();
-    if (fault == "full") {
+    if (fault == "full" || fault == "helper") {
       HttpResponse refusal = NotRun(503, request);
+      if (fault == "helper") {
+        const std::string helpers(request.Field(names::kHelpers));
+        refusal.fields_.push_back(
+          { names::kAtServer, helpers.substr(0, helpers.find_first_of("/,")) });
+      }
       co_await aExchange.Send(std::move(refusal));
       co_return;
     }
@@ -219,6 +230,7 @@
   std::map<std::string, int> arrived_;
   std::map<std::string, int> ran_;
   std::map<std::string, std::string> fields_; // of the last request
+  TimePoint last_{};                          // when it came
   std::map<std::string, std::string> helpers_;
   std::map<std::string, int> orders_;
   std::map<std::string, std::uint64_t> tickets_;
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -120,7 +120,7 @@
   boost::asio::awaitable<Outcome<std::optional<std::string>>> ReadPiece(
     HttpCall& aCall);
   std::optional<Error> CheckHead(const HttpResponse& aHead,
-                                 const ListedEndpoint& aEndpoint);
+                                 const FleetPlacement& aPlacement);
   boost::asio::awaitable<Outcome<void>> PassWhole(HttpCall& aCall);
   boost::asio::awaitable<Outcome<void>> PassLarge(HttpCall& aCall,
                                                   std::string aBegin);
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -44,16 +44,11 @@
 asio::awaitable<Outcome<void>> RequestRun::ReadHead(HttpCall& aCall,
                                                     Fleet::Use& aUse)
 {
-  const ListedEndpoint& endpoint = aUse.Placement().endpoint_;
   aCall.SetDeadline(SilentAt());
   auto read = co_await aCall.ReadHead();
-  const bool silent = !read &&
-                      read.error().code_ == ResultCode::kDeadlineExceeded &&
-                      TimerService::Now() < request_.deadline_;
-  if (silent) {
+  if (!read && IsSilence(read.error())) {
     if (MayLeave() && PayRepeat()) {
-      co_return Error{ .code_ = ResultCode::kEndpointSilent,
-                       .ran_ = RanState::kUnknown };
+      co_return SilentError();
     }
     aCall.SetDeadline(request_.deadline_);
     read = co_await aCall.ReadHead();
@@ -61,7 +56,7 @@
   if (!read) {
     co_return read.error();
   }
-  if (const auto fault = CheckHead(aCall.Head(), endpoint)) {
+  if (const auto fault = CheckHead(aCall.Head(), aUse.Placement())) {
     co_return *fault;
   }
   aUse.OnHeard(request_.route_->kind_ != RouteKind::kStreaming);
@@ -70,7 +65,7 @@
 
 // What the head of an answer must show before anything it says is believed.
 std::optional<Error> RequestRun::CheckHead(const HttpResponse& aHead,
-                                           const ListedEndpoint& aEndpoint)
+                                           const FleetPlacement& aPlacement)
 {
   const EndpointFacts facts = parts_.dialect_.ReadEndpoint(aHead);
   // A late answer to an earlier request looks like one to this; its refusal
@@ -82,10 +77,16 @@
   }
   if (facts.replaced_) {
     parts_.fleet_.WithDirectory([&](EndpointDirectory& aDirectory) {
-      aDirectory.OnReplaced(aEndpoint.id_);
+      aDirectory.OnReplaced(aPlacement.endpoint_.id_);
     });
   }
   if (facts.notRun_) {
+    // The next try must not ask the same helper again.
+    for (const ListedEndpoint& helper : aPlacement.helpers_) {
+      if (helper.address_ == facts.atFault_) {
+        tried_.insert(helper.id_);
+      }
+    }
     return Error{ .code_ = ResultCode::kEndpointRefused,
                   .text_ =
                     "status " + std::to_string(aHead.status_) +
@@ -106,15 +107,11 @@
 {
   aCall.SetDeadline(SilentAt());
   auto piece = co_await aCall.ReadSome();
-  const bool silent = !piece &&
-                      piece.error().code_ == ResultCode::kDeadlineExceeded &&
-                      TimerService::Now() < request_.deadline_;
-  if (!silent) {
+  if (piece || !IsSilence(piece.error())) {
     co_return piece;
   }
   if (MayLeave() && PayRepeat()) {
-    co_return Error{ .code_ = ResultCode::kEndpointSilent,
-                     .ran_ = RanState::kUnknown };
+    co_return SilentError();
   }
   aCall.SetDeadline(request_.deadline_);
   co_return co_await aCall.ReadSome();
--- a/test/integration/gooseberrylift-gateway-test.cc
+++ b/test/integration/gooseberrylift-gateway-test.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <map>
 #include <thread>
 
 #include <unistd.h>
@@ -330,6 +331,36 @@
   }));
 }
 
+// An engine refuses a prompt because of a helper that is gone. The caller is
+// served: the next try asks other engines, and not that helper again.
+TEST(GatewayTest, AsksNoHelperAgainThatWasAtFault)
+{
+  constexpr int kEngines = 6;
+  GatewayDeployment deployment({ .engines_ = kEngines });
+  for (std::size_t engine = 0; engine < kEngines; ++engine) {
+    deployment.Engine(engine).Control({ { "fault", "helper" } });
+  }
+  HttpRequest request = StreamRequest("at-1", 400'000);
+  (void)deployment.Ask(request);
+  // Each engine that was asked, with its helpers, by the time of it. The helper
+  // that the first one named has no part in the second try.
+  std::map<std::int64_t, std::vector<std::string>> tries;
+  for (std::size_t engine = 0; engine < kEngines; ++engine) {
+    const json stats = deployment.Engine(engine).Stats();
+    const std::string list = stats.at("fields").value(names::kHelpers, "");
+    if (!list.empty()) {
+      tries[stats.at("last_us")] = { deployment.Engine(engine).Address(),
+                                     list };
+    }
+  }
+  LONGS_EQUAL(2, tries.size());
+  const std::string& asked = tries.begin()->second.at(1);
+  const std::string atFault = asked.substr(0, asked.find(','));
+  for (const std::string& taking : tries.rbegin()->second) {
+    CHECK_TRUE(taking.find(atFault) == std::string::npos);
+  }
+}
+
 // Two callers ask for prompts that fill the memory of all engines. The second
 // is served when the first has ended, half a second later, instead of refused.
 TEST(GatewayTest, LetsAPromptWaitUntilEnginesHaveRoom)
