--- a/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
@@ -74,16 +74,19 @@
     // of two, so filling is nearly free, and the rest of the slots is for what
     // other hosts sent in the moment that their word takes.
     double comfortable_ = 0.8;
-    // A read is spread until it is predicted to take this part of the
-    // objective; the rest is for the wait before it and errors of prediction.
+    // A read is spread over more engines until it is predicted to take this
+    // part of the objective: in effect over as many as shorten it. Means over
+    // the sets: 0.882 with 0.05, 0.869 with 0.2.
     double readShare_ = 0.05;
     int mostEngines_ = 12; // that read one prompt together
     // An engine's memory that a prompt may count on; the rest is for answers
     // of other hosts' requests that are not known yet.
     double memoryShare_ = 0.9;
-    // What a request that is made late weighs, in time to the first answer of
-    // the request to be placed: as much as the whole objective of the shortest
-    // kind, since it loses three quarters of its worth.
+    // What a short request that is made late weighs, in time to the first
+    // answer of the one to be placed. This and the figures below are the best
+    // of 120 sets drawn at random, played by pass-bench on both sites (8 seeds
+    // each): worth 0.909; the mean over all sets with 80 was 0.883, with 30
+    // 0.878 and with 300 0.868.
     std::chrono::milliseconds harm_{ 80 };
     // The same for one that bears longer gaps; there are fewer of them, and
     // they are worth as much as what is placed.
