--- a/bench/gooseberrylift-pass-bench.h
+++ b/bench/gooseberrylift-pass-bench.h
@@ -50,7 +50,7 @@
 
 enum class PassStrategy
 {
-  kPlaced,          // EnginePlacement
+  kPlaced,           // EnginePlacement
   kLeastOutstanding, // by what a host knows
   kRoundRobin
 };
@@ -76,9 +76,9 @@
   int inTime_ = 0;
   int late_ = 0;
   int lateFirst_ = 0; // of the late, that began late
-  int lost_ = 0; // refused, or the caller left
-  double worth_ = 0;    // earned
-  double owed_ = 0;     // had all been in time
+  int lost_ = 0;      // refused, or the caller left
+  double worth_ = 0;  // earned
+  double owed_ = 0;   // had all been in time
   double firstP50Ms_ = 0;
   double firstP99Ms_ = 0;
   int repeats_ = 0;
--- a/bench/gooseberrylift-pass-engine.cc
+++ b/bench/gooseberrylift-pass-engine.cc
@@ -72,8 +72,9 @@
 {
   std::erase_if(jobs_, [](const auto& aJob) { return aJob->cancelled_; });
   std::erase_if(queue_, [](const auto& aJob) { return aJob->cancelled_; });
-  auto taken = std::count_if(
-    jobs_.begin(), jobs_.end(), [](const auto& aJob) { return !aJob->isPart_; });
+  auto taken = std::count_if(jobs_.begin(), jobs_.end(), [](const auto& aJob) {
+    return !aJob->isPart_;
+  });
   while (!queue_.empty() && taken < figures_.slots_) {
     jobs_.push_back(queue_.front());
     queue_.pop_front();
--- /dev/null
+++ b/bench/gooseberrylift-pass-sites.cc
@@ -0,0 +1,77 @@
+#include "gooseberrylift-pass-bench.h"
+
+namespace gooseberrylift::bench {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+EngineFigures FiguresOfSites()
+{
+  return { .slots_ = 16,
+           .memoryTokens_ = 450'000,
+           .stepMs_ = 0.925,
+           .stepPerSequenceMs_ = 0.00483,
+           .stepPerThousandMs_ = 0.00254,
+           .readTokensPerMs_ = 256,
+           .readPerMillionPairsMs_ = 0.0917,
+           .readTokensPerStep_ = 2048,
+           .stride_ = 46,
+           .hopMs_ = 0.1,
+           .usualAnswerTokens_ = 1541 };
+}
+
+} // namespace
+
+PassSite SiteByName(const std::string& aName)
+{
+  PassSite site{ .hosts_ = 6, .engines_ = 23, .figures_ = FiguresOfSites() };
+  double rate = 0.83;
+  if (aName == "checks") {
+    site.hosts_ = 9;
+    site.engines_ = 18;
+    rate = 0.65;
+  }
+  site.classes_ = {
+    { .name_ = "short",
+      .perSecond_ = 50.5 * rate,
+      .promptMean_ = 4960,
+      .promptSpread_ = 0.9,
+      .promptMost_ = 23'800,
+      .eventsMean_ = 34.9,
+      .eventsSpread_ = 0.7,
+      .objective_ = milliseconds(300),
+      .maxGap_ = milliseconds(200),
+      .worth_ = 1.3,
+      .lateWorth_ = 0.33 },
+    { .name_ = "middle",
+      .perSecond_ = 3.66 * rate,
+      .promptMean_ = 45'000,
+      .promptSpread_ = 0.5,
+      .promptMost_ = 110'000,
+      .eventsMean_ = 20.9,
+      .eventsSpread_ = 0.6,
+      .objective_ = milliseconds(1500),
+      .maxGap_ = milliseconds(500),
+      .worth_ = 3.1,
+      .lateWorth_ = 0.79 },
+    { .name_ = "long",
+      .perSecond_ = 1.52 * rate,
+      .promptMean_ = 210'000,
+      .promptSpread_ = 0.55,
+      .promptMost_ = 1'000'000,
+      .eventsMean_ = 17.4,
+      .eventsSpread_ = 0.5,
+      .objective_ = milliseconds(3000),
+      .maxGap_ = milliseconds(800),
+      .deadline_ = milliseconds(15'000),
+      .worth_ = 22,
+      .lateWorth_ = 5.4 },
+  };
+  site.phases_ = { { 2, 11.5, { 0.33, 1.3, 2.75 } },
+                   { 12, 21.5, { 2.45, 0.5, 0.05 } },
+                   { 23, 32.5, { 0.33, 1.3, 2.75 } } };
+  return site;
+}
+
+} // namespace gooseberrylift::bench
--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -37,11 +37,11 @@
 {
   ListedEndpoint endpoint_;
   std::vector<ListedEndpoint> helpers_;
-  std::uint64_t heldTokens_ = 0; // to be set aside at each helper
+  std::uint64_t heldTokens_ = 0;               // to be set aside at each helper
   std::chrono::microseconds firstAnswer_{ 0 }; // predicted
   std::chrono::microseconds wait_{ 0 };        // of that, before its read
   bool long_ = false; // its read disturbs those that write beside it
-  EndpointLoad load_;                          // at the endpoint, before it
+  EndpointLoad load_; // at the endpoint, before it
   std::size_t candidates_ = 0;
   RequestCost cost_;
   RequestCost helperCost_;
--- a/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
@@ -46,7 +46,7 @@
     // Gives this host's word of itself, but for names and sequence.
     std::function<Digest()> own_;
     // Takes the latest words of the other hosts.
-    std::function<void(PeersState aPeers)> publish_;
+    std::function<void(const PeersState& aPeers)> publish_;
     // Gives and takes configurations; empty when hosts get them elsewhere.
     std::function<OfferedConfiguration()> configuration_;
     std::function<void(const OfferedConfiguration& aOffered)> offer_;
@@ -60,9 +60,9 @@
     std::chrono::milliseconds joinRetry_{ 1000 };    // while not yet listed
     std::chrono::milliseconds listPeriod_{ 30'000 }; // when listed
     std::size_t newsFanout_ = 3;
-    std::size_t partners_ = 2;   // a round, in a small fleet
+    std::size_t partners_ = 2; // a round, in a small fleet
     int roundsUntilGone_ = 5;
-    std::size_t relayed_ = 8; // words of others in a message
+    std::size_t relayed_ = 8;    // words of others in a message
     std::size_t loadFanout_ = 8; // all of a small fleet
   };
 
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -128,6 +128,8 @@
   void NoteBroken(const std::string& aEndpoint, const Error& aError);
   bool MayRepeat(const Error& aError);
   bool MayLeave() const;
+  TimePoint SilentAt() const;
+  bool IsSilence(const Error& aError) const;
   bool PayRepeat();
   void NoteAnswer(int aStatus);
   void LogPlaced(const FleetPlacement& aPlacement) const;
--- a/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
+++ b/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
@@ -94,9 +94,10 @@
   /// Makes the order that sets memory aside at an engine, or goes on with it.
   /// @param aTicketId names it, so that it can be used, renewed and released
   /// @param aHoldFor when the engine frees it by itself
-  virtual HttpRequest ReserveOrder(const std::string& aTicketId,
-                                   std::uint64_t aTokens,
-                                   std::chrono::milliseconds aHoldFor) const = 0;
+  virtual HttpRequest ReserveOrder(
+    const std::string& aTicketId,
+    std::uint64_t aTokens,
+    std::chrono::milliseconds aHoldFor) const = 0;
 
   /// Makes the order that frees memory which was set aside.
   virtual HttpRequest ReleaseOrder(const std::string& aTicketId) const = 0;
--- a/include/gooseberrylift/limits/gooseberrylift-long-hold.h
+++ b/include/gooseberrylift/limits/gooseberrylift-long-hold.h
@@ -16,11 +16,11 @@
 // What is known of a long prompt that might be sent now.
 struct HoldQuestion
 {
-  std::chrono::microseconds wait_{ 0 }; // at its engines, before its read
-  std::chrono::microseconds read_{ 0 }; // on one engine
-  std::chrono::milliseconds waited_{ 0 };   // since it arrived
+  std::chrono::microseconds wait_{ 0 };      // at its engines, before its read
+  std::chrono::microseconds read_{ 0 };      // on one engine
+  std::chrono::milliseconds waited_{ 0 };    // since it arrived
   std::chrono::milliseconds remaining_{ 0 }; // until its deadline
-  std::chrono::milliseconds patience_{ 0 }; // silence that its caller bears
+  std::chrono::milliseconds patience_{ 0 };  // silence that its caller bears
 };
 
 struct HoldOptions
--- a/include/gooseberrylift/membership/gooseberrylift-freshness-lease.h
+++ b/include/gooseberrylift/membership/gooseberrylift-freshness-lease.h
@@ -18,11 +18,13 @@
 // apart from the monotonic time of timers, which stops meanwhile.
 struct BootClock
 {
+  // NOLINTBEGIN: the names are those that the standard asks of a clock.
   using rep = std::int64_t;
   using period = std::nano;
   using duration = std::chrono::nanoseconds;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true; // NOLINT: the standard's name
+  static constexpr bool is_steady = true;
+  // NOLINTEND
 };
 using BootTime = BootClock::time_point;
 
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -21,7 +21,7 @@
 {
   std::uint64_t memoryTokens_ = 0;      // prompt and answer
   std::chrono::microseconds read_{ 0 }; // until its first token
-  bool tight_ = false; // bears only the shortest gaps of the service
+  bool tight_ = false;   // bears only the shortest gaps of the service
   bool helping_ = false; // only reads and holds a part; it takes no slot
 };
 
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
@@ -47,8 +47,8 @@
   std::chrono::microseconds firstAnswer_{ 0 }; // predicted, from now
   bool long_ = false; // its read disturbs those that write beside it
   std::chrono::microseconds wait_{ 0 }; // at its engines, before its read
-  RequestCost cost_;                           // at the endpoint
-  RequestCost helperCost_;                     // at each helper
+  RequestCost cost_;                    // at the endpoint
+  RequestCost helperCost_;              // at each helper
 };
 
 // Engines. The load it answers: many short prompts whose callers bear only
--- a/src/core/limits/gooseberrylift-long-hold.cc
+++ b/src/core/limits/gooseberrylift-long-hold.cc
@@ -20,8 +20,8 @@
   if (aQuestion.wait_ <= allowed) {
     return std::nullopt;
   }
-  const milliseconds bearable = std::min(
-    aQuestion.patience_, aQuestion.waited_ + aQuestion.remaining_);
+  const milliseconds bearable =
+    std::min(aQuestion.patience_, aQuestion.waited_ + aQuestion.remaining_);
   const std::chrono::duration<double, std::milli> latest =
     bearable * aOptions.latestShare_;
   if (aQuestion.waited_ >= latest) {
--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -123,8 +123,7 @@
                    .nextGap_ = duration_cast<microseconds>(aGaps.next_),
                    .isLong_ = read > Scaled(gap, options_.longRead_),
                    .memory_ = aRequest.promptTokens_ + aRequest.answerTokens_ };
-  const std::vector<const PlacementCandidate*> candidates =
-    BestOf(aCandidates);
+  const std::vector<const PlacementCandidate*> candidates = BestOf(aCandidates);
   const std::size_t lane = ShortLane(aFigures, candidates);
   auto choice = task.isLong_ ? ChooseLong(task, candidates, lane)
                              : ChooseShort(task, candidates, lane);
@@ -163,8 +162,9 @@
   std::size_t aLane) const
 {
   const EngineFigures& figures = aTask.figures_;
-  const microseconds enough = Scaled(
-    duration_cast<microseconds>(aTask.request_.objective_), options_.waitShare_);
+  const microseconds enough =
+    Scaled(duration_cast<microseconds>(aTask.request_.objective_),
+           options_.waitShare_);
   const PlacementCandidate* best = nullptr;
   microseconds bestFirst = microseconds::max();
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
@@ -251,8 +251,7 @@
                       HarmAt(aTask, load, aPart).count() == 0 &&
                       WaitAt(aTask.figures_, load) <=
                         longest + duration_cast<microseconds>(kWriterWait);
-    if (fits &&
-        (writer == nullptr || load.running_ > writer->load_.running_)) {
+    if (fits && (writer == nullptr || load.running_ > writer->load_.running_)) {
       writer = candidate;
     }
   }
@@ -280,14 +279,13 @@
 {
   const EngineFigures& figures = aTask.figures_;
   std::vector<const PlacementCandidate*> aCandidates(
-    aAll.begin() + static_cast<std::ptrdiff_t>(
-                     aLane < aAll.size() ? aLane : 0),
+    aAll.begin() + static_cast<std::ptrdiff_t>(aLane < aAll.size() ? aLane : 0),
     aAll.end());
-  const auto mostEngines =
-    std::min<std::size_t>(static_cast<std::size_t>(options_.mostEngines_),
-                          aCandidates.size());
-  const microseconds target = Scaled(
-    duration_cast<microseconds>(aTask.request_.objective_), options_.readShare_);
+  const auto mostEngines = std::min<std::size_t>(
+    static_cast<std::size_t>(options_.mostEngines_), aCandidates.size());
+  const microseconds target =
+    Scaled(duration_cast<microseconds>(aTask.request_.objective_),
+           options_.readShare_);
   const microseconds useful =
     Scaled(duration_cast<microseconds>(aTask.request_.objective_),
            options_.usefulShare_);
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -1,11 +1,11 @@
 #include "gooseberrylift/internal/gooseberrylift-gateway-front.h"
 
 #include <algorithm>
-#include <random>
 
 #include <boost/asio/this_coro.hpp>
 #include <boost/system/system_error.hpp>
 
+#include "gooseberrylift-request-errors.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -21,12 +21,6 @@
 // peers are there for the caller meanwhile.
 constexpr milliseconds kUntilConfigured{ 300 };
 
-std::uint64_t Draw()
-{
-  thread_local std::mt19937_64 sGenerator{ std::random_device{}() };
-  return sGenerator();
-}
-
 Error NotConfigured()
 {
   Error error = MakeError(ResultCode::kNoConfiguration);
@@ -51,7 +45,7 @@
 }
 
 GatewayFront::GatewayFront(Parts aParts)
-  : parts_(aParts)
+  : parts_(std::move(aParts))
 {
 }
 
--- a/src/gateway/gooseberrylift-memory-holds.cc
+++ b/src/gateway/gooseberrylift-memory-holds.cc
@@ -25,12 +25,11 @@
   renewal_.Cancel();
   const TimePoint deadline = TimerService::Now() + options_.orderTimeout_;
   for (const std::string& address : addresses_) {
-    asio::co_spawn(parts_.executor_,
-                   SendOrder(parts_,
-                             address,
-                             parts_.dialect_.ReleaseOrder(ticketId_),
-                             deadline),
-                   asio::detached);
+    asio::co_spawn(
+      parts_.executor_,
+      SendOrder(
+        parts_, address, parts_.dialect_.ReleaseOrder(ticketId_), deadline),
+      asio::detached);
   }
 }
 
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -1,8 +1,8 @@
 #include "gooseberrylift/internal/gooseberrylift-request-run.h"
 
 #include <algorithm>
-#include <random>
 
+#include "gooseberrylift-request-errors.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-long-hold.h"
@@ -18,10 +18,6 @@
 
 namespace {
 
-// An endpoint's answer is held back up to this size, so that one that breaks
-// off can still be fetched elsewhere; what is larger is passed on as it comes.
-constexpr std::size_t kHeldBytes = 256 * 1024;
-
 // A connection within a region is there in a few ms. An endpoint that takes
 // longer is dead or over its limit, and its caller is better served elsewhere.
 constexpr milliseconds kConnectTimeout{ 250 };
@@ -44,31 +40,10 @@
 // Long enough that nobody sends a request again which ends endpoints.
 constexpr milliseconds kSuspectRetry{ 600'000 };
 
-constexpr milliseconds kRetrySoonest{ 200 };
-constexpr milliseconds kRetrySpread{ 600 };
-
-std::uint64_t Draw()
-{
-  thread_local std::mt19937_64 sGenerator{ std::random_device{}() };
-  return sGenerator();
-}
-
-milliseconds RetrySoon()
-{
-  return kRetrySoonest + milliseconds(Draw() % static_cast<std::uint64_t>(
-                                                 kRetrySpread.count()));
-}
-
-Error Broken(std::string aText)
-{
-  return { .code_ = ResultCode::kEndpointBroken,
-           .text_ = std::move(aText),
-           .ran_ = RanState::kUnknown };
-}
-
 std::vector<std::string> IdsOf(const std::vector<ListedEndpoint>& aEndpoints)
 {
   std::vector<std::string> ids;
+  ids.reserve(aEndpoints.size());
   for (const ListedEndpoint& endpoint : aEndpoints) {
     ids.push_back(endpoint.id_);
   }
@@ -327,243 +302,6 @@
   co_return done;
 }
 
-asio::awaitable<Outcome<void>> RequestRun::ReadHead(HttpCall& aCall,
-                                                    Fleet::Use& aUse)
-{
-  const ListedEndpoint& endpoint = aUse.Placement().endpoint_;
-  const TimePoint silentAt =
-    TimerService::Now() + SilenceLimit(*request_.route_);
-  aCall.SetDeadline(std::min(request_.deadline_, silentAt));
-  auto read = co_await aCall.ReadHead();
-  const bool silent = !read &&
-                      read.error().code_ == ResultCode::kDeadlineExceeded &&
-                      TimerService::Now() < request_.deadline_;
-  if (silent) {
-    if (MayLeave() && PayRepeat()) {
-      co_return Error{ .code_ = ResultCode::kEndpointSilent,
-                       .ran_ = RanState::kUnknown };
-    }
-    aCall.SetDeadline(request_.deadline_);
-    read = co_await aCall.ReadHead();
-  }
-  if (!read) {
-    co_return read.error();
-  }
-  if (const auto fault = CheckHead(aCall.Head(), endpoint)) {
-    co_return *fault;
-  }
-  aUse.OnHeard(request_.route_->kind_ != RouteKind::kStreaming);
-  co_return boost::outcome_v2::success();
-}
-
-// What the head of an answer must show before anything it says is believed.
-std::optional<Error> RequestRun::CheckHead(const HttpResponse& aHead,
-                                           const ListedEndpoint& aEndpoint)
-{
-  const EndpointFacts facts = parts_.dialect_.ReadEndpoint(aHead);
-  // A late answer to an earlier request looks like one to this; its refusal
-  // would prove nothing about this one.
-  if (facts.attemptId_ != request_.facts_.attemptId_) {
-    return Error{ .code_ = ResultCode::kEndpointCrossed,
-                  .text_ = "answer to '" + facts.attemptId_ + "'",
-                  .ran_ = RanState::kUnknown };
-  }
-  if (facts.replaced_) {
-    parts_.fleet_.WithDirectory([&](EndpointDirectory& aDirectory) {
-      aDirectory.OnReplaced(aEndpoint.id_);
-    });
-  }
-  if (facts.notRun_) {
-    return Error{ .code_ = ResultCode::kEndpointRefused,
-                  .text_ =
-                    "status " + std::to_string(aHead.status_) +
-                    (facts.atFault_.empty() ? "" : " at " + facts.atFault_),
-                  .retryAfter_ = RetrySoon() };
-  }
-  if (!facts.genuine_) {
-    return Broken("an answer without the endpoint's signature");
-  }
-  if (!aHead.Field("Content-Encoding").empty()) {
-    return Broken("an encoded answer that nobody asked for");
-  }
-  return std::nullopt;
-}
-
-asio::awaitable<Outcome<std::optional<std::string>>> RequestRun::ReadPiece(
-  HttpCall& aCall)
-{
-  const TimePoint silentAt =
-    TimerService::Now() + SilenceLimit(*request_.route_);
-  aCall.SetDeadline(std::min(request_.deadline_, silentAt));
-  auto piece = co_await aCall.ReadSome();
-  const bool silent = !piece &&
-                      piece.error().code_ == ResultCode::kDeadlineExceeded &&
-                      TimerService::Now() < request_.deadline_;
-  if (!silent) {
-    co_return piece;
-  }
-  if (MayLeave() && PayRepeat()) {
-    co_return Error{ .code_ = ResultCode::kEndpointSilent,
-                     .ran_ = RanState::kUnknown };
-  }
-  aCall.SetDeadline(request_.deadline_);
-  co_return co_await aCall.ReadSome();
-}
-
-asio::awaitable<Outcome<void>> RequestRun::PassWhole(HttpCall& aCall)
-{
-  HttpResponse answer = parts_.dialect_.ForCaller(aCall.Head());
-  while (true) {
-    auto piece = co_await ReadPiece(aCall);
-    if (!piece) {
-      co_return piece.error();
-    }
-    if (!piece.value()) {
-      break;
-    }
-    answer.body_ += *piece.value();
-    if (answer.body_.size() > kHeldBytes) {
-      co_return co_await PassLarge(aCall, std::move(answer.body_));
-    }
-  }
-  const bool failed = answer.status_ >= 500;
-  if (failed && MayLeave() && PayRepeat()) {
-    const std::string text = "status " + std::to_string(answer.status_);
-    kept_ = std::move(answer);
-    co_return Error{ .code_ = ResultCode::kEndpointFailed,
-                     .text_ = text,
-                     .ran_ = RanState::kYes };
-  }
-  NoteAnswer(answer.status_);
-  const bool sent = co_await exchange_.Send(std::move(answer));
-  if (!sent) {
-    co_return MakeError(ResultCode::kCallerLeft);
-  }
-  co_return boost::outcome_v2::success();
-}
-
-asio::awaitable<Outcome<void>> RequestRun::PassLarge(HttpCall& aCall,
-                                                     std::string aBegin)
-{
-  streaming_ = true;
-  NoteAnswer(aCall.Head().status_);
-  bool open =
-    co_await exchange_.StartStream(parts_.dialect_.ForCaller(aCall.Head()));
-  if (open) {
-    open = co_await exchange_.Write(aBegin);
-  }
-  while (open) {
-    aCall.SetDeadline(request_.deadline_);
-    auto piece = co_await aCall.ReadSome();
-    if (!piece) {
-      co_return piece.error();
-    }
-    if (!piece.value()) {
-      co_await exchange_.Finish();
-      co_return boost::outcome_v2::success();
-    }
-    open = co_await exchange_.Write(*piece.value());
-  }
-  co_return MakeError(ResultCode::kCallerLeft);
-}
-
-asio::awaitable<Outcome<void>> RequestRun::PassStream(HttpCall& aCall,
-                                                      Fleet::Use& aUse)
-{
-  EventSplitter splitter;
-  bool first = true;
-  while (true) {
-    auto piece = co_await ReadPiece(aCall);
-    if (!piece) {
-      co_return piece.error();
-    }
-    if (!piece.value()) {
-      break;
-    }
-    aUse.OnHeard(first);
-    first = false;
-    splitter.Feed(*piece.value());
-    auto events = TakeEvents(splitter);
-    if (!events) {
-      co_return events.error();
-    }
-    auto written =
-      co_await WriteEvents(aCall.Head(), std::move(events.value()));
-    if (!written) {
-      co_return written.error();
-    }
-  }
-  if (splitter.Pending() > 0) {
-    co_return Broken("the stream ended within an event");
-  }
-  // A stream without events may be the proper end of one that the caller goes
-  // on with.
-  bool open = co_await OpenStream(aCall.Head());
-  if (open) {
-    open = co_await exchange_.Finish();
-  }
-  if (!open) {
-    co_return MakeError(ResultCode::kCallerLeft);
-  }
-  co_return boost::outcome_v2::success();
-}
-
-// Gives the whole events that have come, as far as they follow each other.
-Outcome<std::string> RequestRun::TakeEvents(EventSplitter& aSplitter)
-{
-  std::string events;
-  while (auto event = aSplitter.Next()) {
-    switch (events_.Take(*event)) {
-      case EventSequence::Verdict::kPass:
-        events += event->bytes_;
-        break;
-      case EventSequence::Verdict::kRepeated:
-        break;
-      case EventSequence::Verdict::kBroken:
-        return Broken("an event of the stream is missing");
-    }
-  }
-  return events;
-}
-
-asio::awaitable<Outcome<void>> RequestRun::WriteEvents(
-  const HttpResponse& aHead,
-  std::string aEvents)
-{
-  if (aEvents.empty()) {
-    co_return boost::outcome_v2::success();
-  }
-  bool open = co_await OpenStream(aHead);
-  if (open) {
-    open = co_await exchange_.Write(aEvents);
-  }
-  if (!open) {
-    co_return MakeError(ResultCode::kCallerLeft);
-  }
-  co_return boost::outcome_v2::success();
-}
-
-// Sends the head, but for a stream that another engine has begun.
-asio::awaitable<bool> RequestRun::OpenStream(const HttpResponse& aHead)
-{
-  if (streaming_) {
-    co_return true;
-  }
-  streaming_ = true;
-  NoteAnswer(aHead.status_);
-  co_return co_await exchange_.StartStream(parts_.dialect_.ForCaller(aHead));
-}
-
-asio::awaitable<Outcome<void>> RequestRun::SendKept()
-{
-  NoteAnswer(kept_->status_);
-  const bool sent = co_await exchange_.Send(std::move(*kept_));
-  if (!sent) {
-    co_return MakeError(ResultCode::kCallerLeft);
-  }
-  co_return boost::outcome_v2::success();
-}
-
 // Notes an endpoint that broke off after it had got the request. A silent one
 // is only slow or cut off, so it counts for nothing here.
 void RequestRun::NoteBroken(const std::string& aEndpoint, const Error& aError)
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -78,7 +78,8 @@
         .client_ = client_,
         .executor_ = context_.get_executor(),
         .own_ = [this] { return DigestOf(board_); },
-        .publish_ = [this](PeersState aPeers) { board_.peers_.Write(aPeers); },
+        .publish_ =
+          [this](const PeersState& aPeers) { board_.peers_.Write(aPeers); },
         .configuration_ = [this] { return OfferedBy(board_); },
         .offer_ =
           [this](const OfferedConfiguration& aOffered) {
