--- a/bench/gooseberrylift-pass-bench.cc
+++ b/bench/gooseberrylift-pass-bench.cc
@@ -281,7 +281,8 @@
   const auto wait =
     RefuseFor({ .predicted_ = aChoice.firstAnswer_,
                 .remaining_ = kind.deadline_ - waited,
-                .patience_ = CallerPatience(RouteOf(aRequest->class_)) - held,
+                .patience_ = CallerPatience(RouteOf(aRequest->class_)),
+                .held_ = held,
                 .draw_ = random_() });
   if (!wait) {
     return false;
--- a/include/gooseberrylift/limits/gooseberrylift-route-admission.h
+++ b/include/gooseberrylift/limits/gooseberrylift-route-admission.h
@@ -17,7 +17,8 @@
 {
   std::chrono::microseconds predicted_{ 0 }; // until its first answer
   std::chrono::milliseconds remaining_{ 0 }; // until its deadline
-  std::chrono::milliseconds patience_{ 0 }; // silence that its caller bears yet
+  std::chrono::milliseconds patience_{ 0 };  // silence that its caller bears
+  std::chrono::milliseconds held_{ 0 };      // of that, since it arrived
   std::uint64_t draw_ = 0; // a random number that spreads the returns
 };
 
--- a/src/core/limits/gooseberrylift-route-admission.cc
+++ b/src/core/limits/gooseberrylift-route-admission.cc
@@ -22,8 +22,12 @@
 {
   const milliseconds atHand =
     std::min(aQuestion.remaining_, aQuestion.patience_);
-  const auto usable = std::chrono::duration_cast<milliseconds>(
-    std::chrono::duration<double, std::milli>(atHand) * kUsable);
+  // One that was held is tried as long as it may come in time at all: to its
+  // caller that is better than a refusal after a wait.
+  const auto usable =
+    std::min(std::chrono::duration_cast<milliseconds>(
+               std::chrono::duration<double, std::milli>(atHand) * kUsable),
+             aQuestion.patience_ - aQuestion.held_);
   const auto predicted =
     std::chrono::duration_cast<milliseconds>(aQuestion.predicted_);
   if (predicted <= usable) {
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -210,14 +210,13 @@
     return std::nullopt; // its first try was admitted
   }
   const TimePoint now = TimerService::Now();
-  // What its caller still bears: the request may have been held for long.
-  const auto patience = CallerPatience(*request_.route_) -
-                        duration_cast<milliseconds>(now - request_.arrived_);
-  const AdmissionQuestion question{ .predicted_ = aPlacement.firstAnswer_,
-                                    .remaining_ = duration_cast<milliseconds>(
-                                      request_.deadline_ - now),
-                                    .patience_ = patience,
-                                    .draw_ = Draw() };
+  const AdmissionQuestion question{
+    .predicted_ = aPlacement.firstAnswer_,
+    .remaining_ = duration_cast<milliseconds>(request_.deadline_ - now),
+    .patience_ = CallerPatience(*request_.route_),
+    .held_ = duration_cast<milliseconds>(now - request_.arrived_),
+    .draw_ = Draw()
+  };
   const auto wait = RefuseFor(question);
   if (!wait) {
     return std::nullopt;
@@ -229,6 +228,7 @@
           duration_cast<milliseconds>(question.predicted_).count() },
         { "remaining_ms", question.remaining_.count() },
         { "patience_ms", question.patience_.count() },
+        { "held_ms", question.held_.count() },
         { "candidates", aPlacement.candidates_ },
         { "running", aPlacement.load_.running_ },
         { "retry_after_ms", wait->count() } });
--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -250,6 +250,17 @@
 
 TEST_GROUP(RouteAdmissionTest){};
 
+// A prompt waited for its engines until its caller is about to leave.
+TEST(RouteAdmissionTest, RefusesWhatWasHeldForTooLongToBeInTime)
+{
+  AdmissionQuestion question{
+    .predicted_ = 3s, .remaining_ = 6s, .patience_ = 12s, .held_ = 8s
+  };
+  CHECK_FALSE(RefuseFor(question).has_value());
+  question.held_ = 10s;
+  CHECK_TRUE(RefuseFor(question).has_value());
+}
+
 TEST(RouteAdmissionTest, RefusesAtOnceWhatCannotBeServedAndSaysWhenToReturn)
 {
   AdmissionQuestion question{
