--- a/test/core/gooseberrylift-fleet-view-test.cc
+++ b/test/core/gooseberrylift-fleet-view-test.cc
@@ -41,7 +41,9 @@
 int MostAtOneEngine(bool aBlind)
 {
   std::vector<ListedEndpoint> engines;
-  for (int index = 0; index < 18; ++index) {
+  constexpr int kEngines = 18;
+  engines.reserve(kEngines);
+  for (int index = 0; index < kEngines; ++index) {
     engines.push_back({ .id_ = std::to_string(index), .slots_ = 16 });
   }
   const EngineFigures figures{ .slots_ = 16,
@@ -63,6 +65,7 @@
       request.draw_ = random();
       const auto ordered = OrderForHost(engines, std::to_string(host), {});
       std::vector<PlacementCandidate> candidates;
+      candidates.reserve(ordered.size());
       for (const ListedEndpoint& engine : ordered) {
         candidates.push_back({ .endpoint_ = &engine,
                                .load_ = load.Of(engine.id_, TimePoint{ 1s }) });
