--- a/test/integration/gooseberrylift-gateway-test.cc
+++ b/test/integration/gooseberrylift-gateway-test.cc
@@ -116,6 +116,21 @@
   }
 }
 
+// The caller gets its stream after a moment. The order: the engine takes the
+// request and says nothing, nor to anybody else; after half of the caller's
+// patience the other engine gets it. Why: a hang shows only as silence.
+TEST(GatewayTest, TakesAStreamFromAnEngineThatHangs)
+{
+  GatewayDeployment deployment({});
+  deployment.Engine(0).Control({ { "fault", "hang" }, { "times", 9 } });
+  for (const std::string attempt : { "at-1", "at-2" }) {
+    const auto stream = deployment.Ask(StreamRequest(attempt));
+    LONGS_EQUAL(200, stream.value().status_);
+    STRCMP_EQUAL(EventsText(1, 5).c_str(), stream.value().body_.c_str());
+  }
+  CHECK_FALSE(deployment.Engine(0).Stats().at("arrived").empty());
+}
+
 // A stream that can't go on must not look whole: the caller sees it cut. The
 // order: each engine leaves out an event, so no other one has the rest.
 TEST(GatewayTest, CutsAStreamThatLacksAnEvent)
