--- a/include/gooseberrylift/internal/gooseberrylift-kind-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-kind-follower.h
@@ -29,9 +29,9 @@
     // of sixty in a quarter of a second. What takes longer is lost.
     std::chrono::milliseconds callTimeout_{ 900 };
     // How long a watch waits. The silence of a dead connection is noticed only
-    // after this, so it stays below the time in which a change must be known, 2 s
-    // on the smallest deployments. Each call is paid for: with 1.5 s a fleet of
-    // 86 hosts made 309 a second.
+    // after this, so it stays below the time in which a change must be known, 2
+    // s on the smallest deployments. Each call is paid for: with 1.5 s a fleet
+    // of 86 hosts made 309 a second.
     std::chrono::milliseconds watchFor_{ 1'900 };
     // Between two tries while the store does not answer.
     std::chrono::milliseconds pause_{ 200 };
