Split the pass bench's player by callers and hosts

The player's types stand in a header of their own, what callers ask for and earn in gooseberrylift-pass-callers.cc (99 lines), what hosts do in gooseberrylift-pass-bench.cc (367). Only names got a prefix, as they are no longer local to one file.

--- a/bench/gooseberrylift-pass-bench.cc
+++ b/bench/gooseberrylift-pass-bench.cc
@@ -1,223 +1,28 @@
+// The hosts of a play: where they send requests, and when they take them back.
+
 #include "gooseberrylift-pass-bench.h"
 
 #include <algorithm>
-#include <cmath>
-#include <memory>
-#include <random>
 
-#include "gooseberrylift-pass-engine.h"
-#include "gooseberrylift/limits/gooseberrylift-patience.h"
-#include "gooseberrylift/limits/gooseberrylift-repeat-budget.h"
+#include "gooseberrylift-pass-player.h"
 #include "gooseberrylift/limits/gooseberrylift-route-admission.h"
-#include "gooseberrylift/routing/gooseberrylift-fleet-load.h"
 #include "gooseberrylift/routing/gooseberrylift-fleet-order.h"
 
 namespace gooseberrylift::bench {
 
-namespace {
-
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-constexpr std::int64_t kHop = 1'500; // us, from a host to an engine or a host
-constexpr int kMostSends = 2;
-
-TimePoint At(const VirtualClock& aClock)
-{
-  return TimePoint(microseconds(aClock.Now()));
-}
-
-// One request of a caller.
-struct Request
-{
-  std::uint64_t id_ = 0;
-  std::size_t class_ = 0;
-  std::size_t host_ = 0;
-  std::uint64_t prompt_ = 0;
-  int events_ = 1;
-  std::int64_t arrived_ = 0;
-  std::int64_t came_ = 0;   // when it arrived, or came back
-  std::int64_t sent_ = 0;   // the last time
-  std::int64_t heard_ = -1; // last event; -1 before the first
-  double firstMs_ = -1;
-  int got_ = 0;
-  bool gap_ = false; // one was too long
-  bool done_ = false;
-  bool refused_ = false; // once; its caller comes back once
-  int sends_ = 0;
-  std::set<std::string> tried_;
-  std::shared_ptr<PassJob> job_;
-  std::vector<std::shared_ptr<PassJob>> parts_;
-  std::string engine_;
-  std::vector<std::string> helpers_;
-};
-using RequestPtr = std::shared_ptr<Request>;
-
-struct Host
-{
-  std::string name_;
-  FleetLoad load_{ FleetLoad::Options{} };
-  RepeatBudget repeats_{ RepeatBudget::Options{} };
-  std::size_t next_ = 0; // of round robin
-};
-
-class Player
-{
-public:
-  Player(const PassSite& aSite, const PassOptions& aOptions)
-    : site_(aSite)
-    , options_(aOptions)
-    , arrivals_(aOptions.seed_)
-    , random_(aOptions.seed_)
-    , placement_(aOptions.placement_)
-  {
-    for (int index = 0; index < site_.engines_; ++index) {
-      listed_.push_back({ .id_ = "engine-" + std::to_string(index),
-                          .slots_ = site_.figures_.slots_ });
-      engines_.push_back(std::make_unique<PassEngine>(clock_, site_.figures_));
-    }
-    for (int index = 0; index < site_.hosts_; ++index) {
-      hosts_.push_back({ .name_ = "host-" + std::to_string(index) });
-    }
-    results_.resize(site_.classes_.size());
-    firsts_.resize(site_.classes_.size());
-  }
-
-  std::vector<PassResult> Play();
-
-private:
-  void ScheduleArrivals(std::size_t aClass);
-  double FactorAt(std::size_t aClass, double aSeconds) const;
-  void Arrive(std::size_t aClass);
-  bool MustHold(const RequestPtr& aRequest,
-                const PlacementChoice& aChoice) const;
-  bool MustRefuse(const RequestPtr& aRequest, const PlacementChoice& aChoice);
-  void Send(const RequestPtr& aRequest);
-  std::optional<PlacementChoice> Choose(
-    Host& aHost,
-    const RequestPtr& aRequest,
-    const std::vector<ListedEndpoint>& aAll);
-  void OnEvent(const RequestPtr& aRequest,
-               const std::shared_ptr<PassJob>& aJob);
-  void Watch(const RequestPtr& aRequest,
-             std::int64_t aSince,
-             microseconds aWait);
-  EndpointSigns SignsOf(const RequestPtr& aRequest) const;
-  void Leave(const RequestPtr& aRequest);
-  void End(const RequestPtr& aRequest, bool aServed);
-  void Exchange(std::size_t aOne, std::size_t aOther);
-  void RunRound(std::size_t aHost);
-  PassEngine& EngineOf(const std::string& aId);
-  Route RouteOf(std::size_t aClass) const;
-  double WorthOf(const Request& aRequest) const;
-
-  const PassSite& site_;
-  PassOptions options_;
-  VirtualClock clock_;
-  std::mt19937_64 arrivals_; // so that they are the same for all options
-  std::mt19937_64 random_;
-  EnginePlacement placement_;
-  std::vector<ListedEndpoint> listed_;
-  std::vector<std::unique_ptr<PassEngine>> engines_;
-  std::vector<Host> hosts_;
-  std::vector<PassResult> results_;
-  std::vector<std::vector<double>> firsts_;
-  std::uint64_t nextId_ = 1;
-};
-
-Route Player::RouteOf(std::size_t aClass) const
-{
-  const PassClass& kind = site_.classes_[aClass];
-  return { .name_ = kind.name_,
-           .kind_ = RouteKind::kStreaming,
-           .resumable_ = true,
-           .maxAttempts_ = kMostSends,
-           .timeout_ = kind.deadline_,
-           .objective_ = kind.objective_,
-           .maxGap_ = kind.maxGap_ };
-}
-
-PassEngine& Player::EngineOf(const std::string& aId)
-{
-  return *engines_.at(static_cast<std::size_t>(
-    std::stoi(aId.substr(std::string("engine-").size()))));
-}
-
-// A request is worth 0.3 and 0.7 times its size against the usual, at most
-// four times as much as the usual one.
-double Player::WorthOf(const Request& aRequest) const
-{
-  constexpr double kAnswerWeight = 10;
-  const PassClass& kind = site_.classes_[aRequest.class_];
-  const double perEvent = site_.figures_.stride_;
-  const double size = static_cast<double>(aRequest.prompt_) +
-                      kAnswerWeight * aRequest.events_ * perEvent;
-  const double usual =
-    kind.promptMean_ + kAnswerWeight * kind.eventsMean_ * perEvent;
-  return std::min(0.3 + 0.7 * size / usual, 4.0);
-}
-
-double Player::FactorAt(std::size_t aClass, double aSeconds) const
-{
-  for (const PassPhase& phase : site_.phases_) {
-    if (aSeconds >= phase.fromSeconds_ && aSeconds < phase.toSeconds_) {
-      return phase.factors_.at(aClass);
-    }
-  }
-  return 1;
-}
+namespace {
 
-void Player::ScheduleArrivals(std::size_t aClass)
-{
-  const double seconds = static_cast<double>(clock_.Now()) / 1e6;
-  // Thinned from the highest rate, so that phases begin sharply.
-  constexpr double kMostFactor = 4;
-  const double rate = site_.classes_[aClass].perSecond_ * kMostFactor;
-  std::exponential_distribution<double> pause(rate);
-  std::uniform_real_distribution<double> draw(0, kMostFactor);
-  const auto wait = static_cast<std::int64_t>(pause(arrivals_) * 1e6);
-  if (seconds > site_.seconds_) {
-    return;
-  }
-  clock_.After(wait, [this, aClass, accept = draw(arrivals_)] {
-    const double now = static_cast<double>(clock_.Now()) / 1e6;
-    if (accept < FactorAt(aClass, now)) {
-      Arrive(aClass);
-    }
-    ScheduleArrivals(aClass);
-  });
-}
+constexpr std::int64_t kHop = 1'500; // us, from a host to an engine or a host
 
-void Player::Arrive(std::size_t aClass)
-{
-  const PassClass& kind = site_.classes_[aClass];
-  const auto draw = [this](double aMean, double aSpread, double aMost) {
-    std::lognormal_distribution<double> size(
-      std::log(aMean) - aSpread * aSpread / 2, aSpread);
-    return std::clamp(size(arrivals_), 1.0, aMost);
-  };
-  auto request = std::make_shared<Request>();
-  request->id_ = nextId_++;
-  request->class_ = aClass;
-  request->host_ = arrivals_() % hosts_.size();
-  request->prompt_ = static_cast<std::uint64_t>(
-    draw(kind.promptMean_, kind.promptSpread_, kind.promptMost_));
-  request->events_ = static_cast<int>(
-    draw(kind.eventsMean_, kind.eventsSpread_, kind.eventsMean_ * 2.5));
-  request->arrived_ = clock_.Now();
-  request->came_ = clock_.Now();
-  ++results_[aClass].asked_;
-  results_[aClass].owed_ += WorthOf(*request) * kind.worth_;
-  hosts_[request->host_].repeats_.OnRequest("engines", At(clock_));
-  clock_.After(kind.deadline_.count() * 1000,
-               [this, request] { End(request, false); });
-  Send(request);
-}
+} // namespace
 
-std::optional<PlacementChoice> Player::Choose(
-  Host& aHost,
-  const RequestPtr& aRequest,
+std::optional<PlacementChoice> PassPlayer::Choose(
+  PassHost& aHost,
+  const PassRequestPtr& aRequest,
   const std::vector<ListedEndpoint>& aAll)
 {
   const PassClass& kind = site_.classes_[aRequest->class_];
@@ -253,8 +58,8 @@
                                        aRequest->prompt_) } };
 }
 
-bool Player::MustHold(const RequestPtr& aRequest,
-                      const PlacementChoice& aChoice) const
+bool PassPlayer::MustHold(const PassRequestPtr& aRequest,
+                          const PlacementChoice& aChoice) const
 {
   const PassClass& kind = site_.classes_[aRequest->class_];
   const milliseconds waited((clock_.Now() - aRequest->arrived_) / 1000);
@@ -272,8 +77,8 @@
 }
 
 // Sends a request back that can't be served, and lets its caller return once.
-bool Player::MustRefuse(const RequestPtr& aRequest,
-                        const PlacementChoice& aChoice)
+bool PassPlayer::MustRefuse(const PassRequestPtr& aRequest,
+                            const PlacementChoice& aChoice)
 {
   const PassClass& kind = site_.classes_[aRequest->class_];
   const milliseconds waited((clock_.Now() - aRequest->arrived_) / 1000);
@@ -303,9 +108,9 @@
   return true;
 }
 
-void Player::Send(const RequestPtr& aRequest)
+void PassPlayer::Send(const PassRequestPtr& aRequest)
 {
-  Host& host = hosts_[aRequest->host_];
+  PassHost& host = hosts_[aRequest->host_];
   const std::vector<ListedEndpoint> all =
     OrderForHost(listed_, host.name_, { .block_ = options_.block_ });
   const auto choice = Choose(host, aRequest, all);
@@ -379,9 +184,9 @@
   Watch(aRequest, aRequest->heard_, SilenceLimit(RouteOf(aRequest->class_)));
 }
 
-EndpointSigns Player::SignsOf(const RequestPtr& aRequest) const
+EndpointSigns PassPlayer::SignsOf(const PassRequestPtr& aRequest) const
 {
-  const Host& host = hosts_[aRequest->host_];
+  const PassHost& host = hosts_[aRequest->host_];
   const EndpointLoad load = host.load_.Of(aRequest->engine_, At(clock_));
   const std::int64_t heard = std::max(aRequest->sent_, aRequest->heard_);
   return { .silentHere_ = milliseconds((clock_.Now() - heard) / 1000),
@@ -398,9 +203,9 @@
 
 // Sends the request elsewhere, or gives it up as its caller does, when nothing
 // was heard since some time.
-void Player::Watch(const RequestPtr& aRequest,
-                   std::int64_t aSince,
-                   microseconds aWait)
+void PassPlayer::Watch(const PassRequestPtr& aRequest,
+                       std::int64_t aSince,
+                       microseconds aWait)
 {
   const auto job = aRequest->job_;
   clock_.After(aWait.count(), [this, aRequest, aSince, job] {
@@ -408,7 +213,7 @@
         aRequest->job_ != job) {
       return;
     }
-    Host& host = hosts_[aRequest->host_];
+    PassHost& host = hosts_[aRequest->host_];
     if (options_.knowsQueues_ &&
         !LooksHung(SignsOf(aRequest),
                    SilenceLimit(RouteOf(aRequest->class_)))) {
@@ -434,9 +239,9 @@
   });
 }
 
-void Player::Leave(const RequestPtr& aRequest)
+void PassPlayer::Leave(const PassRequestPtr& aRequest)
 {
-  Host& host = hosts_[aRequest->host_];
+  PassHost& host = hosts_[aRequest->host_];
   aRequest->job_->cancelled_ = true;
   host.load_.OnEnded(aRequest->engine_, aRequest->id_);
   for (const auto& part : aRequest->parts_) {
@@ -447,14 +252,14 @@
   }
 }
 
-void Player::OnEvent(const RequestPtr& aRequest,
-                     const std::shared_ptr<PassJob>& aJob)
+void PassPlayer::OnEvent(const PassRequestPtr& aRequest,
+                         const std::shared_ptr<PassJob>& aJob)
 {
   if (aRequest->done_ || aRequest->job_ != aJob) {
     return;
   }
   const PassClass& kind = site_.classes_[aRequest->class_];
-  Host& host = hosts_[aRequest->host_];
+  PassHost& host = hosts_[aRequest->host_];
   const std::int64_t now = clock_.Now();
   if (aRequest->heard_ < 0) {
     aRequest->firstMs_ = static_cast<double>(now - aRequest->arrived_) / 1000;
@@ -474,7 +279,7 @@
   Watch(aRequest, now, SilenceLimit(RouteOf(aRequest->class_)));
 }
 
-void Player::End(const RequestPtr& aRequest, bool aServed)
+void PassPlayer::End(const PassRequestPtr& aRequest, bool aServed)
 {
   if (aRequest->done_) {
     return;
@@ -502,7 +307,7 @@
     WorthOf(*aRequest) * (inTime ? kind.worth_ : kind.lateWorth_);
 }
 
-void Player::Exchange(std::size_t aOne, std::size_t aOther)
+void PassPlayer::Exchange(std::size_t aOne, std::size_t aOther)
 {
   if (aOne == aOther) {
     return;
@@ -518,7 +323,7 @@
   tell(aOther, aOne);
 }
 
-void Player::RunRound(std::size_t aHost)
+void PassPlayer::RunRound(std::size_t aHost)
 {
   for (std::size_t partner = 0; partner < options_.partners_; ++partner) {
     Exchange(aHost, random_() % hosts_.size());
@@ -527,7 +332,7 @@
                [this, aHost] { RunRound(aHost); });
 }
 
-std::vector<PassResult> Player::Play()
+std::vector<PassResult> PassPlayer::Play()
 {
   for (std::size_t host = 0; host < hosts_.size(); ++host) {
     const auto start =
@@ -553,12 +358,10 @@
   return results_;
 }
 
-} // namespace
-
 std::vector<PassResult> PlayPasses(const PassSite& aSite,
                                    const PassOptions& aOptions)
 {
-  return Player(aSite, aOptions).Play();
+  return PassPlayer(aSite, aOptions).Play();
 }
 
 } // namespace gooseberrylift::bench
--- /dev/null
+++ b/bench/gooseberrylift-pass-callers.cc
@@ -0,0 +1,99 @@
+// The callers of a play: what they ask for, when, and what it is worth to them.
+
+#include "gooseberrylift-pass-player.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gooseberrylift::bench {
+
+Route PassPlayer::RouteOf(std::size_t aClass) const
+{
+  const PassClass& kind = site_.classes_[aClass];
+  return { .name_ = kind.name_,
+           .kind_ = RouteKind::kStreaming,
+           .resumable_ = true,
+           .maxAttempts_ = kMostSends,
+           .timeout_ = kind.deadline_,
+           .objective_ = kind.objective_,
+           .maxGap_ = kind.maxGap_ };
+}
+
+PassEngine& PassPlayer::EngineOf(const std::string& aId)
+{
+  return *engines_.at(static_cast<std::size_t>(
+    std::stoi(aId.substr(std::string("engine-").size()))));
+}
+
+// A request is worth 0.3 and 0.7 times its size against the usual, at most
+// four times as much as the usual one.
+double PassPlayer::WorthOf(const PassRequest& aRequest) const
+{
+  constexpr double kAnswerWeight = 10;
+  const PassClass& kind = site_.classes_[aRequest.class_];
+  const double perEvent = site_.figures_.stride_;
+  const double size = static_cast<double>(aRequest.prompt_) +
+                      kAnswerWeight * aRequest.events_ * perEvent;
+  const double usual =
+    kind.promptMean_ + kAnswerWeight * kind.eventsMean_ * perEvent;
+  return std::min(0.3 + 0.7 * size / usual, 4.0);
+}
+
+double PassPlayer::FactorAt(std::size_t aClass, double aSeconds) const
+{
+  for (const PassPhase& phase : site_.phases_) {
+    if (aSeconds >= phase.fromSeconds_ && aSeconds < phase.toSeconds_) {
+      return phase.factors_.at(aClass);
+    }
+  }
+  return 1;
+}
+
+void PassPlayer::ScheduleArrivals(std::size_t aClass)
+{
+  const double seconds = static_cast<double>(clock_.Now()) / 1e6;
+  // Thinned from the highest rate, so that phases begin sharply.
+  constexpr double kMostFactor = 4;
+  const double rate = site_.classes_[aClass].perSecond_ * kMostFactor;
+  std::exponential_distribution<double> pause(rate);
+  std::uniform_real_distribution<double> draw(0, kMostFactor);
+  const auto wait = static_cast<std::int64_t>(pause(arrivals_) * 1e6);
+  if (seconds > site_.seconds_) {
+    return;
+  }
+  clock_.After(wait, [this, aClass, accept = draw(arrivals_)] {
+    const double now = static_cast<double>(clock_.Now()) / 1e6;
+    if (accept < FactorAt(aClass, now)) {
+      Arrive(aClass);
+    }
+    ScheduleArrivals(aClass);
+  });
+}
+
+void PassPlayer::Arrive(std::size_t aClass)
+{
+  const PassClass& kind = site_.classes_[aClass];
+  const auto draw = [this](double aMean, double aSpread, double aMost) {
+    std::lognormal_distribution<double> size(
+      std::log(aMean) - aSpread * aSpread / 2, aSpread);
+    return std::clamp(size(arrivals_), 1.0, aMost);
+  };
+  auto request = std::make_shared<PassRequest>();
+  request->id_ = nextId_++;
+  request->class_ = aClass;
+  request->host_ = arrivals_() % hosts_.size();
+  request->prompt_ = static_cast<std::uint64_t>(
+    draw(kind.promptMean_, kind.promptSpread_, kind.promptMost_));
+  request->events_ = static_cast<int>(
+    draw(kind.eventsMean_, kind.eventsSpread_, kind.eventsMean_ * 2.5));
+  request->arrived_ = clock_.Now();
+  request->came_ = clock_.Now();
+  ++results_[aClass].asked_;
+  results_[aClass].owed_ += WorthOf(*request) * kind.worth_;
+  hosts_[request->host_].repeats_.OnRequest("engines", At(clock_));
+  clock_.After(kind.deadline_.count() * 1000,
+               [this, request] { End(request, false); });
+  Send(request);
+}
+
+} // namespace gooseberrylift::bench
--- /dev/null
+++ b/bench/gooseberrylift-pass-player.h
@@ -0,0 +1,130 @@
+// One play of a site on virtual time: its callers, hosts and engines.
+
+#ifndef GOOSEBERRYLIFT_BENCH_GOOSEBERRYLIFT_PASS_PLAYER_H_
+#define GOOSEBERRYLIFT_BENCH_GOOSEBERRYLIFT_PASS_PLAYER_H_
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gooseberrylift-pass-bench.h"
+#include "gooseberrylift-pass-engine.h"
+#include "gooseberrylift/limits/gooseberrylift-patience.h"
+#include "gooseberrylift/limits/gooseberrylift-repeat-budget.h"
+#include "gooseberrylift/routing/gooseberrylift-fleet-load.h"
+
+namespace gooseberrylift::bench {
+
+constexpr int kMostSends = 2; // engines that one request is given to
+
+// Gives the virtual time as hosts know it.
+inline TimePoint At(const VirtualClock& aClock)
+{
+  return TimePoint(std::chrono::microseconds(aClock.Now()));
+}
+
+// One request of a caller.
+struct PassRequest
+{
+  std::uint64_t id_ = 0;
+  std::size_t class_ = 0;
+  std::size_t host_ = 0;
+  std::uint64_t prompt_ = 0;
+  int events_ = 1;
+  std::int64_t arrived_ = 0;
+  std::int64_t came_ = 0;   // when it arrived, or came back
+  std::int64_t sent_ = 0;   // the last time
+  std::int64_t heard_ = -1; // last event; -1 before the first
+  double firstMs_ = -1;
+  int got_ = 0;
+  bool gap_ = false; // one was too long
+  bool done_ = false;
+  bool refused_ = false; // once; its caller comes back once
+  int sends_ = 0;
+  std::set<std::string> tried_;
+  std::shared_ptr<PassJob> job_;
+  std::vector<std::shared_ptr<PassJob>> parts_;
+  std::string engine_;
+  std::vector<std::string> helpers_;
+};
+using PassRequestPtr = std::shared_ptr<PassRequest>;
+
+struct PassHost
+{
+  std::string name_;
+  FleetLoad load_{ FleetLoad::Options{} };
+  RepeatBudget repeats_{ RepeatBudget::Options{} };
+  std::size_t next_ = 0; // of round robin
+};
+
+class PassPlayer
+{
+public:
+  PassPlayer(const PassSite& aSite, const PassOptions& aOptions)
+    : site_(aSite)
+    , options_(aOptions)
+    , arrivals_(aOptions.seed_)
+    , random_(aOptions.seed_)
+    , placement_(aOptions.placement_)
+  {
+    for (int index = 0; index < site_.engines_; ++index) {
+      listed_.push_back({ .id_ = "engine-" + std::to_string(index),
+                          .slots_ = site_.figures_.slots_ });
+      engines_.push_back(std::make_unique<PassEngine>(clock_, site_.figures_));
+    }
+    for (int index = 0; index < site_.hosts_; ++index) {
+      hosts_.push_back({ .name_ = "host-" + std::to_string(index) });
+    }
+    results_.resize(site_.classes_.size());
+    firsts_.resize(site_.classes_.size());
+  }
+
+  std::vector<PassResult> Play();
+
+private:
+  void ScheduleArrivals(std::size_t aClass);
+  double FactorAt(std::size_t aClass, double aSeconds) const;
+  void Arrive(std::size_t aClass);
+  bool MustHold(const PassRequestPtr& aRequest,
+                const PlacementChoice& aChoice) const;
+  bool MustRefuse(const PassRequestPtr& aRequest,
+                  const PlacementChoice& aChoice);
+  void Send(const PassRequestPtr& aRequest);
+  std::optional<PlacementChoice> Choose(
+    PassHost& aHost,
+    const PassRequestPtr& aRequest,
+    const std::vector<ListedEndpoint>& aAll);
+  void OnEvent(const PassRequestPtr& aRequest,
+               const std::shared_ptr<PassJob>& aJob);
+  void Watch(const PassRequestPtr& aRequest,
+             std::int64_t aSince,
+             std::chrono::microseconds aWait);
+  EndpointSigns SignsOf(const PassRequestPtr& aRequest) const;
+  void Leave(const PassRequestPtr& aRequest);
+  void End(const PassRequestPtr& aRequest, bool aServed);
+  void Exchange(std::size_t aOne, std::size_t aOther);
+  void RunRound(std::size_t aHost);
+  PassEngine& EngineOf(const std::string& aId);
+  Route RouteOf(std::size_t aClass) const;
+  double WorthOf(const PassRequest& aRequest) const;
+
+  const PassSite& site_;
+  PassOptions options_;
+  VirtualClock clock_;
+  std::mt19937_64 arrivals_; // so that they are the same for all options
+  std::mt19937_64 random_;
+  EnginePlacement placement_;
+  std::vector<ListedEndpoint> listed_;
+  std::vector<std::unique_ptr<PassEngine>> engines_;
+  std::vector<PassHost> hosts_;
+  std::vector<PassResult> results_;
+  std::vector<std::vector<double>> firsts_;
+  std::uint64_t nextId_ = 1;
+};
+
+} // namespace gooseberrylift::bench
+
+#endif // GOOSEBERRYLIFT_BENCH_GOOSEBERRYLIFT_PASS_PLAYER_H_
