Judge an endpoint by its life: births, odd entries, and proofs of its end

Cause: (1) a request that lost two answers of living engines was refused for ten minutes on all hosts: a broken connection counted as the end of the endpoint. (2) An endpoint that starts again under its id stayed out for good once its former life was leaving, and kept the former life's load, silence and failures. (3) One entry of another writer in the store could end the host (a wrong type in its metadata), hide all others (bytes that are no text) or name an endpoint. Ruled out: counting three breaks in place of two (a grey engine makes three as well); the entry's removal as proof (endpoints that leave lose theirs too). Now a break counts once a refused connection or a younger start has shown the end; where several requests fell at the same two endpoints the third decides; an incarnation is id and birth; an entry that lacks what engines always write names none, with one log line a version. The load of peers is kept by endpoint: a placement sums over the hosts that have something there in place of looking up every peer at every endpoint.

--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -5,9 +5,10 @@
 //     F: "cut" (after k events, in the middle of the next), "drop" (no answer),
 //     "full" (503, not run), "helper" (the same, for the first helper's fault),
 //     "crossed" (another request's answer), "status" (500), "unsigned", "hang",
-//     "gap" (leaves an event out)
+//     "gap" (leaves an event out), "crash" (ends the process)
 //   GET  /stats    what arrived, what ran, the tickets
 
+#include <cstdlib>
 #include <map>
 
 #include "gooseberrylift-fake.h"
@@ -163,6 +164,9 @@
     if (fault == "hang") {
       co_await TimerService::SleepFor(std::chrono::seconds(20));
     }
+    if (fault == "crash") {
+      std::_Exit(1);
+    }
     if (fault == "drop") {
       aExchange.Drop();
       co_return;
--- a/fakes/platform/gooseberrylift-fake-fleet-store.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-store.cc
@@ -4,6 +4,7 @@
 //                   "forget_history": true, "page": n,
 //                   "put": {"KIND/NAME": spec}, "remove": ["KIND/NAME"]}
 //   GET  /stats    counts by kind of call
+// The text kOddBytes in an object goes out as bytes that are no text.
 // A lost answer: the call is carried out, and its connection says nothing more.
 
 #include <map>
@@ -21,6 +22,19 @@
 
 namespace {
 
+// Stands in an object for bytes that JSON can't hold.
+constexpr const char* kOddBytes = "ODD-BYTES";
+
+asio::awaitable<void> ReplyRaw(HttpExchange& aExchange, int aStatus, json aBody)
+{
+  std::string text = aBody.dump();
+  for (std::size_t at = text.find(kOddBytes); at != std::string::npos;
+       at = text.find(kOddBytes)) {
+    text.replace(at, std::string_view(kOddBytes).size(), "\xff\xfe\xc3");
+  }
+  co_await aExchange.Send(JsonResponse(aStatus, std::move(text)));
+}
+
 struct Change
 {
   std::uint64_t revision_ = 0;
@@ -86,7 +100,7 @@
       co_await TimerService::SleepFor(std::chrono::seconds(30));
       co_return;
     }
-    co_await Reply(aExchange, status, body);
+    co_await ReplyRaw(aExchange, status, body);
   }
 
   int List(const HttpRequest& aRequest, const std::string& aKind, json& aBody)
@@ -177,7 +191,7 @@
     }
     body[names::kEvents] = events;
     body[names::kAsOf] = IsMute() ? from : revision_;
-    co_await Reply(aExchange, 200, body);
+    co_await ReplyRaw(aExchange, 200, body);
   }
 
   bool IsMute() const { return TimerService::Now() < muteUntil_; }
--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_FLEET_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_FLEET_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -61,6 +62,8 @@
   {
     std::string host_;
     std::string zone_;
+    // Told of an endpoint that has started again under the id that it had.
+    std::function<void(const std::string& aEndpoint)> onReborn_{};
   };
 
   explicit Fleet(Options aOptions);
@@ -80,6 +83,12 @@
   /// @return nothing when no endpoint can take the request
   std::optional<FleetPlacement> Place(FleetQuery aQuery);
 
+  /// Takes in a whole list of endpoints.
+  void OnList(const std::vector<ListedEndpoint>& aListed);
+
+  /// Takes in one new or changed entry.
+  void OnListed(const ListedEndpoint& aListed);
+
   /// Gives how many endpoints of a service may get requests.
   std::size_t CountUsable(const std::string& aService);
 
@@ -141,6 +150,7 @@
 private:
   struct Shard;
 
+  void ForgetFormerLife(const ListedEndpoint& aReborn);
   Shard& ShardOf(const std::string& aService);
   std::map<std::string, std::vector<EndpointShare>> ByService(
     const std::vector<EndpointShare>& aShares);
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -69,9 +69,9 @@
   RouteFollower routes_;
   EndpointFollower endpoints_;
   SharedRepeatBudget repeats_;
-  SharedSuspects suspects_;
   std::atomic<bool> peersProven_ = false; // another host may believe keys
   PeerExchange peers_;
+  SuspectWatch suspects_;
   std::vector<std::string> peerAddresses_; // of all other hosts, IP:port
   LoadWords words_;
   GatewayFront front_;
--- a/include/gooseberrylift/internal/gooseberrylift-http-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-client.h
@@ -110,6 +110,13 @@
                                                       HttpRequest aRequest,
                                                       TimePoint aDeadline);
 
+  /// Connects to an address and closes at once, to learn whether anybody
+  /// listens there.
+  /// @return true only when the connection was refused; that it did not come
+  /// about in time proves nothing
+  boost::asio::awaitable<bool> IsRefused(std::string aAddress,
+                                         std::chrono::milliseconds aTimeout);
+
 private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -42,6 +42,7 @@
   kHostListLost = 1200,
   kEndpointState = 1201,
   kEntryRefused = 1202,
+  kEndpointReborn = 1203,
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -19,8 +19,8 @@
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
 #include "gooseberrylift/internal/gooseberrylift-memory-holds.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
+#include "gooseberrylift/internal/gooseberrylift-suspect-watch.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
-#include "gooseberrylift/limits/gooseberrylift-crash-suspects.h"
 #include "gooseberrylift/limits/gooseberrylift-long-hold.h"
 #include "gooseberrylift/limits/gooseberrylift-repeat-budget.h"
 #include "gooseberrylift/streams/gooseberrylift-event-splitter.h"
@@ -35,13 +35,6 @@
   std::size_t hosts_ = 1; // that share the budget
 };
 
-// The crash suspects of this host, shared by its requests.
-struct SharedSuspects
-{
-  std::mutex mutex_; // guards what follows
-  CrashSuspects suspects_{ CrashSuspects::Options{} };
-};
-
 // A request whose route and team are known.
 struct RoutedRequest
 {
@@ -74,13 +67,11 @@
     Fleet& fleet_;
     RouteFollower& routes_;
     SharedRepeatBudget& repeats_;
-    SharedSuspects& suspects_;
+    SuspectWatch& suspects_;
     boost::asio::any_io_executor executor_;
     // What this host has in work has changed; the other hosts are to know, at
     // once when it is urgent.
     std::function<void(bool aUrgent)> loadChanged_;
-    // The other hosts are to know at once which requests are suspect.
-    std::function<void()> tellSuspects_;
   };
 
   RequestRun(Parts aParts, HttpExchange& aExchange, RoutedRequest aRequest);
@@ -141,7 +132,7 @@
                                                     std::string aEvents);
   boost::asio::awaitable<bool> OpenStream(const HttpResponse& aHead);
   boost::asio::awaitable<Outcome<void>> SendKept();
-  void NoteBroken(const std::string& aEndpoint, const Error& aError);
+  void NoteBroken(const ListedEndpoint& aEndpoint, const Error& aError);
   bool MayRepeat(const Error& aError);
   bool MayLeave() const;
   TimePoint SilentAt() const;
--- a/include/gooseberrylift/internal/gooseberrylift-route-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-route-follower.h
@@ -5,6 +5,7 @@
 
 #include <mutex>
 #include <optional>
+#include <string>
 
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
 #include "gooseberrylift/internal/gooseberrylift-gateway-board.h"
@@ -61,13 +62,14 @@
   boost::asio::awaitable<void> Run() { return follower_.Run(); }
 
 private:
-  std::optional<ListedEndpoint> Read(const StoreObject& aObject) const;
+  std::optional<ListedEndpoint> Read(const StoreObject& aObject);
   void OnList(const std::vector<StoreObject>& aObjects);
   void OnEvent(const StoreEvent& aEvent);
   void OnStore(bool aReachable);
 
   const WireDialect& dialect_;
   Fleet& fleet_;
+  std::map<std::string, std::string> refused_; // versions, by entry
   bool lost_ = false;
   KindFollower follower_;
 };
--- a/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
+++ b/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -16,11 +15,15 @@
 
 namespace gooseberrylift {
 
-// One incarnation of an endpoint. The id is new with each start, so whatever
-// is known of an id never has to be taken back.
+// When an endpoint started, by its own clock.
+using BirthTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+// One incarnation of an endpoint: its id and the time of its start. An endpoint
+// may start again under the id that it had, and then knows nothing of before.
 struct ListedEndpoint
 {
   std::string id_;
+  BirthTime born_{}; // the epoch where the platform states none
   std::string service_;
   std::string address_; // IP:port
   std::string zone_;
@@ -29,11 +32,13 @@
   std::chrono::milliseconds coldFor_{ 0 }; // slower than usual for so long
 };
 
-// Two rules carry it. Leaving is sticky: once an id was listed as leaving, or
-// answered that it is not there any more, no later word makes it usable. An
-// entry that is missing is gone at once, except after an outage of the store:
-// entries then lapse though their endpoints live, and each gets a while to
-// come back. Not thread-safe.
+// Three rules carry it. Leaving is sticky: once an incarnation was listed as
+// leaving, or answered that it is not there any more, no later word makes it
+// usable. A younger incarnation of an id replaces an older one for good, so
+// that a late word of a former life neither takes the new one's requests away
+// nor brings the old one back. An entry that is missing is gone at once, except
+// after an outage of the store: entries then lapse though their endpoints live,
+// and each gets a while to come back. Not thread-safe.
 class EndpointDirectory
 {
 public:
@@ -50,15 +55,18 @@
   }
 
   /// Takes in a whole list.
-  void OnList(const std::vector<ListedEndpoint>& aListed, TimePoint aNow);
+  /// @return the endpoints that have started again under the id that they had
+  std::vector<ListedEndpoint> OnList(const std::vector<ListedEndpoint>& aListed,
+                                     TimePoint aNow);
 
   /// Takes in one new or changed entry.
-  void OnListed(const ListedEndpoint& aListed);
+  /// @return whether the endpoint has started again under the id that it had
+  bool OnListed(const ListedEndpoint& aListed);
 
   /// Notes that an entry was removed.
   void OnRemoved(const std::string& aId, TimePoint aNow);
 
-  /// Notes that the store answers again after it did not.
+  /// Notes since when the store answers again after it did not.
   void OnStoreReturned(TimePoint aNow);
 
   /// Notes that an address answered as another incarnation: the one looked for
@@ -83,9 +91,14 @@
 
   void Drop(std::map<std::string, Entry>::iterator aEntry, TimePoint aNow);
 
+  bool IsLeaving(const ListedEndpoint& aListed) const;
+
   Options options_;
   std::map<std::string, Entry> entries_;
-  std::set<std::string> leaving_; // ids; a few bytes for each that ever left
+  // By id, a few bytes each: the youngest incarnation ever listed, and the
+  // youngest that is leaving or gone.
+  std::map<std::string, BirthTime> youngest_;
+  std::map<std::string, BirthTime> leaving_;
   TimePoint relistUntil_{};
 };
 
--- a/include/gooseberrylift/routing/gooseberrylift-endpoint-trust.h
+++ b/include/gooseberrylift/routing/gooseberrylift-endpoint-trust.h
@@ -58,6 +58,9 @@
   bool IsSetAside(const std::string& aEndpoint, TimePoint aNow) const;
 
   /// Forgets endpoints that were not heard of for a minute.
+  /// Forgets how an endpoint fared, which has started again.
+  void OnReborn(const std::string& aEndpoint) { records_.erase(aEndpoint); }
+
   void Sweep(TimePoint aNow);
 
 private:
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -82,6 +83,10 @@
   /// no sign of life.
   void OnEnded(const std::string& aEndpoint, std::uint64_t aRequest);
 
+  /// Forgets all that was in work at an endpoint, which has started again and
+  /// knows nothing of it.
+  void OnReborn(const std::string& aEndpoint);
+
   /// Takes in all that a peer has in work.
   /// @param aAt when the peer said so, on this host's clock
   void OnPeer(const std::string& aHost,
@@ -92,12 +97,21 @@
   void OnMoreOfPeer(const std::string& aHost,
                     std::vector<EndpointShare> aShares);
 
+  /// Takes in what has changed at some endpoints since a peer's last word.
+  /// @param aAt when the peer said so, on this host's clock
+  void OnChangeOfPeer(const std::string& aHost,
+                      std::vector<EndpointShare> aShares,
+                      TimePoint aAt);
+
   /// Gives the load of an endpoint as far as it is known.
   EndpointLoad Of(const std::string& aEndpoint, TimePoint aNow) const;
 
   /// Gives this host's own part, for its peers.
   std::vector<EndpointShare> OwnShares(TimePoint aNow) const;
 
+  /// Gives this host's own part at one endpoint.
+  EndpointShare OwnShare(const std::string& aEndpoint, TimePoint aNow) const;
+
   /// Gives since when this host waits for an endpoint that sent nothing to any
   /// of its requests; zero when it waits for none.
   std::chrono::milliseconds SilentFor(const std::string& aEndpoint,
@@ -133,17 +147,32 @@
   };
   struct Peer
   {
-    std::map<std::string, EndpointShare> shares_;
+    TimePoint at_{}; // of its last word
+    std::set<std::string> endpoints_;
+  };
+  struct PeerShare
+  {
+    EndpointShare share_;
     TimePoint at_{};
   };
+  // By host. Kept by endpoint, since each placement sums over the few hosts
+  // that have something in work there: with 78 engines and 90 peers it looked
+  // up 7,000 shares, most of them empty.
+  using PeerShares = std::map<std::string, PeerShare>;
+
+  void Put(const std::string& aHost,
+           std::vector<EndpointShare> aShares,
+           TimePoint aAt);
+  bool Counts(const std::string& aHost, TimePoint aNow) const;
 
   static EndpointShare ShareOf(const std::string& aId,
                                const Own& aOwn,
                                TimePoint aNow);
 
   Options options_;
-  std::map<std::string, Own> own_;    // by endpoint
-  std::map<std::string, Peer> peers_; // by host
+  std::map<std::string, Own> own_;           // by endpoint
+  std::map<std::string, PeerShares> shares_; // by endpoint
+  std::map<std::string, Peer> peers_;        // by host
 };
 
 } // namespace gooseberrylift
--- a/src/core/limits/gooseberrylift-crash-suspects.cc
+++ b/src/core/limits/gooseberrylift-crash-suspects.cc
@@ -44,13 +44,75 @@
 {
   Suspect& suspect = suspects_[aFingerprint];
   if (aNow - suspect.first_ > options_.within_) {
-    suspect = { .endpoints_ = {}, .first_ = aNow };
+    suspect = { .breaks_ = {}, .first_ = aNow };
   }
-  suspect.endpoints_.insert(aEndpoint);
-  if (suspect.endpoints_.size() < options_.endpoints_) {
-    DropOldest(suspects_, options_.most_, [](const Suspect& aSuspect) {
-      return aSuspect.first_;
+  const auto ended = ended_.find(aEndpoint);
+  const bool proven =
+    ended != ended_.end() && aNow - ended->second <= options_.proofWithin_;
+  suspect.breaks_[aEndpoint] = { .at_ = aNow, .ended_ = proven };
+  const bool quarantined = proven && Judge(aFingerprint, aNow);
+  DropOldest(suspects_, options_.most_, [](const Suspect& aSuspect) {
+    return aSuspect.first_;
+  });
+  return quarantined;
+}
+
+std::vector<std::string> CrashSuspects::OnEnded(const std::string& aEndpoint,
+                                                WallTime aNow)
+{
+  ended_[aEndpoint] = aNow;
+  DropOldest(ended_, options_.most_, [](WallTime aAt) { return aAt; });
+  std::vector<std::string> marked;
+  for (auto& [fingerprint, suspect] : suspects_) {
+    const auto found = suspect.breaks_.find(aEndpoint);
+    if (found != suspect.breaks_.end() && !found->second.ended_ &&
+        aNow - found->second.at_ <= options_.proofWithin_) {
+      found->second.ended_ = true;
+      marked.push_back(fingerprint);
+    }
+  }
+  std::vector<std::string> quarantined;
+  for (const std::string& fingerprint : marked) {
+    if (Judge(fingerprint, aNow)) {
+      quarantined.push_back(fingerprint);
+    }
+  }
+  return quarantined;
+}
+
+std::set<std::string> CrashSuspects::EndedBy(const Suspect& aSuspect) const
+{
+  std::set<std::string> ended;
+  for (const auto& [endpoint, broken] : aSuspect.breaks_) {
+    if (broken.ended_) {
+      ended.insert(endpoint);
+    }
+  }
+  return ended;
+}
+
+// Says whether another request fell at all of these endpoints as well.
+bool CrashSuspects::IsShared(const std::string& aFingerprint,
+                             const std::set<std::string>& aEnded) const
+{
+  return std::any_of(
+    suspects_.begin(), suspects_.end(), [&](const auto& aEntry) {
+      const std::set<std::string> others = EndedBy(aEntry.second);
+      return aEntry.first != aFingerprint &&
+             std::includes(
+               others.begin(), others.end(), aEnded.begin(), aEnded.end());
     });
+}
+
+// Puts a request under quarantine when it has ended enough endpoints.
+bool CrashSuspects::Judge(const std::string& aFingerprint, WallTime aNow)
+{
+  const std::set<std::string> ended = EndedBy(suspects_.at(aFingerprint));
+  if (ended.size() < options_.endpoints_) {
+    return false;
+  }
+  if (ended.size() < options_.endpointsIfShared_ &&
+      IsShared(aFingerprint, ended)) {
     return false;
   }
   suspects_.erase(aFingerprint);
--- a/src/core/routing/gooseberrylift-endpoint-directory.cc
+++ b/src/core/routing/gooseberrylift-endpoint-directory.cc
@@ -1,16 +1,22 @@
 #include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
 
+#include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace gooseberrylift {
 
-void EndpointDirectory::OnList(const std::vector<ListedEndpoint>& aListed,
-                               TimePoint aNow)
+std::vector<ListedEndpoint> EndpointDirectory::OnList(
+  const std::vector<ListedEndpoint>& aListed,
+  TimePoint aNow)
 {
   std::set<std::string> seen;
+  std::vector<ListedEndpoint> reborn;
   for (const ListedEndpoint& listed : aListed) {
     seen.insert(listed.id_);
-    OnListed(listed);
+    if (OnListed(listed)) {
+      reborn.push_back(listed);
+    }
   }
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     const auto next = std::next(entry);
@@ -19,14 +25,23 @@
     }
     entry = next;
   }
+  return reborn;
 }
 
-void EndpointDirectory::OnListed(const ListedEndpoint& aListed)
+bool EndpointDirectory::OnListed(const ListedEndpoint& aListed)
 {
+  const auto [youngest, isNew] =
+    youngest_.try_emplace(aListed.id_, aListed.born_);
+  if (aListed.born_ < youngest->second) {
+    return false; // a late word of a former life
+  }
+  const bool reborn = !isNew && aListed.born_ > youngest->second;
+  youngest->second = aListed.born_;
   entries_[aListed.id_] = { .listed_ = aListed, .dropAt_ = std::nullopt };
   if (aListed.leaving_) {
-    leaving_.insert(aListed.id_);
+    leaving_[aListed.id_] = aListed.born_;
   }
+  return reborn;
 }
 
 void EndpointDirectory::OnRemoved(const std::string& aId, TimePoint aNow)
@@ -39,12 +54,21 @@
 
 void EndpointDirectory::OnStoreReturned(TimePoint aNow)
 {
-  relistUntil_ = aNow + options_.relistWithin_;
+  relistUntil_ = std::max(relistUntil_, aNow + options_.relistWithin_);
 }
 
 void EndpointDirectory::OnReplaced(const std::string& aId)
 {
-  leaving_.insert(aId);
+  const auto youngest = youngest_.find(aId);
+  if (youngest != youngest_.end()) {
+    leaving_[aId] = youngest->second;
+  }
+}
+
+bool EndpointDirectory::IsLeaving(const ListedEndpoint& aListed) const
+{
+  const auto left = leaving_.find(aListed.id_);
+  return left != leaving_.end() && aListed.born_ <= left->second;
 }
 
 // Right after an outage a missing entry says little: its lease lapsed because
@@ -74,7 +98,7 @@
 {
   std::vector<const ListedEndpoint*> usable;
   for (const auto& [id, entry] : entries_) {
-    if (entry.listed_.service_ == aService && !leaving_.contains(id)) {
+    if (entry.listed_.service_ == aService && !IsLeaving(entry.listed_)) {
       usable.push_back(&entry.listed_);
     }
   }
--- a/src/core/routing/gooseberrylift-fleet-load.cc
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -82,6 +82,12 @@
   }
 }
 
+void FleetLoad::OnReborn(const std::string& aEndpoint)
+{
+  own_.erase(aEndpoint);
+  shares_.erase(aEndpoint);
+}
+
 void FleetLoad::OnHeard(const std::string& aEndpoint, TimePoint aNow)
 {
   const auto found = own_.find(aEndpoint);
@@ -98,21 +104,46 @@
   if (aAt < peer.at_) {
     return; // words may overtake each other
   }
-  peer.at_ = aAt;
-  peer.shares_.clear();
-  OnMoreOfPeer(aHost, std::move(aShares));
+  for (const std::string& endpoint : peer.endpoints_) {
+    shares_[endpoint].erase(aHost);
+  }
+  peer = { .at_ = aAt };
+  Put(aHost, std::move(aShares), aAt);
 }
 
 void FleetLoad::OnMoreOfPeer(const std::string& aHost,
                              std::vector<EndpointShare> aShares)
+{
+  Put(aHost, std::move(aShares), peers_[aHost].at_);
+}
+
+void FleetLoad::OnChangeOfPeer(const std::string& aHost,
+                               std::vector<EndpointShare> aShares,
+                               TimePoint aAt)
+{
+  Peer& peer = peers_[aHost];
+  peer.at_ = std::max(peer.at_, aAt);
+  Put(aHost, std::move(aShares), aAt);
+}
+
+void FleetLoad::Put(const std::string& aHost,
+                    std::vector<EndpointShare> aShares,
+                    TimePoint aAt)
 {
   Peer& peer = peers_[aHost];
   for (EndpointShare& share : aShares) {
-    std::string id = share.id_;
-    peer.shares_.insert_or_assign(std::move(id), std::move(share));
+    peer.endpoints_.insert(share.id_);
+    PeerShare& kept = shares_[share.id_][aHost];
+    kept = { .share_ = std::move(share), .at_ = aAt };
   }
 }
 
+bool FleetLoad::Counts(const std::string& aHost, TimePoint aNow) const
+{
+  const auto peer = peers_.find(aHost);
+  return peer != peers_.end() && aNow - peer->second.at_ < options_.forgetPeer_;
+}
+
 EndpointShare FleetLoad::ShareOf(const std::string& aId,
                                  const Own& aOwn,
                                  TimePoint aNow)
@@ -156,10 +187,13 @@
   if (own != own_.end()) {
     add(ShareOf(aEndpoint, own->second, aNow), TimePoint::duration(0));
   }
-  for (const auto& [host, peer] : peers_) {
-    const auto share = peer.shares_.find(aEndpoint);
-    if (share != peer.shares_.end() && aNow - peer.at_ < options_.forgetPeer_) {
-      add(share->second, aNow - peer.at_);
+  const auto peers = shares_.find(aEndpoint);
+  if (peers == shares_.end()) {
+    return load;
+  }
+  for (const auto& [host, said] : peers->second) {
+    if (Counts(host, aNow)) {
+      add(said.share_, aNow - said.at_);
     }
   }
   return load;
@@ -170,20 +204,30 @@
   TimePoint aNow) const
 {
   std::optional<std::chrono::milliseconds> silent;
-  for (const auto& [host, peer] : peers_) {
-    const auto share = peer.shares_.find(aEndpoint);
-    if (share == peer.shares_.end() ||
-        aNow - peer.at_ >= options_.forgetPeer_) {
+  const auto peers = shares_.find(aEndpoint);
+  if (peers == shares_.end()) {
+    return silent;
+  }
+  for (const auto& [host, said] : peers->second) {
+    if (!Counts(host, aNow)) {
       continue;
     }
     const auto since =
-      share->second.silent_ +
-      duration_cast<std::chrono::milliseconds>(aNow - peer.at_);
+      said.share_.silent_ +
+      duration_cast<std::chrono::milliseconds>(aNow - said.at_);
     silent = std::min(silent.value_or(since), since);
   }
   return silent;
 }
 
+EndpointShare FleetLoad::OwnShare(const std::string& aEndpoint,
+                                  TimePoint aNow) const
+{
+  const auto own = own_.find(aEndpoint);
+  return own == own_.end() ? EndpointShare{ .id_ = aEndpoint }
+                           : ShareOf(aEndpoint, own->second, aNow);
+}
+
 std::vector<EndpointShare> FleetLoad::OwnShares(TimePoint aNow) const
 {
   std::vector<EndpointShare> shares;
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/routing/gooseberrylift-fleet-order.h"
 
@@ -55,6 +56,47 @@
   return *shard;
 }
 
+void Fleet::OnList(const std::vector<ListedEndpoint>& aListed)
+{
+  std::vector<ListedEndpoint> reborn;
+  {
+    const std::lock_guard lock(directoryMutex_);
+    reborn = directory_.OnList(aListed, TimerService::Now());
+  }
+  for (const ListedEndpoint& listed : reborn) {
+    ForgetFormerLife(listed);
+  }
+}
+
+void Fleet::OnListed(const ListedEndpoint& aListed)
+{
+  bool reborn = false;
+  {
+    const std::lock_guard lock(directoryMutex_);
+    reborn = directory_.OnListed(aListed);
+  }
+  if (reborn) {
+    ForgetFormerLife(aListed);
+  }
+}
+
+// The endpoint started again under its id. With the load, the silence and the
+// failures of its former life still counted it would be passed over while it
+// stands idle.
+void Fleet::ForgetFormerLife(const ListedEndpoint& aReborn)
+{
+  Log(LogEvent::kEndpointReborn,
+      { { "endpoint", aReborn.id_ },
+        { "born_ms", aReborn.born_.time_since_epoch().count() } });
+  if (options_.onReborn_) {
+    options_.onReborn_(aReborn.id_);
+  }
+  Shard& shard = ShardOf(aReborn.service_);
+  const std::lock_guard lock(shard.mutex_);
+  shard.load_.OnReborn(aReborn.id_);
+  shard.trust_.OnReborn(aReborn.id_);
+}
+
 std::vector<ListedEndpoint> Fleet::Ordered(const FleetQuery& aQuery)
 {
   std::vector<ListedEndpoint> endpoints;
@@ -156,7 +198,6 @@
   }
   auto byService = ByService(aWord.shares_);
   const std::lock_guard lock(shardsMutex_);
-  // Also those of which the peer said nothing: it has no work there any more.
   for (const auto& [service, shard] : shards_) {
     const std::lock_guard shardLock(shard->mutex_);
     if (aWord.first_) {
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -114,7 +114,7 @@
     }
     LogFailed(chosen, done.error());
     attempts_.OnFailed(done.error());
-    NoteBroken(chosen.endpoint_.id_, done.error());
+    NoteBroken(chosen.endpoint_, done.error());
     tried_.insert(chosen.endpoint_.id_);
     if (!MayRepeat(done.error())) {
       break;
@@ -133,14 +133,10 @@
   if (TimerService::Now() + kLeastRemaining >= request_.deadline_) {
     return MakeError(ResultCode::kDeadlineExceeded);
   }
-  {
-    const std::lock_guard lock(parts_.suspects_.mutex_);
-    if (parts_.suspects_.suspects_.IsQuarantined(
-          request_.fingerprint_, std::chrono::system_clock::now())) {
-      Error error = MakeError(ResultCode::kSuspectRequest);
-      error.retryAfter_ = kSuspectRetry;
-      return error;
-    }
+  if (parts_.suspects_.IsQuarantined(request_.fingerprint_)) {
+    Error error = MakeError(ResultCode::kSuspectRequest);
+    error.retryAfter_ = kSuspectRetry;
+    return error;
   }
   if (request_.keyed_ && !parts_.routes_.KeysAreProven()) {
     Error error = MakeError(ResultCode::kFreshnessLost);
@@ -349,23 +345,11 @@
 
 // Notes an endpoint that broke off after it had got the request. A silent one
 // is only slow or cut off, so it counts for nothing here.
-void RequestRun::NoteBroken(const std::string& aEndpoint, const Error& aError)
+void RequestRun::NoteBroken(const ListedEndpoint& aEndpoint,
+                            const Error& aError)
 {
-  if (aError.code_ != ResultCode::kEndpointBroken) {
-    return;
-  }
-  bool quarantined = false;
-  {
-    const std::lock_guard lock(parts_.suspects_.mutex_);
-    quarantined = parts_.suspects_.suspects_.OnBroken(
-      request_.fingerprint_, aEndpoint, std::chrono::system_clock::now());
-  }
-  if (quarantined) {
-    Log(LogEvent::kRequestSuspected,
-        { { "request_id", request_.facts_.attemptId_ },
-          { "fingerprint", request_.fingerprint_ },
-          { "endpoint", aEndpoint } });
-    parts_.tellSuspects_(); // the next host that gets it must know
+  if (aError.code_ == ResultCode::kEndpointBroken) {
+    parts_.suspects_.OnBroken(request_.fingerprint_, aEndpoint);
   }
 }
 
--- a/src/gateway/gooseberrylift-route-follower.cc
+++ b/src/gateway/gooseberrylift-route-follower.cc
@@ -1,5 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
 
+#include <algorithm>
+
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -124,16 +126,24 @@
 {
 }
 
-std::optional<ListedEndpoint> EndpointFollower::Read(
-  const StoreObject& aObject) const
+// An entry may come from another writer. It names no endpoint then, and is
+// logged once for each of its versions, however often it is read.
+std::optional<ListedEndpoint> EndpointFollower::Read(const StoreObject& aObject)
 {
   auto listed = dialect_.ReadListed(aObject);
-  if (!listed) {
+  if (listed) {
+    refused_.erase(aObject.name_);
+    return std::move(listed.value());
+  }
+  std::string& version = refused_[aObject.name_];
+  if (version.empty() || version != aObject.version_) {
+    version = aObject.version_;
     Log(LogEvent::kEntryRefused,
-        { { "endpoint", aObject.name_ }, { "fault", listed.error().text_ } });
-    return std::nullopt;
+        { { "endpoint", aObject.name_ },
+          { "store_version", aObject.version_ },
+          { "fault", listed.error().text_ } });
   }
-  return std::move(listed.value());
+  return std::nullopt;
 }
 
 void EndpointFollower::OnList(const std::vector<StoreObject>& aObjects)
@@ -145,31 +155,32 @@
       all.push_back(std::move(*listed));
     }
   }
-  const TimePoint now = TimerService::Now();
-  fleet_.WithDirectory(
-    [&](EndpointDirectory& aDirectory) { aDirectory.OnList(all, now); });
+  std::erase_if(refused_, [&aObjects](const auto& aRefused) {
+    return std::none_of(
+      aObjects.begin(), aObjects.end(), [&](const StoreObject& aObject) {
+        return aObject.name_ == aRefused.first;
+      });
+  });
+  fleet_.OnList(all);
 }
 
 void EndpointFollower::OnEvent(const StoreEvent& aEvent)
 {
   const std::string& id = aEvent.object_.name_;
-  if (aEvent.deleted_) {
+  const auto listed = aEvent.deleted_ ? std::nullopt : Read(aEvent.object_);
+  if (!listed) {
+    // Also an entry that names no endpoint any more is gone, as in a list.
     Log(LogEvent::kEndpointState, { { "endpoint", id }, { "state", "gone" } });
     const TimePoint now = TimerService::Now();
     fleet_.WithDirectory(
       [&](EndpointDirectory& aDirectory) { aDirectory.OnRemoved(id, now); });
     return;
   }
-  const auto listed = Read(aEvent.object_);
-  if (!listed) {
-    return;
-  }
   Log(LogEvent::kEndpointState,
       { { "endpoint", id },
         { "service", listed->service_ },
         { "state", listed->leaving_ ? "leaving" : "live" } });
-  fleet_.WithDirectory(
-    [&](EndpointDirectory& aDirectory) { aDirectory.OnListed(*listed); });
+  fleet_.OnListed(*listed);
 }
 
 void EndpointFollower::OnStore(bool aReachable)
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -105,6 +105,9 @@
         .partners_ = kPeerPartners,
         .roundsUntilGone_ = kPeerRoundsUntilGone,
         .relayed_ = kPeerRelayed })
+  , suspects_({ .client_ = client_,
+                .executor_ = context_.get_executor(),
+                .tell_ = [this] { peers_.TellNear(); } })
   , words_({ .executor_ = context_.get_executor(),
              .own_ = [this] { return fleet_.OwnShares(); },
              .peers_ = [this] { return peerAddresses_; },
@@ -126,8 +129,7 @@
                        .suspects_ = suspects_,
                        .executor_ = context_.get_executor(),
                        .loadChanged_ =
-                         [this](bool aUrgent) { words_.OnChange(aUrgent); },
-                       .tellSuspects_ = [this] { peers_.TellNear(); } } })
+                         [this](bool aUrgent) { words_.OnChange(aUrgent); } } })
   , callerServer_(
       context_.get_executor(),
       { .address_ = settings_.caller_.address_,
@@ -171,9 +173,7 @@
   digest.draining_ = board_.host_.Read()->draining_;
   digest.keysProven_ = routes_.KeysAreProven();
   digest.shares_ = fleet_.OwnShares();
-  const std::lock_guard lock(suspects_.mutex_);
-  digest.quarantine_ =
-    suspects_.suspects_.Entries(std::chrono::system_clock::now());
+  digest.quarantine_ = suspects_.Entries();
   return digest;
 }
 
@@ -190,11 +190,8 @@
     peerAddresses_.push_back(member.address_);
   }
   peersProven_ = proven;
-  {
-    const std::lock_guard lock(suspects_.mutex_);
-    for (const Digest& digest : aPeers.digests_) {
-      suspects_.suspects_.OnPeer(digest.quarantine_);
-    }
+  for (const Digest& digest : aPeers.digests_) {
+    suspects_.OnPeer(digest.quarantine_);
   }
   fleet_.Sweep();
   const std::lock_guard lock(repeats_.mutex_);
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -127,6 +127,17 @@
     line.push_back(std::move(aIdle));
   }
 
+  // Connects, until the limit.
+  static asio::awaitable<boost::system::error_code>
+  Open(Connection& aConnection, tcp::endpoint aEndpoint, TimePoint aLimit)
+  {
+    const OpGuard guard(
+      aConnection.socket_, co_await asio::this_coro::executor, aLimit);
+    const auto [code] =
+      co_await aConnection.socket_.async_connect(aEndpoint, kAwait);
+    co_return code;
+  }
+
   asio::awaitable<Outcome<std::unique_ptr<Connection>>> Connect(
     const std::string& aAddress,
     std::chrono::milliseconds aTimeout,
@@ -136,12 +147,11 @@
     if (!endpoint) {
       co_return endpoint.error();
     }
-    const auto executor = co_await asio::this_coro::executor;
-    auto connection = std::make_unique<Connection>(executor);
+    auto connection =
+      std::make_unique<Connection>(co_await asio::this_coro::executor);
     const TimePoint limit = std::min(aDeadline, TimerService::Now() + aTimeout);
-    const OpGuard guard(connection->socket_, executor, limit);
-    const auto [code] =
-      co_await connection->socket_.async_connect(endpoint.value(), kAwait);
+    const boost::system::error_code code =
+      co_await Open(*connection, endpoint.value(), limit);
     if (code) {
       co_return Error{ .code_ = ResultCode::kEndpointUnreachable,
                        .text_ = aAddress + ": " + code.message() };
@@ -341,6 +351,19 @@
   co_return std::unique_ptr<HttpCall>(std::move(call));
 }
 
+asio::awaitable<bool> HttpClient::IsRefused(std::string aAddress,
+                                            std::chrono::milliseconds aTimeout)
+{
+  const auto endpoint = ParseAddress(aAddress);
+  if (!endpoint) {
+    co_return false;
+  }
+  Connection connection(co_await asio::this_coro::executor);
+  const auto code = co_await Impl::Open(
+    connection, endpoint.value(), TimerService::Now() + aTimeout);
+  co_return code == asio::error::connection_refused;
+}
+
 asio::awaitable<Outcome<std::unique_ptr<HttpCall>>> HttpClient::Start(
   std::string aAddress,
   HttpRequest aRequest,
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -93,6 +93,11 @@
                 LogLevel::kWarning,
                 "entry-refused",
                 "An endpoint's entry in the store is wrong and was left out." },
+  LogEventInfo{ kEndpointReborn,
+                LogLevel::kInfo,
+                "endpoint-reborn",
+                "An endpoint started again under the id that it had; what was "
+                "known of its former life is forgotten." },
   LogEventInfo{ kRequestFinished,
                 LogLevel::kDebug,
                 "request-finished",
--- a/test/core/gooseberrylift-endpoint-directory-test.cc
+++ b/test/core/gooseberrylift-endpoint-directory-test.cc
@@ -17,6 +17,15 @@
     return { .id_ = aId, .service_ = "engines", .leaving_ = aLeaving };
   }
 
+  static ListedEndpoint Born(const std::string& aId,
+                             std::chrono::milliseconds aBorn,
+                             bool aLeaving = false)
+  {
+    ListedEndpoint listed = Listed(aId, aLeaving);
+    listed.born_ = BirthTime(aBorn);
+    return listed;
+  }
+
   std::size_t Usable() const
   {
     return directory_.Usable("engines").size();
@@ -40,6 +49,45 @@
   LONGS_EQUAL(0, Usable());
 }
 
+// Callers must reach an engine that crashed while it was leaving and is back
+// under its id. The order: the former life is listed as leaving, the new one as
+// live, and a late word of the former life comes last. Why: leaving belongs to
+// one life, and a former life's word says nothing of the new one.
+TEST(EndpointDirectoryTest, UsesAnEndpointThatStartedAgainAfterItWasLeaving)
+{
+  directory_.OnListed(Born("a", 100ms, true));
+  CHECK_TRUE(directory_.OnListed(Born("a", 200ms)));
+  LONGS_EQUAL(1, Usable());
+  CHECK_FALSE(directory_.OnListed(Born("a", 100ms, true)));
+  LONGS_EQUAL(1, Usable());
+  directory_.OnListed(Born("a", 200ms, true));
+  LONGS_EQUAL(0, Usable());
+}
+
+// The order: the entry lapses behind a cut, the engine starts again and lists
+// itself, and a host that was told by its answer that the former life is gone
+// must take the new one as new.
+TEST(EndpointDirectoryTest, TellsARebirthAlsoAfterTheEntryWasMissing)
+{
+  CHECK_FALSE(directory_.OnListed(Born("a", 100ms)));
+  directory_.OnReplaced("a");
+  directory_.OnRemoved("a", now_);
+  LONGS_EQUAL(0, Usable());
+  const auto reborn = directory_.OnList({ Born("a", 300ms) }, now_);
+  LONGS_EQUAL(1, reborn.size());
+  LONGS_EQUAL(1, Usable());
+}
+
+// A list that was read before the rebirth and comes late brings the former life
+// back nowhere, nor does it drop the new one.
+TEST(EndpointDirectoryTest, TakesNothingFromALateListOfAFormerLife)
+{
+  directory_.OnListed(Born("a", 200ms));
+  CHECK_TRUE(directory_.OnList({ Born("a", 100ms, true) }, now_).empty());
+  LONGS_EQUAL(1, Usable());
+  LONGS_EQUAL(200, directory_.Find("a")->born_.time_since_epoch().count());
+}
+
 TEST(EndpointDirectoryTest, DropsAnEndpointWhoseAddressAnswersAsAnother)
 {
   directory_.OnListed(Listed("a"));
--- a/test/integration/harness-gateway.cc
+++ b/test/integration/harness-gateway.cc
@@ -108,7 +108,9 @@
   const json entry = { { "service", aService },
                        { "address", aFake.Address() },
                        { "zone", "zone-a" },
+                       { "version", "v1" },
                        { "slots", 16 },
+                       { "sequence", 1 },
                        { "state", aState } };
   store_->Control({ { "put", { { key, entry } } } });
 }
