--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -208,7 +208,10 @@
                           .remaining_ = 15s,
                           .patience_ = 12s };
 
-  HoldVerdict Judged() const { return HoldLong(question_, HoldOptions{}); }
+  HoldVerdict Judged() const
+  {
+    return HoldLong(question_, HoldOptions{});
+  }
 };
 
 TEST(LongHoldTest, SendsAShortReadWhereItHoldsALongOne)
--- a/test/integration/harness-gateway.cc
+++ b/test/integration/harness-gateway.cc
@@ -105,12 +105,9 @@
                              const std::string& aState)
 {
   const std::string key = std::string(names::kEndpointsKind) + "/" + aId;
-  const json entry = { { "service", aService },
-                       { "address", aFake.Address() },
-                       { "zone", "zone-a" },
-                       { "version", "v1" },
-                       { "slots", 16 },
-                       { "sequence", 1 },
+  const json entry = { { "service", aService }, { "address", aFake.Address() },
+                       { "zone", "zone-a" },    { "version", "v1" },
+                       { "slots", 16 },         { "sequence", 1 },
                        { "state", aState } };
   store_->Control({ { "put", { { key, entry } } } });
 }
