--- a/include/gooseberrylift/internal/gooseberrylift-store-relay.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-relay.h
@@ -44,7 +44,7 @@
 // that. No clocks are compared, only spans on clocks that count suspension; a
 // reader that stands still, or an answer that comes late, shortens the lease.
 //
-// Safe from any thread.
+// Asking and waiting belong to one executor; the rest is safe from any thread.
 class StoreRelay
 {
 public:
--- a/test/core/gooseberrylift-store-view-test.cc
+++ b/test/core/gooseberrylift-store-view-test.cc
@@ -165,6 +165,7 @@
 
 TEST_GROUP(ReaderChoiceTest){ static std::vector<std::string> Hosts(int aCount){
   std::vector<std::string> hosts;
+hosts.reserve(static_cast<std::size_t>(aCount));
 for (int host = 0; host < aCount; ++host) {
   hosts.push_back("host-" + std::to_string(host));
 }
