--- /dev/null
+++ b/test/integration/gooseberrylift-gateway-peers-test.cc
@@ -0,0 +1,127 @@
+// Hosts that serve routes, and what they tell each other: requests in work, and
+// requests that end endpoints.
+
+#include "harness-gateway.h"
+
+#include <cstdlib>
+#include <string>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Gives how many words of load a host has heard.
+int LoadWordsAt(GatewayDeployment& aDeployment, std::size_t aHost)
+{
+  const auto answer =
+    Send(aDeployment.At(aHost).AdminPort(), MakeRequest("GET", "/metrics", ""));
+  const std::string& text = answer.value().body_;
+  const std::string name = "\ngooseberrylift_load_words_total ";
+  const std::size_t at = text.find(name);
+  return at == std::string::npos ? 0
+                                 : std::atoi(text.c_str() + at + name.size());
+}
+
+} // namespace
+
+TEST_GROUP(GatewayTest){};
+
+// Callers of a third endpoint must not suffer from a request that has ended
+// two. The order: one host gives it to two endpoints, both of which end; the
+// other host hears of it and refuses it, truthfully, while the third one lives.
+TEST(GatewayTest, TellsOtherHostsOfARequestThatEndsEndpoints)
+{
+  GatewayDeployment deployment({ .hosts_ = 2, .boards_ = 3 });
+  for (std::size_t board : { 0, 1, 2 }) {
+    deployment.Board(board).Control({ { "fault", "crash" }, { "times", 99 } });
+  }
+  const auto ask = [&](std::size_t aHost, const std::string& aAttempt) {
+    return Send(deployment.At(aHost).Port(),
+                RouteRequest("GET", "/safe/poison", aAttempt));
+  };
+  LONGS_EQUAL(502, ask(0, "at-1").value().status_);
+  CHECK_FALSE(
+    deployment.At(0).Handle().WaitForLine("request-suspected", 5s).empty());
+  // The other host has it within a round of words.
+  std::this_thread::sleep_for(2s);
+  const auto refused = ask(1, "at-2");
+  LONGS_EQUAL(503, refused.value().status_);
+  LONGS_EQUAL(69, CodeOf(refused.value()));
+  // It reached no endpoint: the only one left has not seen it.
+  int left = 0;
+  for (std::size_t board : { 0, 1, 2 }) {
+    if (deployment.Board(board).Handle().WaitForExit(100ms) == -1) {
+      ++left;
+      LONGS_EQUAL(
+        0, deployment.Board(board).Stats().at("arrived").value("at-2", 0));
+    }
+  }
+  LONGS_EQUAL(1, left);
+}
+
+// The caller's good request must stay welcome. The order: two endpoints run it
+// and lose its answer, but live on; its caller sends it again and again. Why: a
+// broken connection is no proof that the endpoint behind it ended.
+TEST(GatewayTest, RefusesNoRequestForAnswersThatLivingEndpointsLost)
+{
+  GatewayDeployment deployment({});
+  for (std::size_t board : { 0, 1 }) {
+    deployment.Board(board).Control({ { "fault", "drop" }, { "times", 2 } });
+  }
+  const auto ask = [&](const std::string& aAttempt) {
+    return deployment.Ask(RouteRequest("GET", "/safe/good", aAttempt))
+      .value()
+      .status_;
+  };
+  LONGS_EQUAL(502, ask("at-1"));
+  std::this_thread::sleep_for(500ms);
+  LONGS_EQUAL(502, ask("at-2"));
+  std::this_thread::sleep_for(500ms);
+  LONGS_EQUAL(200, ask("at-3"));
+}
+
+// Callers of a host's first request must not find an engine full that the host
+// takes for idle. The order: one host has a request in work and says so, and
+// only then another host gets its first one. Why: what peers said before counts
+// as well.
+TEST(GatewayTest, CountsTheRequestsOfOthersFromItsFirstOneOn)
+{
+  GatewayDeployment deployment(
+    { .hosts_ = 2,
+      .engines_ = 1,
+      .engine_ = { { "event_ms", 200 }, { "events", 60 } } });
+  std::thread caller(
+    [&] { Send(deployment.At(0).Port(), StreamRequest("at-1")); });
+  CHECK_TRUE(WaitUntil(10s, [&] { return LoadWordsAt(deployment, 1) > 1; }));
+  Send(deployment.At(1).Port(), StreamRequest("at-2"), 500ms);
+  const std::string placed =
+    deployment.At(1).Handle().WaitForLine("request-placed", 2s);
+  CHECK_TRUE(placed.find("\"running\":1") != std::string::npos);
+  caller.join();
+}
+
+// Hosts hear of each other's requests while these run, in words of their own.
+TEST(GatewayTest, TellsOtherHostsWhatItHasInWork)
+{
+  GatewayDeployment deployment(
+    { .hosts_ = 2,
+      .engines_ = 1,
+      .engine_ = { { "event_ms", 100 }, { "events", 30 } } });
+  CHECK_TRUE(WaitUntil(20s, [&] {
+    std::thread caller(
+      [&] { Send(deployment.At(0).Port(), StreamRequest("at-1")); });
+    std::this_thread::sleep_for(1s);
+    Send(deployment.At(1).Port(), StreamRequest("at-2"));
+    caller.join();
+    return !deployment.At(1)
+              .Handle()
+              .WaitForLine("\"running\":1", 100ms)
+              .empty();
+  }));
+  CHECK_TRUE(LoadWordsAt(deployment, 1) > 0);
+}
