Read the store at once after a start

Cause: hosts that started waited to hear from others what the store shows, to save two calls each.

Change: a host that knows nothing reads at once, whatever its rank.

Ruled out: a shorter wait (hosts start up to 0.3 s apart, so it saves nothing where it is not felt).

--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -90,10 +90,6 @@
 
   StoreFollower(Parts aParts, Options aOptions);
 
-  /// Says until when a host that knows nothing yet waits to hear it from
-  /// others.
-  void WaitUntil(TimePoint aUntil) { turn_.WaitUntil(aUntil); }
-
   /// Follows until cancelled.
   boost::asio::awaitable<void> Run();
 
--- a/include/gooseberrylift/membership/gooseberrylift-read-turn.h
+++ b/include/gooseberrylift/membership/gooseberrylift-read-turn.h
@@ -50,7 +50,9 @@
 // host's bound is reached; when it falls silent or loses the store the next one
 // finds its bound reached, and so on; the first that succeeds goes on each
 // second. Nobody is elected and nobody is told: hosts which see different
-// fleets read more often, never less.
+// fleets read more often, never less. A host that has just started reads at
+// once, whatever others know: its callers wait, and are refused for want of
+// routes until it has them.
 //
 // The bound follows the rank among all live hosts, also those that have lost
 // the store: else each failure would bring all the others closer to their
@@ -96,10 +98,6 @@
   {
   }
 
-  /// Says until when a host that knows nothing yet waits to hear it from
-  /// others.
-  void WaitUntil(TimePoint aUntil) { startAt_ = aUntil; }
-
   /// Gives how long until this host is to read; zero or less when it is.
   /// @param aAge of the youngest reading known; nothing without one
   std::chrono::milliseconds DueIn(TimePoint aNow,
@@ -124,7 +122,6 @@
 
   Options options_;
   int failures_ = 0; // in a row
-  TimePoint startAt_{};
   TimePoint tryAt_{};             // no try before
   std::optional<TimePoint> read_; // the last time that it succeeded
 };
--- a/src/core/membership/gooseberrylift-read-turn.cc
+++ b/src/core/membership/gooseberrylift-read-turn.cc
@@ -75,8 +75,7 @@
                              std::optional<milliseconds> aAge,
                              const ReadRank& aRank) const
 {
-  const TimePoint earliest = aAge ? tryAt_ : std::max(tryAt_, startAt_);
-  const auto pause = ceil<milliseconds>(earliest - aNow);
+  const auto pause = ceil<milliseconds>(tryAt_ - aNow);
   if (!aAge) {
     return pause;
   }
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -52,15 +52,6 @@
 // By which a host fetches from another what it lacks of the store's objects.
 constexpr const char* kStoreMethod = "store";
 
-// How long a host that starts waits to hear from others what the store shows,
-// and some of chance, so that hundreds that start together don't all read at
-// once. Its callers wait meanwhile: with half a second 20 requests were refused
-// after 23 hosts had lost power. Without the hosts' key it can't speak with
-// others, and reads for itself after two seconds.
-constexpr milliseconds kHearWithin{ 150 };
-constexpr milliseconds kHearJitter{ 100 };
-constexpr milliseconds kKeyWithin{ 2'000 };
-
 std::unique_ptr<ObjectStore> MakeStore(HttpClient& aClient,
                                        const Settings& aSettings,
                                        Metrics& aMetrics)
@@ -186,9 +177,6 @@
     return follower_.Answer(aParams);
   });
   ApplyBounds(*settings_.gateway_);
-  if (!IsSeed() && !settings_.peerSeeds_.empty()) {
-    follower_.WaitUntil(TimerService::Now() + kKeyWithin);
-  }
   board_.routes_.Subscribe([this](const auto& aSnapshot) {
     const CallerLimits& limits = aSnapshot->table_->Limits();
     callerServer_.SetLimits({ .maxHeaderBytes_ = limits.maxHeaderBytes_,
@@ -248,7 +236,6 @@
       peers.near_.push_back(member.address_);
     }
   }
-  const bool first = nearPeers_.empty() && farPeers_.empty();
   nearPeers_.clear();
   farPeers_.clear();
   std::vector<const Digest*> after; // in the own zone, by rank
@@ -281,9 +268,6 @@
     peers.successors_.push_back(after[index]->peerAddress_);
   }
   words_.SetPeers(peers);
-  if (first && !aPeers.digests_.empty()) {
-    headlines_.AskNow(); // a host that has just started waits for it
-  }
 }
 
 std::vector<PeerMember> GatewayHost::DrawPeers()
@@ -378,10 +362,6 @@
   if (settings_.gateway_->relaysStore_) {
     headlines_.Start();
   }
-  if (!startsFleet) {
-    const milliseconds jitter(Seed() % kHearJitter.count());
-    follower_.WaitUntil(TimerService::Now() + kHearWithin + jitter);
-  }
   peers_.Start(peerServer_.Port(), { key }, AdminAddress());
 }
 
--- a/src/runtime/gooseberrylift-peer-exchange.cc
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -184,8 +184,8 @@
   }
 }
 
-// A host that has just started asks often until another one answers: it serves
-// nobody before.
+// A host that has just started asks often until another one answers: before, it
+// places requests without knowing what others have placed.
 milliseconds PeerExchange::Round() const
 {
   if (alone_ && !parts_.settings_.peerSeeds_.empty()) {
