--- a/include/gooseberrylift/internal/gooseberrylift-load-words.h
+++ b/include/gooseberrylift/internal/gooseberrylift-load-words.h
@@ -65,8 +65,8 @@
     // one host of each zone, which passes it on: with 60 hosts a zone and five
     // zones each host sends and gets 40 datagrams a second. Callers got 0.888
     // of the worth with 50 ms, 0.871 with 100 and 0.866 with 250 (pass-bench,
-    // site notes-large, seed 1), and the smallest hosts have an eighth of a core
-    // for all that they do.
+    // site notes-large, seed 1), and the smallest hosts have an eighth of a
+    // core for all that they do.
     std::chrono::milliseconds sums_{ 100 };
   };
 
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -153,10 +153,10 @@
   Attempts attempts_;
   EventSequence events_;
   std::set<std::string> tried_;
-  int sends_ = 0;           // endpoints that got bytes of the request
+  int sends_ = 0; // endpoints that got bytes of the request
   TimePoint::duration unreachable_{ 0 }; // lost on endpoints not connected to
-  bool repeatPaid_ = false; // for the next send
-  bool streaming_ = false;  // the head of a stream is out
+  bool repeatPaid_ = false;              // for the next send
+  bool streaming_ = false;               // the head of a stream is out
   int status_ = 0;
   // An endpoint's failure, kept to be delivered when a repeat brings nothing
   // better.
--- a/include/gooseberrylift/membership/gooseberrylift-read-turn.h
+++ b/include/gooseberrylift/membership/gooseberrylift-read-turn.h
@@ -121,7 +121,7 @@
   std::chrono::milliseconds PauseOf(const ReadRank& aRank) const;
 
   Options options_;
-  int failures_ = 0; // in a row
+  int failures_ = 0;              // in a row
   TimePoint tryAt_{};             // no try before
   std::optional<TimePoint> read_; // the last time that it succeeded
 };
