--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -114,6 +114,7 @@
   boost::asio::awaitable<bool> ReadRoutes();
   boost::asio::awaitable<bool> ReadEndpoints();
   boost::asio::awaitable<void> Fetch(PeerMember aPeer);
+  nlohmann::json Question() const;
   void TakeIn(const nlohmann::json& aAnswer, BootTime aAsked);
   void Publish(const std::string& aKind, const ViewNews& aNews);
   void OnProof(BootTime aBegan);
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -107,9 +107,13 @@
 {
   // A host takes requests as soon as it has routes, so it learns first where to
   // send them: the other way round its first callers were refused.
-  const bool isFirst = endpoints_.Revision() == 0;
-  bool read = !isFirst || co_await ReadEndpoints();
-  read = read && co_await ReadRoutes();
+  bool read = true;
+  if (endpoints_.Revision() == 0) {
+    read = co_await ReadEndpoints();
+  }
+  if (read) {
+    read = co_await ReadRoutes();
+  }
   if (read && endpoints_.Revision() < routes_.Revision()) {
     read = co_await ReadEndpoints();
   }
@@ -187,12 +191,17 @@
   }
 }
 
+json StoreFollower::Question() const
+{
+  return { { kRoutes, routes_.Revision() },
+           { kEndpoints, endpoints_.Revision() } };
+}
+
 asio::awaitable<void> StoreFollower::Fetch(PeerMember aPeer)
 {
   fetching_ = true;
   const BootTime asked = TimerService::BootNow();
-  json question = { { kRoutes, routes_.Revision() },
-                    { kEndpoints, endpoints_.Revision() } };
+  json question = Question();
   const auto answer = co_await parts_.call_(
     aPeer, std::move(question), TimerService::Now() + options_.peerTimeout_);
   fetching_ = false;
