--- a/include/gooseberrylift/internal/gooseberrylift-headline-words.h
+++ b/include/gooseberrylift/internal/gooseberrylift-headline-words.h
@@ -21,8 +21,8 @@
 namespace gooseberrylift {
 
 // Each round a few hosts, drawn anew. In datagrams, since a call needs a
-// connection and HTTP on either side, and a lost question is as good as answered
-// by the next one. All of it runs on one executor.
+// connection and HTTP on either side, and a lost question is as good as
+// answered by the next one. All of it runs on one executor.
 class HeadlineWords
 {
 public:
