--- a/bench/gooseberrylift-pass-sites.cc
+++ b/bench/gooseberrylift-pass-sites.cc
@@ -21,6 +21,62 @@
            .usualAnswerTokens_ = 1541 };
 }
 
+// What one site has of a kind of request that others have otherwise.
+struct Kind
+{
+  double perSecond_;
+  double eventsMean_;
+  milliseconds maxGap_;
+  double worth_;
+  double lateWorth_;
+};
+
+// The longest prompts are all that differs in size between sites.
+struct LongPrompts
+{
+  double mean_;
+  double most_;
+  milliseconds objective_;
+};
+
+// The three kinds that all sites have, the shortest gaps first.
+std::vector<PassClass> ThreeKinds(const Kind& aShort,
+                                  const Kind& aMiddle,
+                                  const Kind& aLong,
+                                  const LongPrompts& aPrompts)
+{
+  const auto make = [](const Kind& aKind, PassClass aClass) {
+    aClass.perSecond_ = aKind.perSecond_;
+    aClass.eventsMean_ = aKind.eventsMean_;
+    aClass.maxGap_ = aKind.maxGap_;
+    aClass.worth_ = aKind.worth_;
+    aClass.lateWorth_ = aKind.lateWorth_;
+    return aClass;
+  };
+  return { make(aShort,
+                { .name_ = "short",
+                  .promptMean_ = 4960,
+                  .promptSpread_ = 0.9,
+                  .promptMost_ = 23'800,
+                  .eventsSpread_ = 0.7,
+                  .objective_ = milliseconds(300) }),
+           make(aMiddle,
+                { .name_ = "middle",
+                  .promptMean_ = 45'000,
+                  .promptSpread_ = 0.5,
+                  .promptMost_ = 110'000,
+                  .eventsSpread_ = 0.6,
+                  .objective_ = milliseconds(1500) }),
+           make(aLong,
+                { .name_ = "long",
+                  .promptMean_ = aPrompts.mean_,
+                  .promptSpread_ = 0.55,
+                  .promptMost_ = aPrompts.most_,
+                  .eventsSpread_ = 0.5,
+                  .objective_ = aPrompts.objective_,
+                  .deadline_ = milliseconds(15'000) }) };
+}
+
 // Engines that hold hardly more than one long prompt, and many small hosts
 // before them.
 PassSite ContractsSite(bool aLarge)
@@ -39,42 +95,25 @@
                                .stride_ = aLarge ? 48 : 43,
                                .hopMs_ = 0.075,
                                .usualAnswerTokens_ = 1409 } };
-  site.classes_ = {
-    { .name_ = "short",
-      .perSecond_ = aLarge ? 130.0 : 49.0,
-      .promptMean_ = 4960,
-      .promptSpread_ = 0.9,
-      .promptMost_ = 23'800,
-      .eventsMean_ = 31.6,
-      .eventsSpread_ = 0.7,
-      .objective_ = milliseconds(300),
-      .maxGap_ = milliseconds(250),
-      .worth_ = 1.3,
-      .lateWorth_ = 0.33 },
-    { .name_ = "middle",
-      .perSecond_ = aLarge ? 8.84 : 2.67,
-      .promptMean_ = 45'000,
-      .promptSpread_ = 0.5,
-      .promptMost_ = 110'000,
-      .eventsMean_ = 19,
-      .eventsSpread_ = 0.6,
-      .objective_ = milliseconds(1500),
-      .maxGap_ = milliseconds(600),
-      .worth_ = aLarge ? 3.3 : 3.9,
-      .lateWorth_ = aLarge ? 0.83 : 0.98 },
-    { .name_ = "long",
-      .perSecond_ = aLarge ? 5.45 : 2.24,
-      .promptMean_ = aLarge ? 190'000.0 : 133'000.0,
-      .promptSpread_ = 0.55,
-      .promptMost_ = 600'000,
-      .eventsMean_ = 15.8,
-      .eventsSpread_ = 0.5,
-      .objective_ = milliseconds(aLarge ? 3'000 : 2'500),
-      .maxGap_ = milliseconds(1000),
-      .deadline_ = milliseconds(15'000),
-      .worth_ = aLarge ? 20.0 : 15.0,
-      .lateWorth_ = aLarge ? 5.1 : 3.7 },
-  };
+  site.classes_ =
+    ThreeKinds({ .perSecond_ = aLarge ? 130.0 : 49.0,
+                 .eventsMean_ = 31.6,
+                 .maxGap_ = milliseconds(250),
+                 .worth_ = 1.3,
+                 .lateWorth_ = 0.33 },
+               { .perSecond_ = aLarge ? 8.84 : 2.67,
+                 .eventsMean_ = 19,
+                 .maxGap_ = milliseconds(600),
+                 .worth_ = aLarge ? 3.3 : 3.9,
+                 .lateWorth_ = aLarge ? 0.83 : 0.98 },
+               { .perSecond_ = aLarge ? 5.45 : 2.24,
+                 .eventsMean_ = 15.8,
+                 .maxGap_ = milliseconds(1000),
+                 .worth_ = aLarge ? 20.0 : 15.0,
+                 .lateWorth_ = aLarge ? 5.1 : 3.7 },
+               { .mean_ = aLarge ? 190'000.0 : 133'000.0,
+                 .most_ = 600'000,
+                 .objective_ = milliseconds(aLarge ? 3'000 : 2'500) });
   site.phases_ = { { 2, 11.5, { 0.37, 1.3, 2.8 } },
                    { 12, 21.5, { 2.45, 0.5, 0.05 } },
                    { 23, 32.5, { 0.37, 1.3, 2.8 } } };
@@ -89,40 +128,23 @@
   };
   site.figures_.slots_ = 10;
   site.figures_.stride_ = 73;
-  site.classes_ = { { .name_ = "short",
-                      .perSecond_ = 282,
-                      .promptMean_ = 4960,
-                      .promptSpread_ = 0.9,
-                      .promptMost_ = 23'800,
-                      .eventsMean_ = 24,
-                      .eventsSpread_ = 0.7,
-                      .objective_ = milliseconds(300),
-                      .maxGap_ = milliseconds(250),
-                      .worth_ = 1.4,
-                      .lateWorth_ = 0.34 },
-                    { .name_ = "middle",
-                      .perSecond_ = 30.2,
-                      .promptMean_ = 45'000,
-                      .promptSpread_ = 0.5,
-                      .promptMost_ = 110'000,
-                      .eventsMean_ = 15,
-                      .eventsSpread_ = 0.6,
-                      .objective_ = milliseconds(1500),
-                      .maxGap_ = milliseconds(600),
-                      .worth_ = 2.3,
-                      .lateWorth_ = 0.58 },
-                    { .name_ = "long",
-                      .perSecond_ = 6.91,
-                      .promptMean_ = 300'000,
-                      .promptSpread_ = 0.55,
-                      .promptMost_ = 1'000'000,
-                      .eventsMean_ = 12,
-                      .eventsSpread_ = 0.5,
-                      .objective_ = milliseconds(4000),
-                      .maxGap_ = milliseconds(1000),
-                      .deadline_ = milliseconds(15'000),
-                      .worth_ = 26,
-                      .lateWorth_ = 6.6 } };
+  site.classes_ = ThreeKinds(
+    { .perSecond_ = 282,
+      .eventsMean_ = 24,
+      .maxGap_ = milliseconds(250),
+      .worth_ = 1.4,
+      .lateWorth_ = 0.34 },
+    { .perSecond_ = 30.2,
+      .eventsMean_ = 15,
+      .maxGap_ = milliseconds(600),
+      .worth_ = 2.3,
+      .lateWorth_ = 0.58 },
+    { .perSecond_ = 6.91,
+      .eventsMean_ = 12,
+      .maxGap_ = milliseconds(1000),
+      .worth_ = 26,
+      .lateWorth_ = 6.6 },
+    { .mean_ = 300'000, .most_ = 1'000'000, .objective_ = milliseconds(4000) });
   site.phases_ = { { 2, 11.5, { 0.34, 1.3, 2.8 } },
                    { 13, 22.5, { 2.5, 0.5, 0.05 } },
                    { 23, 32.5, { 0.32, 1.3, 2.6 } } };
@@ -146,42 +168,23 @@
     site.engines_ = 18;
     rate = 0.65;
   }
-  site.classes_ = {
-    { .name_ = "short",
-      .perSecond_ = 50.5 * rate,
-      .promptMean_ = 4960,
-      .promptSpread_ = 0.9,
-      .promptMost_ = 23'800,
+  site.classes_ = ThreeKinds(
+    { .perSecond_ = 50.5 * rate,
       .eventsMean_ = 34.9,
-      .eventsSpread_ = 0.7,
-      .objective_ = milliseconds(300),
       .maxGap_ = milliseconds(200),
       .worth_ = 1.3,
       .lateWorth_ = 0.33 },
-    { .name_ = "middle",
-      .perSecond_ = 3.66 * rate,
-      .promptMean_ = 45'000,
-      .promptSpread_ = 0.5,
-      .promptMost_ = 110'000,
+    { .perSecond_ = 3.66 * rate,
       .eventsMean_ = 20.9,
-      .eventsSpread_ = 0.6,
-      .objective_ = milliseconds(1500),
       .maxGap_ = milliseconds(500),
       .worth_ = 3.1,
       .lateWorth_ = 0.79 },
-    { .name_ = "long",
-      .perSecond_ = 1.52 * rate,
-      .promptMean_ = 210'000,
-      .promptSpread_ = 0.55,
-      .promptMost_ = 1'000'000,
+    { .perSecond_ = 1.52 * rate,
       .eventsMean_ = 17.4,
-      .eventsSpread_ = 0.5,
-      .objective_ = milliseconds(3000),
       .maxGap_ = milliseconds(800),
-      .deadline_ = milliseconds(15'000),
       .worth_ = 22,
       .lateWorth_ = 5.4 },
-  };
+    { .mean_ = 210'000, .most_ = 1'000'000, .objective_ = milliseconds(3000) });
   site.phases_ = { { 2, 11.5, { 0.33, 1.3, 2.75 } },
                    { 12, 21.5, { 2.45, 0.5, 0.05 } },
                    { 23, 32.5, { 0.33, 1.3, 2.75 } } };
