Take a list of the store in once, and move what it brought

Both readings of the store had the same end, the reader copied the whole route document each second only to find it unchanged, whether the store is lost was kept beside the turn that knows it, and the endpoints of a service were copied twice for each draw. The end stands in one function, lists are moved, the rest is asked where it is known. A comment said of a question's number that it can't be guessed; what counts is that it is a new one.

Behaviour is the same. The three programs of process tests of hosts that serve routes pass (34 tests).

--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -170,7 +170,8 @@
     Endpoints endpoints_;
   };
 
-  Endpoints Usable(const std::string& aService); // with the directory locked
+  // With the directory locked.
+  std::vector<ListedEndpoint> Usable(const std::string& aService) const;
   Endpoints Ordered(const FleetQuery& aQuery);
 
   Options options_;
--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -114,6 +114,7 @@
   boost::asio::awaitable<bool> ReadRoutes();
   boost::asio::awaitable<bool> ReadEndpoints();
   boost::asio::awaitable<void> Fetch(PeerMember aPeer);
+  void TakeInList(const std::string& aKind, StoreView& aView, StoreList aList);
   nlohmann::json Question() const;
   void TakeIn(const nlohmann::json& aAnswer, BootTime aAsked);
   void Publish(const std::string& aKind, const ViewNews& aNews);
@@ -129,7 +130,6 @@
   StoreView endpoints_{ StoreView::Options{} };
   std::optional<BootTime> proof_;
   bool fetching_ = false;
-  bool lost_ = false;
   bool reads_ = false; // as last logged
 };
 
--- a/src/clients/gooseberrylift-headline-words.cc
+++ b/src/clients/gooseberrylift-headline-words.cc
@@ -22,8 +22,8 @@
     TimerService::Every(options_.round_, parts_.executor_, [this] { Ask(); });
 }
 
-// The number of a question can't be guessed, so a recorded answer proves
-// nothing to a later question.
+// Each question has a number of its own, so a recorded answer proves nothing to
+// a later one.
 void HeadlineWords::Ask()
 {
   ForgetOld();
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -92,11 +92,11 @@
   }
 }
 
-Fleet::Endpoints Fleet::Usable(const std::string& aService)
+std::vector<ListedEndpoint> Fleet::Usable(const std::string& aService) const
 {
-  auto usable = std::make_shared<std::vector<ListedEndpoint>>();
+  std::vector<ListedEndpoint> usable;
   for (const ListedEndpoint* listed : directory_.Usable(aService)) {
-    usable->push_back(*listed);
+    usable.push_back(*listed);
   }
   return usable;
 }
@@ -110,13 +110,13 @@
   if (!aQuery.figures_) {
     // Hosts with equal views would all take the first.
     return std::make_shared<std::vector<ListedEndpoint>>(
-      OrderByDraw(*Usable(aQuery.service_), aQuery.draw_));
+      OrderByDraw(Usable(aQuery.service_), aQuery.draw_));
   }
   Order& order = orders_[aQuery.service_];
   if (!order.endpoints_ || order.changes_ != directory_.Changes()) {
     order.changes_ = directory_.Changes();
     order.endpoints_ = std::make_shared<std::vector<ListedEndpoint>>(
-      OrderForHost(*Usable(aQuery.service_), options_.host_, {}));
+      OrderForHost(Usable(aQuery.service_), options_.host_, {}));
   }
   return order.endpoints_;
 }
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -68,14 +68,16 @@
   return changes;
 }
 
-std::vector<ViewedObject> ViewedOf(const std::vector<StoreObject>& aObjects)
+// Takes the objects over: the route document of a large fleet is hundreds of
+// KB, and it is read each second.
+std::vector<ViewedObject> ViewedOf(std::vector<StoreObject> aObjects)
 {
   std::vector<ViewedObject> viewed;
   viewed.reserve(aObjects.size());
-  for (const StoreObject& object : aObjects) {
-    viewed.push_back({ .name_ = object.name_,
-                       .version_ = object.version_,
-                       .spec_ = object.spec_ });
+  for (StoreObject& object : aObjects) {
+    viewed.push_back({ .name_ = std::move(object.name_),
+                       .version_ = std::move(object.version_),
+                       .spec_ = std::move(object.spec_) });
   }
   return viewed;
 }
@@ -117,14 +119,14 @@
   if (read && endpoints_.Revision() < routes_.Revision()) {
     read = co_await ReadEndpoints();
   }
+  const bool wasLost = turn_.HasLostStore();
   if (read) {
     turn_.OnRead(TimerService::Now());
     NoteReading(true);
   } else {
     turn_.OnFailed(TimerService::Now(), parts_.rank_());
   }
-  if (lost_ != !read) {
-    lost_ = !read;
+  if (wasLost == read) {
     parts_.onStore_(read);
   }
 }
@@ -132,37 +134,39 @@
 asio::awaitable<bool> StoreFollower::ReadRoutes()
 {
   const BootTime began = TimerService::BootNow();
-  const auto list = co_await parts_.store_.List(
+  auto list = co_await parts_.store_.List(
     options_.routesKind_, TimerService::Now() + options_.callTimeout_);
   if (!list) {
     co_return false;
   }
   NoteGap(began);
-  const ViewNews news = routes_.OnList(ViewedOf(list.value().items_),
-                                       RevisionOf(list.value().version_));
-  Publish(options_.routesKind_, news);
+  TakeInList(options_.routesKind_, routes_, std::move(list.value()));
   // Only now: a proof holds for what has been taken in.
   OnProof(began);
-  if (!news.Empty()) {
-    parts_.onNews_();
-  }
   co_return true;
 }
 
 asio::awaitable<bool> StoreFollower::ReadEndpoints()
 {
-  const auto list = co_await parts_.store_.List(
+  auto list = co_await parts_.store_.List(
     options_.endpointsKind_, TimerService::Now() + options_.callTimeout_);
   if (!list) {
     co_return false;
   }
-  const ViewNews news = endpoints_.OnList(ViewedOf(list.value().items_),
-                                          RevisionOf(list.value().version_));
-  Publish(options_.endpointsKind_, news);
+  TakeInList(options_.endpointsKind_, endpoints_, std::move(list.value()));
+  co_return true;
+}
+
+void StoreFollower::TakeInList(const std::string& aKind,
+                               StoreView& aView,
+                               StoreList aList)
+{
+  const ViewNews news =
+    aView.OnList(ViewedOf(std::move(aList.items_)), RevisionOf(aList.version_));
+  Publish(aKind, news);
   if (!news.Empty()) {
     parts_.onNews_();
   }
-  co_return true;
 }
 
 StoreHeadline StoreFollower::Headline() const
