Take who is told what, and the watch of settings, out of the gateway's host

Also gone: a function that nothing called, and a class comment that had not followed its class.

Behaviour is the same.

--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -7,9 +7,7 @@
 #include <atomic>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
-#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -23,7 +21,9 @@
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
+#include "gooseberrylift/internal/gooseberrylift-settings-watch.h"
 #include "gooseberrylift/internal/gooseberrylift-store-follower.h"
+#include "gooseberrylift/membership/gooseberrylift-peer-groups.h"
 
 namespace gooseberrylift {
 
@@ -48,28 +48,20 @@
   Outcome<void> Listen();
   Digest OwnDigest();
   void TakeInPeers(const PeersState& aPeers);
-  void RankAmong(const PeersState& aPeers);
-  std::vector<PeerMember> DrawPeers();
-  void ChooseWordPeers(const PeersState& aPeers);
   bool IsSeed() const; // others are told to come to this host first
   std::string AdminAddress() const;
   StoreFollower::Parts FollowerParts();
   StoreFollower::Options FollowerOptions() const;
-  void OnStore(bool aReachable);
   boost::asio::awaitable<void> StartPeers();
   void ApplyBounds(const GatewaySettings& aBounds);
-  void Reload();
   std::string WhyNotReady();
   std::string StatusText();
   boost::asio::awaitable<void> HandleReady(HttpExchange& aExchange);
   boost::asio::awaitable<void> HandleAdmin(HttpExchange& aExchange);
-  boost::asio::awaitable<void> WatchSettings();
-  boost::asio::awaitable<void> WaitForReload();
   boost::asio::awaitable<void> WaitForStop();
   boost::asio::awaitable<void> Drain();
 
   Settings settings_;
-  std::string path_;
   boost::asio::io_context context_;
   std::minstd_rand random_;
   GatewayBoard board_;
@@ -80,10 +72,8 @@
   std::unique_ptr<ObjectStore> store_;
   std::unique_ptr<WireDialect> dialect_;
   Fleet fleet_;
-  ReadRank rank_; // among the live hosts, as last heard
-  // Live hosts, in a large fleet apart by whether they are of this zone.
-  std::vector<PeerMember> nearPeers_;
-  std::vector<PeerMember> farPeers_;
+  ReadRank rank_;     // among the live hosts, as last heard
+  PeerGroups groups_; // the other hosts, as last heard
   RouteFollower routes_;
   EndpointFollower endpoints_;
   StoreFollower follower_;
@@ -91,10 +81,10 @@
   std::atomic<bool> peersProven_ = false; // another host may believe keys
   PeerExchange peers_;
   SuspectWatch suspects_;
-  std::set<std::string> zoneHosts_; // the other hosts of this zone
   PeerDatagrams datagrams_;
   HeadlineWords headlines_;
   LoadWords words_;
+  SettingsWatch settingsWatch_;
   GatewayFront front_;
   HttpServer callerServer_;
   HttpServer readyServer_;
--- a/include/gooseberrylift/internal/gooseberrylift-load-words.h
+++ b/include/gooseberrylift/internal/gooseberrylift-load-words.h
@@ -16,6 +16,7 @@
 #include "gooseberrylift/internal/gooseberrylift-peer-datagrams.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/membership/gooseberrylift-load-word.h"
+#include "gooseberrylift/membership/gooseberrylift-peer-groups.h"
 #include "gooseberrylift/membership/gooseberrylift-word-pace.h"
 #include "gooseberrylift/membership/gooseberrylift-zone-sums.h"
 #include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
@@ -23,9 +24,10 @@
 namespace gooseberrylift {
 
 // Words of load are small, many, and worthless when late; the next one replaces
-// a lost one. So they go as datagrams, each under a code of the hosts' shared
-// key, to the same port number as the peers' calls. All of it runs on one
-// executor, to which its owner's calls belong too.
+// a lost one. So they go as datagrams. In a large fleet one host of each zone
+// sums up what its zone has in work and tells it to the other zones
+// (ZoneSummer). All of it runs on one executor, to which its owner's calls
+// belong too.
 class LoadWords
 {
 public:
@@ -43,19 +45,6 @@
     std::function<void(const LoadWord& aWord)> take_; // of a peer
   };
 
-  // Whom this host tells what.
-  struct Peers
-  {
-    // IP:port of those that get each word: in a small fleet all others, in a
-    // large one those of the own zone.
-    std::vector<std::string> near_;
-    // Of the live ones of each other zone, in a large fleet.
-    std::map<std::string, std::vector<std::string>> far_;
-    // Of those that sum up this zone when this host falls silent.
-    std::vector<std::string> successors_;
-    std::size_t rank_ = 0; // of this host in its zone
-  };
-
   struct Options
   {
     std::string host_; // this host's name
@@ -80,7 +69,7 @@
   void Start();
 
   /// Sets the other hosts, as they change.
-  void SetPeers(const Peers& aPeers);
+  void SetPeers(const WordPeers& aPeers);
 
   /// Notes that this host has placed something.
   /// @param aUrgent it is told beyond the bound: a long prompt, for which the
--- a/src/clients/gooseberrylift-load-words.cc
+++ b/src/clients/gooseberrylift-load-words.cc
@@ -131,7 +131,7 @@
   }
 }
 
-void LoadWords::SetPeers(const Peers& aPeers)
+void LoadWords::SetPeers(const WordPeers& aPeers)
 {
   near_ = PeerAddressesOf(aPeers.near_);
   successors_ = PeerAddressesOf(aPeers.successors_);
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -1,16 +1,12 @@
 #include "gooseberrylift/internal/gooseberrylift-gateway-host.h"
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <random>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/leaf/handle_errors.hpp>
 
 #include "gooseberrylift-fleet-dialect.h"
 #include "gooseberrylift-fleet-store.h"
@@ -21,14 +17,10 @@
 namespace gooseberrylift {
 
 namespace asio = boost::asio;
-namespace leaf = boost::leaf;
 using std::chrono::milliseconds;
 
 namespace {
 
-// The settings file may change without a signal; it is small and in memory.
-constexpr milliseconds kSettingsPoll{ 1'000 };
-
 // Words of load. Each round a host exchanges with so many others, so that in a
 // fleet of nine each has the word of every other about every 150 ms; long
 // prompts are told at once. In that time such a fleet places some eight
@@ -45,12 +37,6 @@
 // second, one of each host in under three seconds; one that is not heard of for
 // nine counts as gone.
 constexpr std::size_t kPeerRelayed = 6;
-// Hosts asked in a round what they know of the store: in a small fleet three,
-// in a large one one of the own zone and one of another.
-constexpr std::size_t kAskedOfSmallFleet = 3;
-constexpr std::size_t kAskedNear = 1;
-constexpr std::size_t kAskedFar = 1;
-
 // By which a host fetches from another what it lacks of the store's objects.
 constexpr const char* kStoreMethod = "store";
 
@@ -68,16 +54,10 @@
       } });
 }
 
-std::uint64_t Seed()
-{
-  return std::random_device{}();
-}
-
 } // namespace
 
 GatewayHost::GatewayHost(Settings aSettings, std::string aPath)
   : settings_(std::move(aSettings))
-  , path_(std::move(aPath))
   , context_(1)
   , random_(std::random_device{}())
   , client_(context_.get_executor(), HttpClient::Options{})
@@ -117,7 +97,7 @@
   , datagrams_(context_.get_executor())
   , headlines_({ .executor_ = context_.get_executor(),
                  .datagrams_ = datagrams_,
-                 .draw_ = [this] { return DrawPeers(); },
+                 .draw_ = [this] { return DrawPeers(groups_, random_); },
                  .own_ = [this] { return follower_.Headline(); },
                  .take_ =
                    [this](const PeerMember& aPeer,
@@ -134,13 +114,18 @@
                [this](const std::vector<ListedEndpoint>& aEndpoints) {
                  return fleet_.OwnSharesAt(aEndpoints);
                },
-             .zoneSums_ = [this] { return fleet_.SumOf(zoneHosts_); },
+             .zoneSums_ = [this] { return fleet_.SumOf(groups_.zoneHosts_); },
              .take_ =
                [this](const LoadWord& aWord) {
                  metrics_.Count("gooseberrylift_load_words_total", "");
                  fleet_.OnWord(aWord);
                } },
            { .host_ = settings_.hostName_, .zone_ = settings_.zone_ })
+  , settingsWatch_(
+      { .executor_ = context_.get_executor(),
+        .path_ = std::move(aPath),
+        .apply_ =
+          [this](const GatewaySettings& aBounds) { ApplyBounds(aBounds); } })
   , front_({ .board_ = board_,
              .dialect_ = *dialect_,
              .metrics_ = metrics_,
@@ -212,9 +197,18 @@
     fleet_.OnPeersHeard();
   }
   fleet_.OnPeersKnown(aPeers.known_);
-  ChooseWordPeers(aPeers);
+  groups_ = GroupPeers({ .host_ = settings_.hostName_,
+                         .zone_ = settings_.zone_,
+                         .known_ = peers_.Known(),
+                         .live_ = aPeers.digests_,
+                         .fleet_ = aPeers.known_ });
+  words_.SetPeers(groups_.words_);
   peersProven_ = proven;
-  RankAmong(aPeers);
+  if (settings_.gateway_->relaysStore_) { // else as if it were the only one
+    rank_ = RankAmong({ .host_ = settings_.hostName_,
+                        .leaving_ = board_.host_.Read()->draining_ },
+                      aPeers.digests_);
+  }
   for (const Digest& digest : aPeers.digests_) {
     suspects_.OnPeer(digest.quarantine_);
   }
@@ -223,88 +217,6 @@
   repeats_.hosts_ = aPeers.known_ + 1;
 }
 
-// Up to the size at which hosts follow only their own zone in full, each tells
-// all others of each request.
-void GatewayHost::ChooseWordPeers(const PeersState& aPeers)
-{
-  const bool small = aPeers.known_ < PeerTable::kSmallFleet;
-  LoadWords::Peers peers;
-  zoneHosts_.clear();
-  for (const PeerMember& member : peers_.Known()) {
-    if (member.zone_ == settings_.zone_) {
-      zoneHosts_.insert(member.host_);
-    }
-    if (small || member.zone_ == settings_.zone_) {
-      peers.near_.push_back(member.address_);
-    }
-  }
-  nearPeers_.clear();
-  farPeers_.clear();
-  std::vector<const Digest*> after; // in the own zone, by rank
-  for (const Digest& digest : aPeers.digests_) {
-    const bool isNear = small || digest.zone_ == settings_.zone_;
-    (isNear ? nearPeers_ : farPeers_)
-      .push_back({ .host_ = digest.host_, .address_ = digest.peerAddress_ });
-    if (digest.draining_) {
-      continue;
-    }
-    if (digest.zone_ != settings_.zone_) {
-      if (!small) {
-        peers.far_[digest.zone_].push_back(digest.peerAddress_);
-      }
-    } else if (RanksBefore(digest.host_, settings_.hostName_)) {
-      ++peers.rank_;
-    } else {
-      after.push_back(&digest);
-    }
-  }
-  const std::size_t successors =
-    std::min(after.size(), ZoneTurn::Options{}.ready_ - 1);
-  std::partial_sort(after.begin(),
-                    after.begin() + static_cast<std::ptrdiff_t>(successors),
-                    after.end(),
-                    [](const Digest* aOne, const Digest* aOther) {
-                      return RanksBefore(aOne->host_, aOther->host_);
-                    });
-  for (std::size_t index = 0; index < successors; ++index) {
-    peers.successors_.push_back(after[index]->peerAddress_);
-  }
-  words_.SetPeers(peers);
-}
-
-std::vector<PeerMember> GatewayHost::DrawPeers()
-{
-  std::vector<PeerMember> drawn;
-  const auto draw = [&](const std::vector<PeerMember>& aFrom,
-                        std::size_t aCount) {
-    std::sample(aFrom.begin(),
-                aFrom.end(),
-                std::back_inserter(drawn),
-                static_cast<std::ptrdiff_t>(aCount),
-                random_);
-  };
-  draw(nearPeers_, farPeers_.empty() ? kAskedOfSmallFleet : kAskedNear);
-  draw(farPeers_, kAskedFar);
-  return drawn;
-}
-
-void GatewayHost::RankAmong(const PeersState& aPeers)
-{
-  if (!settings_.gateway_->relaysStore_) {
-    return; // as if this host were the only one
-  }
-  std::vector<ReadCandidate> others;
-  others.reserve(aPeers.digests_.size());
-  for (const Digest& digest : aPeers.digests_) {
-    others.push_back({ .host_ = digest.host_,
-                       .lost_ = !digest.storeReachable_,
-                       .leaving_ = digest.draining_ });
-  }
-  rank_ = RankReaders({ .host_ = settings_.hostName_,
-                        .leaving_ = board_.host_.Read()->draining_ },
-                      others);
-}
-
 bool GatewayHost::IsSeed() const
 {
   const std::vector<std::string>& seeds = settings_.peerSeeds_;
@@ -333,7 +245,10 @@
     .onEndpoint_ =
       [this](const StoreEvent& aEvent) { endpoints_.OnEvent(aEvent); },
     .onProof_ = [this](BootTime aBegan) { routes_.OnProof(aBegan); },
-    .onStore_ = [this](bool aReachable) { OnStore(aReachable); },
+    .onStore_ =
+      [](bool aReachable) {
+        Log(aReachable ? LogEvent::kStoreReached : LogEvent::kStoreLost);
+      },
     .onReturned_ = [this] { endpoints_.OnStoreReturned(); },
     .onNews_ = [this] { headlines_.AskNow(); },
     .rank_ = [this] { return rank_; },
@@ -346,11 +261,6 @@
   return { .routesKind_ = kinds.routes_, .endpointsKind_ = kinds.endpoints_ };
 }
 
-void GatewayHost::OnStore(bool aReachable)
-{
-  Log(aReachable ? LogEvent::kStoreReached : LogEvent::kStoreLost);
-}
-
 asio::awaitable<void> GatewayHost::StartPeers()
 {
   const bool startsFleet = IsSeed() || settings_.peerSeeds_.empty();
@@ -384,8 +294,7 @@
   }
   asio::co_spawn(context_, follower_.Run(), asio::detached);
   asio::co_spawn(context_, StartPeers(), asio::detached);
-  asio::co_spawn(context_, WatchSettings(), asio::detached);
-  asio::co_spawn(context_, WaitForReload(), asio::detached);
+  settingsWatch_.Start();
   asio::co_spawn(context_, WaitForStop(), asio::detached);
   context_.run();
   return boost::outcome_v2::success();
@@ -480,52 +389,6 @@
   co_await aExchange.Send(std::move(unknown));
 }
 
-void GatewayHost::Reload()
-{
-  std::ifstream file(path_);
-  const std::string text(std::istreambuf_iterator<char>(file), {});
-  leaf::try_handle_all(
-    [&]() -> leaf::result<void> {
-      BOOST_LEAF_AUTO(settings, Settings::Parse(text));
-      if (!settings.gateway_) {
-        return leaf::new_error(
-          MakeError(ResultCode::kSettingsInvalid, "<root>: no 'gateway'"));
-      }
-      ApplyBounds(*settings.gateway_);
-      SetLogLevel("all", settings.logLevel_);
-      Log(LogEvent::kSettingsReloaded, { { "path", path_ } });
-      return {};
-    },
-    [&](const Error& aError) {
-      Log(LogEvent::kSettingsRefused,
-          { { "path", path_ }, { "fault", aError.text_ } });
-    },
-    [] { Log(LogEvent::kSettingsRefused); });
-}
-
-asio::awaitable<void> GatewayHost::WatchSettings()
-{
-  std::error_code fault;
-  auto seen = std::filesystem::last_write_time(path_, fault);
-  while (!fault) {
-    co_await TimerService::SleepFor(kSettingsPoll);
-    const auto changed = std::filesystem::last_write_time(path_, fault);
-    if (!fault && changed != seen) {
-      seen = changed;
-      Reload();
-    }
-  }
-}
-
-asio::awaitable<void> GatewayHost::WaitForReload()
-{
-  asio::signal_set signals(context_, SIGHUP);
-  while (true) {
-    co_await signals.async_wait(asio::use_awaitable);
-    Reload();
-  }
-}
-
 asio::awaitable<void> GatewayHost::WaitForStop()
 {
   asio::signal_set signals(context_, SIGTERM, SIGINT);
--- /dev/null
+++ b/src/host/gooseberrylift-settings-watch.cc
@@ -0,0 +1,82 @@
+#include "gooseberrylift/internal/gooseberrylift-settings-watch.h"
+
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
+namespace gooseberrylift {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+
+namespace {
+
+// The settings file may change without a signal; it is small and in memory.
+constexpr std::chrono::milliseconds kPoll{ 1'000 };
+
+} // namespace
+
+void SettingsWatch::Start()
+{
+  asio::co_spawn(parts_.executor_, WatchFile(), asio::detached);
+  asio::co_spawn(parts_.executor_, WaitForSignals(), asio::detached);
+}
+
+void SettingsWatch::Reload()
+{
+  std::ifstream file(parts_.path_);
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(settings, Settings::Parse(text));
+      if (!settings.gateway_) {
+        return leaf::new_error(
+          MakeError(ResultCode::kSettingsInvalid, "<root>: no 'gateway'"));
+      }
+      parts_.apply_(*settings.gateway_);
+      SetLogLevel("all", settings.logLevel_);
+      Log(LogEvent::kSettingsReloaded, { { "path", parts_.path_ } });
+      return {};
+    },
+    [&](const Error& aError) {
+      Log(LogEvent::kSettingsRefused,
+          { { "path", parts_.path_ }, { "fault", aError.text_ } });
+    },
+    [] { Log(LogEvent::kSettingsRefused); });
+}
+
+asio::awaitable<void> SettingsWatch::WatchFile()
+{
+  std::error_code fault;
+  auto seen = std::filesystem::last_write_time(parts_.path_, fault);
+  while (!fault) {
+    co_await TimerService::SleepFor(kPoll);
+    const auto changed = std::filesystem::last_write_time(parts_.path_, fault);
+    if (!fault && changed != seen) {
+      seen = changed;
+      Reload();
+    }
+  }
+}
+
+asio::awaitable<void> SettingsWatch::WaitForSignals()
+{
+  asio::signal_set signals(parts_.executor_, SIGHUP);
+  while (true) {
+    co_await signals.async_wait(asio::use_awaitable);
+    Reload();
+  }
+}
+
+} // namespace gooseberrylift
