--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -41,8 +41,6 @@
   std::chrono::microseconds backlog_{ 0 }; // still to be read
   int deferred_ = 0; // of the running, that wait and let all others go first
   std::chrono::milliseconds silent_{ 0 }; // since it last heard of it
-  int helping_ =
-    0; // requests of other endpoints that it reads or holds parts of
 };
 
 // What all known hosts have in work at one endpoint.
@@ -53,8 +51,6 @@
   std::uint64_t memoryTokens_ = 0;
   std::chrono::microseconds backlog_{ 0 };
   int deferred_ = 0; // of the running, that wait and let all others go first
-  int helping_ =
-    0; // requests of other endpoints that it reads or holds parts of
 };
 
 // Not thread-safe.
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
@@ -86,10 +86,6 @@
     double readShare_ = 0.05;
     // That read one prompt together: as many as an engine takes helpers.
     int mostEngines_ = 16;
-    // Of an engine's slots, up to how many requests it is asked to help with.
-    // It turns away a whole request that lists it as one helper too many; the
-    // rest is for what other hosts ask of it before their word is here.
-    double helpShare_ = 0.8;
     // An engine's memory that a prompt may count on; the rest is for answers
     // of other hosts' requests that are not known yet.
     double memoryShare_ = 0.9;
@@ -186,7 +182,6 @@
                     const std::vector<const PlacementCandidate*>& aCandidates,
                     std::chrono::microseconds aPart,
                     std::vector<Ranked>& aChosen) const;
-  bool MayHelp(const Task& aTask, const EndpointLoad& aLoad) const;
   bool HasMemory(const Task& aTask,
                  const EndpointLoad& aLoad,
                  std::size_t aEngines) const;
--- a/src/core/membership/gooseberrylift-load-word.cc
+++ b/src/core/membership/gooseberrylift-load-word.cc
@@ -15,9 +15,6 @@
 constexpr std::size_t kZonePart = 4;
 constexpr std::size_t kPassOnPart = 5;
 
-// The last part of a share; hosts of before it don't send it.
-constexpr std::size_t kHelpingPart = 7;
-
 // The numbers on the wire; they never change their meaning.
 constexpr int kWireMore = 0;
 constexpr int kWireFirst = 1;
@@ -31,23 +28,20 @@
                        aShare.memoryTokens_,
                        aShare.backlog_.count(),
                        aShare.deferred_,
-                       aShare.silent_.count(),
-                       aShare.helping_ });
+                       aShare.silent_.count() });
 }
 
 EndpointShare ShareFromJson(const json& aItem)
 {
-  return {
-    .id_ = aItem.at(0),
-    .running_ = aItem.at(1),
-    .tight_ = aItem.at(2),
-    .memoryTokens_ = aItem.at(3),
-    .backlog_ = std::chrono::microseconds(aItem.at(4).get<std::int64_t>()),
-    .deferred_ = aItem.at(5),
-    .silent_ = std::chrono::milliseconds(aItem.at(6).get<std::int64_t>()),
-    .helping_ =
-      aItem.size() > kHelpingPart ? aItem.at(kHelpingPart).get<int>() : 0
-  };
+  return { .id_ = aItem.at(0),
+           .running_ = aItem.at(1),
+           .tight_ = aItem.at(2),
+           .memoryTokens_ = aItem.at(3),
+           .backlog_ =
+             std::chrono::microseconds(aItem.at(4).get<std::int64_t>()),
+           .deferred_ = aItem.at(5),
+           .silent_ =
+             std::chrono::milliseconds(aItem.at(6).get<std::int64_t>()) };
 }
 
 int WireOf(LoadWordPart aPart, bool aBegins)
--- a/src/core/membership/gooseberrylift-zone-sums.cc
+++ b/src/core/membership/gooseberrylift-zone-sums.cc
@@ -14,11 +14,8 @@
 // What shows a change by itself; the backlog changes with time.
 auto CountsOf(const EndpointShare& aShare)
 {
-  return std::tie(aShare.running_,
-                  aShare.tight_,
-                  aShare.memoryTokens_,
-                  aShare.deferred_,
-                  aShare.helping_);
+  return std::tie(
+    aShare.running_, aShare.tight_, aShare.memoryTokens_, aShare.deferred_);
 }
 
 } // namespace
--- a/src/core/routing/gooseberrylift-fleet-load.cc
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -157,9 +157,6 @@
     if (!sent.cost_.helping_) {
       share.running_ += 1;
       share.tight_ += sent.cost_.tight_ ? 1 : 0;
-    } else if (!sent.started_ || sent.cost_.memoryTokens_ > 0) {
-      // A helper that holds a part helps until the request ends.
-      share.helping_ += 1;
     }
     if (!sent.started_) {
       share.deferred_ += sent.cost_.deferred_ ? 1 : 0;
@@ -184,7 +181,6 @@
     load.memoryTokens_ += aShare.memoryTokens_;
     load.backlog_ += After(aShare.backlog_, aAge);
     load.deferred_ += aShare.deferred_;
-    load.helping_ += aShare.helping_;
   };
   const auto own = own_.find(aEndpoint);
   if (own != own_.end()) {
@@ -219,7 +215,6 @@
     share.memoryTokens_ += aShare.memoryTokens_;
     share.backlog_ += After(aShare.backlog_, aAge);
     share.deferred_ += aShare.deferred_;
-    share.helping_ += aShare.helping_;
     share.silent_ = std::min(share.silent_, silent);
   };
   for (const EndpointShare& own : OwnShares(aNow)) {
--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -101,12 +101,6 @@
   return harm;
 }
 
-bool EnginePlacement::MayHelp(const Task& aTask,
-                              const EndpointLoad& aLoad) const
-{
-  return aLoad.helping_ < aTask.figures_.slots_ * options_.helpShare_;
-}
-
 // Says whether an engine has room for a part of the request.
 bool EnginePlacement::HasMemory(const Task& aTask,
                                 const EndpointLoad& aLoad,
@@ -262,8 +256,7 @@
   ranked.reserve(aEngines.size());
   for (const Ranked& engine : aEngines) {
     const EndpointLoad& load = engine.candidate_->load_;
-    const bool takesPart = aReaders == 1 || MayHelp(aTask, load);
-    if (takesPart && HasMemory(aTask, load, aHolders)) {
+    if (HasMemory(aTask, load, aHolders)) {
       ranked.push_back(engine);
       ranked.back().harm_ = HarmAt(aTask, load, part);
     }
--- a/test/core/gooseberrylift-fleet-load-test.cc
+++ b/test/core/gooseberrylift-fleet-load-test.cc
@@ -57,22 +57,6 @@
   LONGS_EQUAL(500, load_.Of("engine", now_).memoryTokens_);
 }
 
-// An engine helps with a prompt until it has read its part, and longer when it
-// holds that part in its memory.
-TEST(FleetLoadTest, CountsWhatAnEngineHelpsWith)
-{
-  load_.OnSent("engine", 1, { .read_ = 1s, .helping_ = true }, now_);
-  load_.OnSent(
-    "engine", 2, { .memoryTokens_ = 500, .read_ = 1s, .helping_ = true }, now_);
-  load_.OnPeer("peer", { { .id_ = "engine", .helping_ = 3 } }, now_);
-  LONGS_EQUAL(5, load_.Of("engine", now_).helping_);
-  load_.OnStarted("engine", 1, now_);
-  load_.OnStarted("engine", 2, now_);
-  LONGS_EQUAL(4, load_.Of("engine", now_).helping_);
-  load_.OnEnded("engine", 2);
-  LONGS_EQUAL(3, load_.Of("engine", now_).helping_);
-}
-
 TEST(FleetLoadTest, TellsForHowLongAnEndpointWasSilent)
 {
   LONGS_EQUAL(0, load_.SilentFor("engine", now_).count());
--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -152,31 +152,6 @@
   LONGS_EQUAL(0, choice->heldTokens_);
 }
 
-// Fifteen prompts are read with help of each of three engines, as peers say. An
-// engine turns a prompt away that lists a helper with as many to help as it has
-// slots, and its caller gets a refusal although other engines are idle.
-TEST(FleetPlacementTest, AsksNoEngineForHelpThatHelpsAsManyAsItCan)
-{
-  Engines(8);
-  for (std::size_t index = 5; index < 8; ++index) {
-    candidates_[index].load_ = { .helping_ = 15 };
-  }
-  const auto choice = Choose(Long(200'000));
-  CHECK_TRUE(choice->helpers_.size() >= 2);
-  for (const ListedEndpoint* helper : choice->helpers_) {
-    CHECK_TRUE(helper->id_ < "5");
-  }
-}
-
-TEST(FleetPlacementTest, ReadsALongPromptAtOneEngineWhenNoneCanHelp)
-{
-  Engines(8);
-  for (PlacementCandidate& candidate : candidates_) {
-    candidate.load_ = { .helping_ = 16 };
-  }
-  LONGS_EQUAL(0, Choose(Long(200'000))->helpers_.size());
-}
-
 TEST(FleetPlacementTest, SetsMemoryAsideOnlyForPromptsBeyondOneEngine)
 {
   Engines(8);
--- a/test/core/gooseberrylift-load-word-test.cc
+++ b/test/core/gooseberrylift-load-word-test.cc
@@ -15,8 +15,7 @@
                            .memoryTokens_ = 380'000,
                            .backlog_ = 1'500ms,
                            .deferred_ = 2,
-                           .silent_ = 40ms,
-                           .helping_ = 9 });
+                           .silent_ = 40ms });
 }
 return word;
 }
@@ -39,7 +38,6 @@
   LONGS_EQUAL(1'500'000, share.backlog_.count());
   LONGS_EQUAL(2, share.deferred_);
   LONGS_EQUAL(40, share.silent_.count());
-  LONGS_EQUAL(9, share.helping_);
 }
 
 TEST(LoadWordTest, SaysThatAHostHasNothingInWork)
