--- a/include/gooseberrylift/internal/gooseberrylift-load-words.h
+++ b/include/gooseberrylift/internal/gooseberrylift-load-words.h
@@ -52,14 +52,12 @@
     WordPace::Options pace_{};
     // Between two sums of the zone for the hosts of other zones. Each goes to
     // one host of each zone, which passes it on: with 60 hosts a zone and five
-    // zones each host sends and gets 20 datagrams a second. Callers got 0.888
-    // of the worth with 50 ms, 0.871 with 100 and 0.866 with 250 (pass-bench,
-    // site notes-large, seed 1), and the smallest hosts have an eighth of a
-    // core for all that they do.
+    // zones each host sends and gets 20 datagrams a second, and the smallest
+    // hosts have an eighth of a core for all that they do.
     std::chrono::milliseconds sums_{ 200 };
-    // A long prompt is told sooner, but no sum follows another one faster. With
-    // a sum for each of them, and each change told twice, 295 hosts took 0.056
-    // of a core each in bursts of long prompts; the smallest have 0.12.
+    // A long prompt is told sooner, but no sum follows another one faster: a
+    // sum for each of them takes half of a small host's processor in bursts of
+    // long prompts.
     std::chrono::milliseconds leastBetweenSums_{ 100 };
   };
 
--- a/include/gooseberrylift/limits/gooseberrylift-long-hold.h
+++ b/include/gooseberrylift/limits/gooseberrylift-long-hold.h
@@ -31,40 +31,32 @@
   // The wait at its engines, with a share of the harm that it would do there,
   // with which a prompt that reads for a second is sent; more for shorter ones
   // and less for longer ones. With more the engines' queues grow again, with
-  // less they run dry: means over the sets 0.826 with 200 ms, 0.847 with 300
-  // and 0.852 with 400.
+  // less they run dry.
   std::chrono::milliseconds allowedWait_{ 400 };
   // Bounds of that scaling.
   double leastFactor_ = 0.15;
   double mostFactor_ = 2;
   // After this share of what its caller bears, less its own reads below, a
-  // prompt is sent or given up. With 0.75 callers got 0.799 of the worth at
-  // 1.25 times the usual load, with 0.9 0.827 (pass-bench, site checks, 16
-  // seeds): what is sent into full engines makes a dozen short requests late.
-  // Of the long ones 2.0% in place of 1.1% come too late for their callers.
+  // prompt is sent or given up. Sooner, prompts go into full engines that could
+  // still have waited; later, more of them come too late for their callers.
   double latestShare_ = 0.9;
   // A host that knows nothing of the others waits for their word for this part
   // of the objective: they are there within a quarter of a second after a
-  // start. Sent at once, ten prompts that came back after a power cut were read
-  // by all 18 engines, and short requests waited for 1.2 s.
+  // start. Sent at once, all prompts that come back after a power cut go to the
+  // same engines, and short requests wait behind them.
   double blindShare_ = 0.2;
   // The same allowed wait of a prompt that misses its objective in any case: it
-  // lets those go first that need not. Callers got 0.788 of the worth at 1.35
-  // times the usual load without, 0.805 with it; 0.810 with none of the wait,
-  // but then more of the late ones come too late for their callers (pass-bench,
-  // site checks, 24 seeds).
+  // lets those go first that need not. With none, more of the late ones come
+  // too late for their callers.
   double lateFactor_ = 0.25;
   // The reads of its own part that are kept free of that time: sent then, it
-  // still comes in time. Without it the largest prompts were held until they
-  // could not come any more, and then refused with hardly a second left to
-  // return in.
+  // still comes in time. Without it the largest prompts are held until they
+  // can't come any more, and then refused with hardly a second left to return
+  // in.
   double ownRead_ = 1;
   // The wait with which it is sent then. With more it goes back to its caller,
-  // who may return when the burst is over: sent whatever the wait, it made a
-  // hundred short requests late. Callers got with 150 ms 0.917 and 0.799 of the
-  // worth at the usual load and 1.3 times it, with 600 ms 0.910 and 0.711
-  // (pass-bench, site contracts, 12 seeds); notes 0.947 and 0.889 for 0.941 and
-  // 0.889.
+  // who may return when the burst is over: sent whatever the wait, it makes a
+  // hundred short requests late.
   std::chrono::milliseconds lastWait_{ 150 };
   std::chrono::milliseconds step_{ 40 }; // until it is looked at again
 };
--- a/include/gooseberrylift/limits/gooseberrylift-patience.h
+++ b/include/gooseberrylift/limits/gooseberrylift-patience.h
@@ -22,9 +22,8 @@
 /// Gives the silence of an endpoint after which a request that may be repeated
 /// is better sent elsewhere: of a stream, half of what the caller bears, so
 /// that the other half is left for the second try. The time that was predicted
-/// is left out on purpose: with a limit of a second beyond twice the prediction
-/// an eighth of the requests of a busy fleet were read twice, and callers got
-/// 0.71 of the worth in place of 0.84 (pass-bench, site notes, 12 seeds).
+/// is left out on purpose: predictions are off most when a fleet is busy, and a
+/// limit that follows them has many requests read twice just then.
 std::chrono::milliseconds SilenceLimit(const Route& aRoute);
 
 // What is known of an endpoint that owes a request its answer, or more of it.
@@ -45,9 +44,7 @@
 /// better sent elsewhere. At an endpoint that answers others and whose slots
 /// are taken it merely waits its turn, and while an engine reads a long prompt
 /// nobody hears anything. Sent elsewhere the request would wait again, and what
-/// was read of it is lost: of a fleet with full slots a fifth of the requests
-/// were sent twice, and the overload kept itself up. At 1.25 times the usual
-/// load 1,360 of 23,000 were (pass-bench, site checks, 16 seeds) and 74 are.
+/// was read of it is lost, so that an overload of full slots keeps itself up.
 /// @param aLimit the silence limit
 bool LooksHung(const EndpointSigns& aSigns, std::chrono::milliseconds aLimit);
 
--- a/include/gooseberrylift/membership/gooseberrylift-word-pace.h
+++ b/include/gooseberrylift/membership/gooseberrylift-word-pace.h
@@ -34,16 +34,12 @@
     // Datagrams with all that is in work, in the same way.
     double perSecond_ = 300;
     // From so many peers on such words only repair what was lost and tell what
-    // has ended, and go once in mostInterval_. Callers of 295 hosts got 0.874
-    // of the worth with whole words each 200 ms and 0.871 with 400 ms
-    // (pass-bench, site notes-large, seed 1).
+    // has ended, and go once in mostInterval_.
     std::size_t manyPeers_ = 32;
     // Peers forget a host after two seconds.
     std::chrono::milliseconds mostInterval_{ 700 };
     // Between two such words at least. A fleet of nine places a request about
-    // every 10 ms, of which each host hears all but the last two. pass-bench:
-    // 0.850 of the worth with words every 50 ms, 0.827 with 150 ms (site
-    // checks, 1.25 times the load).
+    // every 10 ms, of which each host hears all but the last two.
     std::chrono::milliseconds least_{ 20 };
     // Without any change the word is repeated after so long: datagrams are
     // lost, and peers forget a host after two seconds.
--- a/include/gooseberrylift/membership/gooseberrylift-zone-sums.h
+++ b/include/gooseberrylift/membership/gooseberrylift-zone-sums.h
@@ -2,10 +2,7 @@
 // what they have in work. The load it answers: hundreds of hosts before the
 // same engines. Telling each placement to all of them costs every host as many
 // datagrams as the whole fleet places, and a host that hears only a part of the
-// others finds engines full that it takes for idle: of the worth that callers
-// could get they got 0.748 where 295 hosts knew their zone and 64 others, and
-// 0.866 with sums each 250 ms (pass-bench, site notes-large, seed 1, the second
-// with engines drawn among those that promise alike).
+// others finds engines full that it takes for idle.
 
 #ifndef GOOSEBERRYLIFT_MEMBERSHIP_GOOSEBERRYLIFT_ZONE_SUMS_H_
 #define GOOSEBERRYLIFT_MEMBERSHIP_GOOSEBERRYLIFT_ZONE_SUMS_H_
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-order.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-order.h
@@ -19,7 +19,7 @@
   // each host has an order of its own, so that two hosts seldom take the same
   // engine until they have heard of each other. With larger ones a host's
   // long prompts meet the short requests of others in the blocks where the
-  // two lanes join: 3 is the best of 2, 3, 4 and 6 on pass-bench.
+  // two lanes join.
   std::size_t block_ = 3;
 };
 
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
@@ -81,8 +81,7 @@
     // other hosts sent in the moment that their word takes.
     double comfortable_ = 0.9;
     // A read is spread over more engines until it is predicted to take this
-    // part of the objective: in effect over as many as shorten it. Means over
-    // the sets: 0.882 with 0.05, 0.869 with 0.2.
+    // part of the objective: in effect over as many as shorten it.
     double readShare_ = 0.05;
     // That read one prompt together: as many as an engine takes helpers.
     int mostEngines_ = 16;
@@ -90,13 +89,7 @@
     // of other hosts' requests that are not known yet.
     double memoryShare_ = 0.9;
     // What a short request that is made late weighs, in time to the first
-    // answer of the one to be placed. This one, comfortable_, mostEngines_,
-    // laneSpare_, heldHarm_ and the wait that the hold allows are from the best
-    // of 220 sets drawn at random and played by pass-bench on both sites, usual
-    // load and 1.4 times it. On 20 other seeds callers got 0.918, 0.832 and
-    // 0.857 of the worth (checks, checks at 1.4, notes at 1.4), with the former
-    // ones 0.922, 0.820 and 0.830; of the long prompts' 0.749 for 0.713 and
-    // 0.798 for 0.720 at 1.4.
+    // answer of the one to be placed.
     std::chrono::milliseconds harm_{ 160 };
     // The same for one that bears longer gaps; there are fewer of them, and
     // they are worth as much as what is placed.
@@ -111,19 +104,14 @@
     // Of a short request's objective, by how much an engine may be predicted to
     // answer later than the best one and still be drawn in place of it. Hosts
     // that hear of each other's requests a moment late all see the same best
-    // one: without the draw callers of 295 hosts got 0.717 of the worth, with
-    // 0.2 they got 0.871 (pass-bench, site notes-large, sums each 100 ms, seed
-    // 1). At 6 and 9 hosts it makes no difference: 0.885 for both in the mean
-    // of three sites at 1 and 1.4 times the load, 8 seeds each.
+    // one, and without the draw hundreds of them would take it together.
     double alikeShare_ = 0.2;
     // Of a short request's objective, the predicted first answer up to which it
     // counts as in time. The rest is for what predictions are off by.
     double inTimeShare_ = 0.9;
     // The part of the harm that a long prompt would do to others which counts
     // as a wait, so that it is held while the engines are full of short
-    // requests. With none callers got 0.764 and 0.536 of the worth at 1.25 and
-    // 1.5 times the usual load, with 0.2 of it 0.799 and 0.633 (site checks, 16
-    // seeds, the other options as they were then).
+    // requests. All of it would hold prompts that only stretch a gap or two.
     double heldHarm_ = 0.15;
     // Requests for which the short lane has room beside those at work. None:
     // hosts hear of each other's requests within some 20 ms.
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -83,8 +83,8 @@
 
 // What peers have in work counts from the first word on. Kept only from this
 // host's own first request to a service on, each host of a large fleet took the
-// same idle engines with it: of 283 short requests 80 were late in the first
-// two seconds of 91 hosts.
+// same idle engines with it, and the first short requests of all hosts were
+// late.
 void Fleet::MakeShards(const SharesByService& aShares)
 {
   for (const auto& [service, shares] : aShares) {
