--- a/include/gooseberrylift/gooseberrylift-admission.h
+++ b/include/gooseberrylift/gooseberrylift-admission.h
@@ -44,16 +44,15 @@
 // Predicts waits for one class of a queue. The rate is learnt for each team,
 // so that what more urgent classes and other teams will take in the meantime is
 // in it: with one rate for the queue the predicted wait left out all that came
-// later and went first, and a twentieth of the admitted missed their deadline
-// at 1.5 times the capacity. Not thread-safe.
+// later and went first, and admitted requests missed their deadline in an
+// overload. Not thread-safe.
 class Admission
 {
 public:
   struct Options
   {
-    // Of the predicted wait. At 1.5 times the capacity 0.50% of the admitted
-    // missed with 1.4, 0.16% with 1.7 and none with 2 (decision-bench f1.5,
-    // seed 1); goodput was the same, a burst has 8% more refusals.
+    // Of the predicted wait. With less, admitted requests miss their deadline
+    // in an overload; with more, a burst has more refusals than it needs.
     double margin_ = 2.0;
     std::uint64_t seed_ = 1; // of the spread of Retry-After
   };
--- a/include/gooseberrylift/gooseberrylift-endpoint-health.h
+++ b/include/gooseberrylift/gooseberrylift-endpoint-health.h
@@ -32,7 +32,7 @@
   struct Options
   {
     // Three times the pool's pace over at least five answers: under load the
-    // ratio of a sound engine varies by a factor of two (decision-bench f0.8).
+    // ratio of a sound engine varies by a factor of two.
     double slowFactor_ = 3.0;
     int leastAnswers_ = 5;
     // Two faults in a row: one may be the request's own doing.
--- a/include/gooseberrylift/internal/gooseberrylift-load-words.h
+++ b/include/gooseberrylift/internal/gooseberrylift-load-words.h
@@ -55,9 +55,9 @@
     // zones each host sends and gets 20 datagrams a second, and the smallest
     // hosts have an eighth of a core for all that they do.
     std::chrono::milliseconds sums_{ 200 };
-    // A long prompt is told sooner, but no sum follows another one faster: a
-    // sum for each of them takes half of a small host's processor in bursts of
-    // long prompts.
+    // A long prompt is told sooner, but no sum follows another one faster: in
+    // bursts of long prompts a sum for each of them would take the processor of
+    // small hosts from their callers.
     std::chrono::milliseconds leastBetweenSums_{ 100 };
   };
 
--- a/include/gooseberrylift/membership/gooseberrylift-read-turn.h
+++ b/include/gooseberrylift/membership/gooseberrylift-read-turn.h
@@ -1,7 +1,7 @@
 // Decides when this host reads the platform's store. The load it answers:
-// fleets of any size whose calls to the store are paid for. Where each host of
-// a small zone read for itself, 23 hosts made 2,270 calls on a quiet day of 40
-// seconds; here a fleet makes one or two calls a second, whatever its size.
+// fleets of any size whose calls to the store are paid for. Were each host to
+// read for itself, the calls would grow with the hosts; here a fleet makes one
+// or two calls a second, whatever its size.
 
 #ifndef GOOSEBERRYLIFT_MEMBERSHIP_GOOSEBERRYLIFT_READ_TURN_H_
 #define GOOSEBERRYLIFT_MEMBERSHIP_GOOSEBERRYLIFT_READ_TURN_H_
--- a/include/gooseberrylift/membership/gooseberrylift-word-pace.h
+++ b/include/gooseberrylift/membership/gooseberrylift-word-pace.h
@@ -25,8 +25,8 @@
   struct Options
   {
     // Datagrams with placements that a host sends, and so also gets, a second.
-    // One costs about 15 us to send or to get: together 2% of a core. At 91
-    // hosts each places three requests a second, 270 datagrams.
+    // Both ways together they take a few hundredths of a core; the smallest
+    // hosts have an eighth.
     double changesPerSecond_ = 600;
     // Placements in a row that are told at once after a quiet while, such as
     // those of callers who come together.
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -165,8 +165,7 @@
     const Peer* peer_ = nullptr; // in peers_, where none is ever erased
   };
   // By host. Kept by endpoint, since each placement sums over the few hosts
-  // that have something in work there: with 78 engines and 90 peers it looked
-  // up 7,000 shares, most of them empty.
+  // that have something in work there, not over all hosts for each endpoint.
   using PeerShares = std::map<std::string, PeerShare>;
 
   void Put(const std::string& aHost,
--- a/src/core/gooseberrylift-placement-strategy.cc
+++ b/src/core/gooseberrylift-placement-strategy.cc
@@ -101,9 +101,7 @@
   // Work is sent ahead only as far as hides the round trip and the lag of a
   // load report; what is held back stays in the fair queue's order. Urgent
   // work overtakes on the engine itself, so holding it back here for the sake
-  // of other classes' backlog only delays it: with a quarter of a second its
-  // p99 was 274 ms at 1.5 times the capacity, with two seconds 42 ms
-  // (decision-bench f1.5, seed 1).
+  // of other classes' backlog only delays it.
   static constexpr microseconds kAheadShort{ 60'000 };
   static constexpr microseconds kAheadLong{ 300'000 };
   static constexpr microseconds kAheadUrgent{ 2000'000 };
--- a/src/core/gooseberrylift-scheduler-learning.cc
+++ b/src/core/gooseberrylift-scheduler-learning.cc
@@ -16,7 +16,7 @@
 
 // An answer that takes four times its prediction, and no less than a second
 // and a half, is taken for one that never comes: under load the ratio of a
-// sound engine stays under three (decision-bench f1.5).
+// sound engine stays under three.
 constexpr int kLimitFactor = 4;
 constexpr milliseconds kLeastLimit{ 1500 };
 
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -102,7 +102,8 @@
 }
 
 // The order of engines changes only with the directory. A prompt that is held
-// asks for it 25 times a second; to put 195 engines in order takes 0.3 ms.
+// asks for it 25 times a second, and sorting hundreds of engines each time
+// would take a small host's processor from its callers.
 Fleet::Endpoints Fleet::Ordered(const FleetQuery& aQuery)
 {
   const std::lock_guard lock(directoryMutex_);
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -28,8 +28,8 @@
 
 // Endpoints that can't be connected to cost no budget, but time. A connection
 // that is refused costs some ms, so a request goes on as long as there are
-// others and it has not lost more than this: where nine of 15 engines had died
-// at once, one in three requests was given up after four of them.
+// others and it has not lost more than this: bounded by a count of tries,
+// requests are given up where most endpoints have died at once.
 constexpr milliseconds kMostUnreachable{ 1'000 };
 
 // A prompt that takes longer to read is told to the other hosts at once: the
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -28,9 +28,8 @@
 constexpr milliseconds kPeerRound{ 150 };
 constexpr std::size_t kPeerPartners = 3;
 // In a large fleet words and headlines in datagrams carry all that is urgent,
-// and the exchange only what seldom changes. A host beside 99 others took 0.030
-// of a core with rounds of 150 ms that carried all of it, and 0.020 with rounds
-// of 450 ms and datagrams.
+// and the exchange only what seldom changes: shorter rounds would take a small
+// host's processor from its callers.
 constexpr milliseconds kLargePeerRound{ 600 };
 constexpr int kPeerRoundsUntilGone = 15; // two seconds and a bit
 // Words of others in a message. Of a zone of 60 a host so gets some 23 words a
