Decode endpoints' rate limits, tell them to the other hosts and log them

What callers saw: nothing yet; operators saw engines flooded that had asked for less. The logs could not tell whether a host did not know of a limit or knew it and kept it for itself, since no line of the product read the field.

Answers' limits are now decoded once in platform/ (absent or empty: none; below zero, not finite or no number: proves nothing), kept by incarnation in EndpointRates, passed from host to host with the digests, and logged when they are learnt, change and end (endpoint-rate, 1204). Each placement shows the limit in force at its endpoint, and /metrics counts what goes to limited endpoints. Nothing acts on it yet: no decision changes.

--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -6,10 +6,12 @@
 //     "full" (503, not run), "helper" (the same, for the first helper's fault),
 //     "crossed" (another request's answer), "status" (500), "unsigned", "hang",
 //     "gap" (leaves an event out), "crash" (ends the process)
-//   GET  /stats    what arrived, what ran, the tickets
+//   POST /control  {"limit": "1.5"}  names that rate limit; "" ends it
+//   GET  /stats    what arrived and when, what ran, the tickets
 
 #include <cstdlib>
 #include <map>
+#include <vector>
 
 #include "gooseberrylift-fake.h"
 #include "gooseberrylift-fleet-names.h"
@@ -53,6 +55,7 @@
 private:
   void Control(const json& aBody)
   {
+    limit_ = aBody.value("limit", limit_);
     fault_ = aBody.value("fault", "");
     times_ = aBody.value("times", 1);
     afterEvents_ = aBody.value("after_events", 2);
@@ -65,6 +68,7 @@
              { "ran", ran_ },
              { "fields", fields_ },
              { "last_us", last_.time_since_epoch().count() / 1000 },
+             { "times_ms", timesMs_ },
              { "helpers", helpers_ },
              { "orders", orders_ },
              { "tickets", tickets_ } };
@@ -86,6 +90,10 @@
     head.fields_ = { { names::kAttemptId,
                        std::string(aRequest.Field(names::kAttemptId)) },
                      { names::kResponseStamp, "stamp-" + id_ } };
+    if (!limit_.empty()) {
+      head.fields_.insert(head.fields_.begin() + 1,
+                          { names::kServerLimit, limit_ });
+    }
     return head;
   }
 
@@ -140,6 +148,9 @@
     const std::string attempt(request.Field(names::kAttemptId));
     ++arrived_[attempt];
     last_ = TimerService::Now();
+    timesMs_.push_back(
+      std::chrono::duration_cast<milliseconds>(last_.time_since_epoch())
+        .count());
     for (const HttpField& field : request.fields_) {
       fields_[field.name_] = field.value_;
     }
@@ -228,6 +239,7 @@
   milliseconds eventTime_;
   milliseconds workTime_;
   std::uint64_t total_;
+  std::string limit_; // as it stands in the answers; empty: none
   std::string fault_;
   int times_ = 0;
   int afterEvents_ = 2;
@@ -235,6 +247,7 @@
   std::map<std::string, int> ran_;
   std::map<std::string, std::string> fields_; // of the last request
   TimePoint last_{};                          // when it came
+  std::vector<std::int64_t> timesMs_; // when each request came
   std::map<std::string, std::string> helpers_;
   std::map<std::string, int> orders_;
   std::map<std::string, std::uint64_t> tickets_;
--- a/include/gooseberrylift/gooseberrylift-digest.h
+++ b/include/gooseberrylift/gooseberrylift-digest.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,16 @@
   std::chrono::system_clock::time_point until_{}; // shared between hosts
 };
 
+// The rate limit that one endpoint has named, or that it no longer names.
+// Entries of one incarnation merge by the higher version; of equal ones the
+// lower rate counts.
+struct EndpointRate
+{
+  Incarnation endpoint_;
+  std::uint64_t version_ = 0;
+  std::optional<double> perSecond_; // over all hosts; nothing: no limit
+};
+
 // What one team asks of one host, in tokens a second over the last seconds.
 struct TeamDemand
 {
@@ -54,6 +65,7 @@
   bool draining_ = false;
   std::vector<EndpointDigest> endpoints_; // those not plainly live
   std::vector<QuarantineEntry> quarantine_;
+  std::vector<EndpointRate> rates_;
   std::vector<TeamDemand> demand_;
   bool keysProven_ = false;   // it may let in callers by their keys
   std::size_t zoneHosts_ = 0; // hosts of its zone that it knows, with it
--- a/include/gooseberrylift/gooseberrylift-endpoint.h
+++ b/include/gooseberrylift/gooseberrylift-endpoint.h
@@ -12,6 +12,32 @@
 // Monotonic time. The runtime reads the clock; the core is handed the value.
 using TimePoint = std::chrono::steady_clock::time_point;
 
+// When an endpoint started, by its own clock.
+using BirthTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+// One life of an endpoint, which may start again under the id that it had.
+struct Incarnation
+{
+  std::string id_;
+  BirthTime born_{}; // the epoch where the platform states none
+
+  auto operator<=>(const Incarnation&) const = default;
+};
+
+// What an answer says of the rate limit of the endpoint that gave it.
+struct RateNotice
+{
+  enum class Kind
+  {
+    kNone,       // the endpoint has no limit
+    kNamed,      // it takes perSecond_ from all hosts together
+    kUnreadable, // proves nothing
+  };
+
+  Kind kind_ = Kind::kNone;
+  double perSecond_ = 0; // requests a second, not below 0
+};
+
 enum class EndpointKind
 {
   kEngine,
--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -91,6 +91,9 @@
   bool HasOther(const std::string& aService,
                 const std::set<std::string>& aTried);
 
+  /// Says whether an incarnation is in the list of endpoints.
+  bool IsListed(const Incarnation& aEndpoint);
+
   /// Gives how many endpoints of a service may get requests.
   std::size_t CountUsable(const std::string& aService);
 
@@ -106,6 +109,8 @@
 
     const FleetPlacement& Placement() const { return placement_; }
 
+    TimePoint SentAt() const { return sent_; }
+
     /// Notes that the endpoint sent something.
     /// @param aFirst whether it was the first of its answer
     void OnHeard(bool aFirst);
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "gooseberrylift/gooseberrylift-settings.h"
+#include "gooseberrylift/internal/gooseberrylift-endpoint-limiter.h"
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
 #include "gooseberrylift/internal/gooseberrylift-gateway-front.h"
 #include "gooseberrylift/internal/gooseberrylift-headline-words.h"
@@ -72,6 +73,7 @@
   std::unique_ptr<ObjectStore> store_;
   std::unique_ptr<WireDialect> dialect_;
   Fleet fleet_;
+  EndpointLimiter limiter_;
   ReadRank rank_;     // among the live hosts, as last heard
   PeerGroups groups_; // the other hosts, as last heard
   RouteFollower routes_;
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -45,6 +45,7 @@
   kEndpointState = 1201,
   kEntryRefused = 1202,
   kEndpointReborn = 1203,
+  kEndpointRate = 1204,
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -13,6 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "gooseberrylift/gooseberrylift-attempts.h"
+#include "gooseberrylift/internal/gooseberrylift-endpoint-limiter.h"
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
@@ -68,6 +69,7 @@
     RouteFollower& routes_;
     SharedRepeatBudget& repeats_;
     SuspectWatch& suspects_;
+    EndpointLimiter& limiter_;
     boost::asio::any_io_executor executor_;
     LoadWords& words_; // for the other hosts
   };
@@ -120,7 +122,8 @@
     HttpCall& aCall,
     const Fleet::Use& aUse);
   std::optional<Error> CheckHead(const HttpResponse& aHead,
-                                 const FleetPlacement& aPlacement);
+                                 const Fleet::Use& aUse);
+  void NoteRate(const EndpointFacts& aFacts, const Fleet::Use& aUse);
   boost::asio::awaitable<Outcome<void>> PassWhole(HttpCall& aCall,
                                                   const Fleet::Use& aUse);
   boost::asio::awaitable<Outcome<void>> PassLarge(HttpCall& aCall,
@@ -133,6 +136,7 @@
   boost::asio::awaitable<bool> OpenStream(const HttpResponse& aHead);
   boost::asio::awaitable<Outcome<void>> SendKept();
   void TellPlaced(const FleetPlacement& aPlacement) const;
+  void NoteSent(const FleetPlacement& aPlacement) const;
   void NoteBroken(const ListedEndpoint& aEndpoint, const Error& aError);
   bool MayRepeat(const Error& aError);
   bool MayLeave() const;
--- a/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
+++ b/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
@@ -15,9 +15,6 @@
 
 namespace gooseberrylift {
 
-// When an endpoint started, by its own clock.
-using BirthTime = std::chrono::sys_time<std::chrono::milliseconds>;
-
 // One incarnation of an endpoint: its id and the time of its start. An endpoint
 // may start again under the id that it had, and then knows nothing of before.
 struct ListedEndpoint
@@ -30,6 +27,8 @@
   int slots_ = 1;
   bool leaving_ = false;
   std::chrono::milliseconds coldFor_{ 0 }; // slower than usual for so long
+
+  Incarnation Life() const { return { .id_ = id_, .born_ = born_ }; }
 };
 
 // Three rules carry it. Leaving is sticky: once an incarnation was listed as
--- a/src/core/gooseberrylift-digest-codec.cc
+++ b/src/core/gooseberrylift-digest-codec.cc
@@ -61,6 +61,33 @@
   return list;
 }
 
+json RatesToJson(const std::vector<EndpointRate>& aRates)
+{
+  json list = json::array();
+  for (const EndpointRate& rate : aRates) {
+    json item = { rate.endpoint_.id_,
+                  rate.endpoint_.born_.time_since_epoch().count(),
+                  rate.version_ };
+    if (rate.perSecond_) {
+      item.push_back(*rate.perSecond_);
+    }
+    list.push_back(std::move(item));
+  }
+  return list;
+}
+
+EndpointRate RateFromJson(const json& aItem)
+{
+  const std::chrono::milliseconds born(aItem.at(1).get<std::int64_t>());
+  EndpointRate rate{ .endpoint_ = { .id_ = aItem.at(0),
+                                    .born_ = BirthTime(born) },
+                     .version_ = aItem.at(2) };
+  if (aItem.size() > 3) {
+    rate.perSecond_ = aItem.at(3).get<double>();
+  }
+  return rate;
+}
+
 json DemandToJson(const std::vector<TeamDemand>& aDemand)
 {
   json list = json::array();
@@ -92,6 +119,9 @@
         .released_ = item.at(2),
         .until_ = std::chrono::system_clock::time_point(until) });
   }
+  for (const json& item : ListOf(aDocument, "p")) {
+    aDigest.rates_.push_back(RateFromJson(item));
+  }
   for (const json& item : ListOf(aDocument, "d")) {
     aDigest.demand_.push_back(
       { .team_ = item.at(0), .tokensPerSecond_ = item.at(1) });
@@ -122,6 +152,9 @@
   if (!aDigest.quarantine_.empty()) {
     document["q"] = QuarantineToJson(aDigest.quarantine_);
   }
+  if (!aDigest.rates_.empty()) {
+    document["p"] = RatesToJson(aDigest.rates_);
+  }
   if (!aDigest.demand_.empty()) {
     document["d"] = DemandToJson(aDigest.demand_);
   }
--- a/src/core/gooseberrylift-peer-table.cc
+++ b/src/core/gooseberrylift-peer-table.cc
@@ -35,6 +35,11 @@
     return aOne.fingerprint_ == aOther.fingerprint_ &&
            aOne.version_ == aOther.version_;
   };
+  const auto sameRate = [](const EndpointRate& aOne,
+                           const EndpointRate& aOther) {
+    return aOne.endpoint_ == aOther.endpoint_ &&
+           aOne.version_ == aOther.version_;
+  };
   return aLeft.keysProven_ == aRight.keysProven_ &&
          aLeft.generation_ == aRight.generation_ &&
          aLeft.storeReachable_ == aRight.storeReachable_ &&
@@ -48,7 +53,12 @@
                     aLeft.quarantine_.end(),
                     aRight.quarantine_.begin(),
                     aRight.quarantine_.end(),
-                    sameEntry);
+                    sameEntry) &&
+         std::equal(aLeft.rates_.begin(),
+                    aLeft.rates_.end(),
+                    aRight.rates_.begin(),
+                    aRight.rates_.end(),
+                    sameRate);
 }
 
 bool IsNewer(const Digest& aDigest, const Digest& aThan)
--- /dev/null
+++ b/src/core/limits/gooseberrylift-endpoint-rates.cc
@@ -0,0 +1,116 @@
+#include "gooseberrylift/limits/gooseberrylift-endpoint-rates.h"
+
+#include <iterator>
+
+namespace gooseberrylift {
+
+namespace {
+
+// Says whether a peer's entry replaces the one at hand.
+bool Replaces(const EndpointRate& aTold,
+              std::uint64_t aVersion,
+              const std::optional<double>& aPerSecond)
+{
+  if (aTold.version_ != aVersion) {
+    return aTold.version_ > aVersion;
+  }
+  // Of two versions that hosts made at once the careful one stays.
+  return aTold.perSecond_ && (!aPerSecond || *aTold.perSecond_ < *aPerSecond);
+}
+
+} // namespace
+
+std::optional<EndpointRate> EndpointRates::OnAnswer(
+  const Incarnation& aEndpoint,
+  const RateNotice& aNotice,
+  TimePoint aSent,
+  TimePoint aNow)
+{
+  if (aNotice.kind_ == RateNotice::Kind::kUnreadable) {
+    return std::nullopt;
+  }
+  const bool named = aNotice.kind_ == RateNotice::Kind::kNamed;
+  auto found = known_.find(aEndpoint);
+  if (found == known_.end()) {
+    if (!named) {
+      return std::nullopt;
+    }
+    found = known_.try_emplace(aEndpoint, Known{ .listed_ = aNow }).first;
+  }
+  Known& known = found->second;
+  if (!named && aSent <= known.learnt_) {
+    return std::nullopt;
+  }
+  std::optional<double> rate;
+  if (named) {
+    rate = aNotice.perSecond_;
+    known.learnt_ = aNow;
+  }
+  if (known.version_ > 0 && rate == known.perSecond_) {
+    return std::nullopt;
+  }
+  known.perSecond_ = rate;
+  ++known.version_;
+  return EndpointRate{ .endpoint_ = aEndpoint,
+                       .version_ = known.version_,
+                       .perSecond_ = rate };
+}
+
+std::vector<EndpointRate> EndpointRates::OnPeer(
+  const std::vector<EndpointRate>& aEntries,
+  const IsListed& aIsListed,
+  TimePoint aNow)
+{
+  std::vector<EndpointRate> changed;
+  for (const EndpointRate& told : aEntries) {
+    if (!aIsListed(told.endpoint_)) {
+      continue;
+    }
+    Known& known = known_.try_emplace(told.endpoint_, Known{ .listed_ = aNow })
+                     .first->second;
+    if (!Replaces(told, known.version_, known.perSecond_)) {
+      continue;
+    }
+    const bool same = known.perSecond_ == told.perSecond_;
+    known.version_ = told.version_;
+    known.perSecond_ = told.perSecond_;
+    if (told.perSecond_) {
+      known.learnt_ = aNow;
+    }
+    if (!same) {
+      changed.push_back(told);
+    }
+  }
+  return changed;
+}
+
+std::optional<double> EndpointRates::Of(const Incarnation& aEndpoint) const
+{
+  const auto found = known_.find(aEndpoint);
+  return found == known_.end() ? std::nullopt : found->second.perSecond_;
+}
+
+std::vector<EndpointRate> EndpointRates::Entries() const
+{
+  std::vector<EndpointRate> entries;
+  entries.reserve(known_.size());
+  for (const auto& [endpoint, known] : known_) {
+    entries.push_back({ .endpoint_ = endpoint,
+                        .version_ = known.version_,
+                        .perSecond_ = known.perSecond_ });
+  }
+  return entries;
+}
+
+void EndpointRates::Sweep(const IsListed& aIsListed, TimePoint aNow)
+{
+  for (auto known = known_.begin(); known != known_.end();) {
+    if (aIsListed(known->first)) {
+      known->second.listed_ = aNow;
+    }
+    const bool old = aNow - known->second.listed_ > options_.keep_;
+    known = old ? known_.erase(known) : std::next(known);
+  }
+}
+
+} // namespace gooseberrylift
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -189,6 +189,13 @@
   view_.OnPeersKnown(aPeers);
 }
 
+bool Fleet::IsListed(const Incarnation& aEndpoint)
+{
+  const std::lock_guard lock(directoryMutex_);
+  const ListedEndpoint* listed = directory_.Find(aEndpoint.id_);
+  return listed != nullptr && listed->Life() == aEndpoint;
+}
+
 std::size_t Fleet::CountUsable(const std::string& aService)
 {
   const std::lock_guard lock(directoryMutex_);
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -73,17 +73,29 @@
   if (!read) {
     co_return read.error();
   }
-  if (const auto fault = CheckHead(aCall.Head(), aUse.Placement())) {
+  if (const auto fault = CheckHead(aCall.Head(), aUse)) {
     co_return *fault;
   }
   aUse.OnHeard(request_.route_->kind_ != RouteKind::kStreaming);
   co_return boost::outcome_v2::success();
 }
 
+// Takes in an endpoint's rate limit. Another incarnation's answer says nothing
+// of this one, and one that nobody signed may not end a limit.
+void RequestRun::NoteRate(const EndpointFacts& aFacts, const Fleet::Use& aUse)
+{
+  const bool isNamed = aFacts.rate_.kind_ == RateNotice::Kind::kNamed;
+  if (!aFacts.replaced_ && (isNamed || aFacts.genuine_)) {
+    parts_.limiter_.OnAnswer(
+      aUse.Placement().endpoint_.Life(), aFacts.rate_, aUse.SentAt());
+  }
+}
+
 // What the head of an answer must show before anything it says is believed.
 std::optional<Error> RequestRun::CheckHead(const HttpResponse& aHead,
-                                           const FleetPlacement& aPlacement)
+                                           const Fleet::Use& aUse)
 {
+  const FleetPlacement& placement = aUse.Placement();
   const EndpointFacts facts = parts_.dialect_.ReadEndpoint(aHead);
   // A late answer to an earlier request looks like one to this; its refusal
   // would prove nothing about this one.
@@ -92,14 +104,15 @@
                   .text_ = "answer to '" + facts.attemptId_ + "'",
                   .ran_ = RanState::kUnknown };
   }
+  NoteRate(facts, aUse);
   if (facts.replaced_) {
     parts_.fleet_.WithDirectory([&](EndpointDirectory& aDirectory) {
-      aDirectory.OnReplaced(aPlacement.endpoint_.id_);
+      aDirectory.OnReplaced(placement.endpoint_.id_);
     });
   }
   if (facts.notRun_) {
     // The next try must not ask the same helper again.
-    for (const ListedEndpoint& helper : aPlacement.helpers_) {
+    for (const ListedEndpoint& helper : placement.helpers_) {
       if (helper.address_ == facts.atFault_) {
         tried_.insert(helper.id_);
       }
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -325,6 +325,7 @@
   const FleetQuery query = MakeQuery();
   Fleet::Use use(parts_.fleet_, query, std::move(aPlacement));
   TellPlaced(use.Placement());
+  NoteSent(use.Placement());
   const TimePoint began = TimerService::Now();
   auto holds = co_await TakeMemory(use.Placement());
   if (!holds) {
@@ -378,6 +379,14 @@
   parts_.words_.OnPlaced(endpoints, aPlacement.cost_.read_ > kToldRead);
 }
 
+void RequestRun::NoteSent(const FleetPlacement& aPlacement) const
+{
+  parts_.limiter_.OnSent(aPlacement.endpoint_.Life());
+  for (const ListedEndpoint& helper : aPlacement.helpers_) {
+    parts_.limiter_.OnSent(helper.Life());
+  }
+}
+
 // Notes an endpoint that broke off after it had got the request. A silent one
 // is only slow or cut off, so it counts for nothing here.
 void RequestRun::NoteBroken(const ListedEndpoint& aEndpoint,
@@ -463,6 +472,8 @@
         { "held_tokens", aPlacement.heldTokens_ },
         { "prompt_tokens", request_.facts_.promptTokens_ },
         { "candidates", aPlacement.candidates_ },
+        { "limit_per_second",
+          parts_.limiter_.Of(aPlacement.endpoint_.Life()).value_or(-1) },
         { "running", aPlacement.load_.running_ },
         { "deferred", aPlacement.deferred_ },
         { "deferred_there", aPlacement.load_.deferred_ },
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -72,6 +72,12 @@
                [this](const std::string& aEndpoint) {
                  suspects_.OnEnded(aEndpoint);
                } })
+  , limiter_({ .metrics_ = metrics_,
+               .isListed_ =
+                 [this](const Incarnation& aEndpoint) {
+                   return fleet_.IsListed(aEndpoint);
+                 },
+               .tell_ = [this] { peers_.TellNear(); } })
   , routes_(*dialect_, board_)
   , endpoints_(*dialect_, fleet_)
   , follower_(FollowerParts(), FollowerOptions())
@@ -135,6 +141,7 @@
                        .routes_ = routes_,
                        .repeats_ = repeats_,
                        .suspects_ = suspects_,
+                       .limiter_ = limiter_,
                        .executor_ = context_.get_executor(),
                        .words_ = words_ } })
   , callerServer_(
@@ -183,6 +190,7 @@
   digest.draining_ = board_.host_.Read()->draining_;
   digest.keysProven_ = routes_.KeysAreProven();
   digest.quarantine_ = suspects_.Entries();
+  digest.rates_ = limiter_.Entries();
   return digest;
 }
 
@@ -210,8 +218,10 @@
   }
   for (const Digest& digest : aPeers.digests_) {
     suspects_.OnPeer(digest.quarantine_);
+    limiter_.OnPeer(digest.rates_);
   }
   fleet_.Sweep();
+  limiter_.Sweep();
   const std::lock_guard lock(repeats_.mutex_);
   repeats_.hosts_ = aPeers.known_ + 1;
 }
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -108,6 +108,10 @@
                 "endpoint-reborn",
                 "An endpoint started again under the id that it had; what was "
                 "known of its former life is forgotten." },
+  LogEventInfo{ kEndpointRate,
+                LogLevel::kInfo,
+                "endpoint-rate",
+                "An endpoint's rate limit was learnt, has changed or ended." },
   LogEventInfo{ kRequestFinished,
                 LogLevel::kDebug,
                 "request-finished",
--- /dev/null
+++ b/test/core/gooseberrylift-endpoint-rates-test.cc
@@ -0,0 +1,136 @@
+#include "gooseberrylift/limits/gooseberrylift-endpoint-rates.h"
+
+#include "gooseberrylift/gooseberrylift-digest-codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Incarnation kEngine{ .id_ = "engine-1", .born_ = BirthTime(5ms) };
+constexpr RateNotice kNone{};
+constexpr RateNotice kUnreadable{ .kind_ = RateNotice::Kind::kUnreadable };
+
+RateNotice Named(double aPerSecond)
+{
+  return { .kind_ = RateNotice::Kind::kNamed, .perSecond_ = aPerSecond };
+}
+
+bool Listed(const Incarnation& /*aEndpoint*/)
+{
+  return true;
+}
+
+bool Unlisted(const Incarnation& /*aEndpoint*/)
+{
+  return false;
+}
+
+EndpointRates MakeRates()
+{
+  return EndpointRates(EndpointRates::Options{});
+}
+
+} // namespace
+
+TEST_GROUP(EndpointRatesTest){};
+
+TEST(EndpointRatesTest, LearnsALimitOnceAndThenItsChanges)
+{
+  EndpointRates rates = MakeRates();
+  CHECK_FALSE(rates.Of(kEngine).has_value());
+  CHECK_TRUE(rates.OnAnswer(kEngine, Named(1.5), TimePoint(1s), TimePoint(2s)));
+  CHECK_FALSE(
+    rates.OnAnswer(kEngine, Named(1.5), TimePoint(2s), TimePoint(3s)));
+  const auto changed =
+    rates.OnAnswer(kEngine, Named(2.5), TimePoint(3s), TimePoint(4s));
+  CHECK_TRUE(changed.has_value());
+  DOUBLES_EQUAL(2.5, *rates.Of(kEngine), 0.001);
+}
+
+TEST(EndpointRatesTest, EndsALimitByAnAnswerToALaterRequestOnly)
+{
+  EndpointRates rates = MakeRates();
+  rates.OnAnswer(kEngine, Named(2), TimePoint(1s), TimePoint(2s));
+  CHECK_FALSE(rates.OnAnswer(kEngine, kNone, TimePoint(1s), TimePoint(3s)));
+  CHECK_TRUE(rates.Of(kEngine).has_value());
+  CHECK_TRUE(rates.OnAnswer(kEngine, kNone, TimePoint(3s), TimePoint(4s)));
+  CHECK_FALSE(rates.Of(kEngine).has_value());
+}
+
+TEST(EndpointRatesTest, KeepsWhatItKnowsWhenALimitCannotBeRead)
+{
+  EndpointRates rates = MakeRates();
+  CHECK_FALSE(
+    rates.OnAnswer(kEngine, kUnreadable, TimePoint(1s), TimePoint(2s)));
+  CHECK_FALSE(rates.Of(kEngine).has_value());
+  rates.OnAnswer(kEngine, Named(2), TimePoint(1s), TimePoint(2s));
+  rates.OnAnswer(kEngine, kUnreadable, TimePoint(3s), TimePoint(4s));
+  DOUBLES_EQUAL(2, *rates.Of(kEngine), 0.001);
+}
+
+TEST(EndpointRatesTest, BelievesThePeerThatKnowsTheLaterChange)
+{
+  EndpointRates first = MakeRates();
+  EndpointRates second = MakeRates();
+  first.OnAnswer(kEngine, Named(2), TimePoint(1s), TimePoint(2s));
+  LONGS_EQUAL(1, second.OnPeer(first.Entries(), Listed, TimePoint(2s)).size());
+  second.OnAnswer(kEngine, kNone, TimePoint(3s), TimePoint(4s));
+  LONGS_EQUAL(0, second.OnPeer(first.Entries(), Listed, TimePoint(5s)).size());
+  CHECK_FALSE(second.Of(kEngine).has_value());
+  LONGS_EQUAL(1, first.OnPeer(second.Entries(), Listed, TimePoint(5s)).size());
+  CHECK_FALSE(first.Of(kEngine).has_value());
+}
+
+TEST(EndpointRatesTest, KeepsTheLowerOfTwoLimitsLearntAtOnce)
+{
+  EndpointRates first = MakeRates();
+  EndpointRates second = MakeRates();
+  first.OnAnswer(kEngine, Named(2), TimePoint(1s), TimePoint(2s));
+  second.OnAnswer(kEngine, Named(3), TimePoint(1s), TimePoint(2s));
+  const auto told = second.Entries();
+  second.OnPeer(first.Entries(), Listed, TimePoint(3s));
+  first.OnPeer(told, Listed, TimePoint(3s));
+  DOUBLES_EQUAL(2, *first.Of(kEngine), 0.001);
+  DOUBLES_EQUAL(2, *second.Of(kEngine), 0.001);
+}
+
+TEST(EndpointRatesTest, KnowsNothingOfAnotherIncarnation)
+{
+  EndpointRates rates = MakeRates();
+  rates.OnAnswer(kEngine, Named(2), TimePoint(1s), TimePoint(2s));
+  const Incarnation reborn{ .id_ = kEngine.id_, .born_ = BirthTime(9ms) };
+  CHECK_FALSE(rates.Of(reborn).has_value());
+}
+
+TEST(EndpointRatesTest, DropsEndpointsThatLeftTheListAndTakesNoneFromPeers)
+{
+  EndpointRates rates = MakeRates();
+  rates.OnAnswer(kEngine, Named(2), TimePoint(1s), TimePoint(2s));
+  const auto told = rates.Entries();
+  rates.Sweep(Listed, TimePoint(100s));
+  rates.Sweep(Unlisted, TimePoint(130s));
+  CHECK_TRUE(rates.Of(kEngine).has_value());
+  rates.Sweep(Unlisted, TimePoint(161s));
+  CHECK_FALSE(rates.Of(kEngine).has_value());
+  rates.OnPeer(told, Unlisted, TimePoint(162s));
+  LONGS_EQUAL(0, rates.Entries().size());
+}
+
+TEST(EndpointRatesTest, CrossesTheWireAsItIs)
+{
+  EndpointRates rates = MakeRates();
+  rates.OnAnswer(kEngine, Named(1.5), TimePoint(1s), TimePoint(2s));
+  const Incarnation other{ .id_ = "engine-2" };
+  rates.OnAnswer(other, Named(4), TimePoint(1s), TimePoint(2s));
+  rates.OnAnswer(other, kNone, TimePoint(3s), TimePoint(4s));
+  const Digest digest{ .host_ = "host", .rates_ = rates.Entries() };
+  const Digest read = DigestFromJson(DigestToJson(digest));
+  LONGS_EQUAL(2, read.rates_.size());
+  CHECK_TRUE(read.rates_[0].endpoint_ == kEngine);
+  DOUBLES_EQUAL(1.5, *read.rates_[0].perSecond_, 0.001);
+  LONGS_EQUAL(2, read.rates_[1].version_);
+  CHECK_FALSE(read.rates_[1].perSecond_.has_value());
+}
