--- a/bench/gooseberrylift-pass-bench-main.cc
+++ b/bench/gooseberrylift-pass-bench-main.cc
@@ -2,6 +2,7 @@
 //
 //   pass-bench --site notes --strategy placed --seeds 8
 
+#include <cmath>
 #include <cstdio>
 #include <iostream>
 #include <map>
@@ -160,6 +161,16 @@
   app.add_option("--long-read", options.placement_.longRead_);
   app.add_option("--held-harm", options.placement_.heldHarm_);
   app.add_option("--late-factor", options.hold_.lateFactor_);
+  const std::map<std::string, PassLimitMode> modes = {
+    { "ignored", PassLimitMode::kIgnored },
+    { "avoided", PassLimitMode::kAvoided },
+    { "even-parts", PassLimitMode::kEvenParts },
+    { "permits", PassLimitMode::kPermits }
+  };
+  app.add_option("--limited", options.limits_.engines_, "engines with a limit");
+  app.add_option("--limit", options.limits_.perSecond_, "requests a second");
+  app.add_option("--limit-mode", options.limits_.mode_, "how hosts keep to it")
+    ->transform(CLI::CheckedTransformer(modes));
   app.add_flag("--json", json, "a JSON object a line");
   CLI11_PARSE(app, aCount, aArguments);
   options.round_ = std::chrono::milliseconds(round);
@@ -178,13 +189,25 @@
     kind.perSecond_ *= load;
   }
   std::vector<PassResult> sums(played.classes_.size());
+  PassLimitCount limited;
   for (int seed = first; seed < first + seeds; ++seed) {
     options.seed_ = static_cast<std::uint64_t>(seed);
-    const std::vector<PassResult> results = PlayPasses(played, options);
+    PassLimitCount count;
+    const std::vector<PassResult> results = PlayPasses(played, options, &count);
+    limited.sent_ += count.sent_;
+    limited.mostInWindow_ =
+      std::max(limited.mostInWindow_, count.mostInWindow_);
     for (std::size_t kind = 0; kind < sums.size(); ++kind) {
       Add(sums[kind], results[kind]);
     }
   }
   Print(sums, seeds, json);
+  if (options.limits_.engines_ > 0) {
+    std::printf(
+      "limited  sent %zu, most at one engine in 4 s %zu, allowed %.0f\n",
+      limited.sent_ / static_cast<std::size_t>(seeds),
+      limited.mostInWindow_,
+      std::floor(1.5 * options.limits_.perSecond_ * 4 + 5));
+  }
   return 0;
 }
--- a/bench/gooseberrylift-pass-bench.cc
+++ b/bench/gooseberrylift-pass-bench.cc
@@ -42,9 +42,18 @@
                           .next_ = site_.classes_[1].maxGap_ };
   candidates.reserve(aAll.size());
   for (const ListedEndpoint& listed : aAll) {
-    candidates.push_back({ .endpoint_ = &listed,
-                           .load_ = aHost.load_.Of(listed.id_, At(clock_)),
-                           .tried_ = aRequest->tried_.contains(listed.id_) });
+    if (!limits_.MayUse(aRequest->host_, listed.id_)) {
+      continue;
+    }
+    candidates.push_back(
+      { .endpoint_ = &listed,
+        .load_ = aHost.load_.Of(listed.id_, At(clock_)),
+        .tried_ = aRequest->tried_.contains(listed.id_),
+        .limited_ = limits_.IsLimited(listed.id_) &&
+                    options_.limits_.mode_ != PassLimitMode::kIgnored });
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
   }
   const PlacementRequest wanted{ .promptTokens_ = aRequest->prompt_,
                                  .answerTokens_ = static_cast<std::uint64_t>(
@@ -55,7 +64,8 @@
   if (options_.strategy_ == PassStrategy::kPlaced) {
     return placement_.Choose(site_.figures_, gaps, candidates, wanted);
   }
-  const PlacementCandidate* best = &candidates[aHost.next_++ % aAll.size()];
+  const PlacementCandidate* best =
+    &candidates[aHost.next_++ % candidates.size()];
   if (options_.strategy_ == PassStrategy::kLeastOutstanding) {
     for (const PlacementCandidate& candidate : candidates) {
       if (candidate.load_.running_ < best->load_.running_) {
@@ -166,6 +176,7 @@
   ++aRequest->sends_;
   aRequest->engine_ = choice->endpoint_->id_;
   host.load_.OnSent(aRequest->engine_, aRequest->id_, choice->cost_, now);
+  limits_.OnSent(aRequest->host_, aRequest->engine_);
   auto job = std::make_shared<PassJob>();
   const auto readers = choice->helpers_.size() + 1;
   const double partMs =
@@ -192,6 +203,7 @@
   });
   for (const ListedEndpoint* helper : choice->helpers_) {
     host.load_.OnSent(helper->id_, aRequest->id_, choice->helperCost_, now);
+    limits_.OnSent(aRequest->host_, helper->id_);
     aRequest->helpers_.push_back(helper->id_);
     auto part = std::make_shared<PassJob>();
     part->promptTokens_ = job->promptTokens_;
@@ -427,9 +439,15 @@
 }
 
 std::vector<PassResult> PlayPasses(const PassSite& aSite,
-                                   const PassOptions& aOptions)
+                                   const PassOptions& aOptions,
+                                   PassLimitCount* aLimited)
 {
-  return PassPlayer(aSite, aOptions).Play();
+  PassPlayer player(aSite, aOptions);
+  std::vector<PassResult> results = player.Play();
+  if (aLimited != nullptr) {
+    *aLimited = player.Limited();
+  }
+  return results;
 }
 
 } // namespace gooseberrylift::bench
--- a/bench/gooseberrylift-pass-bench.h
+++ b/bench/gooseberrylift-pass-bench.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "gooseberrylift-pass-limits.h"
 #include "gooseberrylift/limits/gooseberrylift-long-hold.h"
 #include "gooseberrylift/routing/gooseberrylift-fleet-order.h"
 #include "gooseberrylift/routing/gooseberrylift-fleet-placement.h"
@@ -85,6 +86,7 @@
   HoldOptions hold_{};
   bool defers_ = true;      // those late already let the others go first
   bool knowsQueues_ = true; // a silence that a queue explains is borne
+  PassLimitOptions limits_{};
   std::uint64_t seed_ = 1;
 };
 
@@ -109,8 +111,10 @@
 };
 
 /// Plays a load; the same figures for the same options every time.
+/// @param aLimited gets what engines with a limit were sent
 std::vector<PassResult> PlayPasses(const PassSite& aSite,
-                                   const PassOptions& aOptions);
+                                   const PassOptions& aOptions,
+                                   PassLimitCount* aLimited = nullptr);
 
 /// Gives deployments by name: "notes", with 23 engines, "checks", with 18,
 /// "contracts", whose engines hold hardly more than one long prompt, and
--- a/bench/gooseberrylift-pass-player.h
+++ b/bench/gooseberrylift-pass-player.h
@@ -72,6 +72,7 @@
     , arrivals_(aOptions.seed_)
     , random_(aOptions.seed_)
     , placement_(aOptions.placement_)
+    , limits_(clock_, aOptions.limits_, aSite.hosts_)
   {
     for (int index = 0; index < site_.engines_; ++index) {
       listed_.push_back({ .id_ = "engine-" + std::to_string(index),
@@ -91,6 +92,8 @@
 
   std::vector<PassResult> Play();
 
+  const PassLimitCount& Limited() const { return limits_.Count(); }
+
 private:
   void ScheduleArrivals(std::size_t aClass);
   double FactorAt(std::size_t aClass, double aSeconds) const;
@@ -133,6 +136,7 @@
   std::mt19937_64 arrivals_; // so that they are the same for all options
   std::mt19937_64 random_;
   EnginePlacement placement_;
+  PassLimits limits_;
   std::vector<ListedEndpoint> listed_;
   std::vector<std::unique_ptr<PassEngine>> engines_;
   std::vector<PassHost> hosts_;
