Let a host that hears no other send its even part to limited endpoints

A host whose peers have all died or are cut off got no permit for as long as it remembered them, 30 s and more: with all endpoints of a service limited it refused every caller.

--- a/include/gooseberrylift/gooseberrylift-endpoint.h
+++ b/include/gooseberrylift/gooseberrylift-endpoint.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace gooseberrylift {
 
@@ -21,7 +22,11 @@
   std::string id_;
   BirthTime born_{}; // the epoch where the platform states none
 
-  auto operator<=>(const Incarnation&) const = default;
+  bool operator==(const Incarnation&) const = default;
+  bool operator<(const Incarnation& aOther) const
+  {
+    return std::tie(id_, born_) < std::tie(aOther.id_, aOther.born_);
+  }
 };
 
 // What an answer says of the rate limit of the endpoint that gave it.
--- a/include/gooseberrylift/internal/gooseberrylift-endpoint-limiter.h
+++ b/include/gooseberrylift/internal/gooseberrylift-endpoint-limiter.h
@@ -38,8 +38,8 @@
 // Each request to a limited endpoint needs a permit, which a host gets from the
 // granting host of that endpoint (RateGranter). A request that finds none goes
 // elsewhere at once; the question is asked for the next one. A host that hears
-// none of the others gets no permit: it can't know what they send. Safe from
-// any thread.
+// none of the others grants itself its even part of the rate. Safe from any
+// thread.
 class EndpointLimiter
 {
 public:
@@ -129,12 +129,13 @@
   Options options_;
   std::mutex mutex_; // guards what follows
   EndpointRates rates_{ EndpointRates::Options{} };
-  RateGranter granter_{ RateGranter::Options{} };
+  RateGranter granter_;
   RatePermits permits_{ RatePermits::Options{} };
   // Live hosts that are not about to stop, by zone; one nameless zone in a
   // small fleet. This host is among those of its own zone.
   std::map<std::string, std::vector<PeerMember>> hosts_;
-  std::string scope_; // this host's key in hosts_
+  std::string scope_;        // this host's key in hosts_
+  std::size_t granters_ = 1; // hosts that grant for the same endpoint
   std::minstd_rand random_;
 };
 
--- a/include/gooseberrylift/limits/gooseberrylift-rate-granter.h
+++ b/include/gooseberrylift/limits/gooseberrylift-rate-granter.h
@@ -8,7 +8,7 @@
 #define GOOSEBERRYLIFT_LIMITS_GOOSEBERRYLIFT_RATE_GRANTER_H_
 
 #include <chrono>
-#include <cstdint>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -39,15 +39,19 @@
     // An endpoint that takes less, or nothing, still gets this rate: only the
     // answer to a request tells that its limit has ended.
     double leastPerSecond_ = 0.25;
+    double mostPerSecond_ = 1e6; // beyond it counts are out of range
     // Permits for so long are granted at once, at least one, so that fast
     // endpoints do not cost a question a request.
     std::chrono::milliseconds cover_{ 100 };
     // A host without a permit comes back within these bounds.
     std::chrono::milliseconds soonest_{ 20 };
-    std::chrono::milliseconds latest_{ 5'000 };
+    std::chrono::milliseconds latest_{ 10'000 };
     // What was granted at an endpoint is forgotten when nobody asked for it
     // for so long.
     std::chrono::milliseconds keep_{ 60'000 };
+    // Where in its interval, from 0 to 1, a host that grants for itself alone
+    // begins; unlike that of the others.
+    double phase_ = 0;
   };
 
   explicit RateGranter(Options aOptions)
@@ -57,8 +61,11 @@
 
   /// Answers a host that has a request for an endpoint.
   /// @param aPerSecond the endpoint's limit
+  /// @param aGranters how many hosts grant for this endpoint, each its even
+  /// part; more than one while this host hears none of the others
   RateVerdict Ask(const Incarnation& aEndpoint,
                   double aPerSecond,
+                  std::size_t aGranters,
                   TimePoint aNow);
 
   /// Forgets an endpoint: its limit has ended, or another host grants now.
--- a/src/core/limits/gooseberrylift-rate-granter.cc
+++ b/src/core/limits/gooseberrylift-rate-granter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 
 #include <xxhash.h>
 
@@ -21,23 +22,31 @@
 
 RateVerdict RateGranter::Ask(const Incarnation& aEndpoint,
                              double aPerSecond,
+                             std::size_t aGranters,
                              TimePoint aNow)
 {
-  const TimePoint first = aNow + options_.settle_;
+  const double rate =
+    std::clamp(aPerSecond, options_.leastPerSecond_, options_.mostPerSecond_) /
+    static_cast<double>(aGranters);
+  const auto interval =
+    duration_cast<TimePoint::duration>(std::chrono::duration<double>(1 / rate));
+  TimePoint first = aNow + options_.settle_;
+  if (aGranters > 1) {
+    first += duration_cast<TimePoint::duration>(interval * options_.phase_);
+  }
   Granted& granted =
     granted_
       .try_emplace(aEndpoint, Granted{ .next_ = first, .reserved_ = first })
       .first->second;
   granted.asked_ = aNow;
-  const double rate = std::max(aPerSecond, options_.leastPerSecond_);
-  const auto interval =
-    duration_cast<TimePoint::duration>(std::chrono::duration<double>(1 / rate));
   if (aNow >= granted.next_) {
     const double cover =
       rate * std::chrono::duration<double>(options_.cover_).count();
     const int permits = std::max(static_cast<int>(std::floor(cover)), 1);
-    granted.next_ =
-      std::max(granted.next_, aNow - interval) + permits * interval;
+    // A host that asks a little late does not lower the rate. Hosts that
+    // grant apart from each other could all be late in one moment.
+    const TimePoint begins = aGranters > 1 ? aNow : aNow - interval;
+    granted.next_ = std::max(granted.next_, begins) + permits * interval;
     return { .permits_ = permits };
   }
   granted.reserved_ = std::max(granted.reserved_, granted.next_);
--- a/src/gateway/gooseberrylift-endpoint-limiter.cc
+++ b/src/gateway/gooseberrylift-endpoint-limiter.cc
@@ -41,6 +41,12 @@
   return "endpoint=\"" + aEndpoint + "\"";
 }
 
+double DrawPhase()
+{
+  std::random_device source;
+  return std::uniform_real_distribution<>(0, 1)(source);
+}
+
 json MakeQuestion(const EndpointRate& aRate)
 {
   json question;
@@ -53,6 +59,7 @@
 EndpointLimiter::EndpointLimiter(Parts aParts, Options aOptions)
   : parts_(std::move(aParts))
   , options_(std::move(aOptions))
+  , granter_({ .phase_ = DrawPhase() })
   , random_(std::random_device{}())
 {
 }
@@ -110,13 +117,12 @@
     }
   }
   const std::string scope = small ? std::string() : options_.zone_;
-  // A host that hears none of the others can't grant for them.
-  const bool isAlone = aKnown == 0;
-  const bool isCutOff = !isAlone && aLive.empty();
-  if (isAlone || (!aLeaves && !isCutOff)) {
+  if (!aLeaves || aLive.empty()) {
     hosts[scope].push_back({ .host_ = options_.host_ });
   }
   const std::lock_guard lock(mutex_);
+  // One that hears none of the others can't know what they grant.
+  granters_ = aLive.empty() ? aKnown + 1 : 1;
   hosts_ = std::move(hosts);
   scope_ = scope;
 }
@@ -203,6 +209,7 @@
   const Incarnation& aEndpoint)
 {
   std::vector<std::string> zones;
+  zones.reserve(hosts_.size());
   for (const auto& [zone, members] : hosts_) {
     zones.push_back(zone);
   }
@@ -216,6 +223,7 @@
     return members[random_() % members.size()];
   }
   std::vector<std::string> names;
+  names.reserve(members.size());
   for (const PeerMember& member : members) {
     names.push_back(member.host_);
   }
@@ -292,7 +300,7 @@
   if (!rate) {
     return {}; // its limit has ended, as the entry tells the asking host
   }
-  return granter_.Ask(aRate.endpoint_, *rate, TimerService::Now());
+  return granter_.Ask(aRate.endpoint_, *rate, granters_, TimerService::Now());
 }
 
 json EndpointLimiter::Answer(const json& aParams)
--- a/test/core/gooseberrylift-rate-permits-test.cc
+++ b/test/core/gooseberrylift-rate-permits-test.cc
@@ -24,7 +24,7 @@
 {
   int permits = 0;
   for (auto at = 0ms; at < aFor; at += 5ms) {
-    permits += aGranter.Ask(kEngine, aPerSecond, aFrom + at).permits_;
+    permits += aGranter.Ask(kEngine, aPerSecond, 1, aFrom + at).permits_;
   }
   return permits;
 }
@@ -42,9 +42,9 @@
 
 TEST(RateGranterTest, GrantsTheRateAndNoMore)
 {
-  for (const double perSecond : { 0.5, 1.5, 7.0, 40.0, 300.0 }) {
+  for (const double perSecond : { 0.5, 1.5, 7.0, 40.0, 300.0, 1e6 }) {
     RateGranter granter = MakeGranter();
-    granter.Ask(kEngine, perSecond, TimePoint(100s));
+    granter.Ask(kEngine, perSecond, 1, TimePoint(100s));
     const int permits = Granted(granter, perSecond, TimePoint(102s), 20s);
     const double cover = perSecond * 0.1;
     CHECK_TRUE(permits <= perSecond * 20 + 2 + cover);
@@ -55,31 +55,50 @@
 TEST(RateGranterTest, SavesNoPermitsWhileNobodyAsks)
 {
   RateGranter granter = MakeGranter();
-  granter.Ask(kEngine, 2, TimePoint(100s));
+  granter.Ask(kEngine, 2, 1, TimePoint(100s));
   LONGS_EQUAL(2, Granted(granter, 2, TimePoint(140s), 100ms));
 }
 
 TEST(RateGranterTest, TriesAnEndpointThatTakesNothingNowAndThen)
 {
   RateGranter granter = MakeGranter();
-  granter.Ask(kEngine, 0, TimePoint(100s));
+  granter.Ask(kEngine, 0, 1, TimePoint(100s));
   const int permits = Granted(granter, 0, TimePoint(102s), 40s);
   CHECK_TRUE(permits >= 9 && permits <= 11);
 }
 
+TEST(RateGranterTest, GrantsWhatItCanCountOfARateBeyondAllBounds)
+{
+  RateGranter granter = MakeGranter();
+  granter.Ask(kEngine, 1e300, 1, TimePoint(100s));
+  LONGS_EQUAL(100'000,
+              granter.Ask(kEngine, 1e300, 1, TimePoint(102s)).permits_);
+}
+
+TEST(RateGranterTest, GrantsItsPartOnlyWhileItHearsNoOtherHost)
+{
+  RateGranter granter({ .phase_ = 0.5 });
+  granter.Ask(kEngine, 3, 6, TimePoint(100s));
+  int permits = 0;
+  for (auto at = 0ms; at < 21s; at += 5ms) {
+    permits += granter.Ask(kEngine, 3, 6, TimePoint(102s) + at).permits_;
+  }
+  LONGS_EQUAL(10, permits);
+}
+
 TEST(RateGranterTest, TellsEachHostATurnOfItsOwnToComeBack)
 {
   RateGranter granter = MakeGranter();
   std::set<std::int64_t> turns;
   for (int host = 0; host < 5; ++host) {
-    turns.insert(granter.Ask(kEngine, 2, TimePoint(100s)).retryIn_.count());
+    turns.insert(granter.Ask(kEngine, 2, 1, TimePoint(100s)).retryIn_.count());
   }
   LONGS_EQUAL(5, turns.size());
   LONGS_EQUAL(2000, *turns.begin());
   LONGS_EQUAL(4000, *turns.rbegin());
   // However many there are, none is sent away for long.
   for (int host = 0; host < 300; ++host) {
-    CHECK_TRUE(granter.Ask(kEngine, 2, TimePoint(100s)).retryIn_ <= 5s);
+    CHECK_TRUE(granter.Ask(kEngine, 2, 1, TimePoint(100s)).retryIn_ <= 10s);
   }
 }
 
--- a/test/core/gooseberrylift-rate-schedules-test.cc
+++ b/test/core/gooseberrylift-rate-schedules-test.cc
@@ -41,7 +41,8 @@
   milliseconds latest_{ 400 };
   milliseconds gone_{ 2'250 };
   bool grantsForItself_ = false;
-  bool calm_ = false; // no host stands still or starts again
+  std::size_t granters_ = 1; // that each host believes in
+  bool calm_ = false;        // no host stands still or starts again
 };
 
 struct Host
@@ -112,7 +113,8 @@
   {
     aHost.upFrom_ = aAt;
     aHost.permits_ = RatePermits(RatePermits::Options{});
-    aHost.granter_ = std::make_unique<RateGranter>(RateGranter::Options{});
+    aHost.granter_ = std::make_unique<RateGranter>(RateGranter::Options{
+      .phase_ = std::uniform_real_distribution<>(0, 1)(random_) });
   }
 
   bool IsUp(const Host& aHost) const
@@ -216,8 +218,8 @@
             [this, asker] { asker->permits_.OnUnanswered(kEngine, now_); });
       return;
     }
-    const RateVerdict verdict =
-      found->granter_->Ask(kEngine, schedule_.perSecond_, now_);
+    const RateVerdict verdict = found->granter_->Ask(
+      kEngine, schedule_.perSecond_, schedule_.granters_, now_);
     After(Span(1ms, 60ms), [this, asker, verdict] {
       asker->permits_.OnVerdict(kEngine, verdict, now_);
     });
@@ -306,6 +308,20 @@
   }
 }
 
+TEST(RateSchedulesTest, NeverFloodALimitedEndpointWhenNoHostHearsAnother)
+{
+  for (const std::size_t hosts : { 2U, 6U, 9U }) {
+    for (const double perSecond : { 0.0, 1.5, 10.0 }) {
+      LONGS_EQUAL(0,
+                  Broken({ .hosts_ = static_cast<int>(hosts),
+                           .perSecond_ = perSecond,
+                           .grantsForItself_ = true,
+                           .granters_ = hosts },
+                         10));
+    }
+  }
+}
+
 TEST(RateSchedulesTest, FloodItWhenEachHostGrantsForItself)
 {
   CHECK_TRUE(Broken({ .hosts_ = 9, .grantsForItself_ = true }, 5) > 0);
--- a/test/integration/gooseberrylift-endpoint-limit-test.cc
+++ b/test/integration/gooseberrylift-endpoint-limit-test.cc
@@ -2,8 +2,11 @@
 
 #include "harness-gateway.h"
 
+#include "gooseberrylift/limits/gooseberrylift-rate-granter.h"
+
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <memory>
 #include <string>
 #include <thread>
@@ -60,12 +63,12 @@
 class Callers
 {
 public:
-  Callers(GatewayDeployment& aDeployment,
+  Callers(const std::vector<Host*>& aHosts,
           HttpRequest (*aMake)(const std::string& aAttempt),
           std::chrono::milliseconds aPause)
   {
-    for (std::size_t host = 0; host < kHosts; ++host) {
-      const std::uint16_t port = aDeployment.At(host).Port();
+    for (std::size_t host = 0; host < aHosts.size(); ++host) {
+      const std::uint16_t port = aHosts[host]->Port();
       threads_.emplace_back([this, host, port, aMake, aPause] {
         for (int number = 0; !stop_; ++number) {
           const std::string attempt =
@@ -102,6 +105,15 @@
   std::vector<std::thread> threads_;
 };
 
+std::vector<Host*> HostsOf(GatewayDeployment& aDeployment)
+{
+  std::vector<Host*> hosts;
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    hosts.push_back(&aDeployment.At(host));
+  }
+  return hosts;
+}
+
 HttpRequest SafeCall(const std::string& aAttempt)
 {
   return RouteRequest("GET", "/safe/a", aAttempt);
@@ -118,7 +130,7 @@
                      Fake& aEndpoint,
                      HttpRequest (*aMake)(const std::string& aAttempt))
 {
-  Callers callers(aDeployment, aMake, 80ms);
+  Callers callers(HostsOf(aDeployment), aMake, 80ms);
   std::this_thread::sleep_for(1s);
   aEndpoint.Control({ { "limit", std::to_string(kPerSecond) } });
   std::this_thread::sleep_for(3s);
@@ -149,11 +161,70 @@
   CheckKeepsLimit(deployment, deployment.Engine(0), ShortPrompt);
 }
 
+TEST(EndpointLimitTest, GoesOnWhenTheHostThatGrantsDies)
+{
+  GatewayDeployment deployment({ .hosts_ = kHosts });
+  Fake& board = deployment.Board(0);
+  std::vector<Host*> hosts = HostsOf(deployment);
+  std::vector<std::string> names;
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    names.push_back("host-" + std::to_string(host));
+  }
+  const std::string grants = GranterOf({ .id_ = "board-0" }, names);
+  const auto found = std::find(names.begin(), names.end(), grants);
+  Host* lost = hosts[static_cast<std::size_t>(found - names.begin())];
+  std::erase(hosts, lost);
+  Callers callers(hosts, SafeCall, 80ms);
+  board.Control({ { "limit", std::to_string(kPerSecond) } });
+  std::this_thread::sleep_for(4s);
+  const std::int64_t from = NowMs();
+  lost->Handle().Signal(SIGKILL);
+  std::this_thread::sleep_for(6s);
+  const std::int64_t later = NowMs();
+  std::this_thread::sleep_for(6s);
+  callers.Stop();
+  CHECK_TRUE(MostInWindow(ArrivalsSince(board, from)) <= kMostInWindow);
+  CHECK_TRUE(ArrivalsSince(board, later).size() >= 3);
+  LONGS_EQUAL(callers.Asked(), callers.Served());
+}
+
+TEST(EndpointLimitTest, FloodsNoEndpointInALargeFleetOfTwoZones)
+{
+  constexpr int kLargeFleet = 34;
+  GatewayDeployment deployment({});
+  Fake& board = deployment.Board(0);
+  const std::string first =
+    "127.0.0.1:" + std::to_string(deployment.At(0).AdminPort());
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::vector<Host*> all{ &deployment.At(0) };
+  for (int index = 1; index < kLargeFleet; ++index) {
+    json settings = deployment.HostSettings("host-" + std::to_string(index));
+    settings["host"]["zone"] = index % 2 == 0 ? "zone-a" : "zone-b";
+    settings["peer"] = { { "port", 0 }, { "seeds", { first } } };
+    hosts.push_back(std::make_unique<Host>(settings));
+    all.push_back(hosts.back().get());
+  }
+  for (Host* host : all) {
+    host->WaitReady();
+  }
+  std::this_thread::sleep_for(5s); // until all know that the fleet is large
+  Callers callers(all, SafeCall, 400ms);
+  board.Control({ { "limit", std::to_string(kPerSecond) } });
+  std::this_thread::sleep_for(5s);
+  const std::int64_t from = NowMs();
+  std::this_thread::sleep_for(10s);
+  callers.Stop();
+  const std::vector<std::int64_t> arrivals = ArrivalsSince(board, from);
+  CHECK_TRUE(MostInWindow(arrivals) <= kMostInWindow);
+  CHECK_TRUE(arrivals.size() >= 5);
+  LONGS_EQUAL(callers.Asked(), callers.Served());
+}
+
 TEST(EndpointLimitTest, SendsAsBeforeToAnEndpointWhoseLimitHasEnded)
 {
   GatewayDeployment deployment({ .hosts_ = kHosts });
   Fake& board = deployment.Board(0);
-  Callers callers(deployment, SafeCall, 80ms);
+  Callers callers(HostsOf(deployment), SafeCall, 80ms);
   board.Control({ { "limit", std::to_string(kPerSecond) } });
   std::this_thread::sleep_for(4s);
   board.Control({ { "limit", "" } });
