Give short requests first to limited engines with a permit at hand

A permit that is not used is void after a second.

Engines with a permit now stand before the short lane, and of engines that promise a short request alike they get it.

--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -52,6 +52,18 @@
   return unlimited;
 }
 
+// Puts limited engines before the others, into the short lane. Each of them is
+// there for one request, by a permit that is lost when it is not used; and only
+// an answer tells that its limit has ended.
+std::size_t LimitedFirst(std::vector<const PlacementCandidate*>& aCandidates)
+{
+  const auto others = std::stable_partition(
+    aCandidates.begin(),
+    aCandidates.end(),
+    [](const PlacementCandidate* aCandidate) { return aCandidate->limited_; });
+  return static_cast<std::size_t>(others - aCandidates.begin());
+}
+
 // The requests that go before a new one which is not deferred.
 int Urgent(const EndpointLoad& aLoad)
 {
@@ -156,7 +168,10 @@
       candidates = unlimited;
     }
   }
-  const std::size_t lane = ShortLane(task, candidates);
+  std::size_t lane = ShortLane(task, candidates);
+  if (!task.isLong_) {
+    lane += LimitedFirst(candidates);
+  }
   auto choice = task.isLong_ ? ChooseLong(task, candidates, lane, mostEngines)
                              : ChooseShort(task, candidates, lane);
   if (!choice && task.isLong_) {
@@ -242,6 +257,14 @@
     const bool full = aFit.candidate_->load_.running_ > comfortable;
     return aFit.first_ > bestFirst + (full ? microseconds(0) : alike);
   });
+  const bool permitted =
+    std::any_of(fits.begin(), fits.end(), [](const Fit& aFit) {
+      return aFit.candidate_->limited_;
+    });
+  if (permitted) {
+    std::erase_if(fits,
+                  [](const Fit& aFit) { return !aFit.candidate_->limited_; });
+  }
   const Fit& drawn = fits[aTask.request_.draw_ % fits.size()];
   const PlacementCandidate* best = drawn.candidate_;
   bestFirst = drawn.first_;
--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -132,6 +132,48 @@
   CHECK_TRUE(Choose(Long(200'000))->wait_ > alone + 200ms);
 }
 
+TEST(FleetPlacementTest, StarvesNoLimitedEngineOutsideTheShortLane)
+{
+  Engines(20);
+  candidates_[13].limited_ = true;
+  for (std::uint64_t draw = 0; draw < 10; ++draw) {
+    PlacementRequest request = Short();
+    request.draw_ = draw;
+    const auto choice =
+      placement_.Choose(Figures(), kGaps, candidates_, request);
+    STRCMP_EQUAL("13", choice->endpoint_->id_.c_str());
+  }
+}
+
+TEST(FleetPlacementTest, MakesNoShortRequestLateForAPermit)
+{
+  Engines(20);
+  candidates_[13].limited_ = true;
+  candidates_[13].load_.backlog_ = 2s;
+  const auto choice = placement_.Choose(Figures(), kGaps, candidates_, Short());
+  STRCMP_EQUAL("0", choice->endpoint_->id_.c_str());
+}
+
+TEST(FleetPlacementTest, ReadsNoPartOfALongPromptAtLimitedEngines)
+{
+  Engines(6);
+  for (const std::size_t limited : { 0U, 2U, 5U }) {
+    candidates_[limited].limited_ = true;
+  }
+  const auto choice =
+    placement_.Choose(Figures(), kGaps, candidates_, Long(200'000));
+  CHECK_TRUE(choice->helpers_.size() <= 2);
+  for (const ListedEndpoint* helper : choice->helpers_) {
+    CHECK_TRUE(helper->id_ == "1" || helper->id_ == "3" || helper->id_ == "4");
+  }
+  for (PlacementCandidate& candidate : candidates_) {
+    candidate.limited_ = true;
+  }
+  const auto alone =
+    placement_.Choose(Figures(), kGaps, candidates_, Long(200'000));
+  LONGS_EQUAL(0, alone->helpers_.size());
+}
+
 TEST_GROUP(UrgencyTest){};
 
 TEST(UrgencyTest, PutsDeferredRequestsBehindAllOthers)
