--- a/bench/gooseberrylift-pass-bench-main.cc
+++ b/bench/gooseberrylift-pass-bench-main.cc
@@ -31,6 +31,8 @@
   aSum.firstP99Ms_ += aOne.firstP99Ms_;
   aSum.repeats_ += aOne.repeats_;
   aSum.refused_ += aOne.refused_;
+  aSum.turnedAway_ += aOne.turnedAway_;
+  aSum.noMemory_ += aOne.noMemory_;
   aSum.largestAsked_ += aOne.largestAsked_;
   aSum.largestServed_ += aOne.largestServed_;
 }
@@ -46,6 +48,8 @@
            { "first_p50_ms", aResult.firstP50Ms_ / aSeeds },
            { "first_p99_ms", aResult.firstP99Ms_ / aSeeds },
            { "repeats", aResult.repeats_ },
+           { "turned_away", aResult.turnedAway_ },
+           { "no_memory", aResult.noMemory_ },
            { "largest_served",
              1.0 * aResult.largestServed_ /
                std::max(aResult.largestAsked_, 1) } };
@@ -65,7 +69,7 @@
     std::printf("%-8s asked %6d in time %5.1f%% late %5.1f%% (first %5.1f%%) "
                 "lost %4.1f%% refused %d "
                 "worth %.3f first p50 %6.0f p99 %6.0f ms repeats %d "
-                "largest served %.1f%%\n",
+                "largest served %.1f%% turned away %d no memory %d\n",
                 sum.name_.c_str(),
                 sum.asked_,
                 100.0 * sum.inTime_ / sum.asked_,
@@ -77,7 +81,9 @@
                 sum.firstP50Ms_ / aSeeds,
                 sum.firstP99Ms_ / aSeeds,
                 sum.repeats_,
-                100.0 * sum.largestServed_ / std::max(sum.largestAsked_, 1));
+                100.0 * sum.largestServed_ / std::max(sum.largestAsked_, 1),
+                sum.turnedAway_,
+                sum.noMemory_);
   }
   if (!aJson) {
     std::printf("all      worth %.3f\n", worth / owed);
@@ -171,6 +177,12 @@
   app.add_option("--limit", options.limits_.perSecond_, "requests a second");
   app.add_option("--limit-mode", options.limits_.mode_, "how hosts keep to it")
     ->transform(CLI::CheckedTransformer(modes));
+  std::int64_t wordDelay = 0;
+  app.add_flag("--bounded",
+               options.bounded_,
+               "engines run out of memory, queue and parts");
+  app.add_option("--word-delay-ms", wordDelay, "mean over hosts");
+  app.add_option("--word-loss", options.wordLoss_, "part of words lost");
   app.add_flag("--json", json, "a JSON object a line");
   CLI11_PARSE(app, aCount, aArguments);
   options.round_ = std::chrono::milliseconds(round);
@@ -180,6 +192,7 @@
   options.hold_.allowedWait_ = std::chrono::milliseconds(holdWait);
   options.placement_.harmOther_ = std::chrono::milliseconds(harmOther);
   options.sums_ = std::chrono::milliseconds(betweenSums);
+  options.wordDelay_ = std::chrono::milliseconds(wordDelay);
   options.whole_ = std::chrono::milliseconds(whole);
   PassSite played = SiteByName(site);
   played.hosts_ = hosts > 0 ? hosts : played.hosts_;
--- a/bench/gooseberrylift-pass-bench.cc
+++ b/bench/gooseberrylift-pass-bench.cc
@@ -17,8 +17,6 @@
 
 namespace {
 
-constexpr std::int64_t kHop = 1'500; // us, from a host to an engine or a host
-
 // The prompt above which the largest tenth begins, of a log-normal spread.
 double LargestTenthOf(const PassClass& aKind)
 {
@@ -171,58 +169,21 @@
   if (placed && aRequest->sends_ == 0 && MustRefuse(aRequest, *choice)) {
     return;
   }
-  aRequest->sent_ = clock_.Now();
   const TimePoint now = At(clock_);
-  ++aRequest->sends_;
   aRequest->engine_ = choice->endpoint_->id_;
   host.load_.OnSent(aRequest->engine_, aRequest->id_, choice->cost_, now);
-  limits_.OnSent(aRequest->host_, aRequest->engine_);
-  auto job = std::make_shared<PassJob>();
-  const auto readers = choice->helpers_.size() + 1;
-  const double partMs =
-    static_cast<double>(
-      site_.figures_.ReadTime(aRequest->prompt_, static_cast<int>(readers))
-        .count()) /
-    1000;
-  job->promptTokens_ = std::max<std::uint64_t>(aRequest->prompt_ / readers, 1);
-  job->readMs_ = partMs;
-  job->spread_ = readers > 1;
-  job->urgency_ = options_.defers_ && choice->deferred_ ? 1 : 0;
-  job->events_ = aRequest->events_ - aRequest->got_;
-  job->partsPending_ = static_cast<int>(readers) - 1;
-  job->onEvent_ = [this, aRequest, job = std::weak_ptr(job)] {
-    if (const auto held = job.lock()) {
-      clock_.After(kHop, [this, aRequest, held] { OnEvent(aRequest, held); });
-    }
-  };
-  aRequest->job_ = job;
-  aRequest->parts_.clear();
   aRequest->helpers_.clear();
-  clock_.After(kHop, [this, job, engine = aRequest->engine_] {
-    EngineOf(engine).Add(job);
-  });
   for (const ListedEndpoint* helper : choice->helpers_) {
     host.load_.OnSent(helper->id_, aRequest->id_, choice->helperCost_, now);
-    limits_.OnSent(aRequest->host_, helper->id_);
     aRequest->helpers_.push_back(helper->id_);
-    auto part = std::make_shared<PassJob>();
-    part->promptTokens_ = job->promptTokens_;
-    part->readMs_ = partMs;
-    part->isPart_ = true;
-    part->spread_ = true;
-    part->onRead_ = [this, job, engine = aRequest->engine_] {
-      --job->partsPending_;
-      EngineOf(engine).Wake();
-    };
-    aRequest->parts_.push_back(part);
-    clock_.After(2 * kHop,
-                 [this, part, id = helper->id_] { EngineOf(id).Add(part); });
   }
   const bool isLong = choice->cost_.read_ > milliseconds(100);
   if (isLong ? options_.tells_ : options_.tellsShort_) {
     TellPlaced(aRequest->host_, *choice);
   }
-  Watch(aRequest, aRequest->heard_, SilenceLimit(RouteOf(aRequest->class_)));
+  aRequest->deferred_ = choice->deferred_;
+  aRequest->held_.assign(choice->helpers_.size(), choice->heldTokens_);
+  TakeMemory(aRequest, 0);
 }
 
 EndpointSigns PassPlayer::SignsOf(const PassRequestPtr& aRequest) const
@@ -283,7 +244,15 @@
 void PassPlayer::Leave(const PassRequestPtr& aRequest)
 {
   PassHost& host = hosts_[aRequest->host_];
-  aRequest->job_->cancelled_ = true;
+  if (aRequest->job_) {
+    aRequest->job_->cancelled_ = true;
+  }
+  for (const std::string& engine : aRequest->tickets_) {
+    clock_.After(kHop, [this, engine, id = aRequest->id_] {
+      EngineOf(engine).Release(id);
+    });
+  }
+  aRequest->tickets_.clear();
   host.load_.OnEnded(aRequest->engine_, aRequest->id_);
   for (const auto& part : aRequest->parts_) {
     part->cancelled_ = true;
@@ -326,7 +295,7 @@
     return;
   }
   aRequest->done_ = true;
-  if (aRequest->job_) {
+  if (!aRequest->engine_.empty()) {
     Leave(aRequest);
   }
   const PassClass& kind = site_.classes_[aRequest->class_];
@@ -358,8 +327,11 @@
     return;
   }
   const auto tell = [this](std::size_t aFrom, std::size_t aTo) {
+    if (IsLost()) {
+      return;
+    }
     clock_.After(
-      kHop,
+      kHop + hosts_[aFrom].wordDelay_,
       [this, aFrom, aTo, shares = hosts_[aFrom].load_.OwnShares(At(clock_))] {
         hosts_[aTo].load_.OnPeer(hosts_[aFrom].name_, shares, At(clock_));
       });
@@ -381,7 +353,10 @@
     clock_.After(kHop,
                  [this, zone = hosts_[aHost].zone_] { TellChanges(zone); });
   }
-  clock_.After(kHop, [this, aHost, shares] {
+  if (IsLost()) {
+    return;
+  }
+  clock_.After(kHop + hosts_[aHost].wordDelay_, [this, aHost, shares] {
     for (std::size_t other = 0; other < hosts_.size(); ++other) {
       if (Hears(other, aHost)) {
         hosts_[other].load_.OnChangeOfPeer(
--- a/bench/gooseberrylift-pass-bench.h
+++ b/bench/gooseberrylift-pass-bench.h
@@ -87,6 +87,12 @@
   bool defers_ = true;      // those late already let the others go first
   bool knowsQueues_ = true; // a silence that a queue explains is borne
   PassLimitOptions limits_{};
+  // Engines run out of memory, places in their queue and parts of others.
+  bool bounded_ = false;
+  // How much later than by the way alone a host's words come, in the mean over
+  // hosts, and the part of them that is lost.
+  std::chrono::milliseconds wordDelay_{ 0 };
+  double wordLoss_ = 0;
   std::uint64_t seed_ = 1;
 };
 
@@ -104,7 +110,9 @@
   double firstP50Ms_ = 0;
   double firstP99Ms_ = 0;
   int repeats_ = 0;
-  int refused_ = 0; // sent back, to come again
+  int refused_ = 0;    // sent back, to come again
+  int turnedAway_ = 0; // arrivals that an engine refused
+  int noMemory_ = 0;   // times that memory could not be set aside
   // Of the largest tenth of the prompts.
   int largestAsked_ = 0;
   int largestServed_ = 0;
--- a/bench/gooseberrylift-pass-engine.cc
+++ b/bench/gooseberrylift-pass-engine.cc
@@ -1,6 +1,7 @@
 #include "gooseberrylift-pass-engine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace gooseberrylift::bench {
@@ -23,14 +24,63 @@
   now_ = aMicroseconds;
 }
 
-PassEngine::PassEngine(VirtualClock& aClock, EngineFigures aFigures)
+PassEngine::PassEngine(VirtualClock& aClock,
+                       EngineFigures aFigures,
+                       bool aBounded)
   : clock_(aClock)
   , figures_(aFigures)
+  , bounded_(aBounded && aFigures.memoryTokens_ > 0)
 {
 }
 
+std::uint64_t PassEngine::MemoryUsed() const
+{
+  std::uint64_t used = 0;
+  for (const auto& [request, tokens] : tickets_) {
+    used += tokens;
+  }
+  for (const auto& job : jobs_) {
+    used += job->cancelled_ ? 0 : job->memoryTokens_ + job->grown_;
+  }
+  return used;
+}
+
+bool PassEngine::Reserve(std::uint64_t aRequest, std::uint64_t aTokens)
+{
+  if (bounded_ && MemoryUsed() + aTokens > figures_.memoryTokens_) {
+    return false;
+  }
+  tickets_[aRequest] = aTokens;
+  return true;
+}
+
+void PassEngine::Release(std::uint64_t aRequest)
+{
+  tickets_.erase(aRequest);
+  Wake();
+}
+
+// Says whether a job is turned away: an engine queues twice as many requests
+// as it has slots, and helps as many.
+bool PassEngine::IsFull(const PassJob& aJob) const
+{
+  const auto slots = static_cast<std::ptrdiff_t>(figures_.slots_);
+  if (aJob.isPart_) {
+    return std::count_if(jobs_.begin(), jobs_.end(), [](const auto& aOther) {
+             return aOther->isPart_ && !aOther->cancelled_;
+           }) >= slots;
+  }
+  return aJob.memoryTokens_ > figures_.memoryTokens_ ||
+         static_cast<std::ptrdiff_t>(queue_.size()) >= 2 * slots;
+}
+
 void PassEngine::Add(std::shared_ptr<PassJob> aJob)
 {
+  if (bounded_ && IsFull(*aJob)) {
+    aJob->cancelled_ = true;
+    aJob->onRefused_();
+    return;
+  }
   if (aJob->isPart_) {
     jobs_.push_back(std::move(aJob));
   } else {
@@ -76,6 +126,21 @@
   return ms;
 }
 
+// The newest request gives its memory back and is read again.
+void PassEngine::PreemptNewest()
+{
+  const auto newest =
+    std::find_if(jobs_.rbegin(), jobs_.rend(), [](const auto& aJob) {
+      return !aJob->isPart_;
+    });
+  const std::shared_ptr<PassJob> job = *newest;
+  jobs_.erase(std::next(newest).base());
+  job->readDone_ = 0;
+  job->writing_ = false;
+  queue_.push_front(job);
+  ++preempted_;
+}
+
 void PassEngine::StartPass()
 {
   std::erase_if(jobs_, [](const auto& aJob) { return aJob->cancelled_; });
@@ -83,7 +148,17 @@
   auto taken = std::count_if(jobs_.begin(), jobs_.end(), [](const auto& aJob) {
     return !aJob->isPart_;
   });
+  while (bounded_ && MemoryUsed() > figures_.memoryTokens_ && taken > 1) {
+    PreemptNewest();
+    --taken;
+  }
   while (!queue_.empty() && taken < figures_.slots_) {
+    const PassJob& next = *queue_.front();
+    const bool fits =
+      MemoryUsed() + next.memoryTokens_ + next.grown_ <= figures_.memoryTokens_;
+    if (bounded_ && !fits && (taken > 0 || !tickets_.empty())) {
+      break;
+    }
     jobs_.push_back(queue_.front());
     queue_.pop_front();
     ++taken;
@@ -122,6 +197,7 @@
       job->onRead_();
     } else if (job->partsPending_ == 0) {
       --job->events_;
+      job->grown_ += static_cast<std::uint64_t>(figures_.stride_);
       job->cancelled_ = job->events_ <= 0;
       job->onEvent_();
     }
--- a/bench/gooseberrylift-pass-engine.h
+++ b/bench/gooseberrylift-pass-engine.h
@@ -1,5 +1,6 @@
 // An engine on virtual time that works in passes: it reads prompts between the
-// tokens of other requests, alone or as one of several.
+// tokens of other requests, alone or as one of several. A bounded one also has
+// a memory, a queue and a number of helpers' parts that run full.
 
 #ifndef GOOSEBERRYLIFT_BENCH_GOOSEBERRYLIFT_PASS_ENGINE_H_
 #define GOOSEBERRYLIFT_BENCH_GOOSEBERRYLIFT_PASS_ENGINE_H_
@@ -7,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <queue>
 #include <vector>
@@ -61,21 +63,36 @@
   int events_ = 0;                 // to be written
   int partsPending_ = 0;           // at other engines
   bool cancelled_ = false;
-  int urgency_ = 0;               // the lowest is taken into a slot first
-  std::function<void()> onEvent_; // a request's event
-  std::function<void()> onRead_;  // a part's end
+  int urgency_ = 0;                 // the lowest is taken into a slot first
+  std::function<void()> onEvent_;   // a request's event
+  std::function<void()> onRead_;    // a part's end
+  std::function<void()> onRefused_; // by a bounded engine, not run
+  // Of a bounded engine's memory, for its prompt; not what is in tickets.
+  std::uint64_t memoryTokens_ = 0;
   // Kept by the engine.
   double readDone_ = 0; // share of its part
   bool writing_ = false;
+  std::uint64_t grown_ = 0; // tokens written
 };
 
 class PassEngine
 {
 public:
-  PassEngine(VirtualClock& aClock, EngineFigures aFigures);
+  /// @param aBounded whether what is full refuses and preempts
+  PassEngine(VirtualClock& aClock, EngineFigures aFigures, bool aBounded);
 
   void Add(std::shared_ptr<PassJob> aJob);
 
+  /// Sets memory aside for a request.
+  /// @return false when there is no room
+  bool Reserve(std::uint64_t aRequest, std::uint64_t aTokens);
+
+  /// Frees what was set aside for a request.
+  void Release(std::uint64_t aRequest);
+
+  /// Gives how often a request lost its memory and had to be read again.
+  int Preempted() const { return preempted_; }
+
   /// Goes on when a job's last part was read elsewhere.
   void Wake();
 
@@ -84,12 +101,18 @@
   void EndPass();
   double PlanReads(double aSteps);
   bool IsWriter(const PassJob& aJob) const;
+  bool IsFull(const PassJob& aJob) const;
+  std::uint64_t MemoryUsed() const;
+  void PreemptNewest();
 
   VirtualClock& clock_;
   EngineFigures figures_;
+  bool bounded_;
   bool busy_ = false;
-  std::list<std::shared_ptr<PassJob>> jobs_;  // in slots, and parts
-  std::list<std::shared_ptr<PassJob>> queue_; // wait for a slot
+  int preempted_ = 0;
+  std::map<std::uint64_t, std::uint64_t> tickets_; // tokens by request
+  std::list<std::shared_ptr<PassJob>> jobs_;       // in slots, and parts
+  std::list<std::shared_ptr<PassJob>> queue_;      // wait for a slot
 };
 
 } // namespace gooseberrylift::bench
--- a/bench/gooseberrylift-pass-player.h
+++ b/bench/gooseberrylift-pass-player.h
@@ -19,7 +19,8 @@
 
 namespace gooseberrylift::bench {
 
-constexpr int kMostSends = 2; // engines that one request is given to
+constexpr int kMostSends = 2;        // engines that one request is given to
+constexpr std::int64_t kHop = 1'500; // us, from a host to an engine or a host
 
 // Gives the virtual time as hosts know it.
 inline TimePoint At(const VirtualClock& aClock)
@@ -43,13 +44,17 @@
   int got_ = 0;
   bool gap_ = false; // one was too long
   bool done_ = false;
-  bool refused_ = false; // once; its caller comes back once
+  bool refused_ = false;  // once; its caller comes back once
+  bool deferred_ = false; // where it was placed last
   int sends_ = 0;
   std::set<std::string> tried_;
   std::shared_ptr<PassJob> job_;
   std::vector<std::shared_ptr<PassJob>> parts_;
   std::string engine_;
   std::vector<std::string> helpers_;
+  std::vector<std::uint64_t> held_;  // tokens to be set aside, by helper
+  std::vector<std::string> tickets_; // engines with memory set aside for it
+  std::int64_t unsent_ = 0;          // us lost on memory that was not to be had
 };
 using PassRequestPtr = std::shared_ptr<PassRequest>;
 
@@ -60,7 +65,8 @@
   std::set<std::size_t> far_; // hosts of other zones that hear of this one
   FleetLoad load_{ FleetLoad::Options{} };
   RepeatBudget repeats_{ RepeatBudget::Options{} };
-  std::size_t next_ = 0; // of round robin
+  std::int64_t wordDelay_ = 0; // us
+  std::size_t next_ = 0;       // of round robin
 };
 
 class PassPlayer
@@ -77,7 +83,8 @@
     for (int index = 0; index < site_.engines_; ++index) {
       listed_.push_back({ .id_ = "engine-" + std::to_string(index),
                           .slots_ = site_.figures_.slots_ });
-      engines_.push_back(std::make_unique<PassEngine>(clock_, site_.figures_));
+      engines_.push_back(std::make_unique<PassEngine>(
+        clock_, site_.figures_, options_.bounded_));
     }
     for (int index = 0; index < site_.hosts_; ++index) {
       hosts_.push_back(
@@ -85,6 +92,7 @@
           .zone_ = static_cast<std::size_t>(index % site_.zones_) });
     }
     ChooseFarHosts();
+    DrawWordDelays();
     sums_.resize(static_cast<std::size_t>(site_.zones_));
     results_.resize(site_.classes_.size());
     firsts_.resize(site_.classes_.size());
@@ -106,6 +114,11 @@
   bool MustRefuse(const PassRequestPtr& aRequest,
                   const PlacementChoice& aChoice);
   void Send(const PassRequestPtr& aRequest);
+  void TakeMemory(const PassRequestPtr& aRequest, std::size_t aNext);
+  void Launch(const PassRequestPtr& aRequest);
+  void OnRefused(const PassRequestPtr& aRequest,
+                 const std::shared_ptr<PassJob>& aJob);
+  std::chrono::milliseconds ReturnSoon();
   std::optional<PlacementChoice> Choose(
     PassHost& aHost,
     const PassRequestPtr& aRequest,
@@ -122,6 +135,8 @@
   void RunRound(std::size_t aHost);
   void TellPlaced(std::size_t aHost, const PlacementChoice& aChoice);
   void ChooseFarHosts();
+  void DrawWordDelays();
+  bool IsLost();
   bool Hears(std::size_t aHost, std::size_t aOfHost) const;
   void TellWhole(std::size_t aHost);
   void TellSums(std::size_t aZone);
--- /dev/null
+++ b/bench/gooseberrylift-pass-send.cc
@@ -0,0 +1,137 @@
+// How a host of a play takes a request to its engines: memory that is set aside
+// first, parts for helpers, and engines that turn it away.
+
+#include "gooseberrylift-pass-player.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace gooseberrylift::bench {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// A host gives a request up that has lost so much on memory that was not to be
+// had.
+constexpr std::int64_t kMostUnsent = 1'000'000; // us
+
+} // namespace
+
+// Sets memory aside at one helper after the other, a round trip each, and sends
+// the request when it is there.
+void PassPlayer::TakeMemory(const PassRequestPtr& aRequest, std::size_t aNext)
+{
+  while (aNext < aRequest->held_.size() &&
+         (!options_.bounded_ || aRequest->held_[aNext] == 0)) {
+    ++aNext;
+  }
+  if (aNext == aRequest->held_.size()) {
+    Launch(aRequest);
+    return;
+  }
+  clock_.After(2 * kHop, [this, aRequest, aNext] {
+    if (aRequest->done_) {
+      return;
+    }
+    const std::string helper = aRequest->helpers_[aNext];
+    aRequest->unsent_ += 2 * kHop;
+    if (EngineOf(helper).Reserve(aRequest->id_, aRequest->held_[aNext])) {
+      aRequest->tickets_.push_back(helper);
+      TakeMemory(aRequest, aNext + 1);
+      return;
+    }
+    ++results_[aRequest->class_].noMemory_;
+    Leave(aRequest);
+    aRequest->tried_.insert(aRequest->engine_);
+    if (aRequest->unsent_ > kMostUnsent) {
+      SendBack(aRequest, ReturnSoon());
+    } else {
+      Send(aRequest);
+    }
+  });
+}
+
+// An engine turned the request, or a part of it, away.
+void PassPlayer::OnRefused(const PassRequestPtr& aRequest,
+                           const std::shared_ptr<PassJob>& aJob)
+{
+  if (aRequest->done_ || aRequest->job_ != aJob) {
+    return;
+  }
+  ++results_[aRequest->class_].turnedAway_;
+  Leave(aRequest);
+  aRequest->job_ = nullptr;
+  aRequest->tried_.insert(aRequest->engine_);
+  if (aRequest->sends_ < kMostSends &&
+      hosts_[aRequest->host_].repeats_.TryRepeat(
+        "engines", hosts_.size(), At(clock_))) {
+    Send(aRequest);
+  } else {
+    SendBack(aRequest, ReturnSoon());
+  }
+}
+
+milliseconds PassPlayer::ReturnSoon()
+{
+  constexpr std::uint64_t kSpreadMs = 600;
+  return milliseconds(200 + random_() % kSpreadMs);
+}
+
+void PassPlayer::Launch(const PassRequestPtr& aRequest)
+{
+  aRequest->sent_ = clock_.Now();
+  ++aRequest->sends_;
+  limits_.OnSent(aRequest->host_, aRequest->engine_);
+  auto job = std::make_shared<PassJob>();
+  const auto readers = aRequest->helpers_.size() + 1;
+  const double partMs =
+    static_cast<double>(
+      site_.figures_.ReadTime(aRequest->prompt_, static_cast<int>(readers))
+        .count()) /
+    1000;
+  job->promptTokens_ = std::max<std::uint64_t>(aRequest->prompt_ / readers, 1);
+  const std::uint64_t held = std::accumulate(
+    aRequest->held_.begin(), aRequest->held_.end(), std::uint64_t{ 0 });
+  job->memoryTokens_ = aRequest->prompt_ - std::min(aRequest->prompt_, held);
+  job->readMs_ = partMs;
+  job->spread_ = readers > 1;
+  job->urgency_ = options_.defers_ && aRequest->deferred_ ? 1 : 0;
+  job->events_ = aRequest->events_ - aRequest->got_;
+  job->partsPending_ = static_cast<int>(readers) - 1;
+  job->onEvent_ = [this, aRequest, job = std::weak_ptr(job)] {
+    if (const auto held = job.lock()) {
+      clock_.After(kHop, [this, aRequest, held] { OnEvent(aRequest, held); });
+    }
+  };
+  const auto refuse = [this, aRequest, job = std::weak_ptr(job)] {
+    if (const auto held = job.lock()) {
+      clock_.After(kHop, [this, aRequest, held] { OnRefused(aRequest, held); });
+    }
+  };
+  job->onRefused_ = refuse;
+  aRequest->job_ = job;
+  aRequest->parts_.clear();
+  clock_.After(kHop, [this, job, engine = aRequest->engine_] {
+    EngineOf(engine).Add(job);
+  });
+  for (const std::string& helper : aRequest->helpers_) {
+    limits_.OnSent(aRequest->host_, helper);
+    auto part = std::make_shared<PassJob>();
+    part->promptTokens_ = job->promptTokens_;
+    part->readMs_ = partMs;
+    part->isPart_ = true;
+    part->spread_ = true;
+    part->onRead_ = [this, job, engine = aRequest->engine_] {
+      --job->partsPending_;
+      EngineOf(engine).Wake();
+    };
+    part->onRefused_ = refuse;
+    aRequest->parts_.push_back(part);
+    clock_.After(2 * kHop,
+                 [this, part, helper] { EngineOf(helper).Add(part); });
+  }
+  Watch(aRequest, aRequest->heard_, SilenceLimit(RouteOf(aRequest->class_)));
+}
+
+} // namespace gooseberrylift::bench
--- a/bench/gooseberrylift-pass-words.cc
+++ b/bench/gooseberrylift-pass-words.cc
@@ -40,6 +40,25 @@
   }
 }
 
+// A host whose processor is short is late with all of its words.
+void PassPlayer::DrawWordDelays()
+{
+  if (options_.wordDelay_.count() == 0) {
+    return;
+  }
+  std::exponential_distribution<double> delay(
+    1.0 / static_cast<double>(options_.wordDelay_.count()));
+  for (PassHost& host : hosts_) {
+    host.wordDelay_ = static_cast<std::int64_t>(delay(random_) * 1000);
+  }
+}
+
+bool PassPlayer::IsLost()
+{
+  return options_.wordLoss_ > 0 &&
+         std::uniform_real_distribution<>(0, 1)(random_) < options_.wordLoss_;
+}
+
 bool PassPlayer::Hears(std::size_t aHost, std::size_t aOfHost) const
 {
   if (aHost == aOfHost) {
@@ -53,11 +72,13 @@
 void PassPlayer::TellWhole(std::size_t aHost)
 {
   const auto shares = hosts_[aHost].load_.OwnShares(At(clock_));
-  for (std::size_t other = 0; other < hosts_.size(); ++other) {
-    if (Hears(other, aHost)) {
-      hosts_[other].load_.OnPeer(hosts_[aHost].name_, shares, At(clock_));
+  clock_.After(hosts_[aHost].wordDelay_, [this, aHost, shares] {
+    for (std::size_t other = 0; other < hosts_.size(); ++other) {
+      if (Hears(other, aHost) && !IsLost()) {
+        hosts_[other].load_.OnPeer(hosts_[aHost].name_, shares, At(clock_));
+      }
     }
-  }
+  });
   clock_.After(options_.whole_.count() * 1000,
                [this, aHost] { TellWhole(aHost); });
 }
@@ -91,13 +112,14 @@
     }
   }
   told = std::move(sums);
-  clock_.After(kRelayed, [this, aZone, zone, changes] {
-    for (PassHost& host : hosts_) {
-      if (host.zone_ != aZone) {
-        host.load_.OnChangeOfPeer(zone, changes, At(clock_));
-      }
-    }
-  });
+  clock_.After(kRelayed + hosts_[aZone].wordDelay_,
+               [this, aZone, zone, changes] {
+                 for (PassHost& host : hosts_) {
+                   if (host.zone_ != aZone && !IsLost()) {
+                     host.load_.OnChangeOfPeer(zone, changes, At(clock_));
+                   }
+                 }
+               });
 }
 
 } // namespace gooseberrylift::bench
--- /dev/null
+++ b/test/core/gooseberrylift-pass-engine-test.cc
@@ -0,0 +1,124 @@
+// The engine model of pass-bench, where it runs full.
+
+#include "bench/gooseberrylift-pass-engine.h"
+
+#include <memory>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::bench;
+
+namespace {
+
+constexpr std::int64_t kSecond = 1'000'000;
+
+EngineFigures SmallEngine()
+{
+  return { .slots_ = 2,
+           .memoryTokens_ = 10'000,
+           .stepMs_ = 1,
+           .readTokensPerMs_ = 100,
+           .readTokensPerStep_ = 1'000,
+           .stride_ = 10 };
+}
+
+} // namespace
+
+TEST_GROUP(PassEngineTest)
+{
+  VirtualClock clock_;
+  int refused_ = 0;
+  int events_ = 0;
+  std::vector<std::shared_ptr<PassJob>> jobs_;
+
+  std::shared_ptr<PassJob> Job(std::uint64_t aTokens, int aEvents)
+  {
+    auto job = std::make_shared<PassJob>();
+    job->promptTokens_ = aTokens;
+    job->memoryTokens_ = aTokens;
+    job->readMs_ = static_cast<double>(aTokens) / 100;
+    job->events_ = aEvents;
+    job->onEvent_ = [this] { ++events_; };
+    job->onRead_ = [] {};
+    job->onRefused_ = [this] { ++refused_; };
+    jobs_.push_back(job);
+    return job;
+  }
+};
+
+TEST(PassEngineTest, TurnsRequestsAwayBeyondItsSlotsAndQueue)
+{
+  PassEngine engine(clock_, SmallEngine(), true);
+  for (int request = 0; request < 10; ++request) {
+    engine.Add(Job(100, 1'000));
+    clock_.RunUntil(clock_.Now() + kSecond / 10);
+  }
+  LONGS_EQUAL(4, refused_); // two run and four wait
+}
+
+TEST(PassEngineTest, TurnsPartsAwayWhenItHelpsAsManyAsItHasSlots)
+{
+  PassEngine engine(clock_, SmallEngine(), true);
+  for (int part = 0; part < 3; ++part) {
+    const auto job = Job(9'000, 0);
+    job->isPart_ = true;
+    job->memoryTokens_ = 0;
+    engine.Add(job);
+  }
+  LONGS_EQUAL(1, refused_);
+}
+
+TEST(PassEngineTest, TurnsAwayWhatItsMemoryCannotHold)
+{
+  PassEngine engine(clock_, SmallEngine(), true);
+  engine.Add(Job(10'001, 1));
+  LONGS_EQUAL(1, refused_);
+}
+
+TEST(PassEngineTest, LetsARequestWaitUntilItsPromptFitsIntoMemory)
+{
+  PassEngine engine(clock_, SmallEngine(), true);
+  engine.Add(Job(6'000, 50));
+  engine.Add(Job(6'000, 50));
+  clock_.RunUntil(kSecond / 10);
+  LONGS_EQUAL(50, jobs_[0]->events_ + events_);
+  LONGS_EQUAL(50, jobs_[1]->events_);
+  clock_.RunUntil(10 * kSecond);
+  LONGS_EQUAL(100, events_);
+  LONGS_EQUAL(0, engine.Preempted());
+}
+
+TEST(PassEngineTest, ReadsTheNewestRequestAgainWhenMemoryRunsOut)
+{
+  PassEngine engine(clock_, SmallEngine(), true);
+  engine.Add(Job(4'900, 50));
+  engine.Add(Job(4'900, 50));
+  clock_.RunUntil(20 * kSecond);
+  CHECK_TRUE(engine.Preempted() > 0);
+  LONGS_EQUAL(100, events_);
+}
+
+TEST(PassEngineTest, SetsNoMoreMemoryAsideThanItHas)
+{
+  PassEngine engine(clock_, SmallEngine(), true);
+  CHECK_TRUE(engine.Reserve(1, 6'000));
+  CHECK_FALSE(engine.Reserve(2, 6'000));
+  engine.Add(Job(6'000, 1));
+  clock_.RunUntil(kSecond);
+  LONGS_EQUAL(0, events_);
+  engine.Release(1);
+  clock_.RunUntil(2 * kSecond);
+  LONGS_EQUAL(1, events_);
+}
+
+TEST(PassEngineTest, TurnsNothingAwayWhenItIsNotBounded)
+{
+  PassEngine engine(clock_, SmallEngine(), false);
+  for (int request = 0; request < 100; ++request) {
+    engine.Add(Job(10'001, 1));
+  }
+  LONGS_EQUAL(0, refused_);
+  CHECK_TRUE(engine.Reserve(1, 1'000'000));
+}
