Join all background coroutines before destroying a host's members

After the drain limit, WaitForStop stopped the context. Coroutine frames that were still suspended were destroyed with the context, after the members they refer to, and their destructors then used the dialect and the fleet, which no longer existed. Orders that free memory at engines were issued when nothing was left running to send them.

All background coroutines are now tasks of their context. A stop sends the remaining callers a final answer, cancels the tasks, lets cleanups finish (such as orders that free memory) and keeps running the context, for at most 600 ms, until no task is left. Then the members are destroyed. SIGTERM, SIGINT and SIGHUP stay handled until the process ends. A request that was held and not sent is answered with 503 and a Retry-After time.

Add the build option SANITIZE=address or thread.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 # `make demo` and `make test` are the two commands of the README.
-BUILD ?= build
+# `make test SANITIZE=address` (or `thread`) builds and tests with a sanitizer.
+SANITIZE ?=
+BUILD ?= build$(if $(SANITIZE),-$(SANITIZE))
 JOBS ?= $(shell nproc)
 CTEST_JOBS ?= 4
 export CCACHE_BASEDIR := $(CURDIR)
@@ -11,7 +13,7 @@
 	tools/install-packages
 
 build: packages
-	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache > /dev/null
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache -DGOOSEBERRYLIFT_SANITIZE=$(SANITIZE) > /dev/null
 	cmake --build $(BUILD) -j $(JOBS)
 
 test: build
--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_ENTRY_HOST_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 
 #include "gooseberrylift/gooseberrylift-settings.h"
 #include "gooseberrylift/internal/gooseberrylift-admin-front.h"
@@ -48,6 +49,9 @@
 
   Settings settings_;
   boost::asio::io_context context_;
+  // Lives as long as the host: a second signal must not end the process while
+  // it stops.
+  boost::asio::signal_set stopSignals_;
   Blackboard board_;
   Metrics metrics_;
   BurnRecorder burn_;
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 
 #include "gooseberrylift/gooseberrylift-settings.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-limiter.h"
@@ -65,6 +66,9 @@
 
   Settings settings_;
   boost::asio::io_context context_;
+  // Lives as long as the host: a second signal must not end the process while
+  // it stops.
+  boost::asio::signal_set stopSignals_;
   std::minstd_rand random_;
   GatewayBoard board_;
   Metrics metrics_;
--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -26,14 +26,15 @@
   kNone,
   kCallerLeft,
   kCallerStalled, // read nothing for as long as a write may take
-  kDeadline
+  kDeadline,
+  kStopping // the host stops before the handler has finished
 };
 
 // One request and the way to answer it, on the connection's strand. A handler
-// answers once, whole or as a stream. When the caller leaves or the deadline
-// passes, whatever the handler awaits ends with operation_aborted; a handler
-// that still wants to answer catches it, resets its cancellation state and
-// looks at Reason().
+// answers once, whole or as a stream. When the caller leaves, the deadline
+// passes or the host stops, whatever the handler awaits ends with
+// operation_aborted; a handler that still wants to answer catches it, resets
+// its cancellation state and looks at Reason().
 class HttpExchange
 {
 public:
@@ -139,6 +140,10 @@
   /// Gives the number of requests that are being read or answered now.
   std::size_t Active() const;
 
+  /// Cancels every running handler with the reason kStopping, so that callers
+  /// get a final answer.
+  void Abort();
+
   /// Closes the listener and every connection at once.
   void Close();
 
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -30,6 +30,7 @@
   kDrainFinished = 1002,
   kSettingsReloaded = 1003,
   kSettingsRefused = 1004,
+  kStopped = 1005,
   kConfigurationApplied = 1100,
   kConfigurationRejected = 1101,
   kStoreLost = 1102,
--- a/include/gooseberrylift/internal/gooseberrylift-settings-watch.h
+++ b/include/gooseberrylift/internal/gooseberrylift-settings-watch.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/signal_set.hpp>
 
 #include "gooseberrylift/gooseberrylift-settings.h"
 
@@ -26,10 +27,7 @@
     std::function<void(const GatewaySettings& aBounds)> apply_;
   };
 
-  explicit SettingsWatch(Parts aParts)
-    : parts_(std::move(aParts))
-  {
-  }
+  explicit SettingsWatch(Parts aParts);
 
   /// Begins to watch the file and to wait for signals.
   void Start();
@@ -40,6 +38,8 @@
   void Reload();
 
   Parts parts_;
+  // Lives as long as the host: without it SIGHUP would end the process.
+  boost::asio::signal_set hangupSignals_;
 };
 
 } // namespace gooseberrylift
--- /dev/null
+++ b/include/gooseberrylift/internal/gooseberrylift-tasks.h
@@ -0,0 +1,44 @@
+// Background coroutines that a stop can cancel and wait for. Each execution
+// context tracks its own, so that the objects they refer to are destroyed only
+// after they have ended.
+
+#ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_TASKS_H_
+#define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_TASKS_H_
+
+#include <cstddef>
+#include <functional>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/execution_context.hpp>
+
+namespace gooseberrylift {
+
+/// Starts a coroutine in the background. Does nothing once the tasks of the
+/// context have been cancelled.
+/// @param aExecutor where it runs
+/// @param aTask the coroutine
+void SpawnTask(const boost::asio::any_io_executor& aExecutor,
+               boost::asio::awaitable<void> aTask);
+
+/// Starts the coroutine that a function returns, and keeps the function alive
+/// until the coroutine has ended.
+void SpawnTask(const boost::asio::any_io_executor& aExecutor,
+               std::function<boost::asio::awaitable<void>()> aTask);
+
+/// Starts a coroutine that CancelTasks does not cancel, such as an order that
+/// releases memory at an engine. The coroutine must limit its own run time.
+void SpawnCleanup(const boost::asio::any_io_executor& aExecutor,
+                  boost::asio::awaitable<void> aTask);
+
+/// Cancels all tasks of a context except cleanups, and lets no new ones start.
+/// Must be called while no thread runs the context, because cancellation is not
+/// synchronized with the coroutines.
+void CancelTasks(boost::asio::execution_context& aContext);
+
+/// Gives the number of tasks and cleanups of a context that have not ended.
+std::size_t CountTasks(boost::asio::execution_context& aContext);
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_TASKS_H_
--- a/src/clients/gooseberrylift-load-words.cc
+++ b/src/clients/gooseberrylift-load-words.cc
@@ -2,10 +2,8 @@
 
 #include <algorithm>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 
 namespace gooseberrylift {
 
@@ -94,7 +92,7 @@
   }
   armed_ = true;
   const TimePoint due = pace_.DueAt(TimerService::Now(), near_.size());
-  asio::co_spawn(parts_.executor_, SendAt(due), asio::detached);
+  SpawnTask(parts_.executor_, SendAt(due));
 }
 
 asio::awaitable<void> LoadWords::SendAt(TimePoint aWhen)
--- a/src/clients/gooseberrylift-peer-datagrams.cc
+++ b/src/clients/gooseberrylift-peer-datagrams.cc
@@ -3,12 +3,11 @@
 #include <cstdlib>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-encoding.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 
 namespace gooseberrylift {
 
@@ -78,7 +77,7 @@
                   .text_ = "UDP port " + std::to_string(aPort) + ": " +
                            fault.message() };
   }
-  asio::co_spawn(executor_, Receive(), asio::detached);
+  SpawnTask(executor_, Receive());
   return boost::outcome_v2::success();
 }
 
--- a/src/front/gooseberrylift-caller-front.cc
+++ b/src/front/gooseberrylift-caller-front.cc
@@ -283,6 +283,8 @@
     error.code_ = ResultCode::kDeadlineExceeded;
   } else if (aExchange.Reason() == AbortReason::kCallerStalled) {
     error.code_ = ResultCode::kCallerTooSlow;
+  } else if (aExchange.Reason() == AbortReason::kStopping) {
+    error.code_ = ResultCode::kShuttingDown;
   }
   co_await AnswerFailure(aExchange, request, std::move(error));
 }
--- a/src/front/gooseberrylift-config-admin.cc
+++ b/src/front/gooseberrylift-config-admin.cc
@@ -4,11 +4,10 @@
 #include <charconv>
 #include <random>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -231,9 +230,8 @@
   }
   Log(LogEvent::kConfigurationAccepted, { { "generation", *generation } });
   follower_.OfferText(*generation, text, ConfigSource::kOperator);
-  asio::co_spawn(co_await asio::this_coro::executor,
-                 DropOldest(*generation, deadline),
-                 asio::detached);
+  const auto executor = co_await asio::this_coro::executor;
+  SpawnTask(executor, DropOldest(*generation, deadline));
   co_return *generation;
 }
 
--- a/src/gateway/gooseberrylift-endpoint-limiter.cc
+++ b/src/gateway/gooseberrylift-endpoint-limiter.cc
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "gooseberrylift/gooseberrylift-digest-codec.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -167,7 +165,7 @@
     }
   }
   for (EndpointRate& ask : asks) {
-    asio::co_spawn(parts_.executor_, Ask(std::move(ask)), asio::detached);
+    SpawnTask(parts_.executor_, Ask(std::move(ask)));
   }
   for (const std::string& id : limited.withheld_) {
     parts_.metrics_.Count("gooseberrylift_limited_endpoint_withheld_total",
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -28,6 +28,18 @@
   return error;
 }
 
+ResultCode CodeOf(AbortReason aReason)
+{
+  switch (aReason) {
+    case AbortReason::kDeadline:
+      return ResultCode::kDeadlineExceeded;
+    case AbortReason::kStopping:
+      return ResultCode::kShuttingDown;
+    default:
+      return ResultCode::kCallerLeft;
+  }
+}
+
 } // namespace
 
 int StatusOf(const Error& aError)
@@ -132,13 +144,15 @@
     aborted = true; // what the run awaited was cancelled; see Reason
   }
   co_await asio::this_coro::reset_cancellation_state();
-  if (!aborted) {
+  const bool stopped = aExchange.Reason() == AbortReason::kStopping;
+  if (!aborted && (done || !stopped)) {
     co_return done;
   }
-  Error error = MakeError(aExchange.Reason() == AbortReason::kDeadline
-                            ? ResultCode::kDeadlineExceeded
-                            : ResultCode::kCallerLeft);
+  Error error = MakeError(CodeOf(aExchange.Reason()));
   error.ran_ = aRun.Sends() > 0 ? RanState::kUnknown : RanState::kNo;
+  if (stopped && error.ran_ == RanState::kNo) {
+    error.retryAfter_ = RetrySoon();
+  }
   co_return error;
 }
 
--- a/src/gateway/gooseberrylift-memory-holds.cc
+++ b/src/gateway/gooseberrylift-memory-holds.cc
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 
 namespace gooseberrylift {
 
@@ -25,11 +24,10 @@
   renewal_.Cancel();
   const TimePoint deadline = TimerService::Now() + options_.orderTimeout_;
   for (const std::string& address : addresses_) {
-    asio::co_spawn(
+    SpawnCleanup(
       parts_.executor_,
       SendOrder(
-        parts_, address, parts_.dialect_.ReleaseOrder(ticketId_), deadline),
-      asio::detached);
+        parts_, address, parts_.dialect_.ReleaseOrder(ticketId_), deadline));
   }
 }
 
@@ -85,13 +83,12 @@
 {
   const TimePoint deadline = TimerService::Now() + options_.orderTimeout_;
   for (const std::string& address : addresses_) {
-    asio::co_spawn(parts_.executor_,
-                   SendOrder(parts_,
-                             address,
-                             parts_.dialect_.ReserveOrder(
-                               ticketId_, tokens_, options_.holdFor_),
-                             deadline),
-                   asio::detached);
+    SpawnTask(parts_.executor_,
+              SendOrder(parts_,
+                        address,
+                        parts_.dialect_.ReserveOrder(
+                          ticketId_, tokens_, options_.holdFor_),
+                        deadline));
   }
 }
 
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "gooseberrylift/internal/gooseberrylift-encoding.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -184,7 +182,7 @@
   const bool knowsAll =
     knowsRoutes && aHeadline.endpoints_ <= endpoints_.Revision();
   if (!knowsAll && !fetching_) {
-    asio::co_spawn(parts_.executor_, Fetch(aPeer), asio::detached);
+    SpawnTask(parts_.executor_, Fetch(aPeer));
   }
   // The teller's routes showed all changes up to its proof, and this host knows
   // the same routes or later ones.
--- a/src/gateway/gooseberrylift-suspect-watch.cc
+++ b/src/gateway/gooseberrylift-suspect-watch.cc
@@ -1,9 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-suspect-watch.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -44,7 +42,7 @@
     Announce({ aFingerprint }, aEndpoint.id_);
   }
   if (look) {
-    asio::co_spawn(parts_.executor_, Look(aEndpoint), asio::detached);
+    SpawnTask(parts_.executor_, Look(aEndpoint));
   }
 }
 
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -5,14 +5,13 @@
 #include <thread>
 #include <vector>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <xxhash.h>
 
+#include "gooseberrylift/internal/gooseberrylift-host-stop.h"
 #include "gooseberrylift/internal/gooseberrylift-log-routes.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 
 namespace gooseberrylift {
 
@@ -58,6 +57,7 @@
 EntryHost::EntryHost(Settings aSettings)
   : settings_(std::move(aSettings))
   , context_(settings_.threads_)
+  , stopSignals_(context_, SIGTERM, SIGINT)
   , burn_({ .settings_ = settings_, .board_ = board_, .metrics_ = metrics_ })
   , client_(context_.get_executor(), HttpClient::Options{})
   , store_(client_,
@@ -178,7 +178,7 @@
     return listening.error();
   }
   StartControllers();
-  asio::co_spawn(context_, WaitForStop(), asio::detached);
+  SpawnTask(context_.get_executor(), WaitForStop());
   std::vector<std::thread> threads;
   for (int thread = 1; thread < settings_.threads_; ++thread) {
     threads.emplace_back([this] { context_.run(); });
@@ -187,6 +187,7 @@
   for (std::thread& thread : threads) {
     thread.join();
   }
+  FinishStop(context_, { &callerServer_, &adminServer_, &peerServer_ });
   return boost::outcome_v2::success();
 }
 
@@ -217,17 +218,16 @@
 
 void EntryHost::StartControllers()
 {
-  asio::co_spawn(context_, configFollower_.Run(), asio::detached);
-  asio::co_spawn(context_, configFollower_.Poll(), asio::detached);
+  SpawnTask(context_.get_executor(), configFollower_.Run());
+  SpawnTask(context_.get_executor(), configFollower_.Poll());
   endpointTracker_.FollowPeers();
-  asio::co_spawn(context_, endpointTracker_.Run(), asio::detached);
+  SpawnTask(context_.get_executor(), endpointTracker_.Run());
   jobs_.Start();
 }
 
 asio::awaitable<void> EntryHost::WaitForStop()
 {
-  asio::signal_set signals(context_, SIGTERM, SIGINT);
-  co_await signals.async_wait(asio::use_awaitable);
+  co_await stopSignals_.async_wait(asio::use_awaitable);
   co_await Drain();
   context_.stop();
 }
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -1,17 +1,17 @@
 #include "gooseberrylift/internal/gooseberrylift-gateway-host.h"
 
 #include <algorithm>
+#include <csignal>
 #include <random>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "gooseberrylift-fleet-dialect.h"
 #include "gooseberrylift-fleet-store.h"
+#include "gooseberrylift/internal/gooseberrylift-host-stop.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-keys.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -60,6 +60,7 @@
 GatewayHost::GatewayHost(Settings aSettings, std::string aPath)
   : settings_(std::move(aSettings))
   , context_(1)
+  , stopSignals_(context_, SIGTERM, SIGINT)
   , random_(std::random_device{}())
   , client_(context_.get_executor(), HttpClient::Options{})
   , storeClient_(context_.get_executor(),
@@ -321,11 +322,13 @@
   if (!listening) {
     return listening.error();
   }
-  asio::co_spawn(context_, follower_.Run(), asio::detached);
-  asio::co_spawn(context_, StartPeers(), asio::detached);
+  SpawnTask(context_.get_executor(), follower_.Run());
+  SpawnTask(context_.get_executor(), StartPeers());
   settingsWatch_.Start();
-  asio::co_spawn(context_, WaitForStop(), asio::detached);
+  SpawnTask(context_.get_executor(), WaitForStop());
   context_.run();
+  FinishStop(context_,
+             { &callerServer_, &readyServer_, &adminServer_, &peerServer_ });
   return boost::outcome_v2::success();
 }
 
@@ -420,8 +423,7 @@
 
 asio::awaitable<void> GatewayHost::WaitForStop()
 {
-  asio::signal_set signals(context_, SIGTERM, SIGINT);
-  co_await signals.async_wait(asio::use_awaitable);
+  co_await stopSignals_.async_wait(asio::use_awaitable);
   co_await Drain();
   context_.stop();
 }
--- a/src/host/gooseberrylift-settings-watch.cc
+++ b/src/host/gooseberrylift-settings-watch.cc
@@ -6,13 +6,11 @@
 #include <fstream>
 #include <iterator>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -27,10 +25,16 @@
 
 } // namespace
 
+SettingsWatch::SettingsWatch(Parts aParts)
+  : parts_(std::move(aParts))
+  , hangupSignals_(parts_.executor_, SIGHUP)
+{
+}
+
 void SettingsWatch::Start()
 {
-  asio::co_spawn(parts_.executor_, WatchFile(), asio::detached);
-  asio::co_spawn(parts_.executor_, WaitForSignals(), asio::detached);
+  SpawnTask(parts_.executor_, WatchFile());
+  SpawnTask(parts_.executor_, WaitForSignals());
 }
 
 void SettingsWatch::Reload()
@@ -72,9 +76,8 @@
 
 asio::awaitable<void> SettingsWatch::WaitForSignals()
 {
-  asio::signal_set signals(parts_.executor_, SIGHUP);
   while (true) {
-    co_await signals.async_wait(asio::use_awaitable);
+    co_await hangupSignals_.async_wait(asio::use_awaitable);
     Reload();
   }
 }
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 
 #include "gooseberrylift-http-session.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -35,6 +36,7 @@
   asio::awaitable<void> AcceptLoop();
   void StopAccepting();
   void CloseSessions(bool aOnlyIdle);
+  void AbortSessions();
 
   asio::any_io_executor executor_;
   std::shared_ptr<HttpServerState> state_ = std::make_shared<HttpServerState>();
@@ -67,10 +69,8 @@
                            code.message() };
   }
   port_ = acceptor_.local_endpoint().port();
-  asio::co_spawn(
-    acceptor_.get_executor(),
-    [self = shared_from_this()] { return self->AcceptLoop(); },
-    asio::detached);
+  SpawnTask(acceptor_.get_executor(),
+            [self = shared_from_this()] { return self->AcceptLoop(); });
   return port_;
 }
 
@@ -113,6 +113,14 @@
   }
 }
 
+void HttpServer::Impl::AbortSessions()
+{
+  const std::lock_guard lock(state_->mutex_);
+  for (HttpSession* session : state_->sessions_) {
+    session->AbortFromOutside(AbortReason::kStopping);
+  }
+}
+
 HttpServer::HttpServer(asio::any_io_executor aExecutor,
                        Options aOptions,
                        HttpHandler aHandler)
@@ -162,6 +170,12 @@
   return static_cast<std::size_t>(impl_->state_->active_);
 }
 
+void HttpServer::Abort()
+{
+  impl_->state_->draining_ = true;
+  impl_->AbortSessions();
+}
+
 void HttpServer::Close()
 {
   impl_->state_->draining_ = true;
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -4,6 +4,7 @@
 #include <boost/beast.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-op-guard.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -50,6 +51,18 @@
   }
 }
 
+ResultCode CodeOf(AbortReason aReason)
+{
+  switch (aReason) {
+    case AbortReason::kDeadline:
+      return ResultCode::kDeadlineExceeded;
+    case AbortReason::kStopping:
+      return ResultCode::kShuttingDown;
+    default:
+      return ResultCode::kInternal;
+  }
+}
+
 // One connection. Everything in it runs on the socket's strand.
 class Connection
   : public HttpExchange
@@ -102,6 +115,15 @@
     });
   }
 
+  void AbortFromOutside(AbortReason aReason) override
+  {
+    asio::post(socket_.get_executor(), [self = weak_from_this(), aReason] {
+      if (const auto session = self.lock()) {
+        session->Abort(aReason);
+      }
+    });
+  }
+
   const HttpRequest& Request() const override { return request_; }
   HttpRequest& MutableRequest() override { return request_; }
   const std::string& Peer() const override { return peer_; }
@@ -325,9 +347,7 @@
     boost::system::error_code ignored;
     socket_.cancel(ignored);
     if (!started_ && reason_ != AbortReason::kCallerLeft) {
-      Error error = MakeError(reason_ == AbortReason::kDeadline
-                                ? ResultCode::kDeadlineExceeded
-                                : ResultCode::kInternal);
+      Error error = MakeError(CodeOf(reason_));
       error.ran_ = RanState::kUnknown;
       co_await Send(ErrorResponse(error, {}));
     }
@@ -420,10 +440,9 @@
   const auto executor = aSocket.get_executor();
   auto connection =
     std::make_shared<Connection>(std::move(aState), std::move(aSocket));
-  asio::co_spawn(
-    executor,
-    [connection]() -> asio::awaitable<void> { co_await connection->Run(); },
-    asio::detached);
+  SpawnTask(executor, [connection]() -> asio::awaitable<void> {
+    co_await connection->Run();
+  });
 }
 
 } // namespace gooseberrylift
--- a/src/net/gooseberrylift-http-session.h
+++ b/src/net/gooseberrylift-http-session.h
@@ -25,6 +25,9 @@
   /// Closes the connection from any thread.
   /// @param aOnlyIdle leave it open while a request is in work
   virtual void CloseFromOutside(bool aOnlyIdle) = 0;
+
+  /// Cancels the running handler, if any, from any thread.
+  virtual void AbortFromOutside(AbortReason aReason) = 0;
 };
 
 // What a server and its connections share.
--- /dev/null
+++ b/src/net/gooseberrylift-tasks.cc
@@ -0,0 +1,149 @@
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
+
+#include <list>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include <boost/asio.hpp>
+
+namespace gooseberrylift {
+
+namespace asio = boost::asio;
+
+namespace {
+
+enum class TaskKind
+{
+  kCancellable,
+  kCleanup
+};
+
+class TaskList : public asio::execution_context::service
+{
+public:
+  // use_service() requires a member of this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static asio::execution_context::id id;
+
+  explicit TaskList(asio::execution_context& aContext)
+    : asio::execution_context::service(aContext)
+  {
+  }
+
+  static TaskList& Of(const asio::any_io_executor& aExecutor)
+  {
+    return asio::use_service<TaskList>(
+      asio::query(aExecutor, asio::execution::context));
+  }
+
+  template<typename Coroutine>
+  void Start(const asio::any_io_executor& aExecutor,
+             Coroutine aCoroutine,
+             TaskKind aKind)
+  {
+    const auto task = std::make_shared<Task>(aKind);
+    std::list<std::shared_ptr<Task>>::iterator position;
+    {
+      const std::lock_guard lock(mutex_);
+      if (cancelled_ && aKind == TaskKind::kCancellable) {
+        return;
+      }
+      position = tasks_.insert(tasks_.end(), task);
+    }
+    // Not under the lock: co_spawn may start the coroutine before it returns.
+    asio::co_spawn(aExecutor,
+                   std::move(aCoroutine),
+                   asio::bind_cancellation_slot(
+                     task->signal_.slot(),
+                     [this, position](const std::exception_ptr& /*aFault*/) {
+                       Remove(position);
+                     }));
+  }
+
+  void Cancel()
+  {
+    std::vector<std::shared_ptr<Task>> running;
+    {
+      const std::lock_guard lock(mutex_);
+      cancelled_ = true;
+      running.assign(tasks_.begin(), tasks_.end());
+    }
+    for (const auto& task : running) {
+      if (task->kind_ == TaskKind::kCancellable) {
+        task->signal_.emit(asio::cancellation_type::terminal);
+      }
+    }
+  }
+
+  std::size_t Count()
+  {
+    const std::lock_guard lock(mutex_);
+    return tasks_.size();
+  }
+
+private:
+  struct Task
+  {
+    explicit Task(TaskKind aKind)
+      : kind_(aKind)
+    {
+    }
+    TaskKind kind_;
+    asio::cancellation_signal signal_;
+  };
+
+  void shutdown() override {}
+
+  void Remove(std::list<std::shared_ptr<Task>>::iterator aPosition)
+  {
+    const std::lock_guard lock(mutex_);
+    if (cancelled_) {
+      // A cancellation posted by Asio may still refer to the signal.
+      endedAfterCancel_.push_back(std::move(*aPosition));
+    }
+    tasks_.erase(aPosition);
+  }
+
+  std::mutex mutex_;
+  std::list<std::shared_ptr<Task>> tasks_; // not ended
+  std::vector<std::shared_ptr<Task>> endedAfterCancel_;
+  bool cancelled_ = false;
+};
+
+asio::execution_context::id TaskList::id;
+
+} // namespace
+
+void SpawnTask(const asio::any_io_executor& aExecutor,
+               asio::awaitable<void> aTask)
+{
+  TaskList::Of(aExecutor).Start(
+    aExecutor, std::move(aTask), TaskKind::kCancellable);
+}
+
+void SpawnTask(const asio::any_io_executor& aExecutor,
+               std::function<asio::awaitable<void>()> aTask)
+{
+  TaskList::Of(aExecutor).Start(
+    aExecutor, std::move(aTask), TaskKind::kCancellable);
+}
+
+void SpawnCleanup(const asio::any_io_executor& aExecutor,
+                  asio::awaitable<void> aTask)
+{
+  TaskList::Of(aExecutor).Start(
+    aExecutor, std::move(aTask), TaskKind::kCleanup);
+}
+
+void CancelTasks(asio::execution_context& aContext)
+{
+  asio::use_service<TaskList>(aContext).Cancel();
+}
+
+std::size_t CountTasks(asio::execution_context& aContext)
+{
+  return asio::use_service<TaskList>(aContext).Count();
+}
+
+} // namespace gooseberrylift
--- a/src/runtime/gooseberrylift-endpoint-tracker.cc
+++ b/src/runtime/gooseberrylift-endpoint-tracker.cc
@@ -1,10 +1,9 @@
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -81,7 +80,7 @@
   while (true) {
     if (TimerService::Now() >= nextList) {
       nextList = TimerService::Now() + options_.listPoll_;
-      asio::co_spawn(executor_, PollList(), asio::detached);
+      SpawnTask(executor_, PollList());
     }
     StartLoadPolls();
     bool dirty = false;
@@ -155,9 +154,8 @@
     }
   }
   for (EndpointView& view : due) {
-    asio::co_spawn(executor_,
-                   PollLoad(std::move(view.name_), std::move(view.address_)),
-                   asio::detached);
+    SpawnTask(executor_,
+              PollLoad(std::move(view.name_), std::move(view.address_)));
   }
 }
 
--- a/src/runtime/gooseberrylift-job-runner.cc
+++ b/src/runtime/gooseberrylift-job-runner.cc
@@ -2,13 +2,12 @@
 
 #include <random>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-encoding.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-model-request.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 
 namespace gooseberrylift {
 
@@ -85,9 +84,9 @@
 
 void JobRunner::Start()
 {
-  asio::co_spawn(asio::make_strand(executor_), Follow(), asio::detached);
-  asio::co_spawn(asio::make_strand(executor_), PickLoop(), asio::detached);
-  asio::co_spawn(asio::make_strand(executor_), SweepLoop(), asio::detached);
+  SpawnTask(asio::make_strand(executor_), Follow());
+  SpawnTask(asio::make_strand(executor_), PickLoop());
+  SpawnTask(asio::make_strand(executor_), SweepLoop());
 }
 
 bool JobRunner::HasRoom(const std::string& aTeam) const
@@ -170,10 +169,9 @@
     }
     running_[*id] = book_.TeamOf(*id);
   }
-  asio::co_spawn(
+  SpawnTask(
     asio::make_strand(executor_),
-    [this, job = *id]() -> asio::awaitable<void> { co_await RunJob(job); },
-    asio::detached);
+    [this, job = *id]() -> asio::awaitable<void> { co_await RunJob(job); });
 }
 
 asio::awaitable<void> JobRunner::SweepLoop()
@@ -202,7 +200,7 @@
   const std::shared_ptr<Claim> claim = co_await TakeClaim(aId);
   if (claim) {
     const auto executor = co_await asio::this_coro::executor;
-    asio::co_spawn(executor, Renew(claim), asio::detached);
+    SpawnTask(executor, Renew(claim));
     co_await Work(claim);
     claim->ended_ = true;
   }
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -43,6 +43,11 @@
                 LogLevel::kError,
                 "settings-refused",
                 "The changed settings file is wrong; the old ones stay." },
+  LogEventInfo{ kStopped,
+                LogLevel::kInfo,
+                "stopped",
+                "The host ends; 'tasks_left' counts coroutines that did not "
+                "end in time, 'elapsed_ms' is the time since the drain." },
   LogEventInfo{ kConfigurationApplied,
                 LogLevel::kInfo,
                 "configuration-applied",
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -2,12 +2,10 @@
 
 #include <algorithm>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "gooseberrylift/gooseberrylift-attempts.h"
 #include "gooseberrylift/gooseberrylift-sse.h"
 #include "gooseberrylift/internal/gooseberrylift-failed-attempt.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 
 namespace gooseberrylift {
 
@@ -58,9 +56,8 @@
     if (!armed_) {
       return;
     }
-    asio::co_spawn(executor_,
-                   SendCancel(client_, std::move(address_), requestId_),
-                   asio::detached);
+    SpawnCleanup(executor_,
+                 SendCancel(client_, std::move(address_), requestId_));
   }
 
   CancelGuard(const CancelGuard&) = delete;
--- a/src/runtime/gooseberrylift-once-ledger.cc
+++ b/src/runtime/gooseberrylift-once-ledger.cc
@@ -7,14 +7,14 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
+
 namespace gooseberrylift {
 
 namespace asio = boost::asio;
@@ -64,12 +64,10 @@
       return;
     }
     // Not under the lock: co_spawn may run the pump's beginning at once.
-    asio::co_spawn(
-      executor_,
-      [self = shared_from_this()]() -> asio::awaitable<void> {
-        co_await self->Pump();
-      },
-      asio::detached);
+    SpawnTask(executor_,
+              [self = shared_from_this()]() -> asio::awaitable<void> {
+                co_await self->Pump();
+              });
   }
 
   std::optional<OnceReply> ReplyOf(const Waiter& aWaiter) const
--- a/src/runtime/gooseberrylift-once-runner.cc
+++ b/src/runtime/gooseberrylift-once-runner.cc
@@ -5,8 +5,6 @@
 #include <optional>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -16,6 +14,7 @@
 
 #include "gooseberrylift/internal/gooseberrylift-encoding.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 
 namespace gooseberrylift {
 
@@ -181,10 +180,9 @@
                          std::chrono::duration_cast<milliseconds>(lease) +
                          options_.leaseSlack_ };
   ++active_;
-  asio::co_spawn(
+  SpawnTask(
     asio::make_strand(executor_),
-    [this, attempt]() -> asio::awaitable<void> { co_await Work(attempt); },
-    asio::detached);
+    [this, attempt]() -> asio::awaitable<void> { co_await Work(attempt); });
   co_await attempt->timer_.async_wait(asio::as_tuple(asio::use_awaitable));
   auto answer = attempt->TakeAnswer();
   if (answer) {
--- a/src/runtime/gooseberrylift-peer-exchange.cc
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -4,12 +4,10 @@
 #include <random>
 #include <set>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "gooseberrylift/gooseberrylift-digest-codec.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-member-list.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -132,8 +130,8 @@
                         .roundsUntilGone_ = options_.roundsUntilGone_ });
   Refresh();
   started_ = true;
-  asio::co_spawn(parts_.executor_, RunRounds(), asio::detached);
-  asio::co_spawn(parts_.executor_, RunMembership(), asio::detached);
+  SpawnTask(parts_.executor_, RunRounds());
+  SpawnTask(parts_.executor_, RunMembership());
 }
 
 asio::awaitable<void> PeerExchange::Handle(HttpExchange& aExchange)
@@ -331,7 +329,7 @@
 void PeerExchange::StartExchanges(const std::vector<PeerMember>& aPeers)
 {
   for (const PeerMember& peer : aPeers) {
-    asio::co_spawn(parts_.executor_, ExchangeWith(peer), asio::detached);
+    SpawnTask(parts_.executor_, ExchangeWith(peer));
   }
 }
 
@@ -376,9 +374,7 @@
     fetching_ = fetching_ || fetch;
   }
   if (fetch) {
-    asio::co_spawn(parts_.executor_,
-                   FetchConfiguration(MemberOf(aMessage.from_)),
-                   asio::detached);
+    SpawnTask(parts_.executor_, FetchConfiguration(MemberOf(aMessage.from_)));
   }
   const bool urgent = !options_.publishesInRounds_ || alone_ ||
                       !aMessage.from_.quarantine_.empty();
--- a/test/integration/harness-gateway.cc
+++ b/test/integration/harness-gateway.cc
@@ -85,11 +85,13 @@
 {
   json gateway = { { "revoke_ms", 5000 } };
   gateway.merge_patch(options_.gateway_);
-  return { { "host", { { "name", aName }, { "zone", "zone-a" } } },
-           { "caller", { { "port", 0 } } },
-           { "store", { { "addresses", { store_->Address() } } } },
-           { "drain", { { "lag_ms", 300 }, { "limit_ms", 5000 } } },
-           { "gateway", gateway } };
+  json settings = { { "host", { { "name", aName }, { "zone", "zone-a" } } },
+                    { "caller", { { "port", 0 } } },
+                    { "store", { { "addresses", { store_->Address() } } } },
+                    { "drain", { { "lag_ms", 300 }, { "limit_ms", 5000 } } },
+                    { "gateway", gateway } };
+  settings.merge_patch(options_.host_);
+  return settings;
 }
 
 void GatewayDeployment::PutDocument(const json& aDocument)
--- a/test/integration/harness-gateway.h
+++ b/test/integration/harness-gateway.h
@@ -22,6 +22,7 @@
     int boards_ = 2;
     json engine_ = json::object();  // merged into each endpoint's settings
     json gateway_ = json::object(); // merged into the hosts' section "gateway"
+    json host_ = json::object();    // merged into all settings of the hosts
     std::string settingsPath_;      // the first host's file; empty: none
   };
 
