Send no requests to endpoints in evacuated availability zones

An operator evacuates an availability zone by creating an object of the kind `evacuations` in the platform's store.

Hosts now follow this kind in the same way as routes and endpoints: one host reads it when the store has changed, and the others receive it from their peers. Endpoints in an evacuated zone are not usable for first attempts, retries, resumed streams or parts of long prompts, since all of these choose among usable endpoints only. Requests that already run there complete normally, and renewals and releases of memory are still sent. A starting host reads the evacuations before it accepts requests. When an evacuation ends, the entries of the zone's endpoints are applied first, because the endpoints may be cold. Headlines and answers of hosts of the former version are still read.

Resumed streams, parts of long prompts and the order at the end of an evacuation have no test of their own.

--- a/include/gooseberrylift/gooseberrylift-settings.h
+++ b/include/gooseberrylift/gooseberrylift-settings.h
@@ -40,6 +40,8 @@
   std::chrono::milliseconds longestHold_{ 20'000 };
   // In large zones a few hosts read the store for all; else each for itself.
   bool relaysStore_ = true;
+  // Whether operators may evacuate availability zones. Adds reads of the store.
+  bool evacuations_ = false;
 };
 
 struct Settings
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -47,6 +47,7 @@
   kEntryRefused = 1202,
   kEndpointReborn = 1203,
   kEndpointRate = 1204,
+  kZoneEvacuated = 1205,
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
--- a/include/gooseberrylift/internal/gooseberrylift-route-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-route-follower.h
@@ -56,6 +56,9 @@
   /// Takes in a change of an endpoint's entry.
   void OnEvent(const StoreEvent& aEvent);
 
+  /// Handles the start or the end of an availability zone's evacuation.
+  void OnEvacuation(const StoreEvent& aEvent);
+
   /// Notes that the store was away for a while: entries that are missing now
   /// may have lapsed though their endpoints live.
   void OnStoreReturned();
--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -21,10 +21,11 @@
 
 namespace gooseberrylift {
 
-// Follows two kinds of objects: routes and endpoints. Each exchange between two
-// hosts carries a headline of what each knows; who lacks something fetches it
-// from the other. So what one host read reaches all in a few exchanges, and
-// ReadTurn sees to it that one host reads.
+// Follows three kinds of objects: routes, endpoints and evacuations of
+// availability zones. Each exchange between two hosts carries a headline of
+// what each knows; who lacks something fetches it from the other. So what one
+// host read reaches all in a few exchanges, and ReadTurn sees to it that one
+// host reads.
 //
 // Reading: the routes are listed each time, since only a linearizable read
 // proves that no key was taken away. The store counts all its changes in one
@@ -56,6 +57,7 @@
     // One change of a kind.
     std::function<void(const StoreEvent& aEvent)> onRoutes_;
     std::function<void(const StoreEvent& aEvent)> onEndpoint_;
+    std::function<void(const StoreEvent& aEvent)> onEvacuation_;
     // The routes taken in show all changes from before that time.
     std::function<void(BootTime aBegan)> onProof_;
     // This host's own tries to read the store fail, or succeed again.
@@ -72,6 +74,7 @@
   {
     std::string routesKind_;
     std::string endpointsKind_;
+    std::string evacuationsKind_; // empty if not followed
     // A store in good order answers in a few ms, one that is slow by a factor
     // of sixty in a quarter of a second. What takes longer is lost.
     std::chrono::milliseconds callTimeout_{ 500 };
@@ -113,6 +116,9 @@
   boost::asio::awaitable<void> Read();
   boost::asio::awaitable<bool> ReadRoutes();
   boost::asio::awaitable<bool> ReadEndpoints();
+  boost::asio::awaitable<bool> ReadEvacuations();
+  boost::asio::awaitable<bool> ReadChanges();
+  bool FollowsEvacuations() const { return !options_.evacuationsKind_.empty(); }
   boost::asio::awaitable<void> Fetch(PeerMember aPeer);
   void TakeInList(const std::string& aKind, StoreView& aView, StoreList aList);
   nlohmann::json Question() const;
@@ -128,6 +134,7 @@
   ReadTurn turn_;
   StoreView routes_{ StoreView::Options{} };
   StoreView endpoints_{ StoreView::Options{} };
+  StoreView evacuations_{ StoreView::Options{} };
   std::optional<BootTime> proof_;
   bool fetching_ = false;
   bool reads_ = false; // as last logged
--- a/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
+++ b/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
@@ -66,6 +66,9 @@
   std::string routes_;     // the kind that holds the route document
   std::string routesName_; // the document's name
   std::string endpoints_;  // the kind in which endpoints list themselves
+  // The kind with one object for each evacuated availability zone, named after
+  // the zone.
+  std::string evacuations_;
 };
 
 class WireDialect
--- a/include/gooseberrylift/membership/gooseberrylift-store-view.h
+++ b/include/gooseberrylift/membership/gooseberrylift-store-view.h
@@ -45,6 +45,7 @@
   // The store's revisions up to which the host knows all; 0: nothing.
   std::uint64_t routes_ = 0;
   std::uint64_t endpoints_ = 0;
+  std::uint64_t evacuations_ = 0;
   // Age of the proof that the routes hold, on the host's clock when it said
   // so; nothing without one.
   std::optional<std::chrono::milliseconds> proofAge_;
--- a/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
+++ b/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,13 @@
   /// is gone for good.
   void OnReplaced(const std::string& aId);
 
+  /// Marks an availability zone as evacuated: its endpoints are not usable
+  /// until the evacuation ends.
+  void OnEvacuated(const std::string& aZone);
+
+  /// Makes the endpoints of an evacuated zone usable again.
+  void OnEvacuationEnded(const std::string& aZone);
+
   /// Drops entries whose time to come back has passed.
   void Sweep(TimePoint aNow);
 
@@ -96,6 +104,7 @@
   // youngest that is leaving or gone.
   std::map<std::string, BirthTime> youngest_;
   std::map<std::string, BirthTime> leaving_;
+  std::set<std::string> evacuated_; // availability zones
   TimePoint relistUntil_{};
   std::uint64_t changes_ = 0;
 };
--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -67,7 +67,8 @@
         "retry_window_ms": { "$ref": "#/definitions/ms" },
         "retry_allowance": { "type": "number", "minimum": 0 },
         "hold_max_ms": { "$ref": "#/definitions/ms" },
-        "store_relay": { "type": "boolean" }
+        "store_relay": { "type": "boolean" },
+        "evacuations": { "type": "boolean" }
       } },
     "admin": {
       "type": "object", "additionalProperties": false,
@@ -197,6 +198,7 @@
   gateway.longestHold_ =
     ReadTime(aSection, "hold_max_ms", gateway.longestHold_);
   gateway.relaysStore_ = aSection.value("store_relay", gateway.relaysStore_);
+  gateway.evacuations_ = aSection.value("evacuations", gateway.evacuations_);
   return gateway;
 }
 
--- a/src/core/membership/gooseberrylift-headline-word.cc
+++ b/src/core/membership/gooseberrylift-headline-word.cc
@@ -16,13 +16,14 @@
 std::string EncodeHeadlineWord(const HeadlineWord& aWord)
 {
   const StoreHeadline& headline = aWord.headline_;
-  const json word = json::array(
-    { aWord.host_,
-      aWord.question_,
-      aWord.isAnswer_,
-      headline.routes_,
-      headline.endpoints_,
-      headline.proofAge_ ? headline.proofAge_->count() : kNoProof });
+  const json word =
+    json::array({ aWord.host_,
+                  aWord.question_,
+                  aWord.isAnswer_,
+                  headline.routes_,
+                  headline.endpoints_,
+                  headline.proofAge_ ? headline.proofAge_->count() : kNoProof,
+                  headline.evacuations_ });
   std::string bytes;
   json::to_cbor(word, bytes);
   return bytes;
@@ -44,6 +45,9 @@
     if (age >= 0) {
       read.headline_.proofAge_ = std::chrono::milliseconds(age);
     }
+    if (word.size() > 6) { // else its sender has an earlier version
+      read.headline_.evacuations_ = word.at(6);
+    }
     return read;
   } catch (const json::exception&) {
     return std::nullopt; // its sender speaks another version
--- a/src/core/routing/gooseberrylift-endpoint-directory.cc
+++ b/src/core/routing/gooseberrylift-endpoint-directory.cc
@@ -43,6 +43,16 @@
   }
 }
 
+void EndpointDirectory::OnEvacuated(const std::string& aZone)
+{
+  changes_ += evacuated_.insert(aZone).second ? 1 : 0;
+}
+
+void EndpointDirectory::OnEvacuationEnded(const std::string& aZone)
+{
+  changes_ += evacuated_.erase(aZone);
+}
+
 bool EndpointDirectory::IsLeaving(const ListedEndpoint& aListed) const
 {
   const auto left = leaving_.find(aListed.id_);
@@ -78,7 +88,9 @@
 {
   std::vector<const ListedEndpoint*> usable;
   for (const auto& [id, entry] : entries_) {
-    if (entry.listed_.service_ == aService && !IsLeaving(entry.listed_)) {
+    const ListedEndpoint& listed = entry.listed_;
+    if (listed.service_ == aService && !IsLeaving(listed) &&
+        !evacuated_.contains(listed.zone_)) {
       usable.push_back(&entry.listed_);
     }
   }
--- a/src/gateway/gooseberrylift-route-follower.cc
+++ b/src/gateway/gooseberrylift-route-follower.cc
@@ -126,6 +126,20 @@
   fleet_.OnListed(*listed);
 }
 
+void EndpointFollower::OnEvacuation(const StoreEvent& aEvent)
+{
+  const std::string& zone = aEvent.object_.name_;
+  Log(LogEvent::kZoneEvacuated,
+      { { "zone", zone }, { "evacuated", !aEvent.deleted_ } });
+  fleet_.WithDirectory([&](EndpointDirectory& aDirectory) {
+    if (aEvent.deleted_) {
+      aDirectory.OnEvacuationEnded(zone);
+    } else {
+      aDirectory.OnEvacuated(zone);
+    }
+  });
+}
+
 void EndpointFollower::OnStoreReturned()
 {
   const TimePoint now = TimerService::Now();
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -18,6 +18,7 @@
 // The fields of a question and its answer.
 constexpr const char* kRoutes = "c";
 constexpr const char* kEndpoints = "e";
+constexpr const char* kEvacuations = "z";
 constexpr const char* kRevision = "r";
 constexpr const char* kChanges = "o";  // packed: [name, version, spec] each
 constexpr const char* kRemoved = "d";  // names
@@ -111,11 +112,14 @@
   if (endpoints_.Revision() == 0) {
     read = co_await ReadEndpoints();
   }
+  if (read && FollowsEvacuations() && evacuations_.Revision() == 0) {
+    read = co_await ReadEvacuations();
+  }
   if (read) {
     read = co_await ReadRoutes();
   }
-  if (read && endpoints_.Revision() < routes_.Revision()) {
-    read = co_await ReadEndpoints();
+  if (read) {
+    read = co_await ReadChanges();
   }
   const bool wasLost = turn_.HasLostStore();
   if (read) {
@@ -144,6 +148,44 @@
   co_return true;
 }
 
+// Lists endpoints and evacuations if the store has changed. Evacuations are
+// read before the endpoints and applied after them, so that when an evacuation
+// ends, the entries of the zone's engines, which may be cold, are up to date.
+asio::awaitable<bool> StoreFollower::ReadChanges()
+{
+  const TimePoint limit = TimerService::Now() + options_.callTimeout_;
+  std::optional<StoreList> evacuations;
+  if (FollowsEvacuations() && evacuations_.Revision() < routes_.Revision()) {
+    auto list = co_await parts_.store_.List(options_.evacuationsKind_, limit);
+    if (!list) {
+      co_return false;
+    }
+    evacuations = std::move(list.value());
+  }
+  if (endpoints_.Revision() < routes_.Revision()) {
+    const bool read = co_await ReadEndpoints();
+    if (!read) {
+      co_return false;
+    }
+  }
+  if (evacuations) {
+    TakeInList(
+      options_.evacuationsKind_, evacuations_, std::move(*evacuations));
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> StoreFollower::ReadEvacuations()
+{
+  auto list = co_await parts_.store_.List(
+    options_.evacuationsKind_, TimerService::Now() + options_.callTimeout_);
+  if (!list) {
+    co_return false;
+  }
+  TakeInList(options_.evacuationsKind_, evacuations_, std::move(list.value()));
+  co_return true;
+}
+
 asio::awaitable<bool> StoreFollower::ReadEndpoints()
 {
   auto list = co_await parts_.store_.List(
@@ -171,6 +213,7 @@
 {
   return { .routes_ = routes_.Revision(),
            .endpoints_ = endpoints_.Revision(),
+           .evacuations_ = evacuations_.Revision(),
            .proofAge_ = ProofAge() };
 }
 
@@ -179,8 +222,9 @@
                                std::optional<BootTime> aAsked)
 {
   const bool knowsRoutes = aHeadline.routes_ <= routes_.Revision();
-  const bool knowsAll =
-    knowsRoutes && aHeadline.endpoints_ <= endpoints_.Revision();
+  const bool knowsAll = knowsRoutes &&
+                        aHeadline.endpoints_ <= endpoints_.Revision() &&
+                        aHeadline.evacuations_ <= evacuations_.Revision();
   if (!knowsAll && !fetching_) {
     SpawnTask(parts_.executor_, Fetch(aPeer));
   }
@@ -196,7 +240,8 @@
 json StoreFollower::Question() const
 {
   return { { kRoutes, routes_.Revision() },
-           { kEndpoints, endpoints_.Revision() } };
+           { kEndpoints, endpoints_.Revision() },
+           { kEvacuations, evacuations_.Revision() } };
 }
 
 asio::awaitable<void> StoreFollower::Fetch(PeerMember aPeer)
@@ -229,6 +274,10 @@
     NoteGap(*began);
   }
   Publish(options_.endpointsKind_, endpoints_.OnTold(endpoints));
+  if (aAnswer.contains(kEvacuations)) { // else an earlier version answered
+    const ViewChanges evacuations = ChangesFromJson(aAnswer.at(kEvacuations));
+    Publish(options_.evacuationsKind_, evacuations_.OnTold(evacuations));
+  }
   Publish(options_.routesKind_, routes_.OnTold(routes));
   if (began) {
     OnProof(*began);
@@ -242,11 +291,15 @@
                       aParams.value(kRoutes, std::uint64_t{ 0 }))) },
                   { kEndpoints,
                     ChangesToJson(endpoints_.Since(
-                      aParams.value(kEndpoints, std::uint64_t{ 0 }))) } };
+                      aParams.value(kEndpoints, std::uint64_t{ 0 }))) },
+                  { kEvacuations,
+                    ChangesToJson(evacuations_.Since(
+                      aParams.value(kEvacuations, std::uint64_t{ 0 }))) } };
   const auto size = [&answer](const char* aKind) {
     return answer.at(aKind).at(kChanges).get_ref<const std::string&>().size();
   };
-  if (size(kRoutes) + size(kEndpoints) > options_.mostBytes_) {
+  if (size(kRoutes) + size(kEndpoints) + size(kEvacuations) >
+      options_.mostBytes_) {
     return json::object();
   }
   if (const auto age = ProofAge()) {
@@ -257,8 +310,9 @@
 
 void StoreFollower::Publish(const std::string& aKind, const ViewNews& aNews)
 {
-  const auto& sink =
-    aKind == options_.routesKind_ ? parts_.onRoutes_ : parts_.onEndpoint_;
+  const auto& sink = aKind == options_.routesKind_      ? parts_.onRoutes_
+                     : aKind == options_.endpointsKind_ ? parts_.onEndpoint_
+                                                        : parts_.onEvacuation_;
   for (const ViewedObject& object : aNews.objects_) {
     sink({ .object_ = { .kind_ = aKind,
                         .name_ = object.name_,
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -274,6 +274,8 @@
     .onRoutes_ = [this](const StoreEvent& aEvent) { routes_.OnEvent(aEvent); },
     .onEndpoint_ =
       [this](const StoreEvent& aEvent) { endpoints_.OnEvent(aEvent); },
+    .onEvacuation_ =
+      [this](const StoreEvent& aEvent) { endpoints_.OnEvacuation(aEvent); },
     .onProof_ = [this](BootTime aBegan) { routes_.OnProof(aBegan); },
     .onStore_ =
       [](bool aReachable) {
@@ -288,7 +290,11 @@
 StoreFollower::Options GatewayHost::FollowerOptions() const
 {
   const StoreKinds kinds = dialect_->Kinds();
-  return { .routesKind_ = kinds.routes_, .endpointsKind_ = kinds.endpoints_ };
+  return { .routesKind_ = kinds.routes_,
+           .endpointsKind_ = kinds.endpoints_,
+           .evacuationsKind_ = settings_.gateway_->evacuations_
+                                 ? kinds.evacuations_
+                                 : std::string() };
 }
 
 asio::awaitable<void> GatewayHost::StartPeers()
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -117,6 +117,11 @@
                 LogLevel::kInfo,
                 "endpoint-rate",
                 "An endpoint's rate limit was learnt, has changed or ended." },
+  LogEventInfo{ kZoneEvacuated,
+                LogLevel::kInfo,
+                "zone-evacuated",
+                "An availability zone is evacuated, so that its endpoints get "
+                "no new requests, or is taken back." },
   LogEventInfo{ kRequestFinished,
                 LogLevel::kDebug,
                 "request-finished",
--- a/test/core/gooseberrylift-endpoint-directory-test.cc
+++ b/test/core/gooseberrylift-endpoint-directory-test.cc
@@ -163,3 +163,26 @@
   Note("a", EndpointOutcome::kRefused, 50);
   CHECK_FALSE(trust_.IsSetAside("a", now_));
 }
+
+// Guards against requests to endpoints of an evacuated zone.
+TEST(EndpointDirectoryTest, UsesNoEndpointOfAZoneUntilItsEvacuationEnds)
+{
+  ListedEndpoint inZone = Listed("a");
+  inZone.zone_ = "zone-a";
+  ListedEndpoint elsewhere = Listed("b");
+  elsewhere.zone_ = "zone-b";
+  directory_.OnListed(inZone);
+  directory_.OnListed(elsewhere);
+  const std::uint64_t before = directory_.Changes();
+  directory_.OnEvacuated("zone-a");
+  CHECK_TRUE(directory_.Changes() > before);
+  LONGS_EQUAL(1, Usable());
+  ListedEndpoint late = Listed("c");
+  late.zone_ = "zone-a";
+  directory_.OnListed(late);
+  LONGS_EQUAL(1, Usable());
+  directory_.OnEvacuated("zone-b");
+  LONGS_EQUAL(0, Usable());
+  directory_.OnEvacuationEnded("zone-a");
+  LONGS_EQUAL(2, Usable());
+}
--- a/test/integration/harness-gateway.cc
+++ b/test/integration/harness-gateway.cc
@@ -104,16 +104,27 @@
 void GatewayDeployment::List(const std::string& aId,
                              const Fake& aFake,
                              const std::string& aService,
-                             const std::string& aState)
+                             const std::string& aState,
+                             const std::string& aZone)
 {
   const std::string key = std::string(names::kEndpointsKind) + "/" + aId;
   const json entry = { { "service", aService }, { "address", aFake.Address() },
-                       { "zone", "zone-a" },    { "version", "v1" },
+                       { "zone", aZone },       { "version", "v1" },
                        { "slots", 16 },         { "sequence", 1 },
                        { "state", aState } };
   store_->Control({ { "put", { { key, entry } } } });
 }
 
+void GatewayDeployment::Put(const std::string& aKey, const json& aSpec)
+{
+  store_->Control({ { "put", { { aKey, aSpec } } } });
+}
+
+void GatewayDeployment::Remove(const std::string& aKey)
+{
+  store_->Control({ { "remove", { aKey } } });
+}
+
 int GatewayDeployment::Count(const std::string& aCount,
                              const std::string& aAttemptId)
 {
--- a/test/integration/harness-gateway.h
+++ b/test/integration/harness-gateway.h
@@ -43,7 +43,16 @@
   void List(const std::string& aId,
             const Fake& aFake,
             const std::string& aService,
-            const std::string& aState = "ready");
+            const std::string& aState = "ready",
+            const std::string& aZone = "zone-a");
+
+  /// Puts an object into the store.
+  /// @param aKey KIND/NAME
+  void Put(const std::string& aKey, const json& aSpec);
+
+  /// Removes an object from the store.
+  /// @param aKey KIND/NAME
+  void Remove(const std::string& aKey);
 
   /// Gives the settings of a host.
   json HostSettings(const std::string& aName) const;
