Start from stale lists and learn later changes from peers

A request that arrives earlier makes the host read at once and is held for up to 400 ms instead of getting a 503. A host without live peers queries all its seeds once, then one at a time, at intervals that double up to 400 ms.

Tests: two new cases in GatewayTest.

--- a/fakes/platform/gooseberrylift-fake-fleet-store.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-store.cc
@@ -1,7 +1,8 @@
 // The fleet platform's store, with the failures that its users describe.
 //   GET|POST /-/objects/KIND, GET|PUT|DELETE /-/objects/KIND/NAME
 //   POST /control  {"outage", "delay_ms", "lose_answers": n, "mute_ms",
-//                   "forget_history": true, "page": n,
+//                   "forget_history": true, "page": n, "keep_for_any_age": true
+//                   (lists of any age keep returning the current state),
 //                   "put": {"KIND/NAME": spec}, "remove": ["KIND/NAME"]}
 //   GET  /stats    counts by kind of call
 // The text kOddBytes in an object goes out as bytes that are no text.
@@ -105,11 +106,13 @@
 
   int List(const HttpRequest& aRequest, const std::string& aKind, json& aBody)
   {
-    ++counts_["list " + aKind];
+    const bool anyAge = !aRequest.Query(names::kAllowStale).empty();
+    ++counts_[(anyAge ? "list-any-age " : "list ") + aKind];
     const std::string after(aRequest.Query("after"));
     json items = json::array();
     bool more = false;
-    for (const auto& [name, object] : kinds_[aKind]) {
+    auto& source = anyAge && !staleKinds_.empty() ? staleKinds_ : kinds_;
+    for (const auto& [name, object] : source[aKind]) {
       if (name <= after && !after.empty()) {
         continue;
       }
@@ -250,6 +253,9 @@
       const std::size_t slash = key.find('/');
       Remove(key.substr(0, slash), key.substr(slash + 1));
     }
+    if (aBody.value("keep_for_any_age", false)) {
+      staleKinds_ = kinds_;
+    }
     if (aBody.value("forget_history", false)) {
       history_.clear();
       forgotten_ = revision_;
@@ -257,6 +263,7 @@
   }
 
   std::map<std::string, std::map<std::string, json>> kinds_;
+  std::map<std::string, std::map<std::string, json>> staleKinds_;
   std::vector<Change> history_;
   std::uint64_t revision_ = 1;
   std::uint64_t forgotten_ = 0; // watches from before it get 410
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -31,6 +31,9 @@
     GatewayBoard& board_;
     const WireDialect& dialect_;
     Metrics& metrics_;
+    // Expedites the first proof of the routes and returns whether it is still
+    // missing.
+    std::function<bool()> expediteFirstProof_;
     RequestRun::Parts run_;
   };
 
@@ -40,6 +43,7 @@
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
 
 private:
+  boost::asio::awaitable<void> WaitForFirstProof();
   Outcome<RoutedRequest> Resolve(const HttpRequest& aRequest,
                                  CallerFacts aFacts,
                                  TimePoint aArrived);
--- a/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
@@ -146,6 +146,7 @@
   std::mutex publishMutex_; // snapshots are written in their order
   std::atomic<bool> started_ = false;
   std::atomic<bool> alone_ = true; // no other host was live when last published
+  std::atomic<std::size_t> roundsAlone_ = 0; // consecutive
   PeerMember self_;
   std::string otherAddress_; // at which this host is reached as well
   TimePoint listAgainAt_{};  // until then the store's list need not be read
--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -30,6 +30,10 @@
 // Reading: the routes are listed each time, since only a linearizable read
 // proves that no key was taken away. The store counts all its changes in one
 // number, which the answer bears: the endpoints are listed when it has moved.
+// A starting host first reads lists of any age, which cost less, and learns of
+// later changes from other hosts. It serves their routes only with a proof:
+// from another host, or from its own linearizable read. That read is delayed at
+// random so that the hosts of a fleet that starts at once do not all read.
 // Watches are not used. One that is mute looks like a store without changes,
 // and each costs as much as a list.
 //
@@ -88,6 +92,15 @@
     // An answer beyond it is not passed on: on the narrowest links of hosts, 20
     // Mbit/s, it takes 0.1 s.
     std::size_t mostBytes_ = 256 * 1024;
+    // Whether other hosts may be available to report changes.
+    bool hasPeers_ = false;
+    // Upper limit of the random delay before a starting host's own linearizable
+    // read. It lets a proof spread from the few hosts that read first through a
+    // fleet of thousands.
+    std::chrono::milliseconds firstReadMaxDelay_{ 2'000 };
+    // How long after a list of any age this host relies on others for endpoint
+    // changes instead of listing the endpoints again.
+    std::chrono::milliseconds peerUpdateWait_{ 1'000 };
     ReadTurn::Options turn_{};
   };
 
@@ -106,6 +119,10 @@
                   const StoreHeadline& aHeadline,
                   std::optional<BootTime> aAsked);
 
+  /// Makes a host without a proof read at once, for a request that waits.
+  /// @return whether the first proof is still missing
+  bool ExpediteFirstProof();
+
   /// Answers another host's question for what it lacks.
   nlohmann::json Answer(const nlohmann::json& aParams) const;
 
@@ -114,6 +131,7 @@
 
 private:
   boost::asio::awaitable<void> Read();
+  boost::asio::awaitable<void> ReadAnyAge();
   boost::asio::awaitable<bool> ReadRoutes();
   boost::asio::awaitable<bool> ReadEndpoints();
   boost::asio::awaitable<bool> ReadEvacuations();
@@ -136,6 +154,8 @@
   StoreView endpoints_{ StoreView::Options{} };
   StoreView evacuations_{ StoreView::Options{} };
   std::optional<BootTime> proof_;
+  ViewNews unprovenRoutes_; // from a list of any age, not published yet
+  std::optional<TimePoint> anyAgeReadAt_;
   bool fetching_ = false;
   bool reads_ = false; // as last logged
 };
--- a/include/gooseberrylift/internal/gooseberrylift-store.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store.h
@@ -68,6 +68,15 @@
     std::string aKind,
     TimePoint aDeadline) = 0;
 
+  /// Reads all objects of a kind, at most some seconds out of date where that
+  /// costs the store less. Later updates may change them.
+  virtual boost::asio::awaitable<Outcome<StoreList>> ListAnyAge(
+    std::string aKind,
+    TimePoint aDeadline)
+  {
+    co_return co_await List(std::move(aKind), aDeadline);
+  }
+
   /// Creates an object; kStoreConflict when the name is taken.
   virtual boost::asio::awaitable<Outcome<StoreObject>> Create(
     StoreObject aObject,
--- a/include/gooseberrylift/membership/gooseberrylift-read-turn.h
+++ b/include/gooseberrylift/membership/gooseberrylift-read-turn.h
@@ -104,6 +104,12 @@
                                   std::optional<std::chrono::milliseconds> aAge,
                                   const ReadRank& aRank) const;
 
+  /// Delays the next try until a time.
+  void DelayUntil(TimePoint aUntil) { tryAt_ = aUntil; }
+
+  /// Makes the next try due at once, unless earlier ones have failed.
+  void CancelDelay();
+
   /// Notes that this host has read the store.
   void OnRead(TimePoint aNow);
 
--- a/src/core/membership/gooseberrylift-read-turn.cc
+++ b/src/core/membership/gooseberrylift-read-turn.cc
@@ -95,6 +95,13 @@
   return std::max(pause, duration_cast<milliseconds>(shared));
 }
 
+void ReadTurn::CancelDelay()
+{
+  if (failures_ == 0) {
+    tryAt_ = {};
+  }
+}
+
 void ReadTurn::OnRead(TimePoint aNow)
 {
   failures_ = 0;
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -21,6 +21,10 @@
 // peers are there for the caller meanwhile.
 constexpr milliseconds kUntilConfigured{ 300 };
 
+// How long a starting host holds a request until it has proven routes.
+constexpr milliseconds kFirstProofWait{ 400 };
+constexpr milliseconds kFirstProofStep{ 10 };
+
 Error NotConfigured()
 {
   Error error = MakeError(ResultCode::kNoConfiguration);
@@ -103,9 +107,20 @@
   return request;
 }
 
+// After a fleet-wide power loss callers reconnect before the routes are proven,
+// and each refusal would use up one of a caller's few retries.
+asio::awaitable<void> GatewayFront::WaitForFirstProof()
+{
+  const TimePoint limit = TimerService::Now() + kFirstProofWait;
+  while (parts_.expediteFirstProof_() && TimerService::Now() < limit) {
+    co_await TimerService::SleepFor(kFirstProofStep);
+  }
+}
+
 asio::awaitable<void> GatewayFront::Handle(HttpExchange& aExchange)
 {
   const TimePoint arrived = TimerService::Now();
+  co_await WaitForFirstProof();
   CallerFacts facts = parts_.dialect_.ReadCaller(aExchange.Request());
   const std::string attemptId = facts.attemptId_;
   auto request = Resolve(aExchange.Request(), std::move(facts), arrived);
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -1,6 +1,8 @@
 #include "gooseberrylift/internal/gooseberrylift-store-follower.h"
 
 #include <algorithm>
+#include <random>
+#include <utility>
 
 #include "gooseberrylift/internal/gooseberrylift-encoding.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
@@ -32,6 +34,18 @@
 // may have fallen silent meanwhile.
 constexpr milliseconds kLongestNap{ 200 };
 constexpr milliseconds kShortestNap{ 10 };
+// Shorter without a proof, since a request may expedite the read.
+constexpr milliseconds kLongestNapUnproven{ 20 };
+
+// The revision up to which a list of any age is known to be complete.
+std::uint64_t NewestRevision(const std::vector<ViewedObject>& aObjects)
+{
+  std::uint64_t revision = 0;
+  for (const ViewedObject& object : aObjects) {
+    revision = std::max(revision, RevisionOf(object.version_));
+  }
+  return revision;
+}
 
 json ChangesToJson(const ViewChanges& aChanges)
 {
@@ -92,6 +106,9 @@
 
 asio::awaitable<void> StoreFollower::Run()
 {
+  if (options_.hasPeers_) {
+    co_await ReadAnyAge();
+  }
   while (true) {
     const milliseconds due =
       turn_.DueIn(TimerService::Now(), ProofAge(), parts_.rank_());
@@ -100,10 +117,48 @@
       continue;
     }
     NoteReading(turn_.Reads(TimerService::Now()));
-    co_await TimerService::SleepFor(std::clamp(due, kShortestNap, kLongestNap));
+    const milliseconds longest = proof_ ? kLongestNap : kLongestNapUnproven;
+    co_await TimerService::SleepFor(std::clamp(due, kShortestNap, longest));
   }
 }
 
+// On failure the lists are left to Read(), which handles store errors.
+asio::awaitable<void> StoreFollower::ReadAnyAge()
+{
+  const TimePoint limit = TimerService::Now() + options_.callTimeout_;
+  auto endpoints =
+    co_await parts_.store_.ListAnyAge(options_.endpointsKind_, limit);
+  if (!endpoints) {
+    co_return;
+  }
+  auto routes = co_await parts_.store_.ListAnyAge(options_.routesKind_, limit);
+  if (!routes) {
+    co_return;
+  }
+  auto listed = ViewedOf(std::move(endpoints.value().items_));
+  const std::uint64_t endpointsRevision = NewestRevision(listed);
+  Publish(options_.endpointsKind_,
+          endpoints_.OnList(std::move(listed), endpointsRevision));
+  if (!proof_) { // otherwise other hosts have sent newer routes meanwhile
+    auto documents = ViewedOf(std::move(routes.value().items_));
+    const std::uint64_t routesRevision = NewestRevision(documents);
+    unprovenRoutes_ = routes_.OnList(std::move(documents), routesRevision);
+  }
+  const TimePoint now = TimerService::Now();
+  anyAgeReadAt_ = now;
+  std::minstd_rand random{ std::random_device{}() };
+  turn_.DelayUntil(now +
+                   options_.firstReadMaxDelay_ * (random() % 1'000) / 1'000);
+}
+
+bool StoreFollower::ExpediteFirstProof()
+{
+  if (!proof_) {
+    turn_.CancelDelay();
+  }
+  return !proof_;
+}
+
 asio::awaitable<void> StoreFollower::Read()
 {
   // A host takes requests as soon as it has routes, so it learns first where to
@@ -162,7 +217,10 @@
     }
     evacuations = std::move(list.value());
   }
-  if (endpoints_.Revision() < routes_.Revision()) {
+  const bool awaitsPeerUpdates =
+    anyAgeReadAt_ &&
+    TimerService::Now() - *anyAgeReadAt_ < options_.peerUpdateWait_;
+  if (endpoints_.Revision() < routes_.Revision() && !awaitsPeerUpdates) {
     const bool read = co_await ReadEndpoints();
     if (!read) {
       co_return false;
@@ -229,8 +287,10 @@
     SpawnTask(parts_.executor_, Fetch(aPeer));
   }
   // The teller's routes showed all changes up to its proof, and this host knows
-  // the same routes or later ones.
-  if (knowsRoutes && aHeadline.routes_ > 0 && aAsked && aHeadline.proofAge_) {
+  // the same routes or later ones. The first proof makes this host start
+  // serving, so it must know the other kinds as well by then.
+  const bool suffices = proof_ ? knowsRoutes : knowsAll;
+  if (suffices && aHeadline.routes_ > 0 && aAsked && aHeadline.proofAge_) {
     const BootTime began = *aAsked - *aHeadline.proofAge_;
     NoteGap(began);
     OnProof(began);
@@ -310,6 +370,9 @@
 
 void StoreFollower::Publish(const std::string& aKind, const ViewNews& aNews)
 {
+  if (aKind == options_.routesKind_ && !unprovenRoutes_.Empty()) {
+    Publish(aKind, std::exchange(unprovenRoutes_, {}));
+  }
   const auto& sink = aKind == options_.routesKind_      ? parts_.onRoutes_
                      : aKind == options_.endpointsKind_ ? parts_.onEndpoint_
                                                         : parts_.onEvacuation_;
@@ -337,6 +400,7 @@
 {
   if (!proof_ || aBegan > *proof_) {
     proof_ = aBegan;
+    Publish(options_.routesKind_, {}); // the routes that lacked a proof
     parts_.onProof_(aBegan);
   }
 }
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -134,6 +134,8 @@
   , front_({ .board_ = board_,
              .dialect_ = *dialect_,
              .metrics_ = metrics_,
+             .expediteFirstProof_ =
+               [this] { return follower_.ExpediteFirstProof(); },
              .run_ = { .board_ = board_,
                        .client_ = client_,
                        .dialect_ = *dialect_,
@@ -294,7 +296,9 @@
            .endpointsKind_ = kinds.endpoints_,
            .evacuationsKind_ = settings_.gateway_->evacuations_
                                  ? kinds.evacuations_
-                                 : std::string() };
+                                 : std::string(),
+           .hasPeers_ = settings_.gateway_->relaysStore_ &&
+                        !settings_.peerSeeds_.empty() };
 }
 
 asio::awaitable<void> GatewayHost::StartPeers()
--- a/src/runtime/gooseberrylift-peer-exchange.cc
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -18,8 +18,11 @@
 
 namespace {
 
-// A refused connection on the way to a host that has not started costs a ms.
+// Initial interval between rounds of a host that knows no live peer, doubled
+// each round up to the limit. Keeps a fleet that starts at once from
+// overloading its seeds.
 constexpr milliseconds kRoundAlone{ 50 };
+constexpr int kMostDoublingsAlone = 3;
 
 std::uint64_t IncarnationOfNow()
 {
@@ -173,7 +176,14 @@
       // Also where those known have all fallen silent.
       if (table_->Live(TimerService::Now()).empty()) {
         const std::vector<PeerMember> seeds = SeedPeers();
-        peers.insert(peers.end(), seeds.begin(), seeds.end());
+        if (roundsAlone_ == 0) {
+          peers.insert(peers.end(), seeds.begin(), seeds.end());
+        } else if (!seeds.empty()) {
+          peers.push_back(seeds[roundsAlone_ % seeds.size()]);
+        }
+        ++roundsAlone_;
+      } else {
+        roundsAlone_ = 0;
       }
     }
     StartExchanges(peers);
@@ -187,7 +197,9 @@
 milliseconds PeerExchange::Round() const
 {
   if (alone_ && !parts_.settings_.peerSeeds_.empty()) {
-    return std::min(kRoundAlone, options_.round_);
+    const int doublings =
+      std::min(static_cast<int>(roundsAlone_), kMostDoublingsAlone);
+    return kRoundAlone * (1 << doublings);
   }
   const std::lock_guard lock(mutex_);
   return table_->Round();
--- a/test/integration/gooseberrylift-gateway-store-test.cc
+++ b/test/integration/gooseberrylift-gateway-store-test.cc
@@ -5,9 +5,11 @@
 #include "harness-gateway.h"
 
 #include <csignal>
+#include <memory>
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -330,3 +332,51 @@
   deployment.Store().Control({ { "outage", false } });
   CHECK_TRUE(allAnswer(200));
 }
+
+// Guards against a full list of the endpoints by every host that starts.
+TEST(GatewayTest, StartsFromListsOfAnyAgeAndLearnsChangesFromOtherHosts)
+{
+  GatewayDeployment deployment({});
+  const json before = deployment.Store().Stats();
+  std::vector<std::unique_ptr<Host>> hosts;
+  for (int index = 1; index < 5; ++index) {
+    json settings = deployment.HostSettings("host-" + std::to_string(index));
+    settings["peer"] = { { "port", 0 },
+                         { "seeds",
+                           { "127.0.0.1:" +
+                             std::to_string(deployment.At(0).AdminPort()) } } };
+    hosts.push_back(std::make_unique<Host>(settings));
+  }
+  for (const auto& host : hosts) {
+    CHECK_TRUE(host->WaitReady(5s));
+    LONGS_EQUAL(
+      200,
+      Send(host->Port(), RouteRequest("GET", "/safe/a", "at")).value().status_);
+  }
+  const json after = deployment.Store().Stats();
+  const std::string kind = std::string(" ") + names::kEndpointsKind;
+  LONGS_EQUAL(4, after.value("list-any-age" + kind, 0));
+  LONGS_EQUAL(before.value("list" + kind, 0), after.value("list" + kind, 0));
+}
+
+// Guards against accepting a revoked key that a list of any age still contains.
+TEST(GatewayTest, RejectsRevokedKeyFromListOfAnyAge)
+{
+  GatewayDeployment deployment({});
+  deployment.Store().Control({ { "keep_for_any_age", true } });
+  json document = deployment.Document();
+  document["version"] = 2;
+  document["tenants"][0]["apiKeys"] = { "new-key" };
+  deployment.PutDocument(document);
+  json settings = deployment.HostSettings("host-late");
+  // No host listens on the seed address, so this host must prove its own
+  // routes.
+  settings["peer"] = { { "port", 0 }, { "seeds", { "127.0.0.1:1" } } };
+  Host late(settings);
+  const auto old =
+    Send(late.Port(), RouteRequest("GET", "/safe/a", "at-1", "team-key"));
+  LONGS_EQUAL(401, old.value().status_);
+  const auto served =
+    Send(late.Port(), RouteRequest("GET", "/safe/a", "at-2", "new-key"));
+  LONGS_EQUAL(200, served.value().status_);
+}
