Spread requests when most engines are idle

Short requests fill engines in one order and long requests take them from the other end. With 970 engines and few requests, 985 hosts whose knowledge of each other was some 200 ms old therefore chose the same few engines while hundreds were idle: the busiest engine had 21.6 and 23.5 times the mean load, and 7 to 10 % of the short requests were late.

Engines beyond four times what both kinds of request currently need now count as spare. Half of them are added to the short lane, and long prompts take idle engines starting at a random position. Without spare engines, placement is unchanged.

Tests: new SpreadsRequestsWhereMostEnginesAreIdle.

--- a/bench/gooseberrylift-pass-bench-main.cc
+++ b/bench/gooseberrylift-pass-bench-main.cc
@@ -115,7 +115,9 @@
   std::int64_t holdWait = options.hold_.allowedWait_.count();
   std::int64_t harmOther = options.placement_.harmOther_.count();
   app.add_option(
-    "--site", site, "notes, checks, contracts, contracts-large, notes-large");
+    "--site",
+    site,
+    "notes, checks, contracts, contracts-large, notes-large, notes-fleet");
   app.add_option("--strategy", options.strategy_, "how requests are placed")
     ->transform(CLI::CheckedTransformer(strategies));
   app.add_option("--seeds", seeds, "how many loads");
@@ -161,6 +163,8 @@
   app.add_option("--hold-most", options.hold_.mostFactor_);
   app.add_option("--lane-spare", options.placement_.laneSpare_);
   app.add_option("--kept-for-long", options.placement_.keptForLong_);
+  app.add_option("--spare-for-short", options.placement_.spareForShort_);
+  app.add_option("--spare-beyond", options.placement_.spareBeyond_);
   app.add_option("--defers", options.defers_, "late ones go last");
   app.add_option("--knows-queues", options.knowsQueues_, "bear queues");
   app.add_option("--in-time-share", options.placement_.inTimeShare_);
--- a/bench/gooseberrylift-pass-bench.h
+++ b/bench/gooseberrylift-pass-bench.h
@@ -127,8 +127,10 @@
 /// Gives deployments by name: "notes", with 23 engines, "checks", with 18,
 /// "contracts", whose engines hold hardly more than one long prompt, and
 /// "contracts-large", the same with 91 hosts, and "notes-large", the first with
-/// 295 hosts in five zones before 195 engines. All mix short prompts with ones
-/// forty times as long, which come in turns of ten seconds.
+/// 295 hosts in five zones before 195 engines, and "notes-fleet", the same with
+/// 985 hosts, 970 engines and a constant load. All mix short prompts with ones
+/// forty times as long, which come in turns of ten seconds, except on
+/// "notes-fleet".
 PassSite SiteByName(const std::string& aName);
 
 } // namespace gooseberrylift::bench
--- a/bench/gooseberrylift-pass-sites.cc
+++ b/bench/gooseberrylift-pass-sites.cc
@@ -121,25 +121,26 @@
 }
 
 // Many small hosts in five zones before many engines of ten slots.
-PassSite LargeNotesSite()
+PassSite LargeNotesSite(int aHosts, int aEngines, double aRateFactor)
 {
-  PassSite site{
-    .hosts_ = 295, .zones_ = 5, .engines_ = 195, .figures_ = FiguresOfSites()
-  };
+  PassSite site{ .hosts_ = aHosts,
+                 .zones_ = 5,
+                 .engines_ = aEngines,
+                 .figures_ = FiguresOfSites() };
   site.figures_.slots_ = 10;
   site.figures_.stride_ = 73;
   site.classes_ = ThreeKinds(
-    { .perSecond_ = 282,
+    { .perSecond_ = 282 * aRateFactor,
       .eventsMean_ = 24,
       .maxGap_ = milliseconds(250),
       .worth_ = 1.4,
       .lateWorth_ = 0.34 },
-    { .perSecond_ = 30.2,
+    { .perSecond_ = 30.2 * aRateFactor,
       .eventsMean_ = 15,
       .maxGap_ = milliseconds(600),
       .worth_ = 2.3,
       .lateWorth_ = 0.58 },
-    { .perSecond_ = 6.91,
+    { .perSecond_ = 6.91 * aRateFactor,
       .eventsMean_ = 12,
       .maxGap_ = milliseconds(1000),
       .worth_ = 26,
@@ -156,7 +157,12 @@
 PassSite SiteByName(const std::string& aName)
 {
   if (aName == "notes-large") {
-    return LargeNotesSite();
+    return LargeNotesSite(295, 195, 1);
+  }
+  if (aName == "notes-fleet") {
+    PassSite site = LargeNotesSite(985, 970, 0.6);
+    site.phases_.clear();
+    return site;
   }
   if (aName.starts_with("contracts")) {
     return ContractsSite(aName == "contracts-large");
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
@@ -123,6 +123,14 @@
     double blindLane_ = 0.5;
     // The part of the engines that the short lane never takes.
     double keptForLong_ = 0.1;
+    // The part of the spare engines that is added to the short lane. Keeps
+    // hosts with delayed load data from all choosing the same few engines while
+    // most are idle.
+    double spareForShort_ = 0.5;
+    // Engines count as spare beyond this multiple of what both kinds need now,
+    // with at least one long prompt counted. The margin covers load swings and
+    // load data from other hosts that is some hundred ms old.
+    double spareBeyond_ = 4;
   };
 
   explicit EnginePlacement(Options aOptions)
@@ -150,7 +158,8 @@
 private:
   struct Task;
 
-  std::size_t ShortLane(
+  struct Lanes;
+  Lanes LanesOf(
     const Task& aTask,
     const std::vector<const PlacementCandidate*>& aCandidates) const;
   std::optional<PlacementChoice> ChooseShort(
@@ -160,7 +169,7 @@
   std::optional<PlacementChoice> ChooseLong(
     const Task& aTask,
     const std::vector<const PlacementCandidate*>& aCandidates,
-    std::size_t aLane,
+    const Lanes& aLanes,
     std::size_t aMostEngines) const;
   struct Fit;
   struct Ranked;
--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -88,6 +88,14 @@
   std::uint64_t memory_;
 };
 
+// How the engines, in the order shared by all hosts, are divided between short
+// and long requests.
+struct EnginePlacement::Lanes
+{
+  std::size_t shortCount_ = 0; // leading engines for short requests
+  bool hasSpare_ = false;      // spare engines extend the short lane
+};
+
 microseconds EnginePlacement::WaitAt(const EngineFigures& aFigures,
                                      const EndpointLoad& aLoad,
                                      int aAhead)
@@ -168,15 +176,15 @@
       candidates = unlimited;
     }
   }
-  std::size_t lane = ShortLane(task, candidates);
+  Lanes lanes = LanesOf(task, candidates);
   if (!task.isLong_) {
-    lane += LimitedFirst(candidates);
+    lanes.shortCount_ += LimitedFirst(candidates);
   }
-  auto choice = task.isLong_ ? ChooseLong(task, candidates, lane, mostEngines)
-                             : ChooseShort(task, candidates, lane);
+  auto choice = task.isLong_ ? ChooseLong(task, candidates, lanes, mostEngines)
+                             : ChooseShort(task, candidates, lanes.shortCount_);
   if (!choice && task.isLong_) {
     // A prompt that needs the memory of the short lane's engines as well.
-    choice = ChooseLong(task, candidates, 0, mostEngines);
+    choice = ChooseLong(task, candidates, {}, mostEngines);
   }
   if (choice) {
     choice->cost_.tight_ =
@@ -189,27 +197,38 @@
   return choice;
 }
 
-std::size_t EnginePlacement::ShortLane(
+EnginePlacement::Lanes EnginePlacement::LanesOf(
   const Task& aTask,
   const std::vector<const PlacementCandidate*>& aCandidates) const
 {
   const std::size_t all = aCandidates.size();
   if (aTask.request_.blind_) {
-    return std::max<std::size_t>(
-      static_cast<std::size_t>(static_cast<double>(all) * options_.blindLane_),
-      1);
+    const double part = static_cast<double>(all) * options_.blindLane_;
+    return { .shortCount_ =
+               std::max<std::size_t>(static_cast<std::size_t>(part), 1) };
   }
   int tight = 0;
+  std::size_t longBusy = 0; // engines in use by long prompts
   for (const PlacementCandidate* candidate : aCandidates) {
-    tight += candidate->load_.tight_;
+    const EndpointLoad& load = candidate->load_;
+    tight += load.tight_;
+    longBusy +=
+      load.running_ > load.tight_ || load.backlog_.count() > 0 ? 1 : 0;
   }
   const double perEngine = aTask.figures_.slots_ * options_.comfortable_;
   const auto needed = static_cast<std::size_t>(
     std::ceil((tight + options_.laneSpare_) / std::max(perEngine, 1.0)));
   const auto kept = static_cast<std::size_t>(
     std::ceil(static_cast<double>(all) * options_.keptForLong_));
-  return std::clamp<std::size_t>(
-    needed, 1, std::max<std::size_t>(all - std::min(kept, all), 1));
+  const auto oneLong = static_cast<std::size_t>(options_.mostEngines_);
+  const double used =
+    static_cast<double>(needed + std::max(longBusy, oneLong)) *
+    options_.spareBeyond_;
+  const double spare = std::max(static_cast<double>(all) - used, 0.0);
+  const auto extra = static_cast<std::size_t>(spare * options_.spareForShort_);
+  const std::size_t most = std::max<std::size_t>(all - std::min(kept, all), 1);
+  return { .shortCount_ = std::clamp<std::size_t>(needed + extra, 1, most),
+           .hasSpare_ = extra > 0 };
 }
 
 // An engine that would take a short request.
@@ -370,12 +389,13 @@
 std::optional<PlacementChoice> EnginePlacement::ChooseLong(
   const Task& aTask,
   const std::vector<const PlacementCandidate*>& aAll,
-  std::size_t aLane,
+  const Lanes& aLanes,
   std::size_t aMostEngines) const
 {
   const EngineFigures& figures = aTask.figures_;
   std::vector<const PlacementCandidate*> aCandidates(
-    aAll.begin() + static_cast<std::ptrdiff_t>(aLane < aAll.size() ? aLane : 0),
+    aAll.begin() + static_cast<std::ptrdiff_t>(
+                     aLanes.shortCount_ < aAll.size() ? aLanes.shortCount_ : 0),
     aAll.end());
   const std::size_t mostEngines = std::min(aMostEngines, aCandidates.size());
   const microseconds target =
@@ -391,13 +411,16 @@
   // From the end of the order that is farthest from the short lane.
   std::vector<Ranked> all;
   all.reserve(aCandidates.size());
+  // Keeps hosts with delayed load data from choosing the same idle engines.
+  const std::size_t start =
+    aLanes.hasSpare_ ? aTask.request_.draw_ % aCandidates.size() : 0;
   for (auto candidate = aCandidates.rbegin(); candidate != aCandidates.rend();
        ++candidate) {
     const EndpointLoad& load = (*candidate)->load_;
     all.push_back({ .candidate_ = *candidate,
                     .wait_ = WaitAt(figures, load, Urgent(load)),
                     .harm_ = microseconds(0),
-                    .number_ = all.size() });
+                    .number_ = (all.size() + start) % aCandidates.size() });
   }
   std::vector<Ranked> best;
   microseconds bestValue = microseconds::max();
--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -423,3 +423,25 @@
   CHECK_TRUE(WorthOf(kLoad, { .hold_ = { .lateFactor_ = 1 } }) < served);
   CHECK_TRUE(WorthOf(kLoad, { .defers_ = false }) < served);
 }
+
+// Guards against hosts with delayed load data choosing the same few engines
+// while all others are idle.
+TEST(FleetPlacementTest, SpreadsRequestsWhereMostEnginesAreIdle)
+{
+  bench::PassSite site = bench::SiteByName("notes-fleet");
+  site.hosts_ = 200;
+  site.engines_ = 300;
+  site.seconds_ = 8;
+  for (bench::PassClass& kind : site.classes_) {
+    kind.perSecond_ *= 0.3;
+  }
+  const auto worth = [&site](bench::PassOptions aOptions) {
+    aOptions.whole_ = 700ms;
+    aOptions.sums_ = 200ms;
+    aOptions.far_ = bench::PassFar::kSums;
+    return WorthOf(site, aOptions, 2);
+  };
+  const double spread = worth({});
+  CHECK_TRUE(spread > 0.99);
+  CHECK_TRUE(worth({ .placement_ = { .spareForShort_ = 0 } }) < spread);
+}
