Read each kind of the store's objects by one function

Endpoints and evacuations were listed by two copies that differed in the kind and the view only. Behaviour is the same; gateway-store and evacuation tests pass.

--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -133,8 +133,7 @@
   boost::asio::awaitable<void> Read();
   boost::asio::awaitable<void> ReadAnyAge();
   boost::asio::awaitable<bool> ReadRoutes();
-  boost::asio::awaitable<bool> ReadEndpoints();
-  boost::asio::awaitable<bool> ReadEvacuations();
+  boost::asio::awaitable<bool> ReadKind(std::string aKind, StoreView& aView);
   boost::asio::awaitable<bool> ReadChanges();
   bool FollowsEvacuations() const { return !options_.evacuationsKind_.empty(); }
   boost::asio::awaitable<void> Fetch(PeerMember aPeer);
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -165,10 +165,10 @@
   // send them: the other way round its first callers were refused.
   bool read = true;
   if (endpoints_.Revision() == 0) {
-    read = co_await ReadEndpoints();
+    read = co_await ReadKind(options_.endpointsKind_, endpoints_);
   }
   if (read && FollowsEvacuations() && evacuations_.Revision() == 0) {
-    read = co_await ReadEvacuations();
+    read = co_await ReadKind(options_.evacuationsKind_, evacuations_);
   }
   if (read) {
     read = co_await ReadRoutes();
@@ -221,7 +221,7 @@
     anyAgeReadAt_ &&
     TimerService::Now() - *anyAgeReadAt_ < options_.peerUpdateWait_;
   if (endpoints_.Revision() < routes_.Revision() && !awaitsPeerUpdates) {
-    const bool read = co_await ReadEndpoints();
+    const bool read = co_await ReadKind(options_.endpointsKind_, endpoints_);
     if (!read) {
       co_return false;
     }
@@ -233,25 +233,15 @@
   co_return true;
 }
 
-asio::awaitable<bool> StoreFollower::ReadEvacuations()
+asio::awaitable<bool> StoreFollower::ReadKind(std::string aKind,
+                                              StoreView& aView)
 {
   auto list = co_await parts_.store_.List(
-    options_.evacuationsKind_, TimerService::Now() + options_.callTimeout_);
+    aKind, TimerService::Now() + options_.callTimeout_);
   if (!list) {
     co_return false;
   }
-  TakeInList(options_.evacuationsKind_, evacuations_, std::move(list.value()));
-  co_return true;
-}
-
-asio::awaitable<bool> StoreFollower::ReadEndpoints()
-{
-  auto list = co_await parts_.store_.List(
-    options_.endpointsKind_, TimerService::Now() + options_.callTimeout_);
-  if (!list) {
-    co_return false;
-  }
-  TakeInList(options_.endpointsKind_, endpoints_, std::move(list.value()));
+  TakeInList(aKind, aView, std::move(list.value()));
   co_return true;
 }
 
