Map abort reasons to result codes in one place

The HTTP session and the gateway front had a copy each, which differed in the code for other reasons only; that one is a parameter now. Behaviour is the same; the tests of gateways, paths, stops and leaving callers pass.

--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -30,6 +30,10 @@
   kStopping // the host stops before the handler has finished
 };
 
+/// Gives the result code for a handler that was cancelled.
+/// @param aOther for the reasons that have no code of their own
+ResultCode CodeOf(AbortReason aReason, ResultCode aOther);
+
 // One request and the way to answer it, on the connection's strand. A handler
 // answers once, whole or as a stream. When the caller leaves, the deadline
 // passes or the host stops, whatever the handler awaits ends with
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -32,18 +32,6 @@
   return error;
 }
 
-ResultCode CodeOf(AbortReason aReason)
-{
-  switch (aReason) {
-    case AbortReason::kDeadline:
-      return ResultCode::kDeadlineExceeded;
-    case AbortReason::kStopping:
-      return ResultCode::kShuttingDown;
-    default:
-      return ResultCode::kCallerLeft;
-  }
-}
-
 } // namespace
 
 int StatusOf(const Error& aError)
@@ -163,7 +151,7 @@
   if (!aborted && (done || !stopped)) {
     co_return done;
   }
-  Error error = MakeError(CodeOf(aExchange.Reason()));
+  Error error = MakeError(CodeOf(aExchange.Reason(), ResultCode::kCallerLeft));
   error.ran_ = aRun.Sends() > 0 ? RanState::kUnknown : RanState::kNo;
   if (stopped && error.ran_ == RanState::kNo) {
     error.retryAfter_ = RetrySoon();
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -17,6 +17,18 @@
 
 } // namespace
 
+ResultCode CodeOf(AbortReason aReason, ResultCode aOther)
+{
+  switch (aReason) {
+    case AbortReason::kDeadline:
+      return ResultCode::kDeadlineExceeded;
+    case AbortReason::kStopping:
+      return ResultCode::kShuttingDown;
+    default:
+      return aOther;
+  }
+}
+
 class HttpServer::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -51,18 +51,6 @@
   }
 }
 
-ResultCode CodeOf(AbortReason aReason)
-{
-  switch (aReason) {
-    case AbortReason::kDeadline:
-      return ResultCode::kDeadlineExceeded;
-    case AbortReason::kStopping:
-      return ResultCode::kShuttingDown;
-    default:
-      return ResultCode::kInternal;
-  }
-}
-
 // One connection. Everything in it runs on the socket's strand.
 class Connection
   : public HttpExchange
@@ -347,7 +335,7 @@
     boost::system::error_code ignored;
     socket_.cancel(ignored);
     if (!started_ && reason_ != AbortReason::kCallerLeft) {
-      Error error = MakeError(CodeOf(reason_));
+      Error error = MakeError(CodeOf(reason_, ResultCode::kInternal));
       error.ran_ = RanState::kUnknown;
       co_await Send(ErrorResponse(error, {}));
     }
