Decode and log what endpoints ask of a host in their answers

The logs of the BUDGET incident held "status 503" for each refusal: a host that had read the pause and sent nonetheless could not be told from one that had not read it. Retry-After of rejections and Server-Leaving are now decoded into one EndpointNotice beside the rate limit, and event 1206 has each. Nothing acts on them yet.

A value that can't be read, a negative one and a date are malformed and not applied; 0 asks for nothing; of several the longest counts; 24 h at most.

--- a/include/gooseberrylift/gooseberrylift-endpoint.h
+++ b/include/gooseberrylift/gooseberrylift-endpoint.h
@@ -44,6 +44,29 @@
   double perSecond_ = 0; // requests per second, not negative
 };
 
+// How long an endpoint asks this host not to send it anything, as stated in one
+// of its responses.
+struct RequestedBackoff
+{
+  enum class Kind
+  {
+    kNone,      // the response asks for nothing
+    kSpecified, // duration_ counts from the response
+    kMalformed, // present but malformed; it is not applied
+  };
+
+  Kind kind_ = Kind::kNone;
+  std::chrono::milliseconds duration_{ 0 }; // positive if specified
+};
+
+// What an endpoint states about itself in a response, whatever was requested.
+struct EndpointNotice
+{
+  AdvertisedRateLimit rateLimit_;
+  RequestedBackoff backoff_;
+  bool leaving_ = false; // it is about to exit
+};
+
 enum class EndpointKind
 {
   kEngine,
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -48,6 +48,7 @@
   kEndpointRestarted = 1203,
   kEndpointRate = 1204,
   kZoneEvacuated = 1205,
+  kEndpointNotice = 1206,
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -159,6 +159,9 @@
   void EnsureRetryDelay(Error aError);
   void RecordResponseStart(int aStatus);
   void RecordStreamChunk();
+  void LogNotice(int aStatus,
+                 const EndpointNotice& aNotice,
+                 const ListedEndpoint& aEndpoint) const;
   void LogPlacement(const FleetPlacement& aPlacement) const;
   void LogFailedAttempt(const FleetPlacement& aPlacement,
                         const Error& aError) const;
--- a/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
+++ b/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
@@ -59,8 +59,9 @@
   bool notExecuted_ = false;
   // Whether the address belongs to another incarnation now.
   bool instanceReplaced_ = false;
+  std::string instanceId_;          // of the endpoint; empty if not stated
   std::string failedHelperAddress_; // IP:port; empty if no helper failed
-  AdvertisedRateLimit advertisedRateLimit_;
+  EndpointNotice notice_;
 };
 
 // Kinds and names of the store objects that the gateway watches.
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "gooseberrylift-request-errors.h"
+#include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
 
@@ -94,15 +95,32 @@
                                  const Fleet::ActiveRequest& aActiveRequest)
 {
   const bool isNamed =
-    aFacts.advertisedRateLimit_.kind_ == AdvertisedRateLimit::Kind::kSpecified;
+    aFacts.notice_.rateLimit_.kind_ == AdvertisedRateLimit::Kind::kSpecified;
   if (!aFacts.instanceReplaced_ && (isNamed || aFacts.hasResponseStamp_)) {
     parts_.limiter_.OnAnswer(
       aActiveRequest.Placement().endpoint_.IncarnationId(),
-      aFacts.advertisedRateLimit_,
+      aFacts.notice_.rateLimit_,
       aActiveRequest.SentAt());
   }
 }
 
+void RequestRun::LogNotice(int aStatus,
+                           const EndpointNotice& aNotice,
+                           const ListedEndpoint& aEndpoint) const
+{
+  const RequestedBackoff& backoff = aNotice.backoff_;
+  if (!aNotice.leaving_ && backoff.kind_ == RequestedBackoff::Kind::kNone) {
+    return;
+  }
+  Log(LogEvent::kEndpointNotice,
+      { { "request_id", request_.facts_.attemptId_ },
+        { "endpoint", aEndpoint.id_ },
+        { "status", aStatus },
+        { "leaving", aNotice.leaving_ },
+        { "backoff_ms", backoff.duration_.count() },
+        { "malformed", backoff.kind_ == RequestedBackoff::Kind::kMalformed } });
+}
+
 // Checks the head of a response before its content is trusted.
 std::optional<Error> RequestRun::ValidateHead(
   const HttpResponse& aHead,
@@ -119,6 +137,7 @@
                   .ran_ = RanState::kUnknown };
   }
   RecordRateLimit(facts, aActiveRequest);
+  LogNotice(aHead.status_, facts.notice_, placement.endpoint_);
   if (facts.instanceReplaced_) {
     parts_.fleet_.WithDirectory([&](EndpointDirectory& aDirectory) {
       aDirectory.OnReplaced(placement.endpoint_.id_);
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -129,6 +129,11 @@
                 "zone-evacuated",
                 "The evacuation of an availability zone began or ended; during "
                 "it the zone's endpoints get no new requests." },
+  LogEventInfo{ kEndpointNotice,
+                LogLevel::kInfo,
+                "endpoint-notice",
+                "An endpoint stated in a response that it is leaving, or asked "
+                "this host to back off; 'backoff_ms' is for how long." },
   LogEventInfo{ kRequestFinished,
                 LogLevel::kDebug,
                 "request-finished",
--- a/test/integration/gooseberrylift-dialect-test.cc
+++ b/test/integration/gooseberrylift-dialect-test.cc
@@ -3,12 +3,15 @@
 #include "gooseberrylift-fleet-dialect.h"
 #include "gooseberrylift-fleet-names.h"
 
+#include <chrono>
 #include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace gooseberrylift;
 using namespace gooseberrylift::platform;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -16,7 +19,32 @@
 {
   HttpResponse head{ .status_ = 200 };
   head.fields_.push_back({ kServerLimit, aText });
-  return FleetDialect().ParseEndpointResponse(head).advertisedRateLimit_;
+  return FleetDialect().ParseEndpointResponse(head).notice_.rateLimit_;
+}
+
+// Parses the backoff in a response with one Retry-After field for each value.
+RequestedBackoff ParseBackoff(int aStatus,
+                              const std::vector<std::string>& aValues)
+{
+  HttpResponse head{ .status_ = aStatus };
+  for (const std::string& value : aValues) {
+    head.fields_.push_back({ "retry-after", value });
+  }
+  return FleetDialect().ParseEndpointResponse(head).notice_.backoff_;
+}
+
+void CheckBackoff(std::chrono::milliseconds aExpected,
+                  const RequestedBackoff& aBackoff)
+{
+  CHECK_TRUE(aBackoff.kind_ == RequestedBackoff::Kind::kSpecified);
+  LONGS_EQUAL(aExpected.count(), aBackoff.duration_.count());
+}
+
+bool IsLeaving(int aStatus, const std::string& aValue)
+{
+  HttpResponse head{ .status_ = aStatus };
+  head.fields_.push_back({ kServerLeaving, aValue });
+  return FleetDialect().ParseEndpointResponse(head).notice_.leaving_;
 }
 
 void CheckSpecified(double aPerSecond, const std::string& aText)
@@ -43,7 +71,7 @@
   const AdvertisedRateLimit absent =
     FleetDialect()
       .ParseEndpointResponse(HttpResponse{ .status_ = 200 })
-      .advertisedRateLimit_;
+      .notice_.rateLimit_;
   CHECK_TRUE(absent.kind_ == AdvertisedRateLimit::Kind::kNone);
   CHECK_TRUE(ParseRateLimit("").kind_ == AdvertisedRateLimit::Kind::kNone);
 }
@@ -56,3 +84,51 @@
                AdvertisedRateLimit::Kind::kMalformed);
   }
 }
+
+TEST(DialectTest, ReadsBackoffsOfRejectionsInSecondsRoundedUp)
+{
+  CheckBackoff(3s, ParseBackoff(503, { "3" }));
+  CheckBackoff(3s, ParseBackoff(429, { "3" }));
+  CheckBackoff(1500ms, ParseBackoff(503, { "1.5" }));
+  CheckBackoff(1ms, ParseBackoff(503, { "0.0001" }));
+  CheckBackoff(24h, ParseBackoff(503, { "1e300" }));
+}
+
+TEST(DialectTest, AppliesTheLongestOfSeveralBackoffs)
+{
+  CheckBackoff(4s, ParseBackoff(503, { "2", "4", "1" }));
+  CheckBackoff(2s, ParseBackoff(503, { "soon", "2", "-1" }));
+}
+
+TEST(DialectTest, ReadsNoBackoffWhereNoneIsAsked)
+{
+  using Kind = RequestedBackoff::Kind;
+  CHECK_TRUE(ParseBackoff(503, {}).kind_ == Kind::kNone);
+  CHECK_TRUE(ParseBackoff(503, { "0" }).kind_ == Kind::kNone);
+  CHECK_TRUE(ParseBackoff(503, { "" }).kind_ == Kind::kNone);
+  CHECK_TRUE(ParseBackoff(200, { "3" }).kind_ == Kind::kNone);
+  CHECK_TRUE(ParseBackoff(500, { "3" }).kind_ == Kind::kNone);
+}
+
+TEST(DialectTest, TellsBackoffsThatCannotBeReadFromNone)
+{
+  for (const char* text : { "-1",
+                            "nan",
+                            "inf",
+                            "1e999",
+                            "soon",
+                            "3s",
+                            "Thu, 01 Jan 1970 00:00:00 GMT" }) {
+    CHECK_TRUE(ParseBackoff(503, { text }).kind_ ==
+               RequestedBackoff::Kind::kMalformed);
+  }
+}
+
+TEST(DialectTest, ReadsThatAnEndpointIsLeavingFromAnyResponse)
+{
+  for (const int status : { 200, 409, 421, 429, 500, 503 }) {
+    CHECK_TRUE(IsLeaving(status, "1"));
+    CHECK_FALSE(IsLeaving(status, ""));
+    CHECK_FALSE(IsLeaving(status, "0"));
+  }
+}
