--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -7,6 +7,10 @@
 //     "crossed" (response of another request), "status" (500), "unsigned",
 //     "hang", "gap" (omits an event), "crash" (terminates the process)
 //   POST /control  {"limit": "1.5"}  announces a rate limit; "" removes it
+//   POST /control  {"retry_after": "2"}  asks for a backoff in each response
+//     that reports "full"; "" removes it
+//   POST /control  {"leaving": true}  announces in all responses that it leaves
+//   POST /control  {"order_ms": n}  delays the responses to orders
 //   GET  /stats    arrivals, executions, helpers, orders and tickets
 
 #include <cstdlib>
@@ -56,6 +60,10 @@
   void Control(const json& aBody)
   {
     rateLimit_ = aBody.value("limit", rateLimit_);
+    retryAfter_ = aBody.value("retry_after", retryAfter_);
+    leaving_ = aBody.value("leaving", leaving_);
+    orderTime_ = milliseconds(
+      aBody.value("order_ms", static_cast<int>(orderTime_.count())));
     fault_ = aBody.value("fault", "");
     faultsRemaining_ = aBody.value("times", 1);
     afterEvents_ = aBody.value("after_events", 2);
@@ -69,6 +77,7 @@
              { "fields", fields_ },
              { "last_us", lastArrival_.time_since_epoch().count() / 1000 },
              { "times_ms", arrivalTimesMs_ },
+             { "arrivals", arrivals_ },
              { "helpers", helpers_ },
              { "orders", orders_ },
              { "tickets", tickets_ } };
@@ -94,9 +103,19 @@
       head.fields_.insert(head.fields_.begin() + 1,
                           { names::kServerLimit, rateLimit_ });
     }
+    AddLeavingNotice(head);
     return head;
   }
 
+  // Inserts in front of the response stamp, which is the last field.
+  void AddLeavingNotice(HttpResponse& aHead) const
+  {
+    if (leaving_) {
+      aHead.fields_.insert(aHead.fields_.begin(),
+                           { names::kServerLeaving, "1" });
+    }
+  }
+
   HttpResponse MakeNotExecutedResponse(int aStatus,
                                        const HttpRequest& aRequest) const
   {
@@ -113,18 +132,20 @@
     const std::string id = order.value("id", "");
     const std::string op = order.value("op", "");
     ++orders_[op];
+    co_await TimerService::SleepFor(orderTime_);
+    HttpResponse response{ .status_ = 200 };
+    const auto tokens = order.value("tokens", std::uint64_t{ 0 });
     if (op == names::kReleaseOp) {
       tickets_.erase(id);
-      co_await SendJson(aExchange, 200, MakeFreeTokensBody());
-      co_return;
-    }
-    const auto tokens = order.value("tokens", std::uint64_t{ 0 });
-    if (!tickets_.contains(id) && tokens > CountFreeTokens()) {
-      co_await SendJson(aExchange, 409, MakeFreeTokensBody());
-      co_return;
+    } else if (!tickets_.contains(id) && tokens > CountFreeTokens()) {
+      response.status_ = 409;
+    } else {
+      tickets_[id] = tokens;
     }
-    tickets_[id] = tokens;
-    co_await SendJson(aExchange, 200, MakeFreeTokensBody());
+    response.fields_ = { { "Content-Type", "application/json" } };
+    AddLeavingNotice(response);
+    response.body_ = MakeFreeTokensBody().dump();
+    co_await aExchange.Send(std::move(response));
   }
 
   json MakeFreeTokensBody() const
@@ -161,8 +182,15 @@
       co_return;
     }
     const std::string fault = ConsumeFault();
+    const bool asksForBackoff = fault == "full" && !retryAfter_.empty();
+    arrivals_.push_back({ { "attempt", attempt },
+                          { "at_ms", arrivalTimesMs_.back() },
+                          { "backoff", asksForBackoff } });
     if (fault == "full" || fault == "helper") {
       HttpResponse refusal = MakeNotExecutedResponse(503, request);
+      if (asksForBackoff) {
+        refusal.fields_.push_back({ names::kRetryAfter, retryAfter_ });
+      }
       if (fault == "helper") {
         const std::string helpers(request.Field(names::kHelpers));
         refusal.fields_.push_back(
@@ -242,7 +270,11 @@
   milliseconds eventInterval_;
   milliseconds serviceTime_;
   std::uint64_t kvTotal_;
-  std::string rateLimit_; // header value; empty sends no header
+  // Header values; empty sends no header.
+  std::string rateLimit_;
+  std::string retryAfter_;
+  bool leaving_ = false;
+  milliseconds orderTime_{ 0 };
   std::string fault_;
   int faultsRemaining_ = 0;
   int afterEvents_ = 2;
@@ -252,6 +284,8 @@
   std::map<std::string, std::string> fields_;
   TimePoint lastArrival_{};
   std::vector<std::int64_t> arrivalTimesMs_; // of all requests
+  // The attempt, the time, and whether the response asked for a backoff.
+  json arrivals_ = json::array();
   std::map<std::string, std::string> helpers_;
   std::map<std::string, int> orders_;
   std::map<std::string, std::uint64_t> tickets_;
--- a/test/integration/gooseberrylift-endpoint-limit-test.cc
+++ b/test/integration/gooseberrylift-endpoint-limit-test.cc
@@ -1,11 +1,10 @@
 // Tests of endpoints that advertise a rate limit shared by all hosts.
 
-#include "harness-gateway.h"
+#include "harness-callers.h"
 
 #include "gooseberrylift/limits/gooseberrylift-rate-granter.h"
 
 #include <algorithm>
-#include <atomic>
 #include <csignal>
 #include <memory>
 #include <string>
@@ -25,13 +24,6 @@
 constexpr std::int64_t kWindowMs = 4000;
 constexpr double kMaxInWindow = 1.5 * kPerSecond * 4 + 5;
 
-std::int64_t NowMs()
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::steady_clock::now().time_since_epoch())
-    .count();
-}
-
 // Returns the arrival times of requests at an endpoint since aFromMs.
 std::vector<std::int64_t> ArrivalsSince(Fake& aEndpoint, std::int64_t aFromMs)
 {
@@ -59,79 +51,13 @@
   return most;
 }
 
-// One caller thread per host, each of which sends requests with a pause of
-// aPause between them.
-class Callers
-{
-public:
-  Callers(const std::vector<Host*>& aHosts,
-          HttpRequest (*aMake)(const std::string& aAttempt),
-          std::chrono::milliseconds aPause)
-  {
-    for (std::size_t host = 0; host < aHosts.size(); ++host) {
-      const std::uint16_t port = aHosts[host]->Port();
-      threads_.emplace_back([this, host, port, aMake, aPause] {
-        for (int number = 0; !stop_; ++number) {
-          const std::string attempt =
-            "at-" + std::to_string(host) + "-" + std::to_string(number);
-          const auto answer = Send(port, aMake(attempt));
-          ++asked_;
-          served_ += answer && answer.value().status_ == 200 ? 1 : 0;
-          std::this_thread::sleep_for(aPause);
-        }
-      });
-    }
-  }
-
-  ~Callers() { Stop(); }
-  Callers(const Callers&) = delete;
-  Callers& operator=(const Callers&) = delete;
-
-  void Stop()
-  {
-    stop_ = true;
-    for (std::thread& thread : threads_) {
-      thread.join();
-    }
-    threads_.clear();
-  }
-
-  int Asked() const { return asked_; }
-  int Served() const { return served_; }
-
-private:
-  std::atomic<bool> stop_ = false;
-  std::atomic<int> asked_ = 0;
-  std::atomic<int> served_ = 0;
-  std::vector<std::thread> threads_;
-};
-
-std::vector<Host*> HostsOf(GatewayDeployment& aDeployment)
-{
-  std::vector<Host*> hosts;
-  for (std::size_t host = 0; host < kHosts; ++host) {
-    hosts.push_back(&aDeployment.At(host));
-  }
-  return hosts;
-}
-
-HttpRequest MakeSafeRequest(const std::string& aAttempt)
-{
-  return RouteRequest("GET", "/safe/a", aAttempt);
-}
-
-HttpRequest MakeShortPrompt(const std::string& aAttempt)
-{
-  return StreamRequest(aAttempt);
-}
-
 // Makes an endpoint advertise its limit under load and checks the rate that it
 // receives, from 3 s after that on, when the hosts must keep to the limit.
 void CheckKeepsLimit(GatewayDeployment& aDeployment,
                      Fake& aEndpoint,
                      HttpRequest (*aMake)(const std::string& aAttempt))
 {
-  Callers callers(HostsOf(aDeployment), aMake, 80ms);
+  Callers callers(HostsOf(aDeployment, kHosts), aMake, 80ms);
   std::this_thread::sleep_for(1s);
   aEndpoint.Control({ { "limit", std::to_string(kPerSecond) } });
   std::this_thread::sleep_for(3s);
@@ -166,7 +92,7 @@
 {
   GatewayDeployment deployment({ .hosts_ = kHosts });
   Fake& board = deployment.Board(0);
-  std::vector<Host*> hosts = HostsOf(deployment);
+  std::vector<Host*> hosts = HostsOf(deployment, kHosts);
   std::vector<std::string> names;
   for (std::size_t host = 0; host < kHosts; ++host) {
     names.push_back("host-" + std::to_string(host));
@@ -226,7 +152,7 @@
 {
   GatewayDeployment deployment({ .hosts_ = kHosts });
   Fake& board = deployment.Board(0);
-  Callers callers(HostsOf(deployment), MakeSafeRequest, 80ms);
+  Callers callers(HostsOf(deployment, kHosts), MakeSafeRequest, 80ms);
   board.Control({ { "limit", std::to_string(kPerSecond) } });
   std::this_thread::sleep_for(4s);
   board.Control({ { "limit", "" } });
