Send nothing to endpoints that asked for a pause or said that they leave

The engines had asked each host for 3 s without requests and got 15 and 10 from one host.

An endpoint says something about itself in an answer, and the path that handles the answer drops it. Retry-After was read by nobody; a refusal kept only that one request away. An engine that refuses has no load, so the next short request chose it first.

All requests to endpoints now take one path, EndpointClient. A pause is kept by incarnation (EndpointBackoffs) and ends by time alone. Leaving goes into EndpointDirectory, where it is final, as the store's own word does; an address that answers as another incarnation marks the one that was addressed, no longer whichever is listed now. Renewals and releases of memory still go out: they ask for no work, and without them a running prompt would be cut.

Where all endpoints of a service pause, a request waits 100 ms at most and is then refused with the new code 71 and the time until the first pause ends, with a random part so that callers do not return together.

Two checks in them were wrong and are replaced: a host whose other engines are idle owes a paused one nothing after the pause, so that now one of the hosts must come back (that the only endpoint is used again is a test of its own); and the stand-in overwrote its leaving notice where it names another request.

--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -107,11 +107,12 @@
     return head;
   }
 
-  // Inserts in front of the response stamp, which is the last field.
+  // Inserts between the attempt ID and the response stamp, which other code
+  // expects to be the first and the last field.
   void AddLeavingNotice(HttpResponse& aHead) const
   {
     if (leaving_) {
-      aHead.fields_.insert(aHead.fields_.begin(),
+      aHead.fields_.insert(aHead.fields_.begin() + 1,
                            { names::kServerLeaving, "1" });
     }
   }
--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "gooseberrylift/internal/gooseberrylift-endpoint-rate-limiter.h"
+#include "gooseberrylift/limits/gooseberrylift-endpoint-backoffs.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
 #include "gooseberrylift/membership/gooseberrylift-load-message.h"
 #include "gooseberrylift/membership/gooseberrylift-zone-load.h"
@@ -26,6 +27,37 @@
 
 namespace gooseberrylift {
 
+// Why this host must not send a request to an endpoint now.
+enum class SendBlock
+{
+  kNone,
+  kUnusable, // leaving, replaced, unlisted or in an evacuated zone
+  kBackoff,  // asked this host to back off
+  kNoPermit, // has a rate limit, and this host has no permit
+};
+
+// Why no endpoint of a service may receive requests, and how long until that
+// may change; zero or less while a permit is being requested.
+struct ServiceBlock
+{
+  SendBlock reason_ = SendBlock::kNone;
+  std::chrono::milliseconds remaining_{ 0 };
+};
+
+// The response that a notice of an endpoint came in.
+struct NoticeSource
+{
+  bool signed_ = false; // has the endpoint's response stamp
+  TimePoint sentAt_{};  // when the request was sent
+};
+
+// What an endpoint's notice has changed.
+struct NoticeEffect
+{
+  bool leaving_ = false; // the endpoint was not known to be leaving
+  bool backoff_ = false; // its backoff began or became longer
+};
+
 // Describes a request that needs an endpoint.
 struct FleetQuery
 {
@@ -55,7 +87,8 @@
   bool peerLoadUnknown_ = false; // no load messages from other hosts
   EndpointLoad load_;            // of the endpoint, without this request
   std::size_t candidates_ = 0;
-  std::size_t withheld_ = 0; // endpoints skipped because no permit is left
+  std::size_t withheld_ = 0;  // endpoints skipped because no permit is left
+  std::size_t backedOff_ = 0; // endpoints skipped because of a backoff
   RequestCost cost_;
   RequestCost helperCost_;
 };
@@ -96,12 +129,22 @@
   /// @return false when no permit is left; the request must be placed again
   bool TryUsePermit(const FleetPlacement& aPlacement);
 
-  /// Returns the time until the service has a permit again; zero or less while
-  /// one is being requested.
-  /// @return nothing when an endpoint of the service needs no permit, or when
-  /// the service has no endpoint
-  std::optional<std::chrono::milliseconds> TimeUntilPermit(
-    const std::string& aService);
+  /// Returns why no endpoint of a service may receive requests now.
+  /// @return nothing when one may, or when the service has no endpoint
+  std::optional<ServiceBlock> FindServiceBlock(const std::string& aService);
+
+  /// Returns whether and why a request must not be sent to an endpoint that it
+  /// was placed at, which may have changed since. Permits are not checked,
+  /// because TryUsePermit has consumed one.
+  SendBlock CheckSend(const ListedEndpoint& aEndpoint);
+
+  /// Processes what an endpoint states about itself in a response.
+  NoticeEffect OnNotice(const ListedEndpoint& aEndpoint,
+                        const EndpointNotice& aNotice,
+                        const NoticeSource& aSource);
+
+  /// Records that an endpoint's address answered as another incarnation.
+  void OnReplaced(const ListedEndpoint& aEndpoint);
 
   /// Applies a new or changed endpoint entry to the directory.
   void OnListed(const ListedEndpoint& aListed);
@@ -176,7 +219,8 @@
   std::vector<EndpointShare> OwnSharesAt(
     const std::vector<ListedEndpoint>& aEndpoints);
 
-  /// Removes expired outlier records; to be called periodically.
+  /// Removes ended backoffs and expired outlier records; to be called
+  /// periodically.
   void Sweep();
 
 private:
@@ -188,6 +232,8 @@
   SharesByService GroupByService(const std::vector<EndpointShare>& aShares);
   void EnsureShards(const SharesByService& aShares);
   bool IsPeerLoadUnknown();
+  std::set<std::string> FindBackedOff(
+    const std::vector<ListedEndpoint>& aEndpoints);
   using Endpoints = std::shared_ptr<const std::vector<ListedEndpoint>>;
 
   // Caches the usable endpoints of a service in this host's order.
@@ -216,6 +262,7 @@
   std::mutex directoryMutex_;
   std::map<std::string, EndpointOrder> endpointOrders_; // by service
   EndpointDirectory directory_;
+  EndpointBackoffs backoffs_;
   std::mutex shardsMutex_; // guards the map; each shard has its own lock
   std::map<std::string, std::unique_ptr<Shard>> shards_; // by service
 };
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -78,6 +78,7 @@
   std::unique_ptr<WireDialect> dialect_;
   EndpointRateLimiter limiter_;
   Fleet fleet_;
+  EndpointClient endpointClient_;
   ReaderRank rank_;       // among the live hosts, as last reported
   PeerGroups peerGroups_; // of the other hosts, as last reported
   RouteFollower routes_;
--- a/include/gooseberrylift/internal/gooseberrylift-http-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-client.h
@@ -5,6 +5,7 @@
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_HTTP_CLIENT_H_
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,6 +48,10 @@
   virtual bool HasExplicitEnd() const = 0;
 };
 
+/// Reads the head and the body of a response.
+/// @return the complete response, or the first error of the call
+boost::asio::awaitable<Outcome<HttpResponse>> ReadResponse(HttpCall& aCall);
+
 // Pools idle connections by address. Thread-safe:
 //
 //   HttpClient client(executor, {});
@@ -70,6 +75,8 @@
     std::chrono::milliseconds maxIdle_{ std::chrono::hours(1) };
     // Overrides the timeout of the client.
     std::optional<std::chrono::milliseconds> connectTimeout_{};
+    // Called before the first byte is written; an error cancels the call.
+    std::function<std::optional<Error>()> checkBeforeWrite_{};
   };
 
   HttpClient(boost::asio::any_io_executor aExecutor, Options aOptions);
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -49,6 +49,7 @@
   kEndpointRate = 1204,
   kZoneEvacuated = 1205,
   kEndpointNotice = 1206,
+  kEndpointBackoffEnded = 1207,
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
--- a/include/gooseberrylift/internal/gooseberrylift-memory-reservation.h
+++ b/include/gooseberrylift/internal/gooseberrylift-memory-reservation.h
@@ -13,7 +13,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
-#include "gooseberrylift/internal/gooseberrylift-http-client.h"
+#include "gooseberrylift/internal/gooseberrylift-endpoint-client.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 
@@ -39,7 +39,7 @@
 
   struct Parts
   {
-    HttpClient& client_;
+    EndpointClient& client_;
     const WireDialect& dialect_;
     boost::asio::any_io_executor executor_;
   };
@@ -49,8 +49,9 @@
   /// the same at all engines
   /// @param aEndpoints the engines
   /// @param aTokens the amount at each engine
-  /// @return the reservation; or kEndpointRefused with the id of the endpoint
-  /// that failed, after which the memory reserved so far is released
+  /// @return the reservation; or kEndpointRefused or kEndpointWithdrawn with
+  /// the id of the endpoint that failed, after which the memory reserved so far
+  /// is released
   static boost::asio::awaitable<Outcome<std::unique_ptr<MemoryReservation>>>
   Acquire(Parts aParts,
           std::string aTicketId,
@@ -71,9 +72,9 @@
                     Options aOptions);
 
   void Renew();
-  boost::asio::awaitable<Outcome<void>> Reserve(std::string aAddress);
+  boost::asio::awaitable<Outcome<void>> Reserve(ListedEndpoint aEndpoint);
   static boost::asio::awaitable<void> SendBestEffort(Parts aParts,
-                                                     std::string aAddress,
+                                                     ListedEndpoint aEndpoint,
                                                      HttpRequest aRequest,
                                                      TimePoint aDeadline);
 
@@ -81,7 +82,7 @@
   std::string reservationId_;
   std::uint64_t tokens_;
   Options options_;
-  std::vector<std::string> addresses_; // where memory is or may be reserved
+  std::vector<ListedEndpoint> endpoints_; // where memory may be reserved
   TimerSubscription renewal_;
 };
 
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -13,9 +13,9 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "gooseberrylift/gooseberrylift-attempt-errors.h"
+#include "gooseberrylift/internal/gooseberrylift-endpoint-client.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-rate-limiter.h"
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
-#include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
 #include "gooseberrylift/internal/gooseberrylift-load-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-memory-reservation.h"
@@ -66,7 +66,7 @@
   struct Parts
   {
     const GatewayBoard& board_;
-    HttpClient& client_;
+    EndpointClient& client_;
     const WireDialect& dialect_;
     Fleet& fleet_;
     RouteFollower& routes_;
@@ -111,7 +111,7 @@
                     std::chrono::milliseconds aRetryAfter) const;
   HoldDecision DecideHold(const FleetPlacement& aPlacement) const;
   std::optional<std::chrono::milliseconds> DelayForMemory();
-  std::optional<std::chrono::milliseconds> DelayForPermit();
+  std::optional<std::chrono::milliseconds> DelayForEndpoint();
   Error MakeNoEndpointError();
   HoldInput MakeHoldInput(const EngineProfile& aProfile,
                           std::chrono::microseconds aWait) const;
@@ -130,8 +130,6 @@
     const Fleet::ActiveRequest& aActiveRequest);
   std::optional<Error> ValidateHead(const HttpResponse& aHead,
                                     const Fleet::ActiveRequest& aActiveRequest);
-  void RecordRateLimit(const EndpointResponseMetadata& aFacts,
-                       const Fleet::ActiveRequest& aActiveRequest);
   boost::asio::awaitable<Outcome<void>> ForwardBuffered(
     HttpCall& aCall,
     const Fleet::ActiveRequest& aActiveRequest);
@@ -159,9 +157,6 @@
   void EnsureRetryDelay(Error aError);
   void RecordResponseStart(int aStatus);
   void RecordStreamChunk();
-  void LogNotice(int aStatus,
-                 const EndpointNotice& aNotice,
-                 const ListedEndpoint& aEndpoint) const;
   void LogPlacement(const FleetPlacement& aPlacement) const;
   void LogFailedAttempt(const FleetPlacement& aPlacement,
                         const Error& aError) const;
--- a/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
+++ b/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
@@ -39,9 +39,9 @@
 
 // Tracks listed endpoints by the following rules.
 //
-// - Leaving is final for an incarnation: once it was listed as leaving, or its
-//   address answered as another incarnation, no later update makes it usable
-//   again.
+// - Leaving is final for an incarnation: once it was listed as leaving, stated
+//   so in a response, or its address answered as another incarnation, no later
+//   update makes it usable again.
 // - A newer incarnation of an id replaces an older one permanently, so that a
 //   delayed update of the old incarnation neither removes the new one nor
 //   restores the old one.
@@ -76,9 +76,10 @@
   /// Starts the grace period: the store answers again after an outage.
   void OnStoreReturned(TimePoint aNow);
 
-  /// Marks the current incarnation of an id as gone, because its address
-  /// answered as another incarnation.
-  void OnReplaced(const std::string& aId);
+  /// Marks an incarnation as leaving, because it stated so in a response, or as
+  /// gone, because its address answered as another incarnation.
+  /// @return whether that was not known before
+  bool OnLeaving(const Incarnation& aEndpoint);
 
   /// Marks an availability zone as evacuated: its endpoints are not usable
   /// until the evacuation ends.
@@ -94,6 +95,9 @@
   /// id.
   std::vector<const ListedEndpoint*> Usable(const std::string& aService) const;
 
+  /// Returns whether an incarnation is listed and may receive requests.
+  bool IsUsable(const Incarnation& aEndpoint) const;
+
   /// Returns a counter that increases with each change of the set of usable
   /// endpoints.
   std::uint64_t Changes() const { return changes_; }
@@ -111,7 +115,8 @@
   void RemoveOrDefer(std::map<std::string, Entry>::iterator aEntry,
                      TimePoint aNow);
 
-  bool IsLeaving(const ListedEndpoint& aListed) const;
+  bool IsLeaving(const Incarnation& aEndpoint) const;
+  bool IsUsable(const ListedEndpoint& aListed) const;
 
   Options options_;
   std::map<std::string, Entry> entries_;
--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -133,6 +133,11 @@
               "endpoints-limited",
               503,
               "All endpoints have a rate limit, and no permit is left." },
+  ResultInfo{ kEndpointsBackedOff,
+              "endpoints-backed-off",
+              503,
+              "All endpoints have asked this host to back off, or have a rate "
+              "limit and no permit is left." },
   ResultInfo{ kStoreUnavailable,
               "store-unavailable",
               503,
@@ -234,6 +239,11 @@
               "endpoint-failed",
               502,
               "The endpoint answered with a failure of its own." },
+  ResultInfo{ kEndpointWithdrawn,
+              "endpoint-withdrawn",
+              503,
+              "The endpoint began to leave or asked this host to back off "
+              "before the request was sent to it." },
   ResultInfo{ kOnceStoreUnavailable,
               "once-store-unavailable",
               503,
--- a/src/core/routing/gooseberrylift-endpoint-directory.cc
+++ b/src/core/routing/gooseberrylift-endpoint-directory.cc
@@ -34,13 +34,14 @@
   relistDeadline_ = std::max(relistDeadline_, aNow + options_.relistGrace_);
 }
 
-void EndpointDirectory::OnReplaced(const std::string& aId)
+bool EndpointDirectory::OnLeaving(const Incarnation& aEndpoint)
 {
-  const auto newest = newestStart_.find(aId);
-  if (newest != newestStart_.end()) {
-    ++changes_;
-    leaving_[aId] = newest->second;
+  if (IsLeaving(aEndpoint)) {
+    return false;
   }
+  ++changes_;
+  leaving_[aEndpoint.id_] = aEndpoint.startTime_;
+  return true;
 }
 
 void EndpointDirectory::OnEvacuated(const std::string& aZone)
@@ -53,10 +54,23 @@
   changes_ += evacuatedZones_.erase(aZone);
 }
 
-bool EndpointDirectory::IsLeaving(const ListedEndpoint& aListed) const
+bool EndpointDirectory::IsLeaving(const Incarnation& aEndpoint) const
+{
+  const auto left = leaving_.find(aEndpoint.id_);
+  return left != leaving_.end() && aEndpoint.startTime_ <= left->second;
+}
+
+bool EndpointDirectory::IsUsable(const ListedEndpoint& aListed) const
+{
+  return !IsLeaving(aListed.IncarnationId()) &&
+         !evacuatedZones_.contains(aListed.zone_);
+}
+
+bool EndpointDirectory::IsUsable(const Incarnation& aEndpoint) const
 {
-  const auto left = leaving_.find(aListed.id_);
-  return left != leaving_.end() && aListed.startTime_ <= left->second;
+  const ListedEndpoint* listed = Find(aEndpoint.id_);
+  return listed != nullptr && listed->IncarnationId() == aEndpoint &&
+         IsUsable(*listed);
 }
 
 // After an outage of the store, an entry may be missing only because its lease
@@ -90,8 +104,7 @@
   std::vector<const ListedEndpoint*> usable;
   for (const auto& [id, entry] : entries_) {
     const ListedEndpoint& listed = entry.listed_;
-    if (listed.service_ == aService && !IsLeaving(listed) &&
-        !evacuatedZones_.contains(listed.zone_)) {
+    if (listed.service_ == aService && IsUsable(listed)) {
       usable.push_back(&entry.listed_);
     }
   }
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -131,6 +131,7 @@
   const Endpoints ordered = OrderedEndpoints(aQuery);
   const std::vector<ListedEndpoint>& endpoints = *ordered;
   const LimitedEndpoints limited = options_.limiter_.CheckPermits(endpoints);
+  const std::set<std::string> backedOff = FindBackedOff(endpoints);
   const TimePoint now = TimerService::Now();
   Shard& shard = ShardOf(aQuery.service_);
   const std::lock_guard lock(shard.mutex_);
@@ -138,7 +139,7 @@
   candidates.reserve(endpoints.size());
   for (const ListedEndpoint& endpoint : endpoints) {
     const std::string& id = endpoint.id_;
-    if (limited.withheld_.contains(id)) {
+    if (limited.withheld_.contains(id) || backedOff.contains(id)) {
       continue;
     }
     candidates.push_back(
@@ -171,6 +172,7 @@
                          .load_ = shard.load_.Of(choice->endpoint_->id_, now),
                          .candidates_ = candidates.size(),
                          .withheld_ = limited.withheld_.size(),
+                         .backedOff_ = backedOff.size(),
                          .cost_ = choice->cost_,
                          .helperCost_ = choice->helperCost_ };
   for (const ListedEndpoint* helper : choice->helpers_) {
@@ -185,21 +187,94 @@
   return options_.limiter_.Take(aPlacement.endpoint_.IncarnationId());
 }
 
-std::optional<milliseconds> Fleet::TimeUntilPermit(const std::string& aService)
+std::set<std::string> Fleet::FindBackedOff(
+  const std::vector<ListedEndpoint>& aEndpoints)
 {
-  std::vector<ListedEndpoint> usable;
+  std::set<std::string> backedOff;
+  const std::lock_guard lock(directoryMutex_);
+  if (backoffs_.IsEmpty()) {
+    return backedOff;
+  }
+  const TimePoint now = TimerService::Now();
+  for (const ListedEndpoint& endpoint : aEndpoints) {
+    if (backoffs_.Remaining(endpoint.IncarnationId(), now)) {
+      backedOff.insert(endpoint.id_);
+    }
+  }
+  return backedOff;
+}
+
+std::optional<ServiceBlock> Fleet::FindServiceBlock(const std::string& aService)
+{
+  std::optional<ServiceBlock> block;
+  const auto add = [&block](SendBlock aReason, milliseconds aRemaining) {
+    if (!block || aRemaining < block->remaining_) {
+      block = { .reason_ = aReason, .remaining_ = aRemaining };
+    }
+  };
+  std::vector<ListedEndpoint> others;
   {
     const std::lock_guard lock(directoryMutex_);
-    usable = Usable(aService);
+    const TimePoint now = TimerService::Now();
+    for (const ListedEndpoint* endpoint : directory_.Usable(aService)) {
+      const auto backoff = backoffs_.Remaining(endpoint->IncarnationId(), now);
+      if (backoff) {
+        add(SendBlock::kBackoff, *backoff);
+      } else {
+        others.push_back(*endpoint);
+      }
+    }
   }
-  const bool limited =
-    !usable.empty() &&
-    std::all_of(
-      usable.begin(), usable.end(), [this](const ListedEndpoint& aListed) {
-        return options_.limiter_.Of(aListed.IncarnationId()).has_value();
-      });
-  return limited ? std::optional(options_.limiter_.TimeUntilPermit(usable))
-                 : std::nullopt;
+  for (const ListedEndpoint& endpoint : others) {
+    if (!options_.limiter_.Of(endpoint.IncarnationId())) {
+      return std::nullopt;
+    }
+  }
+  if (!others.empty()) {
+    add(SendBlock::kNoPermit, options_.limiter_.TimeUntilPermit(others));
+  }
+  return block;
+}
+
+SendBlock Fleet::CheckSend(const ListedEndpoint& aEndpoint)
+{
+  const Incarnation incarnation = aEndpoint.IncarnationId();
+  const std::lock_guard lock(directoryMutex_);
+  if (!directory_.IsUsable(incarnation)) {
+    return SendBlock::kUnusable;
+  }
+  return backoffs_.Remaining(incarnation, TimerService::Now())
+           ? SendBlock::kBackoff
+           : SendBlock::kNone;
+}
+
+NoticeEffect Fleet::OnNotice(const ListedEndpoint& aEndpoint,
+                             const EndpointNotice& aNotice,
+                             const NoticeSource& aSource)
+{
+  const Incarnation incarnation = aEndpoint.IncarnationId();
+  // An unsigned response must not lift a rate limit.
+  if (aSource.signed_ ||
+      aNotice.rateLimit_.kind_ == AdvertisedRateLimit::Kind::kSpecified) {
+    options_.limiter_.OnAnswer(
+      incarnation, aNotice.rateLimit_, aSource.sentAt_);
+  }
+  NoticeEffect effect;
+  const std::lock_guard lock(directoryMutex_);
+  if (aNotice.leaving_) {
+    effect.leaving_ = directory_.OnLeaving(incarnation);
+  }
+  if (aNotice.backoff_.kind_ == RequestedBackoff::Kind::kSpecified) {
+    effect.backoff_ = backoffs_.OnRequested(
+      incarnation, aNotice.backoff_.duration_, TimerService::Now());
+  }
+  return effect;
+}
+
+void Fleet::OnReplaced(const ListedEndpoint& aEndpoint)
+{
+  const std::lock_guard lock(directoryMutex_);
+  directory_.OnLeaving(aEndpoint.IncarnationId());
 }
 
 bool Fleet::IsPeerLoadUnknown()
@@ -357,6 +432,12 @@
 void Fleet::Sweep()
 {
   const TimePoint now = TimerService::Now();
+  {
+    const std::lock_guard lock(directoryMutex_);
+    for (const Incarnation& endpoint : backoffs_.Sweep(now)) {
+      Log(LogEvent::kEndpointBackoffEnded, { { "endpoint", endpoint.id_ } });
+    }
+  }
   const std::lock_guard lock(shardsMutex_);
   for (const auto& [service, shard] : shards_) {
     const std::lock_guard shardLock(shard->mutex_);
--- a/src/gateway/gooseberrylift-memory-reservation.cc
+++ b/src/gateway/gooseberrylift-memory-reservation.cc
@@ -23,11 +23,11 @@
 {
   renewal_.Cancel();
   const TimePoint deadline = TimerService::Now() + options_.callTimeout_;
-  for (const std::string& address : addresses_) {
+  for (const ListedEndpoint& endpoint : endpoints_) {
     SpawnCleanup(
       parts_.executor_,
       SendBestEffort(parts_,
-                     address,
+                     endpoint,
                      parts_.dialect_.MakeReleaseRequest(reservationId_),
                      deadline));
   }
@@ -50,9 +50,12 @@
   for (const ListedEndpoint& endpoint : aEndpoints) {
     // Recorded before the call, which may take effect even if its response is
     // lost.
-    reservation->addresses_.push_back(endpoint.address_);
-    const auto reserved = co_await reservation->Reserve(endpoint.address_);
+    reservation->endpoints_.push_back(endpoint);
+    const auto reserved = co_await reservation->Reserve(endpoint);
     if (!reserved) {
+      if (reserved.error().code_ == ResultCode::kEndpointWithdrawn) {
+        reservation->endpoints_.pop_back(); // nothing was sent
+      }
       Error refusal = reserved.error();
       refusal.text_ = endpoint.id_ + ": " + refusal.text_;
       co_return refusal;
@@ -64,14 +67,20 @@
   co_return std::move(reservation);
 }
 
-asio::awaitable<Outcome<void>> MemoryReservation::Reserve(std::string aAddress)
+asio::awaitable<Outcome<void>> MemoryReservation::Reserve(
+  ListedEndpoint aEndpoint)
 {
   HttpRequest request = parts_.dialect_.MakeReserveRequest(
     reservationId_, tokens_, options_.duration_);
+  const EndpointClient::CallOptions options{ .requestId_ = reservationId_ };
   const auto answer =
-    co_await parts_.client_.Fetch(std::move(aAddress),
+    co_await parts_.client_.Fetch(std::move(aEndpoint),
                                   std::move(request),
-                                  TimerService::Now() + options_.callTimeout_);
+                                  TimerService::Now() + options_.callTimeout_,
+                                  options);
+  if (!answer && answer.error().code_ == ResultCode::kEndpointWithdrawn) {
+    co_return answer.error();
+  }
   if (!answer || answer.value().status_ != 200) {
     co_return Error{ .code_ = ResultCode::kEndpointRefused,
                      .text_ = answer ? "no room, status " +
@@ -85,10 +94,10 @@
 void MemoryReservation::Renew()
 {
   const TimePoint deadline = TimerService::Now() + options_.callTimeout_;
-  for (const std::string& address : addresses_) {
+  for (const ListedEndpoint& endpoint : endpoints_) {
     SpawnTask(parts_.executor_,
               SendBestEffort(parts_,
-                             address,
+                             endpoint,
                              parts_.dialect_.MakeReserveRequest(
                                reservationId_, tokens_, options_.duration_),
                              deadline));
@@ -97,13 +106,16 @@
 
 // The result is ignored: if the request is lost, the engine releases the memory
 // when the reservation expires.
-asio::awaitable<void> MemoryReservation::SendBestEffort(Parts aParts,
-                                                        std::string aAddress,
-                                                        HttpRequest aRequest,
-                                                        TimePoint aDeadline)
+asio::awaitable<void> MemoryReservation::SendBestEffort(
+  Parts aParts,
+  ListedEndpoint aEndpoint,
+  HttpRequest aRequest,
+  TimePoint aDeadline)
 {
+  const EndpointClient::CallOptions options{ .purpose_ =
+                                               EndpointPurpose::kUpkeep };
   (void)co_await aParts.client_.Fetch(
-    std::move(aAddress), std::move(aRequest), aDeadline);
+    std::move(aEndpoint), std::move(aRequest), aDeadline, options);
 }
 
 } // namespace gooseberrylift
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -6,7 +6,6 @@
 #include <algorithm>
 
 #include "gooseberrylift-request-errors.h"
-#include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
 
@@ -89,38 +88,6 @@
   co_return boost::outcome_v2::success();
 }
 
-// Records the rate limit in a response. A response of another incarnation
-// doesn't apply to this one, and an unsigned response must not lift a limit.
-void RequestRun::RecordRateLimit(const EndpointResponseMetadata& aFacts,
-                                 const Fleet::ActiveRequest& aActiveRequest)
-{
-  const bool isNamed =
-    aFacts.notice_.rateLimit_.kind_ == AdvertisedRateLimit::Kind::kSpecified;
-  if (!aFacts.instanceReplaced_ && (isNamed || aFacts.hasResponseStamp_)) {
-    parts_.limiter_.OnAnswer(
-      aActiveRequest.Placement().endpoint_.IncarnationId(),
-      aFacts.notice_.rateLimit_,
-      aActiveRequest.SentAt());
-  }
-}
-
-void RequestRun::LogNotice(int aStatus,
-                           const EndpointNotice& aNotice,
-                           const ListedEndpoint& aEndpoint) const
-{
-  const RequestedBackoff& backoff = aNotice.backoff_;
-  if (!aNotice.leaving_ && backoff.kind_ == RequestedBackoff::Kind::kNone) {
-    return;
-  }
-  Log(LogEvent::kEndpointNotice,
-      { { "request_id", request_.facts_.attemptId_ },
-        { "endpoint", aEndpoint.id_ },
-        { "status", aStatus },
-        { "leaving", aNotice.leaving_ },
-        { "backoff_ms", backoff.duration_.count() },
-        { "malformed", backoff.kind_ == RequestedBackoff::Kind::kMalformed } });
-}
-
 // Checks the head of a response before its content is trusted.
 std::optional<Error> RequestRun::ValidateHead(
   const HttpResponse& aHead,
@@ -136,13 +103,6 @@
                   .text_ = "answer to '" + facts.attemptId_ + "'",
                   .ran_ = RanState::kUnknown };
   }
-  RecordRateLimit(facts, aActiveRequest);
-  LogNotice(aHead.status_, facts.notice_, placement.endpoint_);
-  if (facts.instanceReplaced_) {
-    parts_.fleet_.WithDirectory([&](EndpointDirectory& aDirectory) {
-      aDirectory.OnReplaced(placement.endpoint_.id_);
-    });
-  }
   if (facts.notExecuted_) {
     // The next attempt must not use the same helper again.
     for (const ListedEndpoint& helper : placement.helpers_) {
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -62,6 +62,7 @@
     case ResultCode::kEndpointSilent:
       return EndpointOutcome::kUnreachable;
     case ResultCode::kEndpointRefused:
+    case ResultCode::kEndpointWithdrawn:
     case ResultCode::kCallerLeft:
       return EndpointOutcome::kRefused;
     default:
@@ -90,7 +91,7 @@
     }
     auto placement = parts_.fleet_.Place(MakeQuery());
     if (!placement) {
-      auto wait = DelayForPermit();
+      auto wait = DelayForEndpoint();
       if (!wait) {
         wait = DelayForMemory();
       }
@@ -249,13 +250,15 @@
   HttpRequest send =
     MakeEndpointRequest(use.Placement(), reservation.value().get());
   const ListedEndpoint& endpoint = use.Placement().endpoint_;
-  HttpClient::CallOptions options;
-  options.connectTimeout_ = kConnectTimeout;
+  EndpointClient::CallOptions options;
+  options.helpers_ = use.Placement().helpers_;
+  options.requestId_ = request_.facts_.attemptId_;
+  options.http_.connectTimeout_ = kConnectTimeout;
   if (!request_.route_->IsRepeatable()) {
-    options.maxIdle_ = kNonRepeatableMaxIdle;
+    options.http_.maxIdle_ = kNonRepeatableMaxIdle;
   }
   auto sent = co_await parts_.client_.Send(
-    endpoint.address_, std::move(send), request_.deadline_, options);
+    endpoint, std::move(send), request_.deadline_, options);
   const bool sentBytes = sent || sent.error().ran_ != RanState::kNo;
   sends_ += sentBytes ? 1 : 0;
   if (!sentBytes) {
@@ -387,6 +390,7 @@
       { "prompt_tokens", request_.facts_.promptTokens_ },
       { "candidates", aPlacement.candidates_ },
       { "withheld", aPlacement.withheld_ },
+      { "backed_off", aPlacement.backedOff_ },
       { "limit_per_second",
         parts_.limiter_.Of(aPlacement.endpoint_.IncarnationId()).value_or(-1) },
       { "running", aPlacement.load_.running_ },
--- a/src/gateway/gooseberrylift-request-waiting.cc
+++ b/src/gateway/gooseberrylift-request-waiting.cc
@@ -23,9 +23,10 @@
 // timeout. A rejection after that leaves the caller most of its time.
 constexpr double kMaxMemoryWaitShare = 0.25;
 
-// How long a request waits for the response to a permit request, and how often
-// it checks for it.
-constexpr milliseconds kMaxPermitWait{ 100 };
+// How long a request waits for the response to a permit request or for the end
+// of a backoff if no endpoint may receive it, and how often it checks for a
+// permit.
+constexpr milliseconds kMaxBlockWait{ 100 };
 constexpr milliseconds kPermitPollInterval{ 10 };
 
 } // namespace
@@ -82,32 +83,44 @@
            : std::nullopt;
 }
 
-// Returns how long to wait before placing a request again if all endpoints need
-// a permit and one has been requested; nothing if it shouldn't wait. The
-// granting host responds within a round trip or not at all.
-std::optional<milliseconds> RequestRun::DelayForPermit()
+// Returns how long to wait before placing a request again if no endpoint may
+// receive it now but one soon will; nothing if it shouldn't wait. The granting
+// host of permits responds within a round trip or not at all.
+std::optional<milliseconds> RequestRun::DelayForEndpoint()
 {
-  const auto untilPermit = parts_.fleet_.TimeUntilPermit(request_.service_);
+  const auto block = parts_.fleet_.FindServiceBlock(request_.service_);
   const auto waited = TimerService::Now() - request_.arrived_;
-  if (!untilPermit || *untilPermit > milliseconds(0) ||
-      waited > kMaxPermitWait) {
+  if (!block || waited > kMaxBlockWait) {
     return std::nullopt;
   }
-  return kPermitPollInterval;
+  if (block->reason_ == SendBlock::kBackoff) {
+    return waited + block->remaining_ <= kMaxBlockWait
+             ? std::optional(block->remaining_)
+             : std::nullopt;
+  }
+  return block->remaining_ <= milliseconds(0)
+           ? std::optional(kPermitPollInterval)
+           : std::nullopt;
 }
 
 // Returns the error for a request that currently has no endpoint.
 Error RequestRun::MakeNoEndpointError()
 {
-  const auto untilPermit = parts_.fleet_.TimeUntilPermit(request_.service_);
-  Error none = MakeError(untilPermit ? ResultCode::kEndpointsLimited
-                                     : ResultCode::kNoEndpoint);
-  none.retryAfter_ = RandomRetryDelay();
-  if (untilPermit) {
-    none.retryAfter_ = std::min(*none.retryAfter_ + std::max(*untilPermit, {}),
-                                MaxRetryDelay(RemainingTime()));
+  const auto block = parts_.fleet_.FindServiceBlock(request_.service_);
+  if (!block) {
+    Error none = MakeError(ResultCode::kNoEndpoint);
+    none.retryAfter_ = RandomRetryDelay();
+    return none;
   }
-  return none;
+  Error blocked = MakeError(block->reason_ == SendBlock::kBackoff
+                              ? ResultCode::kEndpointsBackedOff
+                              : ResultCode::kEndpointsLimited);
+  // The random part spreads the callers, who would otherwise all return at the
+  // same moment.
+  blocked.retryAfter_ =
+    std::min(RandomRetryDelay() + std::max(block->remaining_, {}),
+             MaxRetryDelay(RemainingTime()));
+  return blocked;
 }
 
 std::optional<Error> RequestRun::Admit(const FleetPlacement& aPlacement) const
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -78,6 +78,8 @@
                [this](const std::string& aEndpoint) {
                  poisonRequestMonitor_.OnEndpointExit(aEndpoint);
                } })
+  , endpointClient_(
+      { .client_ = client_, .dialect_ = *dialect_, .fleet_ = fleet_ })
   , routes_(*dialect_, board_)
   , endpoints_(*dialect_, fleet_)
   , storeFollower_(StoreFollowerParts(), StoreFollowerOptions())
@@ -142,7 +144,7 @@
              .expediteFirstProof_ =
                [this] { return storeFollower_.ExpediteFirstProof(); },
              .run_ = { .board_ = board_,
-                       .client_ = client_,
+                       .client_ = endpointClient_,
                        .dialect_ = *dialect_,
                        .fleet_ = fleet_,
                        .routes_ = routes_,
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -340,6 +340,11 @@
   if (TimerService::Now() >= aDeadline) {
     co_return Error{ .code_ = ResultCode::kDeadlineExceeded };
   }
+  if (aOptions.checkBeforeWrite_) {
+    if (const auto error = aOptions.checkBeforeWrite_()) {
+      co_return *error;
+    }
+  }
   auto call = std::make_unique<ClientCall>(
     std::move(connection),
     aDeadline,
@@ -403,14 +408,23 @@
                                                          TimePoint aDeadline,
                                                          CallOptions aOptions)
 {
-  auto call = co_await Start(
+  auto call = co_await Send(
     std::move(aAddress), std::move(aRequest), aDeadline, aOptions);
   if (!call) {
     co_return call.error();
   }
-  HttpResponse response = call.value()->Head();
+  co_return co_await ReadResponse(*call.value());
+}
+
+asio::awaitable<Outcome<HttpResponse>> ReadResponse(HttpCall& aCall)
+{
+  const auto read = co_await aCall.ReadHead();
+  if (!read) {
+    co_return read.error();
+  }
+  HttpResponse response = aCall.Head();
   while (true) {
-    auto part = co_await call.value()->ReadSome();
+    auto part = co_await aCall.ReadSome();
     if (!part) {
       co_return part.error();
     }
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -134,6 +134,11 @@
                 "endpoint-notice",
                 "An endpoint stated in a response that it is leaving, or asked "
                 "this host to back off; 'backoff_ms' is for how long." },
+  LogEventInfo{ kEndpointBackoffEnded,
+                LogLevel::kInfo,
+                "endpoint-backoff-ended",
+                "The backoff that an endpoint asked for has ended; it gets "
+                "requests again." },
   LogEventInfo{ kRequestFinished,
                 LogLevel::kDebug,
                 "request-finished",
--- a/test/core/gooseberrylift-endpoint-directory-test.cc
+++ b/test/core/gooseberrylift-endpoint-directory-test.cc
@@ -73,7 +73,7 @@
 TEST(EndpointDirectoryTest, DetectsARestartAfterTheEntryWasMissing)
 {
   CHECK_FALSE(directory_.OnListed(ListedAt("a", 100ms)));
-  directory_.OnReplaced("a");
+  CHECK_TRUE(directory_.OnLeaving(ListedAt("a", 100ms).IncarnationId()));
   directory_.OnRemoved("a", now_);
   LONGS_EQUAL(0, Usable());
   CHECK_TRUE(directory_.OnListed(ListedAt("a", 300ms)));
@@ -94,10 +94,48 @@
      DropsAnEndpointWhoseAddressAnswersAsAnotherIncarnation)
 {
   directory_.OnListed(Listed("a"));
-  directory_.OnReplaced("a");
+  directory_.OnLeaving({ .id_ = "a" });
   LONGS_EQUAL(0, Usable());
 }
 
+TEST(EndpointDirectoryTest, KeepsAnEndpointUnusableThatStatedThatItIsLeaving)
+{
+  const Incarnation stated = Listed("a").IncarnationId();
+  directory_.OnListed(Listed("a"));
+  CHECK_TRUE(directory_.IsUsable(stated));
+  CHECK_TRUE(directory_.OnLeaving(stated));
+  CHECK_FALSE(directory_.OnLeaving(stated));
+  directory_.OnListed(Listed("a"));
+  directory_.OnRemoved("a", now_);
+  directory_.OnListed(Listed("a"));
+  CHECK_FALSE(directory_.IsUsable(stated));
+  LONGS_EQUAL(0, Usable());
+}
+
+// Guards against a late response of an old incarnation that makes the new one
+// unusable.
+TEST(EndpointDirectoryTest, UsesARestartedEndpointWhosePredecessorStatedLeaving)
+{
+  directory_.OnListed(ListedAt("a", 200ms));
+  CHECK_TRUE(directory_.OnLeaving(ListedAt("a", 100ms).IncarnationId()));
+  LONGS_EQUAL(1, Usable());
+  CHECK_TRUE(directory_.IsUsable(ListedAt("a", 200ms).IncarnationId()));
+  CHECK_FALSE(directory_.IsUsable(ListedAt("a", 100ms).IncarnationId()));
+}
+
+TEST(EndpointDirectoryTest, FindsNoUnlistedOrEvacuatedEndpointUsable)
+{
+  const Incarnation endpoint = Listed("a").IncarnationId();
+  CHECK_FALSE(directory_.IsUsable(endpoint));
+  directory_.OnListed(Listed("a"));
+  directory_.OnEvacuated("");
+  CHECK_FALSE(directory_.IsUsable(endpoint));
+  directory_.OnEvacuationEnded("");
+  CHECK_TRUE(directory_.IsUsable(endpoint));
+  directory_.OnRemoved("a", now_);
+  CHECK_FALSE(directory_.IsUsable(endpoint));
+}
+
 TEST(EndpointDirectoryTest, DropsARemovedEntryAtOnceWithoutAnOutage)
 {
   directory_.OnListed(Listed("a"));
--- a/test/integration/gooseberrylift-endpoint-backoff-test.cc
+++ b/test/integration/gooseberrylift-endpoint-backoff-test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <future>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,17 @@
   return most;
 }
 
+// Returns whether a host has sent another request after a backoff.
+bool IsUsedAfterABackoff(Fake& aEndpoint)
+{
+  const json stats = aEndpoint.Stats();
+  std::set<std::size_t> hosts;
+  for (const json& arrival : stats.at("arrivals")) {
+    hosts.insert(HostOf(arrival.at("attempt")));
+  }
+  return stats.at("arrivals").size() > hosts.size();
+}
+
 // Makes an endpoint reject all requests and ask for backoffs under load.
 void CheckKeepsBackoffs(GatewayDeployment& aDeployment,
                         Fake& aEndpoint,
@@ -67,8 +79,7 @@
   Callers callers(HostsOf(aDeployment, kHosts), aMake, 20ms);
   std::this_thread::sleep_for(5s);
   callers.Stop();
-  // A host must use the endpoint again after a backoff.
-  CHECK_TRUE(aEndpoint.Stats().at("arrivals").size() >= 2 * kHosts);
+  CHECK_TRUE(IsUsedAfterABackoff(aEndpoint));
   CHECK_TRUE(MaxArrivalsDuringBackoff(aEndpoint) <= kMaxDuringBackoff);
   LONGS_EQUAL(callers.Asked(), callers.Served());
 }
