Heed pauses that endpoints ask for on the product's own interface too

What callers of models and plain services saw: each of their requests went first to an endpoint that turned it away with Retry-After, and the endpoint got 234 and 1,548 requests in two of the ten seconds for which it had asked for none.

The runners read that an endpoint is leaving from their answers, and Retry-After at none. The value is now decoded in one place for both interfaces (ParseBackoff), goes to the scheduler with the outcome of the attempt, and the endpoint's slot is not eligible until it has passed or the endpoint has restarted. A request that can still start in time stays in the queue; one that can't is refused at once with code 71 and the time that is left.

Tests: three process tests red before (code 128 for 71; 234 and 1,548 refused for 1), green after; four of the scheduler on virtual time.

--- a/fakes/gooseberrylift-fake-engine.cc
+++ b/fakes/gooseberrylift-fake-engine.cc
@@ -131,6 +131,7 @@
   void Control(const json& aBody)
   {
     leaving_ = aBody.value("leaving", leaving_);
+    retryAfter_ = aBody.value("retry_after", retryAfter_);
     hang_ = aBody.value("hang", hang_);
     crossAnswers_ = aBody.value("cross_answers", crossAnswers_);
     cutAfter_ = aBody.value("cut_after", cutAfter_);
@@ -150,6 +151,9 @@
     if (leaving_) {
       response.fields_.push_back({ "X-Endpoint-State", "leaving" });
     }
+    if (!retryAfter_.empty()) {
+      response.fields_.push_back({ "Retry-After", retryAfter_ });
+    }
     return response;
   }
 
@@ -164,9 +168,10 @@
     const std::uint64_t limit = body.value("max_tokens", std::uint64_t{ 16 });
     const std::uint64_t tokens = CountTokens(prompt) + resume;
     const std::uint64_t requiredTokens = CountTokens(prompt) + limit;
-    if (leaving_) {
+    if (leaving_ || !retryAfter_.empty()) {
       ++refused_;
-      co_await aExchange.Send(MakeRefusal(aExchange.Request(), 503, "leaving"));
+      co_await aExchange.Send(MakeRefusal(
+        aExchange.Request(), 503, leaving_ ? "leaving" : "overloaded"));
       co_return;
     }
     if (!batch_.Fits(requiredTokens)) {
@@ -410,6 +415,7 @@
   std::uint64_t eventGap_;
   std::string crashOn_;
   bool leaving_ = false;
+  std::string retryAfter_; // rejects all requests if not empty
   bool hang_ = false;
   bool crossAnswers_ = false;
   bool batchLoopRunning_ = false;
--- a/fakes/gooseberrylift-fake-service.cc
+++ b/fakes/gooseberrylift-fake-service.cc
@@ -5,7 +5,8 @@
 //   GET  /load      {"state": "live"|"leaving"}
 //   GET  /stats     {"runs": {key: count}, "total": n, "refused": n,
 //                    "bodies": {key: body}, "requests": {X-Request-Id: count}}
-//   POST /control   {"delay_ms", "leaving", "hang", "status"}
+//   POST /control   {"delay_ms", "leaving", "hang", "status", "retry_after"}
+// With a retry_after that is not empty, requests are rejected with that value.
 // The key is the Idempotency-Key header or, if it is absent, X-Request-Id.
 
 #include <map>
@@ -40,11 +41,16 @@
       json load;
       load["state"] = leaving_ ? "leaving" : "live";
       co_await SendJson(aExchange, 200, load);
-    } else if (leaving_) {
+    } else if (leaving_ || !retryAfter_.empty()) {
       // Rejects the request and reports that it was not executed.
       ++refused_;
       HttpResponse refusal{ .status_ = 503 };
-      refusal.fields_.push_back({ "X-Endpoint-State", "leaving" });
+      if (leaving_) {
+        refusal.fields_.push_back({ "X-Endpoint-State", "leaving" });
+      }
+      if (!retryAfter_.empty()) {
+        refusal.fields_.push_back({ "Retry-After", retryAfter_ });
+      }
       refusal.fields_.push_back({ "X-Not-Run", "true" });
       refusal.fields_.push_back(
         { "X-Request-Id",
@@ -70,6 +76,7 @@
     delay_ = std::chrono::milliseconds(
       aBody.value("delay_ms", static_cast<int>(delay_.count())));
     leaving_ = aBody.value("leaving", leaving_);
+    retryAfter_ = aBody.value("retry_after", retryAfter_);
     hang_ = aBody.value("hang", hang_);
     status_ = aBody.value("status", status_);
   }
@@ -113,6 +120,7 @@
   std::string name_;
   std::chrono::milliseconds delay_{ 0 };
   bool leaving_ = false;
+  std::string retryAfter_;
   bool hang_ = false;
   int status_ = 200;
   std::map<std::string, int> runs_;
--- a/include/gooseberrylift/gooseberrylift-endpoint-slot.h
+++ b/include/gooseberrylift/gooseberrylift-endpoint-slot.h
@@ -41,6 +41,13 @@
   /// Records that a request ended and releases its memory.
   void OnEnded(const RequestInfo& aInfo);
 
+  /// Records that the endpoint asked this host to back off. Only time or a
+  /// restart of the endpoint ends a backoff.
+  void OnBackoff(std::chrono::milliseconds aDuration, TimePoint aNow);
+
+  /// Returns the remaining time of the endpoint's backoff; zero if it has none.
+  std::chrono::microseconds RemainingBackoff(TimePoint aNow) const;
+
   /// Predicts the delay before the prefill of a new request begins.
   std::chrono::microseconds Backlog(TimePoint aNow) const;
 
@@ -68,7 +75,8 @@
 
   std::vector<Pending> pending_; // bounded by the concurrency limit
   std::chrono::microseconds pendingCost_{ 0 };
-  TimePoint ownBusyUntil_{};                 // with requests of this host
+  TimePoint ownBusyUntil_{}; // with requests of this host
+  TimePoint backedOffUntil_{};
   TimePoint othersBusyUntil_{};              // with requests of other hosts
   std::uint64_t unreportedMemoryTokens_ = 0; // tokens, since the last report
 };
--- a/include/gooseberrylift/gooseberrylift-scheduler-types.h
+++ b/include/gooseberrylift/gooseberrylift-scheduler-types.h
@@ -45,6 +45,8 @@
   bool endpointAtFault_ =
     false; // unreachable, broken, mismatched response or too slow
   std::chrono::milliseconds timeToFirstToken_{ 0 };
+  // For how long the endpoint asked this host to send it nothing; 0 if not.
+  std::chrono::milliseconds backoff_{ 0 };
 };
 
 // A decision: send the request to an endpoint, or refuse it.
--- a/include/gooseberrylift/gooseberrylift-scheduler.h
+++ b/include/gooseberrylift/gooseberrylift-scheduler.h
@@ -121,7 +121,10 @@
   bool Admit(const WaitingRequest& aRequest, TimePoint aNow);
   void Dequeue(Lane& aLane, std::uint64_t aId, bool aServed, TimePoint aNow);
   bool FitsMemory(const RequestInfo& aInfo) const;
-  bool HasCandidate(const RequestInfo& aInfo, bool aAllowEjected) const;
+  bool HasCandidate(const RequestInfo& aInfo) const;
+  bool HasPreferredCandidate(const RequestInfo& aInfo, TimePoint aNow) const;
+  std::chrono::microseconds ShortestBackoff(const RequestInfo& aInfo,
+                                            TimePoint aNow) const;
   bool IsEligible(const EndpointSlot& aSlot,
                   const RequestInfo& aInfo,
                   bool aAllowEjected,
--- a/include/gooseberrylift/internal/gooseberrylift-http.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_HTTP_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_HTTP_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,6 +12,7 @@
 #include <boost/outcome/basic_result.hpp>
 #include <boost/outcome/policy/terminate.hpp>
 
+#include "gooseberrylift/gooseberrylift-endpoint.h"
 #include "gooseberrylift/gooseberrylift-result.h"
 
 namespace gooseberrylift {
@@ -65,6 +67,21 @@
   }
 };
 
+/// Parses a field value as a decimal number.
+/// @return nothing if it is not a finite number of zero or more
+std::optional<double> ParseDecimal(std::string_view aText);
+
+/// Parses for how long the server that rejected a request with status 429 or
+/// 503 asks this host to send it nothing. In other responses Retry-After is
+/// meant for the caller. Of several values the longest applies, up to a day;
+/// HTTP dates are not supported.
+RequestedBackoff ParseBackoff(const HttpResponse& aHead);
+
+/// Returns the backoff that a response asks for; nothing if it asks for none or
+/// if it is malformed.
+std::optional<std::chrono::milliseconds> RequestedRetryDelay(
+  const HttpResponse& aHead);
+
 /// Returns whether a response belongs to a request, whose X-Request-Id
 /// endpoints echo. A response without it is rejected, because a late response
 /// or one to another request, such as a load report, can't be told apart from
--- a/src/core/gooseberrylift-endpoint-slot.cc
+++ b/src/core/gooseberrylift-endpoint-slot.cc
@@ -29,6 +29,9 @@
   if (recovered) {
     health_.BeginSlowStart(aNow);
   }
+  if (aView.incarnation_ != view_.incarnation_) {
+    backedOffUntil_ = {};
+  }
   if (recovered || aView.load_.at_ != view_.load_.at_) {
     const TimePoint at = aView.load_.at_;
     std::uint64_t own = 0;
@@ -85,6 +88,17 @@
   unreportedMemoryTokens_ -= std::min(unreportedMemoryTokens_, need);
 }
 
+void EndpointSlot::OnBackoff(std::chrono::milliseconds aDuration,
+                             TimePoint aNow)
+{
+  backedOffUntil_ = std::max(backedOffUntil_, aNow + aDuration);
+}
+
+microseconds EndpointSlot::RemainingBackoff(TimePoint aNow) const
+{
+  return Elapsed(aNow, std::max(aNow, backedOffUntil_));
+}
+
 microseconds EndpointSlot::Backlog(TimePoint aNow) const
 {
   // A prompt without a first token after its predicted time shows that the
--- a/src/core/gooseberrylift-scheduler.cc
+++ b/src/core/gooseberrylift-scheduler.cc
@@ -92,7 +92,7 @@
            retryAfter);
     return;
   }
-  if (!HasCandidate(aInfo, true)) {
+  if (!HasCandidate(aInfo)) {
     Refuse(aInfo.id_,
            ResultCode::kNoEndpoint,
            "no untried live endpoint in the pool",
@@ -126,6 +126,14 @@
       return;
     }
   }
+  const microseconds backoff = ShortestBackoff(aInfo, aNow);
+  if (backoff.count() > 0 && aNow + backoff >= request.latestStart_) {
+    Refuse(aInfo.id_,
+           ResultCode::kEndpointsBackedOff,
+           {},
+           retryAfter + std::chrono::ceil<milliseconds>(backoff));
+    return;
+  }
   Lane& lane = LaneOf(aInfo);
   lane.AdmissionFor(aInfo.class_)
     .DrainRateOf(aInfo.team_, aNow)
@@ -179,6 +187,7 @@
     }
     slot->second->OnPrefillDone(aId, aNow);
     slot->second->OnEnded(run.info_);
+    slot->second->OnBackoff(aOutcome.backoff_, aNow);
     if (aOutcome.endpointAtFault_) {
       slot->second->health_.OnFault(aNow);
       RefreshEjectionsAndLanes(aNow);
@@ -291,22 +300,48 @@
          aInfo.promptTokens_ + aInfo.maxTokens_ <= largestKvCapacity_;
 }
 
-bool Scheduler::HasCandidate(const RequestInfo& aInfo, bool aAllowEjected) const
+bool Scheduler::HasCandidate(const RequestInfo& aInfo) const
 {
   return std::any_of(liveEndpoints_.begin(),
                      liveEndpoints_.end(),
                      [&](const EndpointSlot* aSlot) {
-                       return (aAllowEjected || !aSlot->ejected_) &&
+                       return !IsExcluded(aInfo, aSlot->view_.name_);
+                     });
+}
+
+// Returns whether there is a candidate that is neither ejected nor backed off.
+bool Scheduler::HasPreferredCandidate(const RequestInfo& aInfo,
+                                      TimePoint aNow) const
+{
+  return std::any_of(liveEndpoints_.begin(),
+                     liveEndpoints_.end(),
+                     [&](const EndpointSlot* aSlot) {
+                       return !aSlot->ejected_ &&
+                              aSlot->RemainingBackoff(aNow).count() == 0 &&
                               !IsExcluded(aInfo, aSlot->view_.name_);
                      });
 }
 
+// Returns the time until a candidate is not backed off; zero if one is not.
+microseconds Scheduler::ShortestBackoff(const RequestInfo& aInfo,
+                                        TimePoint aNow) const
+{
+  auto shortest = microseconds::max();
+  for (const EndpointSlot* slot : liveEndpoints_) {
+    if (!IsExcluded(aInfo, slot->view_.name_)) {
+      shortest = std::min(shortest, slot->RemainingBackoff(aNow));
+    }
+  }
+  return shortest;
+}
+
 bool Scheduler::IsEligible(const EndpointSlot& aSlot,
                            const RequestInfo& aInfo,
                            bool aAllowEjected,
                            TimePoint aNow) const
 {
-  if (IsExcluded(aInfo, aSlot.view_.name_)) {
+  if (IsExcluded(aInfo, aSlot.view_.name_) ||
+      aSlot.RemainingBackoff(aNow).count() > 0) {
     return false;
   }
   if (!IsAdaptive()) {
@@ -334,7 +369,7 @@
   while (next != nullptr) {
     const RequestInfo& info = next->info_;
     // Use ejected endpoints rather than refuse when there are no others.
-    const bool ejected = !HasCandidate(info, false);
+    const bool ejected = !HasPreferredCandidate(info, aNow);
     const PlacementQuery query{
       .info_ = info, .cost_ = next->cost_, .isLong_ = IsLong(info), .now_ = aNow
     };
--- a/src/net/gooseberrylift-http.cc
+++ b/src/net/gooseberrylift-http.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <cmath>
 
 namespace gooseberrylift {
 
@@ -18,6 +20,9 @@
                     });
 }
 
+// Longer backoffs are shortened to this, so that times don't overflow.
+constexpr std::chrono::duration<double> kMaxBackoff = std::chrono::hours(24);
+
 } // namespace
 
 std::string_view FindField(const HttpFields& aFields, std::string_view aName)
@@ -53,6 +58,54 @@
   return {};
 }
 
+std::optional<double> ParseDecimal(std::string_view aText)
+{
+  double number = 0;
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  const bool complete =
+    error == std::errc{} && end == aText.data() + aText.size();
+  if (!complete || !std::isfinite(number) || number < 0) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+RequestedBackoff ParseBackoff(const HttpResponse& aHead)
+{
+  RequestedBackoff backoff;
+  if (aHead.status_ != 503 && aHead.status_ != 429) {
+    return backoff;
+  }
+  for (const HttpField& field : aHead.fields_) {
+    if (!EqualsIgnoringCase(field.name_, "Retry-After") ||
+        field.value_.empty()) {
+      continue;
+    }
+    const auto seconds = ParseDecimal(field.value_);
+    if (!seconds) {
+      if (backoff.kind_ == RequestedBackoff::Kind::kNone) {
+        backoff.kind_ = RequestedBackoff::Kind::kMalformed;
+      }
+    } else if (*seconds > 0) {
+      const auto duration = std::chrono::ceil<std::chrono::milliseconds>(
+        std::min(std::chrono::duration<double>(*seconds), kMaxBackoff));
+      backoff.kind_ = RequestedBackoff::Kind::kSpecified;
+      backoff.duration_ = std::max(backoff.duration_, duration);
+    }
+  }
+  return backoff;
+}
+
+std::optional<std::chrono::milliseconds> RequestedRetryDelay(
+  const HttpResponse& aHead)
+{
+  const RequestedBackoff backoff = ParseBackoff(aHead);
+  return backoff.kind_ == RequestedBackoff::Kind::kSpecified
+           ? std::optional(backoff.duration_)
+           : std::nullopt;
+}
+
 bool IsResponseTo(const HttpResponse& aHead, std::string_view aRequestId)
 {
   return aHead.Field("X-Request-Id") == aRequestId;
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -11,6 +11,7 @@
 
 namespace asio = boost::asio;
 using nlohmann::json;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -97,7 +98,8 @@
   return Error{ .code_ = notRun ? ResultCode::kEndpointRefused
                                 : ResultCode::kEndpointBroken,
                 .text_ = "the engine answered " + std::to_string(aHead.status_),
-                .ran_ = notRun ? RanState::kNo : RanState::kUnknown };
+                .ran_ = notRun ? RanState::kNo : RanState::kUnknown,
+                .retryAfter_ = RequestedRetryDelay(aHead) };
 }
 
 // Adds this host's fields to the caller's body. Where possible the fields are
@@ -216,7 +218,8 @@
     const Error& failure = done.error();
     attempts.OnFailed(failure);
     placement.value().Finish(
-      { .endpointAtFault_ = IsEndpointFault(failure.code_) });
+      { .endpointAtFault_ = IsEndpointFault(failure.code_),
+        .backoff_ = failure.retryAfter_.value_or(0ms) });
     if (progress.callerLeft_ ||
         failure.code_ == ResultCode::kDeadlineExceeded ||
         failure.code_ == ResultCode::kCallerLeft) {
--- a/src/runtime/gooseberrylift-service-runner.cc
+++ b/src/runtime/gooseberrylift-service-runner.cc
@@ -6,6 +6,7 @@
 namespace gooseberrylift {
 
 namespace asio = boost::asio;
+using namespace std::chrono_literals;
 
 ServiceRunner::ServiceRunner(HttpClient& aClient,
                              PoolBroker& aBroker,
@@ -38,7 +39,8 @@
     const Error& failure = call.error();
     attempts.OnFailed(failure);
     placement.value().Finish(
-      { .endpointAtFault_ = failure.code_ != ResultCode::kCallerLeft });
+      { .endpointAtFault_ = failure.code_ != ResultCode::kCallerLeft,
+        .backoff_ = failure.retryAfter_.value_or(0ms) });
     const bool notExecuted = failure.ran_ == RanState::kNo;
     if ((!notExecuted && !aCall.retryable_) ||
         failure.code_ == ResultCode::kCallerLeft ||
@@ -85,7 +87,8 @@
     tracker_.ReportLeaving(aEndpoint.name_);
   }
   if (head.status_ == 503 && head.Field("X-Not-Run") == "true") {
-    co_return Error{ .code_ = ResultCode::kEndpointRefused };
+    co_return Error{ .code_ = ResultCode::kEndpointRefused,
+                     .retryAfter_ = RequestedRetryDelay(head) };
   }
   co_return std::move(call.value());
 }
--- a/test/core/gooseberrylift-scheduler-test.cc
+++ b/test/core/gooseberrylift-scheduler-test.cc
@@ -170,3 +170,58 @@
   }
   LONGS_EQUAL(1, limit.Limit());
 }
+
+// Guards against requests to an endpoint that asked this host to back off.
+TEST(SchedulerTest, SendsNothingToAnEndpointThatAskedForABackoff)
+{
+  Scheduler scheduler({});
+  scheduler.SetEndpoints(Engines(2), now_);
+  scheduler.OnRequest(Request(1000), now_);
+  const std::string rejecting = scheduler.TakeActions()[0].endpoint_;
+  scheduler.OnFinished(id_, { .backoff_ = seconds(3) }, now_);
+  for (int turn = 0; turn < 10; ++turn) {
+    scheduler.OnRequest(Request(1000), now_);
+    CHECK_TRUE(scheduler.TakeActions().at(0).endpoint_ != rejecting);
+  }
+}
+
+TEST(SchedulerTest, QueuesARequestThatCanStartAfterABackoff)
+{
+  Scheduler scheduler({});
+  scheduler.SetEndpoints(Engines(1), now_);
+  scheduler.OnRequest(Request(1000), now_);
+  scheduler.TakeActions();
+  scheduler.OnFinished(id_, { .backoff_ = seconds(3) }, now_);
+  scheduler.OnRequest(Request(1000), now_);
+  scheduler.OnTick(now_ + milliseconds(2999));
+  CHECK_TRUE(scheduler.TakeActions().empty());
+  scheduler.OnTick(now_ + seconds(3));
+  STRCMP_EQUAL("engine-0", scheduler.TakeActions().at(0).endpoint_.c_str());
+}
+
+TEST(SchedulerTest, RefusesARequestThatCannotStartBeforeABackoffEnds)
+{
+  Scheduler scheduler({});
+  scheduler.SetEndpoints(Engines(1), now_);
+  scheduler.OnRequest(Request(1000), now_);
+  scheduler.TakeActions();
+  scheduler.OnFinished(id_, { .backoff_ = seconds(61) }, now_);
+  scheduler.OnRequest(Request(1000), now_);
+  const auto actions = scheduler.TakeActions();
+  CHECK_TRUE(actions.at(0).refusal_.code_ == ResultCode::kEndpointsBackedOff);
+  CHECK_TRUE(*actions.at(0).refusal_.retryAfter_ >= seconds(61));
+}
+
+TEST(SchedulerTest, UsesARestartedEndpointWhosePredecessorAskedForABackoff)
+{
+  Scheduler scheduler({});
+  scheduler.SetEndpoints(Engines(1), now_);
+  scheduler.OnRequest(Request(1000), now_);
+  scheduler.TakeActions();
+  scheduler.OnFinished(id_, { .backoff_ = seconds(30) }, now_);
+  std::vector<EndpointView> restarted = Engines(1);
+  restarted[0].incarnation_ = 2;
+  scheduler.SetEndpoints(restarted, now_);
+  scheduler.OnRequest(Request(1000), now_);
+  STRCMP_EQUAL("engine-0", scheduler.TakeActions().at(0).endpoint_.c_str());
+}
--- a/test/integration/gooseberrylift-endpoints-test.cc
+++ b/test/integration/gooseberrylift-endpoints-test.cc
@@ -4,6 +4,7 @@
 #include "harness.h"
 
 #include <csignal>
+#include <functional>
 
 #include <CppUTest/TestHarness.h>
 
@@ -39,6 +40,21 @@
   });
 }
 
+// Sends requests for two seconds while one of two endpoints rejects all of them
+// and asks for a backoff of ten seconds.
+void CheckBacksOff(Deployment& aDeployment,
+                   Fake& aEndpoint,
+                   const std::function<HttpRequest()>& aMake)
+{
+  aEndpoint.Control({ { "retry_after", "10" } });
+  const auto start = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - start < std::chrono::seconds(2)) {
+    const auto answer = Send(aDeployment.At(0).Port(), aMake());
+    LONGS_EQUAL(200, answer.value().status_);
+  }
+  LONGS_EQUAL(1, aEndpoint.Stats().at("refused").get<int>());
+}
+
 } // namespace
 
 TEST_GROUP(EndpointsTest){};
@@ -95,3 +111,34 @@
     }));
   }
 }
+
+TEST(EndpointsTest, SendNothingToAPlainEndpointThatAskedForABackoff)
+{
+  Deployment deployment({ .services_ = 2 });
+  CheckBacksOff(deployment, deployment.Service(0), [] {
+    return BoardRequest("GET", "/status");
+  });
+}
+
+TEST(EndpointsTest, SendNothingToAnEngineThatAskedForABackoff)
+{
+  Deployment deployment({ .engines_ = 2 });
+  CheckBacksOff(deployment, deployment.Engine(0), [] {
+    return ChatRequest("hello", 2, false);
+  });
+}
+
+TEST(EndpointsTest, RefuseAtOnceWhatNoEndpointTakesInTime)
+{
+  Deployment deployment({ .services_ = 1 });
+  deployment.Service(0).Control({ { "retry_after", "600" } });
+  (void)Send(deployment.At(0).Port(), BoardRequest("GET", "/status"));
+  const auto start = std::chrono::steady_clock::now();
+  const HttpResponse refused =
+    Send(deployment.At(0).Port(), BoardRequest("GET", "/status")).value();
+  CHECK_TRUE(std::chrono::steady_clock::now() - start < milliseconds(500));
+  LONGS_EQUAL(503, refused.status_);
+  LONGS_EQUAL(71, json::parse(refused.body_).at("error").at("code").get<int>());
+  CHECK_TRUE(std::stod(std::string(refused.Field("Retry-After"))) > 500);
+  LONGS_EQUAL(1, deployment.Service(0).Stats().at("refused").get<int>());
+}
