Count pauses that endpoints ask for and sends that they stop

Two counters beside event 1206: pauses that began or grew, by endpoint, and requests that were placed at an endpoint and stopped before their first byte.

--- a/include/gooseberrylift/internal/gooseberrylift-endpoint-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-endpoint-client.h
@@ -12,6 +12,7 @@
 
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
+#include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 
 namespace gooseberrylift {
@@ -38,6 +39,7 @@
     HttpClient& client_;
     const WireDialect& dialect_;
     Fleet& fleet_;
+    Metrics& metrics_;
   };
 
   struct CallOptions
--- a/src/gateway/gooseberrylift-endpoint-client.cc
+++ b/src/gateway/gooseberrylift-endpoint-client.cc
@@ -80,6 +80,10 @@
       facts.notice_,
       { .signed_ = facts.hasResponseStamp_, .sentAt_ = sentAt_ });
     LogNotice(facts.notice_, effect);
+    if (effect.backoff_) {
+      parts_.metrics_.Count("gooseberrylift_endpoint_backoffs_total",
+                            "endpoint=\"" + endpoint_.id_ + "\"");
+    }
   }
 
   void LogNotice(const EndpointNotice& aNotice,
@@ -121,6 +125,8 @@
   for (const ListedEndpoint& endpoint : involved) {
     const SendBlock block = parts_.fleet_.CheckSend(endpoint);
     if (block != SendBlock::kNone) {
+      parts_.metrics_.Count("gooseberrylift_sends_withdrawn_total",
+                            "endpoint=\"" + endpoint.id_ + "\"");
       return MakeError(ResultCode::kEndpointWithdrawn,
                        endpoint.id_ + " " + ReasonOf(block));
     }
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -78,8 +78,10 @@
                [this](const std::string& aEndpoint) {
                  poisonRequestMonitor_.OnEndpointExit(aEndpoint);
                } })
-  , endpointClient_(
-      { .client_ = client_, .dialect_ = *dialect_, .fleet_ = fleet_ })
+  , endpointClient_({ .client_ = client_,
+                      .dialect_ = *dialect_,
+                      .fleet_ = fleet_,
+                      .metrics_ = metrics_ })
   , routes_(*dialect_, board_)
   , endpoints_(*dialect_, fleet_)
   , storeFollower_(StoreFollowerParts(), StoreFollowerOptions())
