Split the fleet by what it keeps: access to endpoints, and their load

Fleet held the directory, backoffs, rate limits, loads, outlier detection and the order of load messages in 810 lines, and each further decision under load would have gone there too.

--- a/src/gateway/gooseberrylift-endpoint-client.cc
+++ b/src/gateway/gooseberrylift-endpoint-client.cc
@@ -69,13 +69,13 @@
     const EndpointResponseMetadata facts =
       parts_.dialect_.ParseEndpointResponse(call_->Head());
     if (facts.instanceReplaced_) {
-      parts_.fleet_.OnReplaced(endpoint_);
+      parts_.fleet_.Access().OnReplaced(endpoint_);
       return;
     }
     if (!facts.instanceId_.empty() && facts.instanceId_ != endpoint_.id_) {
       return;
     }
-    const NoticeEffect effect = parts_.fleet_.OnNotice(
+    const NoticeEffect effect = parts_.fleet_.Access().OnNotice(
       endpoint_,
       facts.notice_,
       { .signed_ = facts.hasResponseStamp_, .sentAt_ = sentAt_ });
@@ -123,7 +123,7 @@
   std::vector<ListedEndpoint> involved = aOptions.helpers_;
   involved.push_back(aEndpoint);
   for (const ListedEndpoint& endpoint : involved) {
-    const SendBlock block = parts_.fleet_.CheckSend(endpoint);
+    const SendBlock block = parts_.fleet_.Access().CheckSend(endpoint);
     if (block != SendBlock::kNone) {
       parts_.metrics_.Count("gooseberrylift_sends_withdrawn_total",
                             "endpoint=\"" + endpoint.id_ + "\"");
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -116,7 +116,7 @@
       attempts_.OnRefused(*refusal);
       break;
     }
-    if (!parts_.fleet_.TryUsePermit(*placement)) {
+    if (!parts_.fleet_.Access().TryUsePermit(placement->endpoint_)) {
       continue;
     }
     LogPlacement(*placement);
@@ -322,7 +322,7 @@
   }
   const bool noneLeft =
     aError.code_ == ResultCode::kEndpointUnreachable &&
-    !parts_.fleet_.HasUntriedEndpoint(request_.service_, tried_);
+    !parts_.fleet_.Access().HasUntried(request_.service_, tried_);
   if (sends_ >= request_.route_->maxAttempts_ || noneLeft ||
       timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts) {
     return false;
--- a/src/gateway/gooseberrylift-route-follower.cc
+++ b/src/gateway/gooseberrylift-route-follower.cc
@@ -115,7 +115,7 @@
     // An entry that became invalid is handled like a deleted one.
     Log(LogEvent::kEndpointState, { { "endpoint", id }, { "state", "gone" } });
     const TimePoint now = TimerService::Now();
-    fleet_.WithDirectory(
+    fleet_.Access().WithDirectory(
       [&](EndpointDirectory& aDirectory) { aDirectory.OnRemoved(id, now); });
     return;
   }
@@ -131,7 +131,7 @@
   const std::string& zone = aEvent.object_.name_;
   Log(LogEvent::kZoneEvacuated,
       { { "zone", zone }, { "evacuated", !aEvent.deleted_ } });
-  fleet_.WithDirectory([&](EndpointDirectory& aDirectory) {
+  fleet_.Access().WithDirectory([&](EndpointDirectory& aDirectory) {
     if (aEvent.deleted_) {
       aDirectory.OnEvacuationEnded(zone);
     } else {
@@ -143,7 +143,7 @@
 void EndpointFollower::OnStoreReturned()
 {
   const TimePoint now = TimerService::Now();
-  fleet_.WithDirectory(
+  fleet_.Access().WithDirectory(
     [now](EndpointDirectory& aDirectory) { aDirectory.OnStoreReturned(now); });
 }
 
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -121,13 +121,17 @@
   , loadExchange_(
       { .executor_ = context_.get_executor(),
         .datagrams_ = datagrams_,
-        .own_ = [this] { return fleet_.OwnShares(); },
+        .own_ =
+          [this] { return fleet_.Loads().OwnShares(TimerService::Now()); },
         .ownSharesAt_ =
           [this](const std::vector<ListedEndpoint>& aEndpoints) {
-            return fleet_.OwnSharesAt(aEndpoints);
+            return fleet_.Loads().OwnSharesAt(aEndpoints, TimerService::Now());
           },
         .zoneTotals_ =
-          [this] { return fleet_.SumSharesOf(peerGroups_.zoneHosts_); },
+          [this] {
+            return fleet_.Loads().SumSharesOf(peerGroups_.zoneHosts_,
+                                              TimerService::Now());
+          },
         .onReceived_ =
           [this](const LoadMessage& aMessage) {
             metrics_.Count("gooseberrylift_load_words_total", "");
@@ -263,7 +267,7 @@
     .metrics_ = metrics_,
     .isListed_ =
       [this](const Incarnation& aEndpoint) {
-        return fleet_.IsListed(aEndpoint);
+        return fleet_.Access().IsListed(aEndpoint);
       },
     .notifyPeers_ = [this] { peers_.ExchangeInScope(); },
     .call_ =
