Make room in load messages for observations, waiting prompts and promises

A share may report the pace that a host observes of an endpoint, rejections and a backoff; the first datagram of a message may list prompts that wait and promises to rejected callers. What a message does not use is not sent, and hosts of the version before read the rest of it as they did. Received values are bounded. Nothing fills the lists yet.

--- a/include/gooseberrylift/internal/gooseberrylift-load-exchange.h
+++ b/include/gooseberrylift/internal/gooseberrylift-load-exchange.h
@@ -23,6 +23,15 @@
 
 namespace gooseberrylift {
 
+// What a message reports besides the load of endpoints.
+struct LoadMessageLists
+{
+  std::vector<WaitingPrompt> waiting_;
+  std::vector<ReturnPromise> promises_;
+
+  bool IsEmpty() const { return waiting_.empty() && promises_.empty(); }
+};
+
 // Load messages are small, frequent and useless if late, and each one makes up
 // for a lost predecessor, so they are sent as datagrams. In a large fleet one
 // host of each zone sends the zone's total load to the other zones
@@ -43,6 +52,10 @@
       ownSharesAt_;
     // Returns the total load of the hosts of this zone by endpoint.
     std::function<std::vector<EndpointShare>()> zoneTotals_;
+    // Returns the lists of this host.
+    std::function<LoadMessageLists()> ownLists_;
+    // Returns the lists of the hosts of this zone.
+    std::function<LoadMessageLists()> zoneLists_;
     std::function<void(const LoadMessage& aMessage)> onReceived_; // from a peer
   };
 
@@ -80,6 +93,9 @@
   /// Records that a request has ended.
   void OnRequestEnded() { ScheduleSnapshot(); }
 
+  /// Records that this host's lists have changed.
+  void OnListsChanged() { ScheduleSnapshot(); }
+
 private:
   boost::asio::awaitable<void> SendSnapshotAt(TimePoint aWhen);
   void SendSnapshot();
@@ -89,7 +105,10 @@
   void SendTotals();
   void SendTotalsIfAllowed();
   void SendToOtherZones(LoadMessageKind aKind,
-                        std::vector<EndpointShare> aShares);
+                        std::vector<EndpointShare> aShares,
+                        LoadMessageLists aLists);
+  LoadMessage MakeOwnMessage(LoadMessageKind aKind,
+                             std::vector<EndpointShare> aShares);
   void RelayToZone(LoadMessage aMessage);
   void HandleDatagram(std::string_view aBytes);
 
@@ -98,7 +117,7 @@
   LoadMessagePacer pacer_;
   std::uint64_t sequence_ = 0;
   bool snapshotScheduled_ = false;
-  bool lastMessageHadLoad_ = false; // the last message contained load
+  bool lastMessageHadLoad_ = false; // or lists
   std::vector<PeerAddress> near_;
   std::map<std::string, std::vector<PeerAddress>> far_; // by zone
   std::vector<PeerAddress> successors_;
--- a/include/gooseberrylift/membership/gooseberrylift-load-message.h
+++ b/include/gooseberrylift/membership/gooseberrylift-load-message.h
@@ -11,12 +11,19 @@
 #include <string_view>
 #include <vector>
 
+#include "gooseberrylift/limits/gooseberrylift-return-promise.h"
+#include "gooseberrylift/limits/gooseberrylift-waiting-prompt.h"
 #include "gooseberrylift/routing/gooseberrylift-fleet-load.h"
 
 namespace gooseberrylift {
 
-// A share takes about 35 bytes, and a packet holds 1,400.
+// A share takes 35 to 44 bytes, and a packet holds 1,400.
 inline constexpr std::size_t kSharesPerDatagram = 30;
+// The first datagram of a message holds fewer shares if the message contains
+// waiting prompts or promises, which are not split.
+inline constexpr std::size_t kSharesBesideLists = 20;
+inline constexpr std::size_t kMaxWaitingPrompts = 6;
+inline constexpr std::size_t kMaxReturnPromises = 8;
 
 // What a datagram contains.
 enum class LoadMessageKind
@@ -39,10 +46,20 @@
   // For such a message: the receiver is to forward it to the hosts of its own
   // zone.
   bool relayToZone_ = false;
+  // The first prompts of those that wait at the host or in the zone, and the
+  // promises that were given last; more than the maximum are not sent.
+  std::vector<WaitingPrompt> waiting_{};
+  std::vector<ReturnPromise> promises_{};
 };
 
+/// Returns the hash that stands for the name of a service or team in messages;
+/// never 0.
+std::uint32_t NameHash(std::string_view aName);
+
 /// Encodes a message as one or more datagrams, each small enough for one
 /// packet. A kDelta message must fit into one; its sender splits it.
+/// Shares without values that earlier versions don't know are encoded as they
+/// were, so that hosts of both versions understand each other.
 std::vector<std::string> EncodeLoadMessage(const LoadMessage& aMessage);
 
 /// Decodes a datagram.
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -42,6 +42,13 @@
   int deferred_ = 0; // of running_, queued behind all others
   // Since the host last received data from it.
   std::chrono::milliseconds silent_{ 0 };
+  // Observed duration of its work as a percentage of the predicted one; 0 if
+  // the host has no recent observation.
+  int pacePercent_ = 0;
+  // Requests that it rejected recently without asking for a backoff.
+  int rejections_ = 0;
+  // Remaining time of the backoff that it asked the host for.
+  std::chrono::milliseconds backoff_{ 0 };
 };
 
 // Load that all known hosts together have placed on one endpoint.
--- a/src/clients/gooseberrylift-load-exchange.cc
+++ b/src/clients/gooseberrylift-load-exchange.cc
@@ -77,10 +77,7 @@
     return;
   }
   pacer_.OnDeltaSent(now, peers);
-  Send({ .host_ = options_.host_,
-         .sequence_ = ++sequence_,
-         .kind_ = LoadMessageKind::kDelta,
-         .shares_ = parts_.ownSharesAt_(aEndpoints) },
+  Send(MakeOwnMessage(LoadMessageKind::kDelta, parts_.ownSharesAt_(aEndpoints)),
        near_);
   lastMessageHadLoad_ = true;
   if (aUrgent) {
@@ -119,14 +116,31 @@
   if (!parts_.datagrams_.IsOpen()) {
     return;
   }
-  const LoadMessage message{ .host_ = options_.host_,
-                             .sequence_ = ++sequence_,
-                             .shares_ = parts_.own_() };
+  const LoadMessage message =
+    MakeOwnMessage(LoadMessageKind::kSnapshot, parts_.own_());
   Send(message, near_);
-  lastMessageHadLoad_ = !message.shares_.empty();
+  lastMessageHadLoad_ = !message.shares_.empty() || !message.waiting_.empty() ||
+                        !message.promises_.empty();
   pacer_.OnSnapshotSent(TimerService::Now());
 }
 
+LoadMessage LoadExchange::MakeOwnMessage(LoadMessageKind aKind,
+                                         std::vector<EndpointShare> aShares)
+{
+  LoadMessageLists lists;
+  // A delta with more shares would not fit into one datagram with the lists.
+  if (aKind == LoadMessageKind::kSnapshot ||
+      aShares.size() <= kSharesBesideLists) {
+    lists = parts_.ownLists_();
+  }
+  return { .host_ = options_.host_,
+           .sequence_ = ++sequence_,
+           .kind_ = aKind,
+           .shares_ = std::move(aShares),
+           .waiting_ = std::move(lists.waiting_),
+           .promises_ = std::move(lists.promises_) };
+}
+
 void LoadExchange::Send(const LoadMessage& aMessage,
                         const std::vector<PeerAddress>& aTo)
 {
@@ -175,8 +189,9 @@
   if (!message) {
     return;
   }
+  LoadMessageLists lists = parts_.zoneLists_();
   if (message->kind_ == LoadMessageKind::kSnapshot) {
-    SendToOtherZones(message->kind_, message->shares_);
+    SendToOtherZones(message->kind_, message->shares_, std::move(lists));
     return;
   }
   // Each datagram of a delta is applied or lost independently, so each one is
@@ -185,9 +200,12 @@
   do {
     const auto remaining =
       static_cast<std::size_t>(message->shares_.end() - begin);
-    const auto end = begin + static_cast<std::ptrdiff_t>(
-                               std::min(remaining, kSharesPerDatagram));
-    SendToOtherZones(message->kind_, { begin, end });
+    const std::size_t room =
+      lists.IsEmpty() ? kSharesPerDatagram : kSharesBesideLists;
+    const auto end =
+      begin + static_cast<std::ptrdiff_t>(std::min(remaining, room));
+    SendToOtherZones(message->kind_, { begin, end }, std::move(lists));
+    lists = {};
     begin = end;
   } while (begin != message->shares_.end());
 }
@@ -201,13 +219,16 @@
 }
 
 void LoadExchange::SendToOtherZones(LoadMessageKind aKind,
-                                    std::vector<EndpointShare> aShares)
+                                    std::vector<EndpointShare> aShares,
+                                    LoadMessageLists aLists)
 {
   LoadMessage message{ .host_ = options_.host_,
                        .sequence_ = ++sequence_,
                        .kind_ = aKind,
                        .shares_ = std::move(aShares),
-                       .zone_ = options_.zone_ };
+                       .zone_ = options_.zone_,
+                       .waiting_ = std::move(aLists.waiting_),
+                       .promises_ = std::move(aLists.promises_) };
   Send(message, successors_);
   message.relayToZone_ = true;
   for (const auto& [zone, hosts] : far_) {
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -132,6 +132,8 @@
             return fleet_.Loads().SumSharesOf(peerGroups_.zoneHosts_,
                                               TimerService::Now());
           },
+        .ownLists_ = [] { return LoadMessageLists{}; },
+        .zoneLists_ = [] { return LoadMessageLists{}; },
         .onReceived_ =
           [this](const LoadMessage& aMessage) {
             metrics_.Count("gooseberrylift_load_words_total", "");
--- a/test/core/gooseberrylift-load-message-test.cc
+++ b/test/core/gooseberrylift-load-message-test.cc
@@ -62,6 +62,106 @@
   LONGS_EQUAL(78, shares);
 }
 
+TEST(LoadMessageTest, RoundTripsWhatAHostObservesOfAnEndpoint)
+{
+  LoadMessage message = Message(2);
+  message.shares_.back().pacePercent_ = 250;
+  message.shares_.back().rejections_ = 7;
+  message.shares_.back().backoff_ = 3s;
+  const auto decoded = DecodeLoadMessage(EncodeLoadMessage(message).front());
+  LONGS_EQUAL(0, decoded->shares_.front().pacePercent_);
+  const EndpointShare& share = decoded->shares_.back();
+  LONGS_EQUAL(250, share.pacePercent_);
+  LONGS_EQUAL(7, share.rejections_);
+  LONGS_EQUAL(3'000, share.backoff_.count());
+}
+
+TEST(LoadMessageTest, RoundTripsWaitingPromptsAndPromises)
+{
+  LoadMessage message = Message(0);
+  message.waiting_.push_back({ .id_ = ~0ULL,
+                               .service_ = NameHash("engines"),
+                               .team_ = 9,
+                               .priority_ = 2,
+                               .waited_ = 1'200ms,
+                               .remaining_ = 7s,
+                               .engines_ = 3,
+                               .memoryTokens_ = 480'000,
+                               .prefill_ = 9s });
+  message.promises_.push_back({ .request_ = 77,
+                                .service_ = NameHash("engines"),
+                                .untilDue_ = -50ms,
+                                .sinceArrival_ = 300ms,
+                                .prefill_ = 2s });
+  const auto decoded = DecodeLoadMessage(EncodeLoadMessage(message).front());
+  LONGS_EQUAL(1, decoded->waiting_.size());
+  const WaitingPrompt& prompt = decoded->waiting_.front();
+  CHECK_TRUE(prompt.id_ == ~0ULL);
+  CHECK_TRUE(prompt.service_ == NameHash("engines"));
+  LONGS_EQUAL(2, prompt.priority_);
+  LONGS_EQUAL(1'200, prompt.waited_.count());
+  LONGS_EQUAL(7'000, prompt.remaining_.count());
+  LONGS_EQUAL(3, prompt.engines_);
+  LONGS_EQUAL(480'000, prompt.memoryTokens_);
+  LONGS_EQUAL(9'000, prompt.prefill_.count());
+  LONGS_EQUAL(1, decoded->promises_.size());
+  LONGS_EQUAL(-50, decoded->promises_.front().untilDue_.count());
+  LONGS_EQUAL(300, decoded->promises_.front().sinceArrival_.count());
+  STRCMP_EQUAL("", decoded->zone_.c_str());
+}
+
+TEST(LoadMessageTest, FitsFullListsAndSharesIntoPackets)
+{
+  LoadMessage message = Message(78);
+  message.zone_ = "a-zone-with-a-long-name";
+  for (EndpointShare& share : message.shares_) {
+    share.pacePercent_ = 9'999;
+    share.rejections_ = 999;
+    share.backoff_ = 60s;
+  }
+  message.waiting_.assign(20,
+                          { .id_ = ~0ULL,
+                            .service_ = ~0U,
+                            .team_ = ~0U,
+                            .priority_ = 4,
+                            .waited_ = 100s,
+                            .remaining_ = 100s,
+                            .engines_ = 16,
+                            .memoryTokens_ = 1'000'000,
+                            .prefill_ = 100s });
+  message.promises_.assign(20,
+                           { .request_ = ~0ULL,
+                             .service_ = ~0U,
+                             .untilDue_ = 100s,
+                             .sinceArrival_ = 100s,
+                             .prefill_ = 100s });
+  std::size_t shares = 0;
+  for (const std::string& datagram : EncodeLoadMessage(message)) {
+    CHECK_TRUE(datagram.size() <= 1'400);
+    shares += DecodeLoadMessage(datagram)->shares_.size();
+  }
+  LONGS_EQUAL(78, shares);
+  const auto first = DecodeLoadMessage(EncodeLoadMessage(message).front());
+  LONGS_EQUAL(kMaxWaitingPrompts, first->waiting_.size());
+  LONGS_EQUAL(kMaxReturnPromises, first->promises_.size());
+}
+
+// Guards against a faulty peer whose values would empty or flood the engines.
+TEST(LoadMessageTest, BoundsAbsurdValues)
+{
+  LoadMessage message = Message(1);
+  message.shares_.back().pacePercent_ = -5;
+  message.shares_.back().rejections_ = 1'000'000'000;
+  message.shares_.back().backoff_ = -1s;
+  message.waiting_.push_back({ .priority_ = -3, .remaining_ = 1'000h });
+  const auto decoded = DecodeLoadMessage(EncodeLoadMessage(message).front());
+  LONGS_EQUAL(0, decoded->shares_.back().pacePercent_);
+  LONGS_EQUAL(1'000, decoded->shares_.back().rejections_);
+  LONGS_EQUAL(0, decoded->shares_.back().backoff_.count());
+  LONGS_EQUAL(0, decoded->waiting_.front().priority_);
+  CHECK_TRUE(decoded->waiting_.front().remaining_ == 1h);
+}
+
 TEST(LoadMessageTest, RejectsInvalidDatagrams)
 {
   CHECK_FALSE(DecodeLoadMessage("").has_value());
