Give routed requests the time of their caller's first attempt

A caller that returns after a rejection sends a new request. What orders waiting prompts needs the time of its first attempt; nothing sets another than arrived_ yet.

--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -49,6 +49,9 @@
   int priority_ = 0; // of the team or the route; 0 is the most urgent
   bool authenticatedByKey_ = false; // by a team key
   TimePoint arrived_;
+  // When the caller first sent it, if it returns after a rejection as it was
+  // told to; otherwise arrived_.
+  TimePoint firstArrived_;
   TimePoint deadline_;
 };
 
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -60,7 +60,8 @@
 {
   RoutedRequest request{ .id_ = ++nextId_,
                          .table_ = parts_.board_.routes_.Read()->table_,
-                         .arrived_ = aArrived };
+                         .arrived_ = aArrived,
+                         .firstArrived_ = aArrived };
   request.facts_ = std::move(aFacts);
   if (!request.table_) {
     return MakeNotConfiguredError();
