--- a/bench/gooseberrylift-pass-words.cc
+++ b/bench/gooseberrylift-pass-words.cc
@@ -19,6 +19,7 @@
          aOne.tightGap_ != aOther.tightGap_ ||
          aOne.memoryTokens_ != aOther.memoryTokens_ ||
          aOne.deferred_ != aOther.deferred_ ||
+         std::chrono::abs(aOne.unstarted_ - aOther.unstarted_) > kRead ||
          std::chrono::abs(aOne.backlog_ - aOther.backlog_) > kRead;
 }
 
--- a/include/gooseberrylift/membership/gooseberrylift-load-message.h
+++ b/include/gooseberrylift/membership/gooseberrylift-load-message.h
@@ -17,11 +17,11 @@
 
 namespace gooseberrylift {
 
-// A share takes 35 to 44 bytes, and a packet holds 1,400.
-inline constexpr std::size_t kSharesPerDatagram = 30;
+// A share takes 35 to 50 bytes, and a packet holds 1,400.
+inline constexpr std::size_t kSharesPerDatagram = 26;
 // The first datagram of a message holds fewer shares if the message contains
 // waiting prompts or promises, which are not split.
-inline constexpr std::size_t kSharesBesideLists = 20;
+inline constexpr std::size_t kSharesBesideLists = 16;
 inline constexpr std::size_t kMaxWaitingPrompts = 6;
 inline constexpr std::size_t kMaxReturnPromises = 8;
 
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -40,6 +40,12 @@
   std::uint64_t memoryTokens_ = 0;
   std::chrono::microseconds backlog_{ 0 }; // outstanding prefill
   int deferred_ = 0; // of running_, queued behind all others
+  // Prefill time of the requests without a first token, including what may have
+  // been done of it, and the time since the oldest of them was sent. An engine
+  // prefills the requests of all hosts one after another, so that no host by
+  // itself can tell how much of its own is outstanding.
+  std::chrono::milliseconds unstarted_{ 0 };
+  std::chrono::milliseconds unstartedFor_{ 0 };
   // Since the host last received data from it.
   std::chrono::milliseconds silent_{ 0 };
   // Observed duration of its work as a percentage of the predicted one; 0 if
@@ -182,6 +188,19 @@
                        TimePoint aAt);
   bool IsCurrent(const PeerShare& aReported, TimePoint aNow) const;
 
+  // Prefill that was sent to an endpoint and has no first token yet.
+  struct QueuedPrefill
+  {
+    TimePoint sentAt_;
+    std::chrono::microseconds prefill_;
+    // Counts as outstanding even if the engine should have done it.
+    std::chrono::microseconds minimum_;
+  };
+  static std::chrono::microseconds OutstandingPrefill(
+    std::vector<QueuedPrefill> aQueue,
+    TimePoint aNow);
+  static void AddUnstarted(const LocalLoad& aOwn,
+                           std::vector<QueuedPrefill>& aQueue);
   static EndpointShare ShareOf(const std::string& aId,
                                const LocalLoad& aOwn,
                                TimePoint aNow);
--- a/src/core/membership/gooseberrylift-load-message.cc
+++ b/src/core/membership/gooseberrylift-load-message.cc
@@ -24,6 +24,8 @@
 constexpr std::size_t kPaceIndex = 7;
 constexpr std::size_t kRejectionsIndex = 8;
 constexpr std::size_t kBackoffIndex = 9;
+constexpr std::size_t kUnstartedIndex = 10;
+constexpr std::size_t kUnstartedForIndex = 11;
 
 // Bounds of received values. A peer that sends larger ones is faulty.
 constexpr std::int64_t kMaxPacePercent = 10'000;
@@ -60,10 +62,12 @@
                             aShare.deferred_,
                             aShare.silent_.count() });
   if (aShare.pacePercent_ != 0 || aShare.rejections_ != 0 ||
-      aShare.backoff_.count() != 0) {
+      aShare.backoff_.count() != 0 || aShare.unstarted_.count() != 0) {
     item.push_back(aShare.pacePercent_);
     item.push_back(aShare.rejections_);
     item.push_back(aShare.backoff_.count());
+    item.push_back(aShare.unstarted_.count());
+    item.push_back(aShare.unstartedFor_.count());
   }
   return item;
 }
@@ -79,12 +83,14 @@
     .deferred_ = aItem.at(5),
     .silent_ = milliseconds(aItem.at(6).get<std::int64_t>())
   };
-  if (aItem.size() > kBackoffIndex) {
+  if (aItem.size() > kUnstartedForIndex) {
     share.pacePercent_ =
       static_cast<int>(BoundedAt(aItem, kPaceIndex, kMaxPacePercent));
     share.rejections_ =
       static_cast<int>(BoundedAt(aItem, kRejectionsIndex, kMaxRejections));
     share.backoff_ = DurationAt(aItem, kBackoffIndex);
+    share.unstarted_ = DurationAt(aItem, kUnstartedIndex);
+    share.unstartedFor_ = DurationAt(aItem, kUnstartedForIndex);
   }
   return share;
 }
--- a/src/core/membership/gooseberrylift-zone-load.cc
+++ b/src/core/membership/gooseberrylift-zone-load.cc
@@ -40,6 +40,8 @@
   return CountsOf(aNew) != CountsOf(aSent.share_) ||
          std::chrono::abs(aNew.backlog_ - expected) >
            options_.backlogTolerance_ ||
+         std::chrono::abs(aNew.unstarted_ - aSent.share_.unstarted_) >
+           options_.backlogTolerance_ ||
          aNew.silent_ + options_.activityInterval_ < silent;
 }
 
--- a/src/core/routing/gooseberrylift-fleet-load.cc
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -167,6 +167,10 @@
       oldestSent = std::min(oldestSent, sent.at_);
     }
   }
+  share.unstarted_ =
+    std::chrono::ceil<std::chrono::milliseconds>(share.backlog_);
+  share.unstartedFor_ =
+    duration_cast<std::chrono::milliseconds>(aNow - oldestSent);
   // An engine prefills its prompts one after another, so the time since the
   // oldest was sent is subtracted from the sum only once.
   share.backlog_ =
@@ -174,30 +178,77 @@
   return share;
 }
 
+// Returns the prefill that an engine still has to do if it works through the
+// queue in the order of sending.
+microseconds FleetLoad::OutstandingPrefill(std::vector<QueuedPrefill> aQueue,
+                                           TimePoint aNow)
+{
+  std::sort(aQueue.begin(),
+            aQueue.end(),
+            [](const QueuedPrefill& aLeft, const QueuedPrefill& aRight) {
+              return aLeft.sentAt_ < aRight.sentAt_;
+            });
+  TimePoint done{};
+  microseconds minimum(0);
+  for (const QueuedPrefill& queued : aQueue) {
+    done = std::max(done, queued.sentAt_) + queued.prefill_;
+    minimum += queued.minimum_;
+  }
+  return std::max(duration_cast<microseconds>(done - aNow), minimum);
+}
+
+void FleetLoad::AddUnstarted(const LocalLoad& aOwn,
+                             std::vector<QueuedPrefill>& aQueue)
+{
+  for (const auto& [request, sent] : aOwn.requests_) {
+    if (!sent.started_) {
+      aQueue.push_back(
+        { .sentAt_ = sent.at_,
+          .prefill_ = sent.cost_.prefill_,
+          .minimum_ = sent.cost_.prefill_ / kMinBacklogDivisor });
+    }
+  }
+}
+
 EndpointLoad FleetLoad::Of(const std::string& aEndpoint, TimePoint aNow) const
 {
   EndpointLoad load;
-  const auto add = [&load](const EndpointShare& aShare,
-                           TimePoint::duration aAge) {
+  const auto add = [&load](const EndpointShare& aShare) {
     load.running_ += aShare.running_;
     load.tightGap_ += aShare.tightGap_;
     load.memoryTokens_ += aShare.memoryTokens_;
-    load.backlog_ += RemainingBacklog(aShare.backlog_, aAge);
     load.deferred_ += aShare.deferred_;
   };
+  std::vector<QueuedPrefill> queue;
   const auto own = local_.find(aEndpoint);
   if (own != local_.end()) {
-    add(ShareOf(aEndpoint, own->second, aNow), TimePoint::duration(0));
+    add(ShareOf(aEndpoint, own->second, aNow));
+    AddUnstarted(own->second, queue);
   }
   const auto peers = shares_.find(aEndpoint);
-  if (peers == shares_.end()) {
-    return load;
-  }
-  for (const auto& [host, reported] : peers->second) {
-    if (IsCurrent(reported, aNow)) {
-      add(reported.share_, aNow - reported.at_);
+  if (peers != shares_.end()) {
+    for (const auto& [host, reported] : peers->second) {
+      const EndpointShare& share = reported.share_;
+      if (!IsCurrent(reported, aNow)) {
+        continue;
+      }
+      add(share);
+      if (share.unstarted_.count() > 0) {
+        // The older the report, the likelier the first token has arrived.
+        queue.push_back(
+          { .sentAt_ = reported.at_ - share.unstartedFor_,
+            .prefill_ = share.unstarted_,
+            .minimum_ = RemainingBacklog(share.unstarted_ / kMinBacklogDivisor,
+                                         aNow - reported.at_) });
+      } else {
+        // From a host of an earlier version, which reports only this.
+        load.backlog_ += RemainingBacklog(share.backlog_, aNow - reported.at_);
+      }
     }
   }
+  if (!queue.empty()) {
+    load.backlog_ += OutstandingPrefill(std::move(queue), aNow);
+  }
   return load;
 }
 
@@ -219,6 +270,12 @@
     share.backlog_ += RemainingBacklog(aShare.backlog_, aAge);
     share.deferred_ += aShare.deferred_;
     share.silent_ = std::min(share.silent_, silent);
+    if (aShare.unstarted_.count() > 0) {
+      share.unstarted_ += aShare.unstarted_;
+      share.unstartedFor_ = std::max(
+        share.unstartedFor_,
+        aShare.unstartedFor_ + duration_cast<std::chrono::milliseconds>(aAge));
+    }
   };
   for (const EndpointShare& own : OwnShares(aNow)) {
     add(own, TimePoint::duration(0));
--- a/test/core/gooseberrylift-fleet-load-test.cc
+++ b/test/core/gooseberrylift-fleet-load-test.cc
@@ -118,3 +118,54 @@
   load_.OnPeerSnapshot("peer", {}, now_ + 1ms);
   LONGS_EQUAL(0, load_.Of("other", now_ + 1ms).running_);
 }
+
+// Guards against each host crediting the engine's work to its own request: the
+// backlog of five hosts would shrink five times as fast as the engine works.
+TEST(FleetLoadTest, CountsThePrefillOfAllHostsAsOneQueue)
+{
+  load_.OnSent("engine", 1, { .prefill_ = 200ms }, now_);
+  for (int peer = 0; peer < 4; ++peer) {
+    load_.OnPeerDelta(
+      "peer-" + std::to_string(peer),
+      { { .id_ = "engine", .backlog_ = 200ms, .unstarted_ = 200ms } },
+      now_);
+  }
+  LONGS_EQUAL(1'000, BacklogMs());
+  now_ += 300ms;
+  LONGS_EQUAL(700, BacklogMs());
+}
+
+TEST(FleetLoadTest, DoesNotCreditAnEngineWithWorkBeforeARequestWasSent)
+{
+  load_.OnPeerDelta("peer",
+                    { { .id_ = "engine",
+                        .backlog_ = 100ms,
+                        .unstarted_ = 100ms,
+                        .unstartedFor_ = 800ms } },
+                    now_);
+  load_.OnSent("engine", 1, { .prefill_ = 500ms }, now_);
+  LONGS_EQUAL(500, BacklogMs());
+}
+
+TEST(FleetLoadTest, UnderstandsPeersThatReportOnlyTheirBacklog)
+{
+  load_.OnPeerDelta("peer", { { .id_ = "engine", .backlog_ = 300ms } }, now_);
+  load_.OnSent("engine", 1, { .prefill_ = 100ms }, now_);
+  LONGS_EQUAL(400, BacklogMs());
+  now_ += 100ms;
+  LONGS_EQUAL(250, BacklogMs());
+}
+
+TEST(FleetLoadTest, ReportsUnstartedPrefillUntilTheFirstToken)
+{
+  load_.OnSent("engine", 1, { .prefill_ = 200ms }, now_);
+  now_ += 150ms;
+  load_.OnSent("engine", 2, { .prefill_ = 300ms }, now_);
+  EndpointShare share = load_.OwnShare("engine", now_);
+  LONGS_EQUAL(500, share.unstarted_.count());
+  LONGS_EQUAL(150, share.unstartedFor_.count());
+  load_.OnStarted("engine", 1, now_);
+  share = load_.OwnShare("engine", now_);
+  LONGS_EQUAL(300, share.unstarted_.count());
+  LONGS_EQUAL(0, share.unstartedFor_.count());
+}
--- a/test/core/gooseberrylift-load-message-test.cc
+++ b/test/core/gooseberrylift-load-message-test.cc
@@ -118,6 +118,8 @@
     share.pacePercent_ = 9'999;
     share.rejections_ = 999;
     share.backoff_ = 60s;
+    share.unstarted_ = 10s;
+    share.unstartedFor_ = 10s;
   }
   message.waiting_.assign(20,
                           { .id_ = ~0ULL,
