Choose when rejected callers return, and know those that do

Rejected callers were told random times: nobody knew how many were told to come when, and those who returned found the same crowd, without any claim for having waited.

Callers that return early lose their claim and yield in any case.

--- a/include/gooseberrylift/limits/gooseberrylift-route-admission.h
+++ b/include/gooseberrylift/limits/gooseberrylift-route-admission.h
@@ -15,7 +15,15 @@
 // The state of a request that needs an admission decision.
 struct AdmissionInput
 {
-  std::chrono::microseconds predicted_{ 0 };          // time to its first token
+  std::chrono::microseconds predicted_{ 0 }; // time to its first token
+  // Prefill time per engine that is kept for callers who were told to return
+  // before this request would be served; zero for such a caller itself. It
+  // counts only if the request would miss its objective: one that can meet it
+  // does not yield to callers most of whom have missed theirs.
+  std::chrono::microseconds kept_{ 0 };
+  std::chrono::milliseconds objective_{ 0 };
+  // The caller returned before the time that it was told.
+  bool returnedEarly_ = false;
   std::chrono::milliseconds remaining_{ 0 };          // until its deadline
   std::chrono::milliseconds callerStallTimeout_{ 0 }; // caller's stall timeout
   std::chrono::milliseconds held_{ 0 }; // time held since its arrival
@@ -24,9 +32,9 @@
 
 /// Decides whether a request is admitted.
 /// @return nothing if it is admitted; otherwise the delay before its caller
-/// should retry: the time by which the prediction is too long, plus a random
-/// part of up to as much again, so that requests rejected together don't return
-/// together
+/// should retry, apart from what is kept for others: the time by which the
+/// prediction is too long, plus a random part of up to as much again, so that
+/// requests rejected together don't return together; none if the draw is zero
 std::optional<std::chrono::milliseconds> RetryDelayIfRefused(
   const AdmissionInput& aInput);
 
