Tell rejected callers when there is room for them

RequestRun asks for a promise at the one place where a request ends for want of room, so that the delay of whichever part rejected it becomes the time from which on room is looked for. The front applies claims, load messages carry promises and used claims. Requests without a body keep their random delays, since all callers of a team share their fingerprint.

A request that was withdrawn from its endpoint and then found no other one was rejected without Retry-After; it has one now (seen in EndpointBackoffTest while its short prompts were held back).

All 30 test programs pass; the process test of a return to another host fails without the promises of load messages.

--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -46,6 +46,7 @@
   Outcome<RoutedRequest> Resolve(const HttpRequest& aRequest,
                                  CallerRequestMetadata aFacts,
                                  TimePoint aArrived);
+  void ApplyPromise(RoutedRequest& aRequest);
   boost::asio::awaitable<Outcome<void>> RunRequest(HttpExchange& aExchange,
                                                    RequestRun& aRun);
   boost::asio::awaitable<void> SendErrorResponse(HttpExchange& aExchange,
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -20,6 +20,7 @@
 #include "gooseberrylift/internal/gooseberrylift-load-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
+#include "gooseberrylift/internal/gooseberrylift-promise-book.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-settings-watch.h"
 #include "gooseberrylift/internal/gooseberrylift-store-follower.h"
@@ -85,6 +86,7 @@
   EndpointFollower endpoints_;
   StoreFollower storeFollower_;
   SharedRetryBudget retryBudget_;
+  PromiseBook promises_;
   // Whether another host that is not draining accepts keys.
   std::atomic<bool> peersHaveProvenKeys_ = false;
   PeerExchange peers_;
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -57,6 +57,8 @@
   kRequestPlaced = 1400,
   kRequestRefused = 1401,
   kPoisonRequestDetected = 1402,
+  kReturnPromised = 1420,
+  kReturnClaimed = 1421,
   kJobEnded = 1520,
   kJobClaimLost = 1521,
   kPeerRefused = 1600,
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -20,6 +20,7 @@
 #include "gooseberrylift/internal/gooseberrylift-load-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-memory-reservation.h"
 #include "gooseberrylift/internal/gooseberrylift-poison-request-monitor.h"
+#include "gooseberrylift/internal/gooseberrylift-promise-book.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 #include "gooseberrylift/limits/gooseberrylift-fleet-retry-budget.h"
@@ -40,7 +41,10 @@
 struct RoutedRequest
 {
   std::string fingerprint_; // the same for each retry of it
-  std::uint64_t id_ = 0;    // unique on this host
+  // Whether other callers hardly have the same fingerprint: without a body, all
+  // callers of a team do.
+  bool identified_ = false;
+  std::uint64_t id_ = 0; // unique on this host
   CallerRequestMetadata facts_;
   RouteTable::Ptr table_;
   const Route* route_ = nullptr; // owned by table_
@@ -52,6 +56,7 @@
   // When the caller first sent it, if it returns after a rejection as it was
   // told to; otherwise arrived_.
   TimePoint firstArrived_;
+  bool returnedEarly_ = false; // before the time that its caller was told
   TimePoint deadline_;
 };
 
@@ -76,6 +81,7 @@
     SharedRetryBudget& retryBudget_;
     PoisonRequestMonitor& poisonRequestMonitor_;
     EndpointRateLimiter& limiter_;
+    PromiseBook& promises_;
     boost::asio::any_io_executor executor_;
     LoadExchange& loadExchange_; // sends load messages to the other hosts
   };
@@ -112,6 +118,11 @@
   std::chrono::milliseconds RemainingTime() const;
   Error MakeRefusal(const FleetPlacement& aPlacement,
                     std::chrono::milliseconds aRetryAfter) const;
+  Error MakeFinalError();
+  std::chrono::milliseconds PromiseReturn(
+    std::chrono::milliseconds aExpectedWait);
+  std::size_t CountParallel() const;
+  std::chrono::microseconds KeptPrefill(const FleetPlacement& aPlacement) const;
   HoldDecision DecideHold(const FleetPlacement& aPlacement) const;
   std::optional<std::chrono::milliseconds> DelayForMemory();
   std::optional<std::chrono::milliseconds> DelayForEndpoint();
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -91,6 +91,8 @@
   }
   request.fingerprint_ = RequestFingerprint(
     aRequest.target_, request.facts_.teamKey_, aRequest.body_);
+  request.identified_ = !aRequest.body_.empty();
+  ApplyPromise(request);
   request.service_ = RouteTable::ChooseService(*request.route_, RandomNumber());
   const milliseconds timeout =
     request.facts_.callerTimeout_.value_or(request.route_->timeout_);
@@ -98,6 +100,24 @@
   return request;
 }
 
+// Applies what the caller was told if it was rejected before.
+void GatewayFront::ApplyPromise(RoutedRequest& aRequest)
+{
+  if (!aRequest.identified_) {
+    return;
+  }
+  const ArrivedReturn arrived = parts_.run_.promises_.OnArrived(
+    aRequest.facts_.attemptId_, aRequest.fingerprint_);
+  if (arrived.kind_ == ReturnKind::kNone) {
+    return;
+  }
+  if (arrived.kind_ == ReturnKind::kClaim) {
+    aRequest.firstArrived_ = arrived.firstArrived_;
+  }
+  aRequest.returnedEarly_ = arrived.kind_ == ReturnKind::kEarly;
+  parts_.run_.loadExchange_.OnListsChanged();
+}
+
 // After a fleet-wide power loss, callers reconnect before the routes are proven
 // to be current, and each rejection would use up one of a caller's few retries.
 asio::awaitable<void> GatewayFront::WaitForFirstProof()
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -137,7 +137,7 @@
   if (savedFailure_) {
     co_return co_await SendSavedFailure();
   }
-  co_return attempts_.FinalError();
+  co_return MakeFinalError();
 }
 
 // Checked again before each attempt: if this host was paused in the meantime,
--- a/src/gateway/gooseberrylift-request-waiting.cc
+++ b/src/gateway/gooseberrylift-request-waiting.cc
@@ -132,10 +132,14 @@
   const TimePoint now = TimerService::Now();
   const AdmissionInput input{
     .predicted_ = aPlacement.firstAnswer_,
+    .kept_ = KeptPrefill(aPlacement),
+    .objective_ = request_.route_->objective_,
+    .returnedEarly_ = request_.returnedEarly_,
     .remaining_ = RemainingTime(),
     .callerStallTimeout_ = CallerStallTimeout(*request_.route_),
     .held_ = duration_cast<milliseconds>(now - request_.arrived_),
-    .draw_ = RandomNumber()
+    // Promises spread the others.
+    .draw_ = request_.identified_ ? 0 : RandomNumber()
   };
   const auto wait = RetryDelayIfRefused(input);
   if (!wait) {
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -85,6 +85,7 @@
   , routes_(*dialect_, board_)
   , endpoints_(*dialect_, fleet_)
   , storeFollower_(StoreFollowerParts(), StoreFollowerOptions())
+  , promises_(metrics_)
   , peers_({ .settings_ = settings_,
              .store_ = *store_,
              .client_ = peerClient_,
@@ -132,12 +133,20 @@
             return fleet_.Loads().SumSharesOf(peerGroups_.zoneHosts_,
                                               TimerService::Now());
           },
-        .ownLists_ = [] { return LoadMessageLists{}; },
-        .zoneLists_ = [] { return LoadMessageLists{}; },
+        .ownLists_ =
+          [this] {
+            return LoadMessageLists{ .promises_ = promises_.TakeOwnNews() };
+          },
+        .zoneLists_ =
+          [this] {
+            return LoadMessageLists{ .promises_ = promises_.TakeZoneNews() };
+          },
         .onReceived_ =
           [this](const LoadMessage& aMessage) {
             metrics_.Count("gooseberrylift_load_words_total", "");
-            fleet_.OnLoadMessage(aMessage);
+            if (fleet_.OnLoadMessage(aMessage)) {
+              promises_.OnLoadMessage(aMessage);
+            }
           } },
       { .host_ = settings_.hostName_, .zone_ = settings_.zone_ })
   , settingsWatch_({ .executor_ = context_.get_executor(),
@@ -159,6 +168,7 @@
                        .retryBudget_ = retryBudget_,
                        .poisonRequestMonitor_ = poisonRequestMonitor_,
                        .limiter_ = limiter_,
+                       .promises_ = promises_,
                        .executor_ = context_.get_executor(),
                        .loadExchange_ = loadExchange_ } })
   , callerServer_(
@@ -244,6 +254,8 @@
     aPeers.digests_, aPeers.known_, board_.host_.Read()->draining_);
   fleet_.Sweep();
   limiter_.Sweep();
+  promises_.Sweep();
+  promises_.SetHosts(aPeers.known_ + 1);
   const std::lock_guard lock(retryBudget_.mutex_);
   retryBudget_.hosts_ = aPeers.known_ + 1;
 }
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -171,6 +171,16 @@
                 LogLevel::kWarning,
                 "request-suspected",
                 "A request crashed two endpoints; all hosts now reject it." },
+  LogEventInfo{ kReturnPromised,
+                LogLevel::kInfo,
+                "return-promised",
+                "A rejected caller was told to return after 'due_ms'; "
+                "'due_with_it' promises are due at about that time." },
+  LogEventInfo{ kReturnClaimed,
+                LogLevel::kInfo,
+                "return-claimed",
+                "A rejected caller returned when it was told to, and counts as "
+                "waiting since its first attempt." },
   LogEventInfo{ kJobEnded,
                 LogLevel::kInfo,
                 "job-ended",
