--- a/include/gooseberrylift/internal/gooseberrylift-endpoint-rate-limiter.h
+++ b/include/gooseberrylift/internal/gooseberrylift-endpoint-rate-limiter.h
@@ -1,5 +1,5 @@
-// Enforces the rate limits that endpoints advertise and those of cold endpoints,
-// which apply to the total of the requests from all hosts.
+// Enforces the rate limits that endpoints advertise and those of cold
+// endpoints, which apply to the total of the requests from all hosts.
 
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_ENDPOINT_RATE_LIMITER_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_ENDPOINT_RATE_LIMITER_H_
@@ -122,6 +122,9 @@
   /// Returns whether an endpoint is cold.
   bool IsCold(const Incarnation& aEndpoint);
 
+  /// Returns the number of endpoints that are cold.
+  std::size_t CountCold();
+
   /// Finds the rate-limited endpoints among a request's candidates, and
   /// requests permits for those that this host has none for.
   LimitedEndpoints CheckPermits(const std::vector<ListedEndpoint>& aCandidates);
--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -34,7 +34,7 @@
   PlacementRequest request_;
   std::set<std::string> tried_; // endpoints that failed this request
   AllowedZones allowedZones_;
-  std::uint64_t draw_ = 0;      // random, for shuffling and tie-breaking
+  std::uint64_t draw_ = 0; // random, for shuffling and tie-breaking
 };
 
 // The endpoint and helpers chosen for a request, with the predictions on which
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -46,7 +46,7 @@
   const Route* route_ = nullptr; // owned by table_
   std::string service_;
   std::string team_;
-  int priority_ = 0; // of the team or the route; 0 is the most urgent
+  int priority_ = 0;          // of the team or the route; 0 is the most urgent
   AllowedZones allowedZones_; // by the regions of the route and the team
   bool authenticatedByKey_ = false; // by a team key
   TimePoint arrived_;
--- a/include/gooseberrylift/limits/gooseberrylift-cold-endpoints.h
+++ b/include/gooseberrylift/limits/gooseberrylift-cold-endpoints.h
@@ -34,13 +34,13 @@
 // This host's view of the hosts that share the rate of a cold endpoint.
 struct ColdShareView
 {
-  std::size_t zones_ = 1;      // availability zones of the fleet
-  std::size_t liveInZone_ = 0; // other live hosts of the own zone
+  std::size_t zones_ = 1;       // availability zones of the fleet
+  std::size_t liveInZone_ = 0;  // other live hosts of the own zone
   std::size_t knownInZone_ = 0; // other hosts of the own zone, live or not
 };
 
-// The lifetime of a permit for a cold endpoint, counted from its request. Short,
-// because permits that are used late add to those of the next second.
+// The lifetime of a permit for a cold endpoint, counted from its request.
+// Short, because permits that are used late add to those of the next second.
 constexpr std::chrono::milliseconds kColdPermitLifetime{ 200 };
 
 /// Returns the rate at which a host grants permits for a cold endpoint while it
@@ -130,6 +130,9 @@
   /// Returns whether any endpoint may be cold.
   bool HasCold(TimePoint aNow) const { return aNow < latestEnd_; }
 
+  /// Returns the number of endpoints that are cold.
+  std::size_t CountCold(TimePoint aNow) const;
+
   /// Returns the endpoints that became cold or warm since the last call.
   std::vector<ColdChange> TakeChanges(TimePoint aNow);
 
--- a/include/gooseberrylift/limits/gooseberrylift-rate-granter.h
+++ b/include/gooseberrylift/limits/gooseberrylift-rate-granter.h
@@ -106,7 +106,7 @@
   struct Pace
   {
     double perSecond_;
-    TimePoint first_;        // of the first permit, without the phase
+    TimePoint first_;       // of the first permit, without the phase
     bool hasOtherGranters_; // other hosts grant beside this one
   };
 
--- a/include/gooseberrylift/routing/gooseberrylift-route-table.h
+++ b/include/gooseberrylift/routing/gooseberrylift-route-table.h
@@ -85,7 +85,7 @@
 {
   std::string name_;
   std::vector<std::string> keys_;
-  std::optional<int> priority_; // overrides the route's
+  std::optional<int> priority_;               // overrides the route's
   std::vector<std::string> allowedRegions_{}; // empty: all
 };
 
--- a/src/core/limits/gooseberrylift-cold-endpoints.cc
+++ b/src/core/limits/gooseberrylift-cold-endpoints.cc
@@ -21,11 +21,12 @@
 
 double ColdGrantRate(const ColdTerms& aTerms, const ColdShareView& aView)
 {
-  const double zones = static_cast<double>(std::max<std::size_t>(aView.zones_, 1));
+  const double zones =
+    static_cast<double>(std::max<std::size_t>(aView.zones_, 1));
   const double allowed = aTerms.perSecond_ * aTerms.overshoot_ + aTerms.slack_;
   // Each granting host may have one permit ahead of its rate.
-  const double safe = (allowed - kMaxGrantersPerZone * zones) /
-                      (kMaxGrantersPerZone * kUseSpan);
+  const double safe =
+    (allowed - kMaxGrantersPerZone * zones) / (kMaxGrantersPerZone * kUseSpan);
   const double rate = std::max(std::min(safe, aTerms.perSecond_), 0.0);
   const auto live = static_cast<double>(aView.liveInZone_ + 1);
   const auto known = static_cast<double>(aView.knownInZone_ + 1);
@@ -95,9 +96,8 @@
     aEntry.mayHaveTraffic_ = !Find(aEndpoint, aNow).has_value();
     aEntry.statedSince_ = aNow;
   }
-  aEntry.statedUntil_ =
-    std::max(aEntry.statedUntil_,
-             aNow + std::min(aRemaining, options_.maxRemaining_));
+  aEntry.statedUntil_ = std::max(
+    aEntry.statedUntil_, aNow + std::min(aRemaining, options_.maxRemaining_));
 }
 
 TimePoint ColdEndpoints::EndOf(const Entry& aEntry) const
@@ -131,12 +131,11 @@
   ColdState state{ .terms_ = terms_.at(aEntry.service_),
                    .until_ = end,
                    .firstPermit_ = aEntry.firstListed_,
-                   .source_ = !stated           ? ColdSource::kStart
+                   .source_ = !stated          ? ColdSource::kStart
                               : aEntry.byPeer_ ? ColdSource::kPeer
                                                : ColdSource::kStated };
   if (stated) {
-    state.stated_ =
-      std::chrono::ceil<milliseconds>(aEntry.statedUntil_ - aNow);
+    state.stated_ = std::chrono::ceil<milliseconds>(aEntry.statedUntil_ - aNow);
     state.firstPermit_ =
       aEntry.statedSince_ +
       (aEntry.mayHaveTraffic_ ? options_.settleTime_ : milliseconds(0));
@@ -164,6 +163,14 @@
            : std::optional(terms->second);
 }
 
+std::size_t ColdEndpoints::CountCold(TimePoint aNow) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    entries_.begin(), entries_.end(), [&](const auto& aEntry) {
+      return aNow < EndOf(aEntry.second);
+    }));
+}
+
 std::vector<ColdChange> ColdEndpoints::TakeChanges(TimePoint aNow)
 {
   std::vector<ColdChange> changes;
--- a/src/core/limits/gooseberrylift-rate-granter.cc
+++ b/src/core/limits/gooseberrylift-rate-granter.cc
@@ -50,12 +50,12 @@
     found->second.nextPermit_ =
       std::max(found->second.nextPermit_, aTerms.notBefore_);
   }
-  return Grant(aEndpoint,
-               { .perSecond_ =
-                   std::min(aTerms.perSecond_, options_.maxPerSecond_),
-                 .first_ = std::max(aTerms.notBefore_, aNow),
-                 .hasOtherGranters_ = true },
-               aNow);
+  return Grant(
+    aEndpoint,
+    { .perSecond_ = std::min(aTerms.perSecond_, options_.maxPerSecond_),
+      .first_ = std::max(aTerms.notBefore_, aNow),
+      .hasOtherGranters_ = true },
+    aNow);
 }
 
 RateGrant RateGranter::Grant(const Incarnation& aEndpoint,
@@ -82,8 +82,7 @@
     // A request that comes up to an interval late doesn't lower the rate. With
     // several granting hosts there is no such allowance, because all of them
     // could catch up at the same moment.
-    const TimePoint earliest =
-      aPace.hasOtherGranters_ ? aNow : aNow - interval;
+    const TimePoint earliest = aPace.hasOtherGranters_ ? aNow : aNow - interval;
     granted.nextPermit_ =
       std::max(granted.nextPermit_, earliest) + permits * interval;
     return { .permits_ = permits };
--- a/src/gateway/gooseberrylift-endpoint-rate-limiter.cc
+++ b/src/gateway/gooseberrylift-endpoint-rate-limiter.cc
@@ -199,6 +199,12 @@
   return cold_.Find(aEndpoint, TimerService::Now()).has_value();
 }
 
+std::size_t EndpointRateLimiter::CountCold()
+{
+  const std::lock_guard lock(mutex_);
+  return cold_.CountCold(TimerService::Now());
+}
+
 void EndpointRateLimiter::SetColdTerms(std::map<std::string, ColdTerms> aTerms,
                                        std::size_t aZones)
 {
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -321,10 +321,9 @@
   if (!notReceived && !request_.route_->IsRepeatable()) {
     return false;
   }
-  const bool noneLeft =
-    aError.code_ == ResultCode::kEndpointUnreachable &&
-    !parts_.fleet_.Access().HasUntried(
-      request_.service_, tried_, request_.allowedZones_);
+  const bool noneLeft = aError.code_ == ResultCode::kEndpointUnreachable &&
+                        !parts_.fleet_.Access().HasUntried(
+                          request_.service_, tried_, request_.allowedZones_);
   if (sends_ >= request_.route_->maxAttempts_ || noneLeft ||
       timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts) {
     return false;
@@ -393,8 +392,7 @@
       { "candidates", aPlacement.candidates_ },
       { "withheld", aPlacement.withheld_ },
       { "backed_off", aPlacement.backedOff_ },
-      { "cold",
-        parts_.limiter_.IsCold(aPlacement.endpoint_.IncarnationId()) },
+      { "cold", parts_.limiter_.IsCold(aPlacement.endpoint_.IncarnationId()) },
       { "limit_per_second",
         parts_.limiter_.Of(aPlacement.endpoint_.IncarnationId()).value_or(-1) },
       { "running", aPlacement.load_.running_ },
--- a/src/gateway/gooseberrylift-request-waiting.cc
+++ b/src/gateway/gooseberrylift-request-waiting.cc
@@ -70,10 +70,9 @@
   }
   const std::uint64_t needed =
     request_.facts_.promptTokens_ + request_.facts_.answerTokens_;
-  const std::uint64_t capacity =
-    parts_.fleet_.Access().CountUsable(request_.service_,
-                                       request_.allowedZones_) *
-    profile->memoryTokens_;
+  const std::uint64_t capacity = parts_.fleet_.Access().CountUsable(
+                                   request_.service_, request_.allowedZones_) *
+                                 profile->memoryTokens_;
   if (needed > capacity) {
     return std::nullopt;
   }
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -450,6 +450,7 @@
     { "store_reachable", !storeFollower_.IsStoreUnavailable() },
     { "proof_age_ms", age ? age->count() : -1 },
     { "keys_proven", routes_.AreKeysProven() },
+    { "cold_endpoints", limiter_.CountCold() },
   };
   return status.dump();
 }
--- a/test/core/gooseberrylift-cold-endpoints-test.cc
+++ b/test/core/gooseberrylift-cold-endpoints-test.cc
@@ -119,8 +119,7 @@
 
 TEST(ColdEndpointsTest, GrantsNothingIfTheBoundLeavesNoRoom)
 {
-  DOUBLES_EQUAL(
-    0, ColdGrantRate({ .perSecond_ = 1 }, { .zones_ = 3 }), 0.0001);
+  DOUBLES_EQUAL(0, ColdGrantRate({ .perSecond_ = 1 }, { .zones_ = 3 }), 0.0001);
   const double nan = std::numeric_limits<double>::quiet_NaN();
   CHECK_FALSE(ColdGrantRate({ .perSecond_ = nan }, {}) > 0);
 }
--- a/test/core/gooseberrylift-cold-schedules-test.cc
+++ b/test/core/gooseberrylift-cold-schedules-test.cc
@@ -262,9 +262,9 @@
     if (aHost.nextWarm_ != TimePoint{}) {
       sent_.push_back(now_);
     }
-    aHost.nextWarm_ = now_ + (aHost.nextWarm_ == TimePoint{}
-                                ? Duration(0ms, interval)
-                                : interval);
+    aHost.nextWarm_ =
+      now_ +
+      (aHost.nextWarm_ == TimePoint{} ? Duration(0ms, interval) : interval);
   }
 
   // Returns the live hosts of a host's zone in its own view, itself included.
@@ -287,8 +287,8 @@
       schedule_.grantsItself_
         ? aHost.name_
         : ChooseGranter({ .id_ = "e" }, LiveInZone(aHost));
-    Host& to = *std::find_if(
-      hosts_.begin(), hosts_.end(), [&](const Host& aOne) {
+    Host& to =
+      *std::find_if(hosts_.begin(), hosts_.end(), [&](const Host& aOne) {
         return aOne.name_ == granter;
       });
     Host* asker = &aHost;
@@ -324,8 +324,8 @@
     const std::size_t known = schedule_.hosts_ / schedule_.zones_;
     const ColdShareView view{ .zones_ = schedule_.zones_,
                               .liveInZone_ = live.size() - 1,
-                              .knownInZone_ = std::max(known, live.size()) -
-                                              1 };
+                              .knownInZone_ =
+                                std::max(known, live.size()) - 1 };
     return WithLifetime(aHost.granter_->RequestPermits(
       { "e" },
       { .perSecond_ = ColdGrantRate(kTerms, view),
@@ -395,12 +395,11 @@
 {
   for (const std::size_t hosts : { 2U, 9U, 73U }) {
     for (const std::size_t zones : { 1U, 2U, 3U }) {
-      LONGS_EQUAL(
-        0, Play({ .hosts_ = hosts, .zones_ = zones }, 15).overloaded_);
+      LONGS_EQUAL(0,
+                  Play({ .hosts_ = hosts, .zones_ = zones }, 15).overloaded_);
     }
   }
-  LONGS_EQUAL(
-    0, Play({ .hosts_ = 300, .coldDemand_ = 1'000 }, 2).overloaded_);
+  LONGS_EQUAL(0, Play({ .hosts_ = 300, .coldDemand_ = 1'000 }, 2).overloaded_);
 }
 
 // Requests of hosts that haven't heard of the coldness nearly reach the bound.
--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -175,6 +175,32 @@
   LONGS_EQUAL(0, alone->helpers_.size());
 }
 
+TEST(FleetPlacementTest, UsesAColdEngineOnlyWhereItServesCallersBetter)
+{
+  AddEngines(4);
+  candidates_[2].limited_ = true;
+  candidates_[2].cold_ = true;
+  const auto choose = [this] {
+    return ChooseSparingCold(
+      candidates_, ShortRequest(), [this](const auto& aCandidates) {
+        return placement_.Choose(Profile(), kGaps, aCandidates, ShortRequest());
+      });
+  };
+  CHECK_TRUE(choose()->endpoint_->id_ != "2");
+  // The others are too slow for the objective.
+  for (const std::size_t warm : { 0U, 1U, 3U }) {
+    candidates_[warm].load_.backlog_ = 2s;
+  }
+  STRCMP_EQUAL("2", choose()->endpoint_->id_.c_str());
+  candidates_[2].load_.backlog_ = 3s;
+  CHECK_TRUE(choose()->endpoint_->id_ != "2");
+  // The others fail.
+  for (const std::size_t warm : { 0U, 1U, 3U }) {
+    candidates_[warm].avoided_ = true;
+  }
+  STRCMP_EQUAL("2", choose()->endpoint_->id_.c_str());
+}
+
 TEST_GROUP(PriorityClassTest){};
 
 TEST(PriorityClassTest, PutsDeferredRequestsBehindAllOthers)
--- a/test/integration/gooseberrylift-dialect-test.cc
+++ b/test/integration/gooseberrylift-dialect-test.cc
@@ -132,3 +132,52 @@
     CHECK_FALSE(IsLeaving(status, "0"));
   }
 }
+
+TEST(DialectTest, ReadsWhatColdEndpointsTolerateAndAllowedRegions)
+{
+  const nlohmann::json spec = {
+    { "version", 1 },
+    { "routes",
+      { { { "name", "r" },
+          { "host", "h" },
+          { "pathPrefix", "/r/" },
+          { "type", "safe" },
+          { "service", "cold" },
+          { "allowedRegions", { "north" } } } } },
+    { "services",
+      { { { "name", "cold" }, { "coldStartS", 3.5 }, { "coldPerS", 26.0 } },
+        { { "name", "absurd" }, { "coldStartS", 1e300 }, { "coldPerS", -1 } },
+        { { "name", "plain" } } } },
+    { "tenants",
+      { { { "name", "t" },
+          { "apiKeys", { "key" } },
+          { "allowedRegions", { "north", "south" } } } } }
+  };
+  const RouteDocument document = FleetDialect().ParseRoutes(spec).value();
+  STRCMP_EQUAL("north", document.routes_.at(0).allowedRegions_.at(0).c_str());
+  LONGS_EQUAL(2, document.teams_->at(0).allowedRegions_.size());
+  LONGS_EQUAL(3'500, document.services_.at(0).coldStart_.count());
+  DOUBLES_EQUAL(26, document.services_.at(0).coldPerSecond_, 0);
+  LONGS_EQUAL(300'000, document.services_.at(1).coldStart_.count());
+  DOUBLES_EQUAL(0, document.services_.at(1).coldPerSecond_, 0);
+  LONGS_EQUAL(0, document.services_.at(2).coldStart_.count());
+}
+
+TEST(DialectTest, TellsAnEntryWithoutRemainingColdTimeFromOneThatIsWarm)
+{
+  nlohmann::json spec = { { "service", "s" },  { "address", "127.0.0.1:80" },
+                          { "zone", "z" },     { "version", "v1" },
+                          { "slots", 1 },      { "sequence", 1 },
+                          { "state", "ready" } };
+  const auto parse = [&spec] {
+    return FleetDialect().ParseListedEndpoint(
+      { .kind_ = kEndpointsKind, .name_ = "e", .spec_ = spec });
+  };
+  CHECK_FALSE(parse().value().warmUpRemaining_.has_value());
+  spec["coldRemainingMs"] = 0;
+  CHECK_TRUE(parse().value().warmUpRemaining_ == 0ms);
+  spec["coldRemainingMs"] = -5;
+  CHECK_TRUE(parse().value().warmUpRemaining_ == -5ms);
+  spec["coldRemainingMs"] = "soon";
+  CHECK_FALSE(parse());
+}
