--- a/src/core/limits/gooseberrylift-cold-endpoints.cc
+++ b/src/core/limits/gooseberrylift-cold-endpoints.cc
@@ -165,8 +165,8 @@
 
 std::size_t ColdEndpoints::CountCold(TimePoint aNow) const
 {
-  return static_cast<std::size_t>(std::count_if(
-    entries_.begin(), entries_.end(), [&](const auto& aEntry) {
+  return static_cast<std::size_t>(
+    std::count_if(entries_.begin(), entries_.end(), [&](const auto& aEntry) {
       return aNow < EndOf(aEntry.second);
     }));
 }
@@ -175,10 +175,10 @@
 {
   std::vector<ColdChange> changes;
   for (auto& [endpoint, entry] : entries_) {
-    auto state = StateOf(entry, aNow);
+    const auto state = StateOf(entry, aNow);
     if (state.has_value() != entry.reportedCold_) {
       entry.reportedCold_ = state.has_value();
-      changes.push_back({ .endpoint_ = endpoint, .state_ = std::move(state) });
+      changes.push_back({ .endpoint_ = endpoint, .state_ = state });
     }
   }
   return changes;
--- a/test/core/gooseberrylift-cold-schedules-test.cc
+++ b/test/core/gooseberrylift-cold-schedules-test.cc
@@ -44,8 +44,10 @@
   double coldDemand_ = 300;
   milliseconds maxListingLag_{ 500 };
   bool faults_ = true;
+  bool disconnected_ = false; // each host is cut off from all others
   // Guards that a test takes out.
   bool grantsItself_ = false; // each host, at the whole rate
+  bool sharesRate_ = true;    // cut-off hosts grant only their part
   milliseconds settleTime_ = ColdEndpoints::Options{}.settleTime_;
 };
 
@@ -77,6 +79,9 @@
                  .zone_ = number % schedule_.zones_,
                  .listingLag_ = Duration(0ms, schedule_.maxListingLag_),
                  .peerLag_ = Duration(20ms, 400ms) };
+      if (schedule_.disconnected_) {
+        host.group_ = -static_cast<int>(number);
+      }
       host.lastHeard_.assign(schedule_.hosts_, TimePoint(0s));
       Restart(host, TimePoint(-10s));
       hosts_.push_back(std::move(host));
@@ -321,7 +326,8 @@
         ChooseGranter({ .id_ = "e" }, live) != aHost.name_) {
       return refused;
     }
-    const std::size_t known = schedule_.hosts_ / schedule_.zones_;
+    const std::size_t known =
+      schedule_.sharesRate_ ? schedule_.hosts_ / schedule_.zones_ : 1;
     const ColdShareView view{ .zones_ = schedule_.zones_,
                               .liveInZone_ = live.size() - 1,
                               .knownInZone_ =
@@ -435,6 +441,24 @@
                 .overloaded_);
 }
 
+// Lost with the other hosts, none of them knows which ones still grant.
+const Schedule kDisconnected{ .hosts_ = 73,
+                              .coldDemand_ = 1'000,
+                              .faults_ = false,
+                              .disconnected_ = true };
+
+TEST(ColdSchedulesTest, BoundHoldsWhenAllHostsAreDisconnected)
+{
+  LONGS_EQUAL(0, Play(kDisconnected, 15).overloaded_);
+}
+
+TEST(ColdSchedulesTest, BoundIsPassedIfDisconnectedHostsGrantTheirZonesRate)
+{
+  Schedule whole = kDisconnected;
+  whole.sharesRate_ = false;
+  CHECK_TRUE(Play(whole, 5).overloaded_ > 0);
+}
+
 TEST(ColdSchedulesTest, UsesMostOfTheRateWithoutFaults)
 {
   for (const std::size_t hosts : { 3U, 9U, 73U }) {
