--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -70,7 +70,9 @@
   , store_(MakeStore(storeClient_, settings_, metrics_))
   , dialect_(std::make_unique<platform::FleetDialect>())
   , limiter_(LimiterParts(),
-             { .host_ = settings_.hostName_, .zone_ = settings_.zone_ })
+             { .host_ = settings_.hostName_,
+               .zone_ = settings_.zone_,
+               .hasPeers_ = HasOtherSeeds() })
   , fleet_({ .host_ = settings_.hostName_,
              .zone_ = settings_.zone_,
              .limiter_ = limiter_,
@@ -206,6 +208,7 @@
                               .maxBodyBytes_ = limits.maxBodyBytes_,
                               .headerTimeout_ = limits.headerTimeout_,
                               .idleTimeout_ = limits.idleTimeout_ });
+    ApplyColdTerms(*aSnapshot->table_);
   });
 }
 
@@ -250,8 +253,10 @@
     poisonRequestMonitor_.OnPeer(digest.quarantine_);
     limiter_.OnPeer(digest.rates_);
   }
-  limiter_.SetPeers(
-    aPeers.digests_, aPeers.known_, board_.host_.Read()->draining_);
+  limiter_.SetPeers(aPeers.digests_,
+                    aPeers.known_,
+                    peers_.Known(),
+                    board_.host_.Read()->draining_);
   fleet_.Sweep();
   limiter_.Sweep();
   promises_.Sweep();
@@ -260,6 +265,30 @@
   retryBudget_.hosts_ = aPeers.known_ + 1;
 }
 
+void GatewayHost::ApplyColdTerms(const RouteTable& aTable)
+{
+  const auto board = board_.gatewaySettings_.Read();
+  const GatewaySettings& bounds = board->gatewaySettings_;
+  std::map<std::string, ColdTerms> terms;
+  if (bounds.coldOvershoot_ && bounds.coldSlack_) {
+    for (const RoutedService& service : aTable.Services()) {
+      if (service.coldPerSecond_ > 0) {
+        terms[service.name_] = { .startDuration_ = service.coldStart_,
+                                 .perSecond_ = service.coldPerSecond_,
+                                 .overshoot_ = *bounds.coldOvershoot_,
+                                 .slack_ = *bounds.coldSlack_ };
+      }
+    }
+  }
+  limiter_.SetColdTerms(std::move(terms), bounds.zoneRegions_.size());
+}
+
+// Returns whether the settings name another host, or may do so.
+bool GatewayHost::HasOtherSeeds() const
+{
+  return settings_.peerSeeds_.size() > 1;
+}
+
 bool GatewayHost::IsSeed() const
 {
   const std::vector<std::string>& seeds = settings_.peerSeeds_;
@@ -349,6 +378,9 @@
 void GatewayHost::ApplyGatewaySettings(const GatewaySettings& aGatewaySettings)
 {
   board_.gatewaySettings_.Write({ .gatewaySettings_ = aGatewaySettings });
+  if (const RouteTable::Ptr table = board_.routes_.Read()->table_) {
+    ApplyColdTerms(*table);
+  }
   const std::lock_guard lock(retryBudget_.mutex_);
   retryBudget_.budget_.SetOptions(
     { .ratio_ = aGatewaySettings.retryRatio_,
@@ -430,6 +462,7 @@
     { "store_reachable", !storeFollower_.IsStoreUnavailable() },
     { "proof_age_ms", age ? age->count() : -1 },
     { "keys_proven", routes_.AreKeysProven() },
+    { "cold_endpoints", limiter_.CountCold() },
   };
   return status.dump();
 }
