Count load at endpoints that reject, back off or return

An endpoint that rejects a request as full, without asking for a backoff, ends it at once, looked idle and drew the next one; each host learnt a backoff by a rejection of its own; and an endpoint that came back got the requests of all hosts at once.

EndpointPressure counts load besides an endpoint's requests: in a hold after rejections, a backoff or an ejection, and then in a ramp in which a growing share of the requests counts none. Hosts tell each other their rejections and backoffs in their load shares. Only the difference to the least pressured candidate counts, so pressure alone never rejects a request. The short lane of engines extends by the engines under pressure.

--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -31,8 +31,9 @@
   std::optional<EngineProfile> engineProfile_; // empty for a plain service
   ServiceGaps gaps_;
   PlacementRequest request_;
-  std::set<std::string> tried_; // endpoints that failed this request
-  std::uint64_t draw_ = 0;      // random, for shuffling and tie-breaking
+  std::set<std::string> tried_;   // endpoints that failed this request
+  std::uint64_t draw_ = 0;        // random, for shuffling and tie-breaking
+  std::uint64_t requestDraw_ = 0; // random, the same for each placement of it
 };
 
 // The endpoint and helpers chosen for a request, with the predictions on which
@@ -54,6 +55,8 @@
   std::size_t candidates_ = 0;
   std::size_t withheld_ = 0;  // endpoints skipped because no permit is left
   std::size_t backedOff_ = 0; // endpoints skipped because of a backoff
+  std::size_t pressed_ = 0;   // candidates under pressure
+  int pressure_ = 0; // load counted at the endpoint besides its requests
   RequestCost cost_;
   RequestCost helperCost_;
 };
--- a/include/gooseberrylift/internal/gooseberrylift-load-exchange.h
+++ b/include/gooseberrylift/internal/gooseberrylift-load-exchange.h
@@ -90,6 +90,12 @@
   void OnRequestPlaced(const std::vector<ListedEndpoint>& aEndpoints,
                        bool aUrgent);
 
+  /// Records that an endpoint has rejected a request of this host.
+  void OnPressureBegan(const ListedEndpoint& aEndpoint)
+  {
+    OnRequestPlaced({ aEndpoint }, false);
+  }
+
   /// Records that a request has ended.
   void OnRequestEnded() { ScheduleSnapshot(); }
 
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -50,6 +50,8 @@
   kZoneEvacuated = 1205,
   kEndpointNotice = 1206,
   kEndpointBackoffEnded = 1207,
+  kEndpointPressureBegan = 1210,
+  kEndpointPressureEnded = 1211,
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -133,6 +133,8 @@
     const Fleet::ActiveRequest& aActiveRequest);
   std::optional<Error> ValidateHead(const HttpResponse& aHead,
                                     const Fleet::ActiveRequest& aActiveRequest);
+  void RecordRejection(const EndpointResponseMetadata& aFacts,
+                       const Fleet::ActiveRequest& aActiveRequest);
   boost::asio::awaitable<Outcome<void>> ForwardBuffered(
     HttpCall& aCall,
     const Fleet::ActiveRequest& aActiveRequest);
@@ -169,6 +171,7 @@
   RoutedRequest request_;
   AttemptErrors attempts_;
   EventSequence events_;
+  std::uint64_t requestDraw_; // random
   std::set<std::string> tried_;
   int sends_ = 0; // attempts that sent at least part of the request
   // Total time of the attempts that sent nothing, such as failed connections.
--- a/include/gooseberrylift/internal/gooseberrylift-service-loads.h
+++ b/include/gooseberrylift/internal/gooseberrylift-service-loads.h
@@ -14,6 +14,7 @@
 
 #include "gooseberrylift/membership/gooseberrylift-load-message.h"
 #include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
+#include "gooseberrylift/routing/gooseberrylift-endpoint-pressure.h"
 #include "gooseberrylift/routing/gooseberrylift-fleet-load.h"
 #include "gooseberrylift/routing/gooseberrylift-outlier-detector.h"
 
@@ -24,6 +25,8 @@
 {
   FleetLoad load_{ FleetLoad::Options{} };
   OutlierDetector outlierDetector_{ OutlierDetector::Options{} };
+  EndpointPressure pressure_{ EndpointPressure::Options{} };
+  bool hasTraffic_ = false; // a request of this host has ended
   // Of a request to a plain service; assumed until the first answer arrives.
   std::chrono::microseconds typicalDuration_{ 20'000 };
 
@@ -40,7 +43,11 @@
   /// Discards the load, silence and failures of an endpoint's previous
   /// incarnation. Otherwise the restarted endpoint would be avoided although it
   /// is idle.
-  void OnRestarted(const std::string& aEndpoint);
+  void OnRestarted(const std::string& aEndpoint, TimePoint aNow);
+
+  /// Records that an endpoint may receive requests, or may again. Without
+  /// traffic all endpoints are equal, and nothing is recorded.
+  void OnReturned(const std::string& aEndpoint, TimePoint aNow);
 };
 
 // Each service has its own lock. Thread-safe.
@@ -65,6 +72,21 @@
     return aUse(shard.state_);
   }
 
+  /// Records that an endpoint rejected a request as full, without a backoff.
+  /// @return whether it was not known to be full
+  bool OnRejected(const ListedEndpoint& aEndpoint,
+                  TimePoint aSentAt,
+                  TimePoint aNow);
+
+  /// Records that an endpoint asked this host for a backoff.
+  void OnBackoff(const ListedEndpoint& aEndpoint,
+                 std::chrono::milliseconds aDuration,
+                 TimePoint aNow);
+
+  /// Records that endpoints may receive requests again.
+  void OnReturned(const std::vector<ListedEndpoint>& aEndpoints,
+                  TimePoint aNow);
+
   /// Applies a load message.
   /// @param aPeer the name under which the message's load is stored
   void OnLoadMessage(const std::string& aPeer,
--- a/include/gooseberrylift/membership/gooseberrylift-zone-load.h
+++ b/include/gooseberrylift/membership/gooseberrylift-zone-load.h
@@ -34,6 +34,8 @@
     // A backlog that differs by more than this from what receivers extrapolate
     // is sent again; short requests tolerate a larger error.
     std::chrono::milliseconds backlogTolerance_{ 100 };
+    // A backoff that ends later than reported by more than this is sent again.
+    std::chrono::milliseconds backoffTolerance_{ 250 };
     // How often the activity of an unchanged endpoint is reported. Receivers
     // extrapolate its silence from the last message and treat the endpoint as
     // hung after a second.
--- a/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
+++ b/include/gooseberrylift/routing/gooseberrylift-endpoint-directory.h
@@ -86,7 +86,8 @@
   void OnEvacuated(const std::string& aZone);
 
   /// Makes the endpoints of an evacuated zone usable again.
-  void OnEvacuationEnded(const std::string& aZone);
+  /// @return the endpoints that are usable again
+  std::vector<ListedEndpoint> OnEvacuationEnded(const std::string& aZone);
 
   /// Drops entries whose grace period has ended.
   void Sweep(TimePoint aNow);
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -59,6 +59,7 @@
   std::uint64_t memoryTokens_ = 0;
   std::chrono::microseconds backlog_{ 0 };
   int deferred_ = 0; // of running_, queued behind all others
+  int pressure_ = 0; // of running_, not requests; see EndpointPressure
 };
 
 // Tracks the load of all endpoints as far as this host knows it. Not
@@ -117,7 +118,8 @@
   /// Returns the known load of an endpoint.
   EndpointLoad Of(const std::string& aEndpoint, TimePoint aNow) const;
 
-  /// Returns this host's own load, for messages to its peers.
+  /// Returns this host's own load, for messages to its peers. It contains no
+  /// rejections and backoffs.
   std::vector<EndpointShare> OwnShares(TimePoint aNow) const;
 
   /// Sums the load of this host and of selected peers by endpoint.
--- a/include/gooseberrylift/routing/gooseberrylift-outlier-detector.h
+++ b/include/gooseberrylift/routing/gooseberrylift-outlier-detector.h
@@ -58,6 +58,10 @@
   /// Returns whether an endpoint is ejected.
   bool IsEjected(const std::string& aEndpoint, TimePoint aNow) const;
 
+  /// Returns when the latest ejection of an endpoint ends or has ended; the
+  /// epoch if it was never ejected.
+  TimePoint EjectedUntil(const std::string& aEndpoint) const;
+
   /// Discards the record of an endpoint that has restarted.
   void OnRestarted(const std::string& aEndpoint) { records_.erase(aEndpoint); }
 
--- a/src/core/membership/gooseberrylift-zone-load.cc
+++ b/src/core/membership/gooseberrylift-zone-load.cc
@@ -15,8 +15,11 @@
 // time.
 auto CountsOf(const EndpointShare& aShare)
 {
-  return std::tie(
-    aShare.running_, aShare.tightGap_, aShare.memoryTokens_, aShare.deferred_);
+  return std::tie(aShare.running_,
+                  aShare.tightGap_,
+                  aShare.memoryTokens_,
+                  aShare.deferred_,
+                  aShare.rejections_);
 }
 
 } // namespace
@@ -40,6 +43,12 @@
   return CountsOf(aNew) != CountsOf(aSent.share_) ||
          std::chrono::abs(aNew.backlog_ - expected) >
            options_.backlogTolerance_ ||
+         aNew.backoff_ >
+           std::max(
+             aSent.share_.backoff_ -
+               std::chrono::duration_cast<std::chrono::milliseconds>(elapsed),
+             std::chrono::milliseconds(0)) +
+             options_.backoffTolerance_ ||
          aNew.silent_ + options_.activityInterval_ < silent;
 }
 
--- a/src/core/routing/gooseberrylift-endpoint-directory.cc
+++ b/src/core/routing/gooseberrylift-endpoint-directory.cc
@@ -49,9 +49,20 @@
   changes_ += evacuatedZones_.insert(aZone).second ? 1 : 0;
 }
 
-void EndpointDirectory::OnEvacuationEnded(const std::string& aZone)
+std::vector<ListedEndpoint> EndpointDirectory::OnEvacuationEnded(
+  const std::string& aZone)
 {
-  changes_ += evacuatedZones_.erase(aZone);
+  std::vector<ListedEndpoint> returned;
+  if (evacuatedZones_.erase(aZone) == 0) {
+    return returned;
+  }
+  ++changes_;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.listed_.zone_ == aZone && IsUsable(entry.listed_)) {
+      returned.push_back(entry.listed_);
+    }
+  }
+  return returned;
 }
 
 bool EndpointDirectory::IsLeaving(const Incarnation& aEndpoint) const
--- a/src/core/routing/gooseberrylift-fleet-load.cc
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -18,6 +18,15 @@
                   microseconds(0));
 }
 
+// Returns whether a host has requests at an endpoint, rather than only
+// rejections or a backoff to report.
+bool HasRequests(const EndpointShare& aShare)
+{
+  return aShare.running_ > 0 || aShare.memoryTokens_ > 0 ||
+         aShare.backlog_.count() > 0 ||
+         (aShare.rejections_ == 0 && aShare.backoff_.count() == 0);
+}
+
 // Until its first token arrives, a prompt counts with at least its prefill time
 // divided by this, however long ago it was sent: other prompts may have been
 // prefilled first, or a pass may have taken longer. Without this lower bound,
@@ -219,6 +228,11 @@
     share.backlog_ += RemainingBacklog(aShare.backlog_, aAge);
     share.deferred_ += aShare.deferred_;
     share.silent_ = std::min(share.silent_, silent);
+    // Hosts report the same rejections and backoffs, so these are not added up.
+    share.rejections_ = std::max(share.rejections_, aShare.rejections_);
+    share.backoff_ = std::max(share.backoff_,
+                              aShare.backoff_ -
+                                duration_cast<std::chrono::milliseconds>(aAge));
   };
   for (const EndpointShare& own : OwnShares(aNow)) {
     add(own, TimePoint::duration(0));
@@ -248,7 +262,7 @@
     return silent;
   }
   for (const auto& [host, reported] : peers->second) {
-    if (!IsCurrent(reported, aNow)) {
+    if (!IsCurrent(reported, aNow) || !HasRequests(reported.share_)) {
       continue;
     }
     const auto since =
--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -48,6 +48,21 @@
   return aLoad.running_ - aLoad.deferred_;
 }
 
+// Returns how many leading engines contain the given number of engines that are
+// not under pressure.
+std::size_t CountWithPressed(
+  const std::vector<const PlacementCandidate*>& aCandidates,
+  std::size_t aUsable)
+{
+  std::size_t usable = 0;
+  std::size_t count = 0;
+  while (count < aCandidates.size() && usable < aUsable) {
+    usable += aCandidates[count]->load_.pressure_ == 0 ? 1 : 0;
+    ++count;
+  }
+  return count;
+}
+
 // An engine that decodes may delay a prompt by this much more than an idle one:
 // about one pass.
 constexpr std::chrono::milliseconds kDecodingWaitMargin{ 60 };
@@ -88,8 +103,13 @@
   }
   const int excess = aQueuedAhead - aProfile.slots_ + 1;
   if (excess > 0) {
-    const double passes = static_cast<double>(aProfile.typicalAnswerTokens_) /
-                          std::max(aProfile.stepsPerPass_, 1);
+    // Without a typical answer, waiting requests count as instant. Pressure
+    // must count even then.
+    const double minPasses = aLoad.pressure_ > 0 ? 1 : 0;
+    const double passes =
+      std::max(static_cast<double>(aProfile.typicalAnswerTokens_) /
+                 std::max(aProfile.stepsPerPass_, 1),
+               minPasses);
     // Assumes that the ends of running requests are spread evenly over the
     // duration of one request.
     wait += Scaled(pass, passes * excess / std::max(aProfile.slots_, 1));
@@ -193,11 +213,14 @@
   }
   int tight = 0;
   std::size_t longEngines = 0; // engines used by long prompts
+  std::size_t pressed = 0;     // engines under pressure, which are no spare
   for (const PlacementCandidate* candidate : aCandidates) {
     const EndpointLoad& load = candidate->load_;
     tight += load.tightGap_;
+    const int running = load.running_ - load.pressure_;
     longEngines +=
-      load.running_ > load.tightGap_ || load.backlog_.count() > 0 ? 1 : 0;
+      running > load.tightGap_ || load.backlog_.count() > 0 ? 1 : 0;
+    pressed += load.pressure_ > 0 ? 1 : 0;
   }
   const double perEngine = aTask.profile_.slots_ * options_.targetOccupancy_;
   const auto needed = static_cast<std::size_t>(
@@ -208,12 +231,15 @@
   const double used =
     static_cast<double>(needed + std::max(longEngines, oneLong)) *
     options_.spareThresholdFactor_;
-  const double spare = std::max(static_cast<double>(all) - used, 0.0);
+  const double spare = std::max(static_cast<double>(all - pressed) - used, 0.0);
   const auto extra =
     static_cast<std::size_t>(spare * options_.spareForShortShare_);
   const std::size_t most =
     std::max<std::size_t>(all - std::min(reserved, all), 1);
-  return { .shortCount_ = std::clamp<std::size_t>(needed + extra, 1, most),
+  return { .shortCount_ = std::min(
+             CountWithPressed(aCandidates,
+                              std::clamp<std::size_t>(needed + extra, 1, most)),
+             most),
            .hasSpare_ = extra > 0 };
 }
 
--- a/src/core/routing/gooseberrylift-outlier-detector.cc
+++ b/src/core/routing/gooseberrylift-outlier-detector.cc
@@ -49,9 +49,14 @@
 
 bool OutlierDetector::IsEjected(const std::string& aEndpoint,
                                 TimePoint aNow) const
+{
+  return aNow < EjectedUntil(aEndpoint);
+}
+
+TimePoint OutlierDetector::EjectedUntil(const std::string& aEndpoint) const
 {
   const auto found = records_.find(aEndpoint);
-  return found != records_.end() && aNow < found->second.ejectedUntil_;
+  return found == records_.end() ? TimePoint{} : found->second.ejectedUntil_;
 }
 
 void OutlierDetector::Sweep(TimePoint aNow)
--- a/src/gateway/gooseberrylift-endpoint-client.cc
+++ b/src/gateway/gooseberrylift-endpoint-client.cc
@@ -80,7 +80,13 @@
       facts.notice_,
       { .signed_ = facts.hasResponseStamp_, .sentAt_ = sentAt_ });
     LogNotice(facts.notice_, effect);
+    if (facts.notExecuted_) {
+      parts_.metrics_.Count("gooseberrylift_endpoint_rejections_total",
+                            "endpoint=\"" + endpoint_.id_ + "\"");
+    }
     if (effect.backoff_) {
+      parts_.fleet_.Loads().OnBackoff(
+        endpoint_, facts.notice_.backoff_.duration_, TimerService::Now());
       parts_.metrics_.Count("gooseberrylift_endpoint_backoffs_total",
                             "endpoint=\"" + endpoint_.id_ + "\"");
     }
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -9,6 +9,22 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+namespace {
+
+// Returns the load that was counted at an endpoint besides its requests.
+int CountedPressure(const std::vector<PlacementCandidate>& aCandidates,
+                    const ListedEndpoint& aEndpoint)
+{
+  for (const PlacementCandidate& candidate : aCandidates) {
+    if (candidate.endpoint_ == &aEndpoint) {
+      return candidate.load_.pressure_;
+    }
+  }
+  return 0;
+}
+
+} // namespace
+
 Fleet::Fleet(Options aOptions)
   : options_(std::move(aOptions))
   , access_(options_.host_, options_.limiter_)
@@ -20,7 +36,12 @@
 
 void Fleet::OnListed(const ListedEndpoint& aListed)
 {
+  const TimePoint now = TimerService::Now();
+  const bool isNew = access_.ServiceOf(aListed.id_).empty();
   if (!access_.OnListed(aListed)) {
+    if (isNew) {
+      loads_.OnReturned({ aListed }, now);
+    }
     return;
   }
   Log(LogEvent::kEndpointRestarted,
@@ -29,8 +50,8 @@
   if (options_.onRestarted_) {
     options_.onRestarted_(aListed.id_);
   }
-  loads_.With(aListed.service_, [&aListed](ServiceLoad& aState) {
-    aState.OnRestarted(aListed.id_);
+  loads_.With(aListed.service_, [&aListed, now](ServiceLoad& aState) {
+    aState.OnRestarted(aListed.id_, now);
   });
 }
 
@@ -45,8 +66,10 @@
   const TimePoint now = TimerService::Now();
   return loads_.With(
     aQuery.service_, [&](ServiceLoad& aState) -> std::optional<FleetPlacement> {
-      const auto candidates =
+      auto candidates =
         FindCandidates(aQuery, *endpoints, restrictions, aState, now);
+      const std::size_t pressed =
+        aState.pressure_.AddTo(candidates, aQuery.requestDraw_, now);
       const auto choice = aQuery.engineProfile_
                             ? EnginePlacement(EnginePlacement::Options{})
                                 .Choose(*aQuery.engineProfile_,
@@ -71,6 +94,8 @@
         .candidates_ = candidates.size(),
         .withheld_ = restrictions.limited_.withheld_.size(),
         .backedOff_ = restrictions.backedOff_.size(),
+        .pressed_ = pressed,
+        .pressure_ = CountedPressure(candidates, *choice->endpoint_),
         .cost_ = choice->cost_,
         .helperCost_ = choice->helperCost_
       };
@@ -181,6 +206,7 @@
       return;
     }
     load.OnStarted(placement_.endpoint_.id_, id_, now);
+    aState.pressure_.OnAnswered(placement_.endpoint_.id_, sentAt_, now);
     for (const ListedEndpoint& helper : placement_.helpers_) {
       // The helper's part of the prefill is done.
       load.OnStarted(helper.id_, id_, now);
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -104,6 +104,7 @@
                   .ran_ = RanState::kUnknown };
   }
   if (facts.notExecuted_) {
+    RecordRejection(facts, aActiveRequest);
     // The next attempt must not use the same helper again.
     for (const ListedEndpoint& helper : placement.helpers_) {
       if (helper.address_ == facts.failedHelperAddress_) {
@@ -126,6 +127,37 @@
   return std::nullopt;
 }
 
+// Counts the rejection at the endpoint or helper that is full. An endpoint that
+// leaves, was replaced or states a rate limit has another reason.
+void RequestRun::RecordRejection(const EndpointResponseMetadata& aFacts,
+                                 const Fleet::ActiveRequest& aActiveRequest)
+{
+  const FleetPlacement& placement = aActiveRequest.Placement();
+  const EndpointNotice& notice = aFacts.notice_;
+  if (aFacts.instanceReplaced_ || notice.leaving_ ||
+      notice.rateLimit_.kind_ == AdvertisedRateLimit::Kind::kSpecified) {
+    return;
+  }
+  ListedEndpoint full = placement.endpoint_;
+  if (!aFacts.failedHelperAddress_.empty()) {
+    const auto helper =
+      std::find_if(placement.helpers_.begin(),
+                   placement.helpers_.end(),
+                   [&aFacts](const ListedEndpoint& aHelper) {
+                     return aHelper.address_ == aFacts.failedHelperAddress_;
+                   });
+    if (helper == placement.helpers_.end()) {
+      return;
+    }
+    full = *helper;
+  }
+  const bool isNews = parts_.fleet_.Loads().OnRejected(
+    full, aActiveRequest.SentAt(), TimerService::Now());
+  if (isNews || notice.backoff_.kind_ == RequestedBackoff::Kind::kSpecified) {
+    parts_.loadExchange_.OnPressureBegan(full);
+  }
+}
+
 asio::awaitable<Outcome<std::optional<std::string>>> RequestRun::ReadChunk(
   HttpCall& aCall,
   const Fleet::ActiveRequest& aActiveRequest)
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -79,6 +79,7 @@
   , exchange_(aExchange)
   , request_(std::move(aRequest))
   , events_(request_.facts_.lastEventId_)
+  , requestDraw_(RandomNumber())
 {
 }
 
@@ -177,7 +178,8 @@
                   .objective_ = request_.route_->objective_,
                   .maxGap_ = request_.route_->maxGap_ },
     .tried_ = tried_,
-    .draw_ = RandomNumber()
+    .draw_ = RandomNumber(),
+    .requestDraw_ = requestDraw_
   };
   const RoutedService* service =
     request_.table_->ServiceByName(request_.service_);
@@ -391,6 +393,8 @@
       { "candidates", aPlacement.candidates_ },
       { "withheld", aPlacement.withheld_ },
       { "backed_off", aPlacement.backedOff_ },
+      { "pressed", aPlacement.pressed_ },
+      { "pressure", aPlacement.pressure_ },
       { "limit_per_second",
         parts_.limiter_.Of(aPlacement.endpoint_.IncarnationId()).value_or(-1) },
       { "running", aPlacement.load_.running_ },
--- a/src/gateway/gooseberrylift-route-follower.cc
+++ b/src/gateway/gooseberrylift-route-follower.cc
@@ -131,13 +131,15 @@
   const std::string& zone = aEvent.object_.name_;
   Log(LogEvent::kZoneEvacuated,
       { { "zone", zone }, { "evacuated", !aEvent.deleted_ } });
+  std::vector<ListedEndpoint> returned;
   fleet_.Access().WithDirectory([&](EndpointDirectory& aDirectory) {
     if (aEvent.deleted_) {
-      aDirectory.OnEvacuationEnded(zone);
+      returned = aDirectory.OnEvacuationEnded(zone);
     } else {
       aDirectory.OnEvacuated(zone);
     }
   });
+  fleet_.Loads().OnReturned(returned, TimerService::Now());
 }
 
 void EndpointFollower::OnStoreReturned()
--- a/src/gateway/gooseberrylift-service-loads.cc
+++ b/src/gateway/gooseberrylift-service-loads.cc
@@ -1,5 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-service-loads.h"
 
+#include "gooseberrylift/internal/gooseberrylift-log.h"
+
 namespace gooseberrylift {
 
 namespace {
@@ -14,6 +16,30 @@
 // No engine pass takes longer than this.
 constexpr milliseconds kMaxSilence{ 1'000 };
 
+// Changes of one service that are logged at each sweep, of which there are one
+// or two a second.
+constexpr std::size_t kMaxLoggedChanges = 20;
+
+void LogPressure(const std::string& aService,
+                 const std::vector<PressureChange>& aChanges)
+{
+  std::size_t logged = 0;
+  for (const PressureChange& change : aChanges) {
+    if (++logged > kMaxLoggedChanges) {
+      return;
+    }
+    Log(change.began_ ? LogEvent::kEndpointPressureBegan
+                      : LogEvent::kEndpointPressureEnded,
+        { { "endpoint", change.endpoint_ },
+          { "service", aService },
+          { "cause", NameOf(change.cause_) },
+          { "told", change.told_ },
+          { "rejections", change.rejections_ },
+          { "remaining_ms", change.remaining_.count() },
+          { "changes", aChanges.size() } });
+  }
+}
+
 void Append(std::vector<EndpointShare> aShares,
             std::vector<EndpointShare>& aAll)
 {
@@ -35,7 +61,12 @@
                             microseconds aDuration,
                             TimePoint aNow)
 {
+  hasTraffic_ = true;
   outlierDetector_.OnOutcome(aEndpoint, aOutcome, aNow);
+  if (outlierDetector_.IsEjected(aEndpoint, aNow)) {
+    pressure_.OnEjected(
+      aEndpoint, outlierDetector_.EjectedUntil(aEndpoint), aNow);
+  }
   if (aOutcome != EndpointOutcome::kServed) {
     return;
   }
@@ -45,10 +76,18 @@
     average + (duration - average) * kDurationSmoothing));
 }
 
-void ServiceLoad::OnRestarted(const std::string& aEndpoint)
+void ServiceLoad::OnRestarted(const std::string& aEndpoint, TimePoint aNow)
 {
   load_.OnRestarted(aEndpoint);
   outlierDetector_.OnRestarted(aEndpoint);
+  OnReturned(aEndpoint, aNow);
+}
+
+void ServiceLoad::OnReturned(const std::string& aEndpoint, TimePoint aNow)
+{
+  if (hasTraffic_) {
+    pressure_.OnReturned(aEndpoint, aNow);
+  }
 }
 
 ServiceLoads::Shard& ServiceLoads::ShardOf(const std::string& aService)
@@ -61,6 +100,33 @@
   return *shard;
 }
 
+bool ServiceLoads::OnRejected(const ListedEndpoint& aEndpoint,
+                              TimePoint aSentAt,
+                              TimePoint aNow)
+{
+  return With(aEndpoint.service_, [&](ServiceLoad& aState) {
+    return aState.pressure_.OnRejected(aEndpoint.id_, aSentAt, aNow);
+  });
+}
+
+void ServiceLoads::OnBackoff(const ListedEndpoint& aEndpoint,
+                             milliseconds aDuration,
+                             TimePoint aNow)
+{
+  With(aEndpoint.service_, [&](ServiceLoad& aState) {
+    aState.pressure_.OnBackoff(aEndpoint.id_, aDuration, aNow);
+  });
+}
+
+void ServiceLoads::OnReturned(const std::vector<ListedEndpoint>& aEndpoints,
+                              TimePoint aNow)
+{
+  for (const ListedEndpoint& endpoint : aEndpoints) {
+    With(endpoint.service_,
+         [&](ServiceLoad& aState) { aState.OnReturned(endpoint.id_, aNow); });
+  }
+}
+
 void ServiceLoads::OnLoadMessage(const std::string& aPeer,
                                  const LoadMessage& aMessage,
                                  TimePoint aNow)
@@ -76,6 +142,9 @@
   ForEach([&](const std::string& aService, ServiceLoad& aState) {
     FleetLoad& load = aState.load_;
     std::vector<EndpointShare>& shares = byService[aService];
+    for (const EndpointShare& share : shares) {
+      aState.pressure_.OnTold(share, aNow);
+    }
     switch (aMessage.kind_) {
       case LoadMessageKind::kSnapshot:
         // Also for services that the snapshot does not mention: the peer has no
@@ -101,7 +170,9 @@
   };
   std::vector<EndpointShare> all;
   ForEach([&](const std::string& /*aService*/, ServiceLoad& aState) {
-    Append(aState.load_.Sum(counts, aNow), all);
+    std::vector<EndpointShare> sum = aState.load_.Sum(counts, aNow);
+    aState.pressure_.TellIn(sum, aNow);
+    Append(std::move(sum), all);
   });
   return all;
 }
@@ -123,7 +194,9 @@
 {
   std::vector<EndpointShare> all;
   ForEach([&](const std::string& /*aService*/, ServiceLoad& aState) {
-    Append(aState.load_.OwnShares(aNow), all);
+    std::vector<EndpointShare> own = aState.load_.OwnShares(aNow);
+    aState.pressure_.TellIn(own, aNow);
+    Append(std::move(own), all);
   });
   return all;
 }
@@ -136,7 +209,9 @@
   shares.reserve(aEndpoints.size());
   for (const ListedEndpoint& endpoint : aEndpoints) {
     shares.push_back(With(endpoint.service_, [&](ServiceLoad& aState) {
-      return aState.load_.OwnShare(endpoint.id_, aNow);
+      EndpointShare share = aState.load_.OwnShare(endpoint.id_, aNow);
+      aState.pressure_.TellIn(share, aNow);
+      return share;
     }));
   }
   return shares;
@@ -144,8 +219,9 @@
 
 void ServiceLoads::Sweep(TimePoint aNow)
 {
-  ForEach([aNow](const std::string& /*aService*/, ServiceLoad& aState) {
+  ForEach([aNow](const std::string& aService, ServiceLoad& aState) {
     aState.outlierDetector_.Sweep(aNow);
+    LogPressure(aService, aState.pressure_.Sweep(aNow));
   });
 }
 
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -139,6 +139,16 @@
                 "endpoint-backoff-ended",
                 "The backoff that an endpoint asked for has ended; it gets "
                 "requests again." },
+  LogEventInfo{ kEndpointPressureBegan,
+                LogLevel::kInfo,
+                "endpoint-pressure-began",
+                "An endpoint rejected requests, asked for a backoff, was "
+                "ejected or returned; for 'remaining_ms' it gets fewer "
+                "requests. 'told' says whether only other hosts saw it." },
+  LogEventInfo{ kEndpointPressureEnded,
+                LogLevel::kInfo,
+                "endpoint-pressure-ended",
+                "An endpoint gets its full share of the requests again." },
   LogEventInfo{ kRequestFinished,
                 LogLevel::kDebug,
                 "request-finished",
--- a/test/core/gooseberrylift-endpoint-directory-test.cc
+++ b/test/core/gooseberrylift-endpoint-directory-test.cc
@@ -130,8 +130,9 @@
   directory_.OnListed(Listed("a"));
   directory_.OnEvacuated("");
   CHECK_FALSE(directory_.IsUsable(endpoint));
-  directory_.OnEvacuationEnded("");
+  LONGS_EQUAL(1, directory_.OnEvacuationEnded("").size());
   CHECK_TRUE(directory_.IsUsable(endpoint));
+  LONGS_EQUAL(0, directory_.OnEvacuationEnded("").size());
   directory_.OnRemoved("a", now_);
   CHECK_FALSE(directory_.IsUsable(endpoint));
 }
--- a/test/core/gooseberrylift-fleet-load-test.cc
+++ b/test/core/gooseberrylift-fleet-load-test.cc
@@ -101,6 +101,21 @@
   CHECK_FALSE(load_.ShortestPeerSilence("engine", now_ + 3s).has_value());
 }
 
+// Several hosts report the same rejections, and a host without requests there
+// has no silence to report.
+TEST(FleetLoadTest, CombinesReportedRejectionsAndBackoffs)
+{
+  load_.OnPeerSnapshot(
+    "one", { { .id_ = "engine", .rejections_ = 2, .backoff_ = 900ms } }, now_);
+  load_.OnPeerSnapshot("two", { { .id_ = "engine", .rejections_ = 3 } }, now_);
+  CHECK_FALSE(load_.ShortestPeerSilence("engine", now_).has_value());
+  const auto sum =
+    load_.Sum([](const std::string&) { return true; }, now_ + 100ms);
+  LONGS_EQUAL(1, sum.size());
+  LONGS_EQUAL(3, sum.front().rejections_);
+  LONGS_EQUAL(800, sum.front().backoff_.count());
+}
+
 TEST(FleetLoadTest, DoesNotCountAnEndAsReceivedData)
 {
   load_.OnSent("engine", 1, {}, now_);
--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -91,6 +91,21 @@
   }
 }
 
+// Engines under pressure are no room for short requests, nor long prompts.
+TEST(FleetPlacementTest, ExtendsTheLaneByTheEnginesUnderPressure)
+{
+  AddEngines(8);
+  for (std::size_t index = 0; index < 4; ++index) {
+    candidates_[index].load_ = { .running_ = 48, .pressure_ = 48 };
+  }
+  STRCMP_EQUAL("4", Choose(ShortRequest())->endpoint_->id_.c_str());
+  const auto choice = Choose(LongRequest(200'000));
+  CHECK_TRUE(choice->endpoint_->id_ > "4");
+  for (const ListedEndpoint* helper : choice->helpers_) {
+    CHECK_TRUE(helper->id_ > "4");
+  }
+}
+
 TEST(FleetPlacementTest, WidensTheLaneWithTheNumberOfShortRequests)
 {
   AddEngines(8);
--- a/test/core/gooseberrylift-zone-load-test.cc
+++ b/test/core/gooseberrylift-zone-load-test.cc
@@ -65,6 +65,19 @@
   LONGS_EQUAL(0, message->shares_.front().running_);
 }
 
+TEST(ZoneLoadAggregatorTest, ReportsRejectionsAndBackoffsAsTheyChange)
+{
+  const auto changes = [this](const EndpointShare& aShare, auto aAfter) {
+    return aggregator_.NextMessage({ aShare }, now_ + aAfter).has_value();
+  };
+  CHECK_TRUE(changes({ .id_ = "a" }, 0ms));
+  CHECK_TRUE(changes({ .id_ = "a", .rejections_ = 1 }, 10ms));
+  CHECK_TRUE(changes({ .id_ = "a", .rejections_ = 1, .backoff_ = 2s }, 20ms));
+  CHECK_FALSE(
+    changes({ .id_ = "a", .rejections_ = 1, .backoff_ = 1900ms }, 120ms));
+  CHECK_TRUE(changes({ .id_ = "a", .rejections_ = 1, .backoff_ = 3s }, 220ms));
+}
+
 TEST(ZoneLoadAggregatorTest, SendsHeartbeats)
 {
   aggregator_.NextMessage({ Share("a", 1) }, now_);
