Send requests at once to an endpoint that has just returned

The ramp after an evacuation taken back began at zero, so that the first requests after it could all go elsewhere: EvacuationTest SendsNothingToAZoneUntilItsEvacuationEnds failed once in one run of all tests. The ramp of an endpoint that started or returned, rather than was overloaded, now begins at a quarter.

--- a/include/gooseberrylift/routing/gooseberrylift-endpoint-pressure.h
+++ b/include/gooseberrylift/routing/gooseberrylift-endpoint-pressure.h
@@ -67,6 +67,9 @@
     // At the end of a ramp, an endpoint receives up to this multiple of its
     // equal share of the requests.
     double rampHeadroom_ = 2;
+    // Where the ramp of an endpoint begins that was not overloaded but started
+    // or returned, as a share of the ramp: it gets requests at once.
+    double returnedRampStart_ = 0.25;
     // After a request of this host was answered, other hosts' reports about the
     // endpoint are not applied for this time.
     std::chrono::milliseconds trust_{ 2'000 };
--- a/src/core/routing/gooseberrylift-endpoint-pressure.cc
+++ b/src/core/routing/gooseberrylift-endpoint-pressure.cc
@@ -254,8 +254,11 @@
   const std::chrono::duration<double> ramp =
     record.rampUntil_ - record.heldUntil_;
   const std::chrono::duration<double> elapsed = aNow - record.heldUntil_;
+  const double start =
+    record.cause_ == PressureCause::kReturned ? options_.returnedRampStart_ : 0;
+  const double progress = start + (1 - start) * (elapsed / ramp);
   const double admitted =
-    elapsed / ramp * options_.rampHeadroom_ /
+    progress * options_.rampHeadroom_ /
     static_cast<double>(std::max<std::size_t>(aCandidates, 1));
   if (DrawFor(aEndpoint, aDraw) < admitted) {
     return 0;
