--- a/test/core/gooseberrylift-endpoint-pressure-test.cc
+++ b/test/core/gooseberrylift-endpoint-pressure-test.cc
@@ -360,7 +360,7 @@
   LONGS_EQUAL(kSlots, CountedAtFirst());
   pressure_.OnAnswered("a", now_, now_);
   now_ += 3s / 2;
-  pressure_.OnTold({ .id_ = "a", .rejections_ = 9, .backoff_ = 1500ms }, now_);
+  pressure_.OnTold({ .id_ = "a", .rejections_ = 9, .backoff_ = 9s }, now_);
   now_ += 3s; // the ramp of the first backoff has ended
   LONGS_EQUAL(0, CountedAtFirst());
 }
