--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -51,6 +51,8 @@
   kEndpointNotice = 1206,
   kEndpointBackoffEnded = 1207,
   kEndpointCold = 1208,
+  kEndpointPressureBegan = 1210,
+  kEndpointPressureEnded = 1211,
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
--- a/src/core/membership/gooseberrylift-zone-load.cc
+++ b/src/core/membership/gooseberrylift-zone-load.cc
@@ -15,8 +15,11 @@
 // time.
 auto CountsOf(const EndpointShare& aShare)
 {
-  return std::tie(
-    aShare.running_, aShare.tightGap_, aShare.memoryTokens_, aShare.deferred_);
+  return std::tie(aShare.running_,
+                  aShare.tightGap_,
+                  aShare.memoryTokens_,
+                  aShare.deferred_,
+                  aShare.rejections_);
 }
 
 } // namespace
@@ -42,6 +45,12 @@
            options_.backlogTolerance_ ||
          std::chrono::abs(aNew.unstarted_ - aSent.share_.unstarted_) >
            options_.backlogTolerance_ ||
+         aNew.backoff_ >
+           std::max(
+             aSent.share_.backoff_ -
+               std::chrono::duration_cast<std::chrono::milliseconds>(elapsed),
+             std::chrono::milliseconds(0)) +
+             options_.backoffTolerance_ ||
          aNew.silent_ + options_.activityInterval_ < silent;
 }
 
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -79,6 +79,7 @@
   , exchange_(aExchange)
   , request_(std::move(aRequest))
   , events_(request_.facts_.lastEventId_)
+  , requestDraw_(RandomNumber())
 {
 }
 
@@ -178,7 +179,8 @@
                   .maxGap_ = request_.route_->maxGap_ },
     .tried_ = tried_,
     .allowedZones_ = request_.allowedZones_,
-    .draw_ = RandomNumber()
+    .draw_ = RandomNumber(),
+    .requestDraw_ = requestDraw_
   };
   const RoutedService* service =
     request_.table_->ServiceByName(request_.service_);
@@ -393,6 +395,8 @@
       { "withheld", aPlacement.withheld_ },
       { "backed_off", aPlacement.backedOff_ },
       { "cold", parts_.limiter_.IsCold(aPlacement.endpoint_.IncarnationId()) },
+      { "pressed", aPlacement.pressed_ },
+      { "pressure", aPlacement.pressure_ },
       { "limit_per_second",
         parts_.limiter_.Of(aPlacement.endpoint_.IncarnationId()).value_or(-1) },
       { "running", aPlacement.load_.running_ },
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -145,6 +145,16 @@
                 "An endpoint is cold, or warm again; all hosts together send a "
                 "cold one at most 'per_second' requests. 'source' tells how "
                 "this host knows." },
+  LogEventInfo{ kEndpointPressureBegan,
+                LogLevel::kInfo,
+                "endpoint-pressure-began",
+                "An endpoint rejected requests, asked for a backoff, was "
+                "ejected or returned; for 'remaining_ms' it gets fewer "
+                "requests. 'told' says whether only other hosts saw it." },
+  LogEventInfo{ kEndpointPressureEnded,
+                LogLevel::kInfo,
+                "endpoint-pressure-ended",
+                "An endpoint gets its full share of the requests again." },
   LogEventInfo{ kRequestFinished,
                 LogLevel::kDebug,
                 "request-finished",
