Decide who goes first among the long prompts that wait at all hosts

A long prompt that found its engines busy was sent by whichever host checked first, so a large prompt lost to smaller ones for as long as these arrived.

A claim on the memory of named engines cost short prompts more and was not taken.

--- a/include/gooseberrylift/limits/gooseberrylift-long-prompt-hold.h
+++ b/include/gooseberrylift/limits/gooseberrylift-long-prompt-hold.h
@@ -28,6 +28,8 @@
   std::chrono::milliseconds objective_{ 0 };          // for the first token
   bool peerLoadUnknown_ =
     false; // wait_ doesn't include the requests of other hosts
+  // It precedes all other prompts that wait at any host.
+  bool isFirst_ = false;
 };
 
 struct HoldOptions
@@ -40,6 +42,8 @@
   // Bounds of the scaling factor.
   double minFactor_ = 0.15;
   double maxFactor_ = 2;
+  // The smallest factor for the prompt that precedes all others that wait.
+  double firstFactor_ = 1;
   // After this share of the time that its caller waits, less ownPrefillFactor_
   // prefills, a prompt is sent or rejected. Lower values send prompts to busy
   // engines that could still have waited; with higher ones more prompts miss
@@ -73,6 +77,11 @@
   kReject // it can't complete in time, or only by delaying other requests
 };
 
+/// Returns how long a prompt may still be held.
+/// @return negative or zero if it must be sent or rejected now
+std::chrono::milliseconds RemainingHold(const HoldInput& aInput,
+                                        const HoldOptions& aOptions);
+
 /// Decides whether a long prompt is sent now, held or rejected.
 HoldDecision DecideLongPromptHold(const HoldInput& aInput,
                                   const HoldOptions& aOptions);
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
@@ -56,6 +56,8 @@
   // Predicted wait at its engines before prefill. For a long prompt, includes a
   // part of the delay penalty for other requests there.
   std::chrono::microseconds wait_{ 0 };
+  // For a long prompt, the engines that could start to prefill one now.
+  std::size_t freeEngines_ = 0;
   RequestCost cost_;       // at endpoint_
   RequestCost helperCost_; // at each helper
 };
@@ -157,6 +159,11 @@
     const std::vector<PlacementCandidate>& aCandidates,
     const PlacementRequest& aRequest) const;
 
+  /// Returns how many engines a prompt needs at once, so that its parts fit
+  /// into their memory and its prefill takes at most half of its objective.
+  std::size_t EnginesNeeded(const EngineProfile& aProfile,
+                            const PlacementRequest& aRequest) const;
+
   /// Predicts the time until an engine starts a new request.
   /// @param aQueuedAhead number of requests there that precede it
   static std::chrono::microseconds PredictWait(const EngineProfile& aProfile,
@@ -174,13 +181,15 @@
     const Task& aTask,
     const std::vector<const PlacementCandidate*>& aCandidates,
     std::size_t aLaneSize) const;
+  struct RankedEngine;
+  static std::size_t CountFree(const Task& aTask,
+                               const std::vector<RankedEngine>& aEngines);
   std::optional<PlacementChoice> ChooseLong(
     const Task& aTask,
     const std::vector<const PlacementCandidate*>& aCandidates,
     const LaneSplit& aLanes,
     std::size_t aMaxEngines) const;
   struct ShortCandidate;
-  struct RankedEngine;
   std::vector<RankedEngine> SelectPrefillEngines(
     const Task& aTask,
     const std::vector<RankedEngine>& aEngines,
--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -52,6 +52,11 @@
 // about one pass.
 constexpr std::chrono::milliseconds kDecodingWaitMargin{ 60 };
 
+// An engine is free for a long prompt if it waits for less than this there and
+// this share of the memory is not in use: about two passes.
+constexpr std::chrono::milliseconds kFreeWait{ 120 };
+constexpr double kFreeMemoryShare = 0.5;
+
 } // namespace
 
 // A request to be placed, with the values derived from it.
@@ -74,6 +79,28 @@
   bool hasSpare_ = false;      // spare engines extend the short lane
 };
 
+std::size_t EnginePlacement::EnginesNeeded(
+  const EngineProfile& aProfile,
+  const PlacementRequest& aRequest) const
+{
+  const auto most = static_cast<std::size_t>(options_.maxEngines_);
+  const auto inParts = [](double aWhole, double aPart) {
+    return aPart > 0 ? static_cast<std::size_t>(std::ceil(aWhole / aPart))
+                     : std::size_t{ 1 };
+  };
+  const double tokens =
+    static_cast<double>(aRequest.promptTokens_ + aRequest.answerTokens_);
+  const std::size_t forMemory = inParts(
+    tokens,
+    static_cast<double>(aProfile.memoryTokens_) * options_.usableMemoryShare_);
+  const std::size_t forTime = inParts(
+    static_cast<double>(aProfile.PrefillTime(aRequest.promptTokens_).count()),
+    static_cast<double>(
+      duration_cast<microseconds>(aRequest.objective_).count()) /
+      2);
+  return std::clamp<std::size_t>(std::max(forMemory, forTime), 1, most);
+}
+
 microseconds EnginePlacement::PredictWait(const EngineProfile& aProfile,
                                           const EndpointLoad& aLoad,
                                           int aQueuedAhead)
@@ -383,6 +410,21 @@
   std::rotate(aChosen.begin(), found, found + 1);
 }
 
+// Returns the number of engines that could start to prefill a long prompt now.
+std::size_t EnginePlacement::CountFree(
+  const Task& aTask,
+  const std::vector<RankedEngine>& aEngines)
+{
+  const double memory = static_cast<double>(aTask.profile_.memoryTokens_);
+  return static_cast<std::size_t>(std::count_if(
+    aEngines.begin(), aEngines.end(), [&](const RankedEngine& aEngine) {
+      const EndpointLoad& load = aEngine.candidate_->load_;
+      return aEngine.wait_ <= kFreeWait &&
+             (memory == 0 || static_cast<double>(load.memoryTokens_) <=
+                               memory * (1 - kFreeMemoryShare));
+    }));
+}
+
 std::optional<PlacementChoice> EnginePlacement::ChooseLong(
   const Task& aTask,
   const std::vector<const PlacementCandidate*>& aCandidates,
@@ -474,6 +516,7 @@
       (aTask.totalTokens_ + best.size() - 1) / best.size();
   }
   choice.slowsDecoding_ = true;
+  choice.freeEngines_ = CountFree(aTask, all);
   choice.wait_ = wait + Scaled(penalty, options_.waitPenaltyShare_);
   choice.firstAnswer_ =
     wait + part + profile.PassTime(load.running_ + 1, load.memoryTokens_);
