Send held long prompts in the order of all hosts

WaitingRoom carries the waiting prompts between requests, load messages and WaitingOrder. Event 1403 says that a prompt began to wait and at which place, event 1401 has the inputs of a rejection, and three counters tell how many wait, yield and are rejected on arrival. While no host has a prompt that waits, a prompt is decided about by itself, as before.

--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -51,6 +51,7 @@
   bool deferred_ = false;
   bool peerLoadUnknown_ = false; // no load messages from other hosts
   EndpointLoad load_;            // of the endpoint, without this request
+  std::size_t freeEngines_ = 0;  // that could start a long prompt now
   std::size_t candidates_ = 0;
   std::size_t withheld_ = 0;  // endpoints skipped because no permit is left
   std::size_t backedOff_ = 0; // endpoints skipped because of a backoff
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -91,6 +91,7 @@
   PoisonRequestMonitor poisonRequestMonitor_;
   PeerDatagrams datagrams_;
   StoreStatusExchange statusExchange_;
+  WaitingRoom waitingRoom_;
   LoadExchange loadExchange_;
   SettingsWatch settingsWatch_;
   GatewayFront front_;
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -56,6 +56,7 @@
   kRequestServed = 1303,
   kRequestPlaced = 1400,
   kRequestRefused = 1401,
+  kRequestWaits = 1403,
   kPoisonRequestDetected = 1402,
   kJobEnded = 1520,
   kJobClaimLost = 1521,
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -21,6 +21,7 @@
 #include "gooseberrylift/internal/gooseberrylift-memory-reservation.h"
 #include "gooseberrylift/internal/gooseberrylift-poison-request-monitor.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
+#include "gooseberrylift/internal/gooseberrylift-waiting-room.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 #include "gooseberrylift/limits/gooseberrylift-fleet-retry-budget.h"
 #include "gooseberrylift/limits/gooseberrylift-long-prompt-hold.h"
@@ -78,6 +79,7 @@
     EndpointRateLimiter& limiter_;
     boost::asio::any_io_executor executor_;
     LoadExchange& loadExchange_; // sends load messages to the other hosts
+    WaitingRoom& waitingRoom_;
   };
 
   RequestRun(Parts aParts, HttpExchange& aExchange, RoutedRequest aRequest);
@@ -112,7 +114,12 @@
   std::chrono::milliseconds RemainingTime() const;
   Error MakeRefusal(const FleetPlacement& aPlacement,
                     std::chrono::milliseconds aRetryAfter) const;
-  HoldDecision DecideHold(const FleetPlacement& aPlacement) const;
+  HoldDecision DecideHold(const FleetPlacement& aPlacement);
+  HoldDecision DecideInOrder(HoldInput aInput,
+                             const FleetPlacement* aPlacement);
+  void EnterWaitingRoom(const EngineProfile& aProfile, HoldInput aInput);
+  void LogWaiting() const;
+  void LeaveWaitingRoom(bool aSent);
   std::optional<std::chrono::milliseconds> DelayForMemory();
   std::optional<std::chrono::milliseconds> DelayForEndpoint();
   Error MakeNoEndpointError();
@@ -170,6 +177,9 @@
   AttemptErrors attempts_;
   EventSequence events_;
   std::set<std::string> tried_;
+  // While it waits in the order of all hosts, and its place when last checked.
+  std::unique_ptr<WaitingRoom::Ticket> waiting_;
+  WaitingTurn turn_;
   int sends_ = 0; // attempts that sent at least part of the request
   // Total time of the attempts that sent nothing, such as failed connections.
   TimePoint::duration timeOnUnsentAttempts_{ 0 };
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -68,6 +68,7 @@
         .deferred_ = choice->deferred_,
         .peerLoadUnknown_ = aQuery.request_.peerLoadUnknown_,
         .load_ = aState.load_.Of(choice->endpoint_->id_, now),
+        .freeEngines_ = choice->freeEngines_,
         .candidates_ = candidates.size(),
         .withheld_ = restrictions.limited_.withheld_.size(),
         .backedOff_ = restrictions.backedOff_.size(),
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -99,6 +99,7 @@
         co_await TimerService::SleepFor(*wait);
         continue;
       }
+      LeaveWaitingRoom(false);
       attempts_.OnRefused(MakeNoEndpointError());
       break;
     }
@@ -107,6 +108,7 @@
       co_await TimerService::SleepFor(HoldOptions{}.recheckInterval_);
       continue;
     }
+    LeaveWaitingRoom(decision == HoldDecision::kSend);
     if (decision == HoldDecision::kReject) {
       attempts_.OnRefused(
         MakeRefusal(*placement, MaxRetryDelay(RemainingTime())));
--- a/src/gateway/gooseberrylift-request-waiting.cc
+++ b/src/gateway/gooseberrylift-request-waiting.cc
@@ -46,7 +46,7 @@
 
 // Decides whether a long prompt is sent, held until the engines' load is
 // checked again, or rejected.
-HoldDecision RequestRun::DecideHold(const FleetPlacement& aPlacement) const
+HoldDecision RequestRun::DecideHold(const FleetPlacement& aPlacement)
 {
   const EngineProfile* profile = FindEngineProfile();
   if (!aPlacement.slowsDecoding_ || sends_ > 0 || profile == nullptr) {
@@ -55,7 +55,82 @@
   HoldInput input = MakeHoldInput(*profile, aPlacement.wait_);
   input.peerLoadUnknown_ = aPlacement.peerLoadUnknown_;
   input.partialPrefill_ = aPlacement.cost_.prefill_;
-  return DecideLongPromptHold(input, HoldOptions{});
+  return DecideInOrder(input, &aPlacement);
+}
+
+// Decides about a long prompt by its turn among those that wait at all hosts.
+// While none waits, it is decided about by itself.
+HoldDecision RequestRun::DecideInOrder(HoldInput aInput,
+                                       const FleetPlacement* aPlacement)
+{
+  const HoldOptions options;
+  const HoldDecision byItself = DecideLongPromptHold(aInput, options);
+  const EngineProfile* profile = FindEngineProfile();
+  const bool alone = !waiting_ && byItself != HoldDecision::kHold &&
+                     parts_.waitingRoom_.IsEmpty();
+  if (alone || profile == nullptr) {
+    return byItself;
+  }
+  const bool arrived = !waiting_;
+  if (arrived) {
+    EnterWaitingRoom(*profile, aInput);
+  }
+  WaitingSupply supply{ .engines_ = parts_.fleet_.Access().CountUsable(
+                          request_.service_) };
+  if (aPlacement != nullptr) {
+    supply.free_ = aPlacement->freeEngines_;
+    supply.wanted_ = aPlacement->helpers_.size() + 1;
+  }
+  turn_ = waiting_->Turn(supply);
+  aInput.isFirst_ = turn_.isFirst_;
+  const HoldDecision decision =
+    DecideByTurn(DecideLongPromptHold(aInput, options), turn_, arrived);
+  parts_.waitingRoom_.Count(byItself, decision, arrived);
+  if (arrived && decision == HoldDecision::kHold) {
+    LogWaiting();
+  }
+  return decision;
+}
+
+void RequestRun::EnterWaitingRoom(const EngineProfile& aProfile,
+                                  HoldInput aInput)
+{
+  const FleetQuery query = MakeQuery();
+  const std::size_t engines = EnginePlacement(EnginePlacement::Options{})
+                                .EnginesNeeded(aProfile, query.request_);
+  aInput.partialPrefill_ = aInput.prefill_ / static_cast<std::int64_t>(engines);
+  waiting_ = parts_.waitingRoom_.Enter(
+    { .service_ = NameHash(request_.service_),
+      .team_ = request_.team_.empty() ? 0 : NameHash(request_.team_),
+      .priority_ = request_.priority_,
+      .waited_ = duration_cast<milliseconds>(TimerService::Now() -
+                                             request_.firstArrived_),
+      .remaining_ = RemainingHold(aInput, HoldOptions{}),
+      .engines_ = static_cast<std::uint32_t>(engines),
+      .memoryTokens_ =
+        request_.facts_.promptTokens_ + request_.facts_.answerTokens_,
+      .prefill_ = duration_cast<milliseconds>(aInput.prefill_) },
+    request_.id_);
+}
+
+void RequestRun::LeaveWaitingRoom(bool aSent)
+{
+  if (waiting_ && aSent) {
+    waiting_->OnSent();
+  }
+  waiting_.reset();
+}
+
+void RequestRun::LogWaiting() const
+{
+  Log(LogEvent::kRequestWaits,
+      { { "request_id", request_.facts_.attemptId_ },
+        { "service", request_.service_ },
+        { "place", turn_.ahead_ + 1 },
+        { "waiting", turn_.waiting_ },
+        { "yields", turn_.yields_ },
+        { "expected_wait_ms", turn_.expectedWait_.count() },
+        { "facts_age_ms", turn_.factsAge_.count() } });
 }
 
 // Returns how long to wait before placing a prompt again that currently doesn't
@@ -76,12 +151,13 @@
   if (needed > capacity) {
     return std::nullopt;
   }
+  const HoldInput input = MakeHoldInput(*profile, microseconds::max());
   const HoldOptions options{ .maxHoldShare_ = kMaxMemoryWaitShare };
-  const HoldDecision decision =
-    DecideLongPromptHold(MakeHoldInput(*profile, microseconds::max()), options);
-  return decision == HoldDecision::kHold
-           ? std::optional(options.recheckInterval_)
-           : std::nullopt;
+  if (DecideLongPromptHold(input, options) != HoldDecision::kHold ||
+      DecideInOrder(input, nullptr) != HoldDecision::kHold) {
+    return std::nullopt;
+  }
+  return options.recheckInterval_;
 }
 
 // Returns how long to wait before placing a request again if no endpoint may
@@ -165,6 +241,10 @@
         { "patience_ms", CallerStallTimeout(*request_.route_).count() },
         { "held_ms",
           duration_cast<milliseconds>(now - request_.arrived_).count() },
+        { "place", turn_.ahead_ + 1 },
+        { "waiting", turn_.waiting_ },
+        { "expected_wait_ms", turn_.expectedWait_.count() },
+        { "facts_age_ms", turn_.factsAge_.count() },
         { "candidates", aPlacement.candidates_ },
         { "running", aPlacement.load_.running_ },
         { "retry_after_ms", aRetryAfter.count() } });
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -105,6 +105,9 @@
         .executor_ = context_.get_executor(),
         .notifyPeers_ = [this] { peers_.ExchangeInScope(); } })
   , datagrams_(context_.get_executor())
+  , waitingRoom_({ .metrics_ = metrics_,
+                   .onChanged_ = [this] { loadExchange_.OnListsChanged(); } },
+                 settings_.hostName_)
   , statusExchange_(
       { .executor_ = context_.get_executor(),
         .datagrams_ = datagrams_,
@@ -132,12 +135,19 @@
             return fleet_.Loads().SumSharesOf(peerGroups_.zoneHosts_,
                                               TimerService::Now());
           },
-        .ownLists_ = [] { return LoadMessageLists{}; },
-        .zoneLists_ = [] { return LoadMessageLists{}; },
+        .ownLists_ =
+          [this] { return LoadMessageLists{ .waiting_ = waitingRoom_.Own() }; },
+        .zoneLists_ =
+          [this] {
+            return LoadMessageLists{ .waiting_ = waitingRoom_.OfZone(
+                                       peerGroups_.zoneHosts_) };
+          },
         .onReceived_ =
           [this](const LoadMessage& aMessage) {
             metrics_.Count("gooseberrylift_load_words_total", "");
-            fleet_.OnLoadMessage(aMessage);
+            if (const auto source = fleet_.OnLoadMessage(aMessage)) {
+              waitingRoom_.OnLoadMessage(*source, aMessage);
+            }
           } },
       { .host_ = settings_.hostName_, .zone_ = settings_.zone_ })
   , settingsWatch_({ .executor_ = context_.get_executor(),
@@ -160,7 +170,8 @@
                        .poisonRequestMonitor_ = poisonRequestMonitor_,
                        .limiter_ = limiter_,
                        .executor_ = context_.get_executor(),
-                       .loadExchange_ = loadExchange_ } })
+                       .loadExchange_ = loadExchange_,
+                       .waitingRoom_ = waitingRoom_ } })
   , callerServer_(
       context_.get_executor(),
       { .address_ = settings_.caller_.address_,
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -171,6 +171,11 @@
                 LogLevel::kWarning,
                 "request-suspected",
                 "A request crashed two endpoints; all hosts now reject it." },
+  LogEventInfo{ kRequestWaits,
+                LogLevel::kInfo,
+                "request-waits",
+                "A long prompt waits for engines; the fields give its place "
+                "among those that wait at all hosts." },
   LogEventInfo{ kJobEnded,
                 LogLevel::kInfo,
                 "job-ended",
