Play the order of waiting prompts in the pass bench

A prompt that finds no memory is now held for a quarter of its caller's stall timeout and returned for a retry, as hosts do, in place of being lost at once.

--- a/bench/gooseberrylift-pass-bench-main.cc
+++ b/bench/gooseberrylift-pass-bench-main.cc
@@ -156,6 +156,8 @@
   app.add_option("--missed-ms", missed, "weight of a missed objective");
   app.add_option("--alike-share", options.placement_.tieMarginShare_);
   app.add_option("--useful-share", options.placement_.missThresholdShare_);
+  app.add_option(
+    "--order", options.ordersWaiting_, "a shared order of held prompts");
   app.add_option("--holds", options.holds_, "hold long prompts");
   app.add_option("--hold-wait-ms", holdWait, "allowed wait of a long one");
   app.add_option("--hold-latest", options.hold_.maxHoldShare_);
--- a/bench/gooseberrylift-pass-bench.cc
+++ b/bench/gooseberrylift-pass-bench.cc
@@ -28,12 +28,22 @@
 
 } // namespace
 
+PlacementRequest PassSimulation::WantedBy(const PassRequest& aRequest)
+{
+  const PassClass& kind = site_.classes_[aRequest.class_];
+  return { .promptTokens_ = aRequest.prompt_,
+           .answerTokens_ = static_cast<std::uint64_t>(
+             aRequest.events_ * site_.profile_.stepsPerPass_),
+           .objective_ = kind.objective_,
+           .maxGap_ = kind.maxGap_,
+           .draw_ = random_() };
+}
+
 std::optional<PlacementChoice> PassSimulation::Choose(
   PassHost& aHost,
   const PassRequestPtr& aRequest,
   const std::vector<ListedEndpoint>& aAll)
 {
-  const PassClass& kind = site_.classes_[aRequest->class_];
   std::vector<PlacementCandidate> candidates;
   // The classes are sorted by their maximum gap.
   const ServiceGaps gaps{ .shortest_ = site_.classes_[0].maxGap_,
@@ -53,13 +63,7 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  const PlacementRequest wanted{ .promptTokens_ = aRequest->prompt_,
-                                 .answerTokens_ = static_cast<std::uint64_t>(
-                                   aRequest->events_ *
-                                   site_.profile_.stepsPerPass_),
-                                 .objective_ = kind.objective_,
-                                 .maxGap_ = kind.maxGap_,
-                                 .draw_ = random_() };
+  const PlacementRequest wanted = WantedBy(*aRequest);
   if (options_.strategy_ == PassStrategy::kPlaced) {
     return placement_.Choose(site_.profile_, gaps, candidates, wanted);
   }
@@ -78,22 +82,44 @@
                                        aRequest->prompt_) } };
 }
 
+HoldInput PassSimulation::HoldInputOf(const PassRequest& aRequest,
+                                      const PlacementChoice* aChoice) const
+{
+  const PassClass& kind = site_.classes_[aRequest.class_];
+  const milliseconds waited((clock_.Now() - aRequest.arrived_) / 1000);
+  const milliseconds held((clock_.Now() - aRequest.lastArrival_) / 1000);
+  return { .wait_ = aChoice != nullptr ? aChoice->wait_ : microseconds::max(),
+           .prefill_ = site_.profile_.PrefillTime(aRequest.prompt_),
+           .partialPrefill_ =
+             aChoice != nullptr ? aChoice->cost_.prefill_ : microseconds(0),
+           .sinceArrival_ = held,
+           .remaining_ = kind.deadline_ - waited,
+           .callerStallTimeout_ = CallerStallTimeout(RouteOf(aRequest.class_)),
+           .objective_ = kind.objective_ };
+}
+
+// Decides about a prompt with the engines chosen for it, if any has memory.
 HoldDecision PassSimulation::DecideHold(const PassRequestPtr& aRequest,
-                                        const PlacementChoice& aChoice) const
+                                        const PlacementChoice* aChoice)
 {
-  const PassClass& kind = site_.classes_[aRequest->class_];
-  const milliseconds waited((clock_.Now() - aRequest->arrived_) / 1000);
-  const milliseconds held((clock_.Now() - aRequest->lastArrival_) / 1000);
-  const HoldInput question{ .wait_ = aChoice.wait_,
-                            .prefill_ =
-                              site_.profile_.PrefillTime(aRequest->prompt_),
-                            .partialPrefill_ = aChoice.cost_.prefill_,
-                            .sinceArrival_ = held,
-                            .remaining_ = kind.deadline_ - waited,
-                            .callerStallTimeout_ =
-                              CallerStallTimeout(RouteOf(aRequest->class_)),
-                            .objective_ = kind.objective_ };
-  return DecideLongPromptHold(question, options_.hold_);
+  constexpr double kMaxMemoryWaitShare = 0.25; // as RequestRun does
+  HoldInput input = HoldInputOf(*aRequest, aChoice);
+  HoldOptions options = options_.hold_;
+  if (!options_.ordersWaiting_) {
+    options.maxHoldShare_ =
+      aChoice != nullptr ? options.maxHoldShare_ : kMaxMemoryWaitShare;
+    return DecideLongPromptHold(input, options);
+  }
+  const bool arrived = !aRequest->waits_;
+  JoinOrder(aRequest, aChoice);
+  const WaitingTurn turn = hosts_[aRequest->host_].order_.TurnOf(
+    aRequest->id_,
+    { .engines_ = listed_.size(),
+      .free_ = aChoice != nullptr ? aChoice->freeEngines_ : 0,
+      .wanted_ = aChoice != nullptr ? aChoice->helpers_.size() + 1 : 0 },
+    At(clock_));
+  input.isFirst_ = turn.isFirst_;
+  return DecideByTurn(DecideLongPromptHold(input, options), turn, arrived);
 }
 
 // Sends a request that can't be served in time back to its caller, which
@@ -149,13 +175,18 @@
   const std::vector<ListedEndpoint> all =
     OrderForHost(listed_, host.name_, { .block_ = options_.block_ });
   const auto choice = Choose(host, aRequest, all);
-  if (!choice) {
-    End(aRequest, false);
+  const bool holds = options_.holds_ && aRequest->attempts_ == 0 &&
+                     (!choice || choice->slowsDecoding_);
+  const HoldDecision verdict =
+    holds ? DecideHold(aRequest, choice ? &*choice : nullptr)
+          : HoldDecision::kSend;
+  if (verdict != HoldDecision::kHold) {
+    LeaveOrder(*aRequest, verdict == HoldDecision::kSend);
+  }
+  if (!choice && verdict != HoldDecision::kHold) {
+    ReturnToCaller(aRequest, ShortRetryDelay());
     return;
   }
-  const HoldDecision verdict = options_.holds_ && choice->slowsDecoding_
-                                 ? DecideHold(aRequest, *choice)
-                                 : HoldDecision::kSend;
   if (verdict == HoldDecision::kReject) {
     ReturnToCaller(aRequest, LatestRetryDelay(*aRequest));
     return;
@@ -303,6 +334,7 @@
     return;
   }
   aRequest->done_ = true;
+  LeaveOrder(*aRequest, false);
   if (!aRequest->engine_.empty()) {
     CancelAttempt(aRequest);
   }
@@ -339,12 +371,17 @@
     if (IsLost()) {
       return;
     }
-    clock_.After(
-      kNetworkDelay + hosts_[aFrom].messageDelay_,
-      [this, aFrom, aTo, shares = hosts_[aFrom].load_.OwnShares(At(clock_))] {
-        hosts_[aTo].load_.OnPeerSnapshot(
-          hosts_[aFrom].name_, shares, At(clock_));
-      });
+    clock_.After(kNetworkDelay + hosts_[aFrom].messageDelay_,
+                 [this,
+                  aFrom,
+                  aTo,
+                  waiting = WaitingAt(aFrom),
+                  shares = hosts_[aFrom].load_.OwnShares(At(clock_))] {
+                   hosts_[aTo].load_.OnPeerSnapshot(
+                     hosts_[aFrom].name_, shares, At(clock_));
+                   hosts_[aTo].order_.OnReport(
+                     hosts_[aFrom].name_, waiting, At(clock_));
+                 });
   };
   tell(aOne, aOther);
   tell(aOther, aOne);
--- a/bench/gooseberrylift-pass-bench.h
+++ b/bench/gooseberrylift-pass-bench.h
@@ -83,7 +83,8 @@
   // Interval between a host's messages with its complete load, for fleets where
   // it can't announce each change; zero leaves it to the rounds.
   std::chrono::milliseconds snapshotInterval_{ 0 };
-  bool holds_ = true; // holds long prompts back while engines are busy
+  bool ordersWaiting_ = false; // held prompts are sent in a shared order
+  bool holds_ = true;          // holds long prompts back while engines are busy
   HoldOptions hold_{};
   bool defers_ = true; // late requests yield to those still in time
   bool knowsQueues_ =
--- a/bench/gooseberrylift-pass-player.h
+++ b/bench/gooseberrylift-pass-player.h
@@ -15,6 +15,7 @@
 #include "gooseberrylift-pass-engine.h"
 #include "gooseberrylift/limits/gooseberrylift-fleet-retry-budget.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
+#include "gooseberrylift/limits/gooseberrylift-waiting-order.h"
 #include "gooseberrylift/routing/gooseberrylift-fleet-load.h"
 
 namespace gooseberrylift::bench {
@@ -35,6 +36,7 @@
   std::uint64_t id_ = 0;
   std::size_t class_ = 0;
   std::size_t host_ = 0;
+  std::uint32_t team_ = 0;
   std::uint64_t prompt_ = 0;
   int events_ = 1;
   std::int64_t arrived_ = 0;
@@ -47,6 +49,7 @@
   bool done_ = false;
   bool refused_ = false;  // refused once; the caller retries once
   bool deferred_ = false; // in its last placement
+  bool waits_ = false;    // is in the order of waiting prompts
   int attempts_ = 0;
   std::set<std::string> tried_;
   std::shared_ptr<PassJob> job_;
@@ -67,6 +70,8 @@
   std::set<std::size_t> remoteListeners_;
   FleetLoad load_{ FleetLoad::Options{} };
   FleetRetryBudget retries_{ FleetRetryBudget::Options{} };
+  WaitingOrder order_{ WaitingOrder::Options{} };
+  bool listScheduled_ = false;    // a message with its waiting prompts
   std::int64_t messageDelay_ = 0; // us
   std::size_t next_ = 0;          // next engine for round robin
 };
@@ -108,8 +113,16 @@
   void ScheduleArrivals(std::size_t aClass);
   double FactorAt(std::size_t aClass, double aSeconds) const;
   void Arrive(std::size_t aClass);
+  PlacementRequest WantedBy(const PassRequest& aRequest);
+  HoldInput HoldInputOf(const PassRequest& aRequest,
+                        const PlacementChoice* aChoice) const;
   HoldDecision DecideHold(const PassRequestPtr& aRequest,
-                          const PlacementChoice& aChoice) const;
+                          const PlacementChoice* aChoice);
+  void JoinOrder(const PassRequestPtr& aRequest,
+                 const PlacementChoice* aChoice);
+  void LeaveOrder(PassRequest& aRequest, bool aSent);
+  std::vector<WaitingPrompt> WaitingAt(std::size_t aHost);
+  void ScheduleWaiting(std::size_t aHost);
   std::chrono::milliseconds LatestRetryDelay(const PassRequest& aRequest) const;
   void ReturnToCaller(const PassRequestPtr& aRequest,
                       std::chrono::milliseconds aWait);
--- a/bench/gooseberrylift-pass-words.cc
+++ b/bench/gooseberrylift-pass-words.cc
@@ -4,8 +4,12 @@
 
 #include <algorithm>
 
+#include "gooseberrylift/membership/gooseberrylift-load-message.h"
+
 namespace gooseberrylift::bench {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 // Delay from a host to one in another zone through a relaying host.
@@ -127,4 +131,66 @@
                });
 }
 
+void PassSimulation::JoinOrder(const PassRequestPtr& aRequest,
+                               const PlacementChoice* aChoice)
+{
+  if (aRequest->waits_) {
+    return;
+  }
+  aRequest->waits_ = true;
+  HoldInput input = HoldInputOf(*aRequest, aChoice);
+  const PlacementRequest wanted = WantedBy(*aRequest);
+  const std::size_t engines = placement_.EnginesNeeded(site_.profile_, wanted);
+  input.partialPrefill_ = input.prefill_ / static_cast<std::int64_t>(engines);
+  hosts_[aRequest->host_].order_.OnWaiting(
+    { .id_ = aRequest->id_,
+      .service_ = 1,
+      .team_ = aRequest->team_,
+      .waited_ = milliseconds((clock_.Now() - aRequest->arrived_) / 1000),
+      .remaining_ = RemainingHold(input, options_.hold_),
+      .engines_ = static_cast<std::uint32_t>(engines),
+      .memoryTokens_ = wanted.promptTokens_ + wanted.answerTokens_,
+      .prefill_ = std::chrono::duration_cast<milliseconds>(input.prefill_) },
+    At(clock_));
+  ScheduleWaiting(aRequest->host_);
+}
+
+void PassSimulation::LeaveOrder(PassRequest& aRequest, bool aSent)
+{
+  if (!aRequest.waits_) {
+    return;
+  }
+  aRequest.waits_ = false;
+  hosts_[aRequest.host_].order_.OnLeft(aRequest.id_, aSent, At(clock_));
+  ScheduleWaiting(aRequest.host_);
+}
+
+std::vector<WaitingPrompt> PassSimulation::WaitingAt(std::size_t aHost)
+{
+  return hosts_[aHost].order_.First(
+    kMaxWaitingPrompts,
+    [](const std::string& /*aSource*/) { return false; },
+    At(clock_));
+}
+
+// Sends the waiting prompts of a host to the others, as often as hosts may send
+// snapshots.
+void PassSimulation::ScheduleWaiting(std::size_t aHost)
+{
+  constexpr std::int64_t kInterval = 50'000; // us
+  if (hosts_[aHost].listScheduled_) {
+    return;
+  }
+  hosts_[aHost].listScheduled_ = true;
+  clock_.After(kInterval + hosts_[aHost].messageDelay_, [this, aHost] {
+    hosts_[aHost].listScheduled_ = false;
+    const std::vector<WaitingPrompt> waiting = WaitingAt(aHost);
+    for (std::size_t other = 0; other < hosts_.size(); ++other) {
+      if (other != aHost && !IsLost()) {
+        hosts_[other].order_.OnReport(hosts_[aHost].name_, waiting, At(clock_));
+      }
+    }
+  });
+}
+
 } // namespace gooseberrylift::bench
