--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -95,6 +95,7 @@
   PoisonRequestMonitor poisonRequestMonitor_;
   PeerDatagrams datagrams_;
   StoreStatusExchange statusExchange_;
+  WaitingRoom waitingRoom_;
   LoadExchange loadExchange_;
   SettingsWatch settingsWatch_;
   GatewayFront front_;
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -59,6 +59,7 @@
   kRequestServed = 1303,
   kRequestPlaced = 1400,
   kRequestRefused = 1401,
+  kRequestWaits = 1403,
   kPoisonRequestDetected = 1402,
   kReturnPromised = 1420,
   kReturnClaimed = 1421,
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -22,6 +22,7 @@
 #include "gooseberrylift/internal/gooseberrylift-poison-request-monitor.h"
 #include "gooseberrylift/internal/gooseberrylift-promise-book.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
+#include "gooseberrylift/internal/gooseberrylift-waiting-room.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 #include "gooseberrylift/limits/gooseberrylift-fleet-retry-budget.h"
 #include "gooseberrylift/limits/gooseberrylift-long-prompt-hold.h"
@@ -85,6 +86,7 @@
     PromiseBook& promises_;
     boost::asio::any_io_executor executor_;
     LoadExchange& loadExchange_; // sends load messages to the other hosts
+    WaitingRoom& waitingRoom_;
   };
 
   RequestRun(Parts aParts, HttpExchange& aExchange, RoutedRequest aRequest);
@@ -124,7 +126,12 @@
     std::chrono::milliseconds aExpectedWait);
   std::size_t CountParallel() const;
   std::chrono::microseconds KeptPrefill(const FleetPlacement& aPlacement) const;
-  HoldDecision DecideHold(const FleetPlacement& aPlacement) const;
+  HoldDecision DecideHold(const FleetPlacement& aPlacement);
+  HoldDecision DecideInOrder(HoldInput aInput,
+                             const FleetPlacement* aPlacement);
+  void EnterWaitingRoom(const EngineProfile& aProfile, HoldInput aInput);
+  void LogWaiting() const;
+  void LeaveWaitingRoom(bool aSent);
   std::optional<std::chrono::milliseconds> DelayForMemory();
   std::optional<std::chrono::milliseconds> DelayForEndpoint();
   Error MakeNoEndpointError();
@@ -185,6 +192,9 @@
   EventSequence events_;
   std::uint64_t requestDraw_; // random
   std::set<std::string> tried_;
+  // While it waits in the order of all hosts, and its place when last checked.
+  std::unique_ptr<WaitingRoom::Ticket> waiting_;
+  WaitingTurn turn_;
   int sends_ = 0; // attempts that sent at least part of the request
   // Total time of the attempts that sent nothing, such as failed connections.
   TimePoint::duration timeOnUnsentAttempts_{ 0 };
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -100,6 +100,7 @@
         co_await TimerService::SleepFor(*wait);
         continue;
       }
+      LeaveWaitingRoom(false);
       attempts_.OnRefused(MakeNoEndpointError());
       break;
     }
@@ -108,6 +109,7 @@
       co_await TimerService::SleepFor(HoldOptions{}.recheckInterval_);
       continue;
     }
+    LeaveWaitingRoom(decision == HoldDecision::kSend);
     if (decision == HoldDecision::kReject) {
       attempts_.OnRefused(
         MakeRefusal(*placement, MaxRetryDelay(RemainingTime())));
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -108,6 +108,9 @@
         .executor_ = context_.get_executor(),
         .notifyPeers_ = [this] { peers_.ExchangeInScope(); } })
   , datagrams_(context_.get_executor())
+  , waitingRoom_({ .metrics_ = metrics_,
+                   .onChanged_ = [this] { loadExchange_.OnListsChanged(); } },
+                 settings_.hostName_)
   , statusExchange_(
       { .executor_ = context_.get_executor(),
         .datagrams_ = datagrams_,
@@ -137,16 +140,20 @@
           },
         .ownLists_ =
           [this] {
-            return LoadMessageLists{ .promises_ = promises_.TakeOwnNews() };
+            return LoadMessageLists{ .waiting_ = waitingRoom_.Own(),
+                                     .promises_ = promises_.TakeOwnNews() };
           },
         .zoneLists_ =
           [this] {
-            return LoadMessageLists{ .promises_ = promises_.TakeZoneNews() };
+            return LoadMessageLists{ .waiting_ = waitingRoom_.OfZone(
+                                       peerGroups_.zoneHosts_),
+                                     .promises_ = promises_.TakeZoneNews() };
           },
         .onReceived_ =
           [this](const LoadMessage& aMessage) {
             metrics_.Count("gooseberrylift_load_words_total", "");
-            if (fleet_.OnLoadMessage(aMessage)) {
+            if (const auto source = fleet_.OnLoadMessage(aMessage)) {
+              waitingRoom_.OnLoadMessage(*source, aMessage);
               promises_.OnLoadMessage(aMessage);
             }
           } },
@@ -172,7 +179,8 @@
                        .limiter_ = limiter_,
                        .promises_ = promises_,
                        .executor_ = context_.get_executor(),
-                       .loadExchange_ = loadExchange_ } })
+                       .loadExchange_ = loadExchange_,
+                       .waitingRoom_ = waitingRoom_ } })
   , callerServer_(
       context_.get_executor(),
       { .address_ = settings_.caller_.address_,
