Report a zone's queued prefill without what has been done of it

Receivers took the age of a zone's sum for that of the reports in it, so that prefill whose first token had long arrived counted as new with each sum.

--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -41,9 +41,10 @@
   std::chrono::microseconds backlog_{ 0 }; // outstanding prefill
   int deferred_ = 0; // of running_, queued behind all others
   // Prefill time of the requests without a first token, including what may have
-  // been done of it, and the time since the oldest of them was sent. An engine
-  // prefills the requests of all hosts one after another, so that no host by
-  // itself can tell how much of its own is outstanding.
+  // been done of it, and the time since it was sent. Several requests count as
+  // one, sent so that the engine finishes it when it finishes the last of them.
+  // An engine prefills the requests of all hosts one after another, so that no
+  // host by itself can tell how much of its own is outstanding.
   std::chrono::milliseconds unstarted_{ 0 };
   std::chrono::milliseconds unstartedFor_{ 0 };
   // Since the host last received data from it.
@@ -198,9 +199,13 @@
     // Counts as outstanding even if the engine should have done it.
     std::chrono::microseconds minimum_;
   };
+  static TimePoint FinishTime(std::vector<QueuedPrefill> aQueue);
   static std::chrono::microseconds OutstandingPrefill(
-    std::vector<QueuedPrefill> aQueue,
+    const std::vector<QueuedPrefill>& aQueue,
     TimePoint aNow);
+  static void SetUnstarted(const std::vector<QueuedPrefill>& aQueue,
+                           TimePoint aNow,
+                           EndpointShare& aShare);
   static void AddUnstarted(const LocalLoad& aOwn,
                            std::vector<QueuedPrefill>& aQueue);
   static EndpointShare ShareOf(const std::string& aId,
--- a/src/core/membership/gooseberrylift-zone-load.cc
+++ b/src/core/membership/gooseberrylift-zone-load.cc
@@ -37,13 +37,16 @@
     std::chrono::duration_cast<std::chrono::microseconds>(aNow - aSent.at_);
   const auto expected =
     std::max(aSent.share_.backlog_ - elapsed, std::chrono::microseconds(0));
+  const auto expectedUnstarted =
+    std::max(std::chrono::microseconds(aSent.share_.unstarted_) - elapsed,
+             std::chrono::microseconds(0));
   const auto silent =
     aSent.share_.silent_ +
     std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
   return CountsOf(aNew) != CountsOf(aSent.share_) ||
          std::chrono::abs(aNew.backlog_ - expected) >
            options_.backlogTolerance_ ||
-         std::chrono::abs(aNew.unstarted_ - aSent.share_.unstarted_) >
+         std::chrono::abs(aNew.unstarted_ - expectedUnstarted) >
            options_.backlogTolerance_ ||
          aNew.backoff_ >
            std::max(
--- a/src/core/routing/gooseberrylift-fleet-load.cc
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -176,10 +176,9 @@
       oldestSent = std::min(oldestSent, sent.at_);
     }
   }
-  share.unstarted_ =
-    std::chrono::ceil<std::chrono::milliseconds>(share.backlog_);
-  share.unstartedFor_ =
-    duration_cast<std::chrono::milliseconds>(aNow - oldestSent);
+  std::vector<QueuedPrefill> queue;
+  AddUnstarted(aOwn, queue);
+  SetUnstarted(queue, aNow, share);
   // An engine prefills its prompts one after another, so the time since the
   // oldest was sent is subtracted from the sum only once.
   share.backlog_ =
@@ -187,10 +186,9 @@
   return share;
 }
 
-// Returns the prefill that an engine still has to do if it works through the
-// queue in the order of sending.
-microseconds FleetLoad::OutstandingPrefill(std::vector<QueuedPrefill> aQueue,
-                                           TimePoint aNow)
+// Returns when an engine finishes a queue that it works through in the order of
+// sending.
+TimePoint FleetLoad::FinishTime(std::vector<QueuedPrefill> aQueue)
 {
   std::sort(aQueue.begin(),
             aQueue.end(),
@@ -198,12 +196,42 @@
               return aLeft.sentAt_ < aRight.sentAt_;
             });
   TimePoint done{};
-  microseconds minimum(0);
   for (const QueuedPrefill& queued : aQueue) {
     done = std::max(done, queued.sentAt_) + queued.prefill_;
+  }
+  return done;
+}
+
+microseconds FleetLoad::OutstandingPrefill(
+  const std::vector<QueuedPrefill>& aQueue,
+  TimePoint aNow)
+{
+  microseconds minimum(0);
+  for (const QueuedPrefill& queued : aQueue) {
     minimum += queued.minimum_;
   }
-  return std::max(duration_cast<microseconds>(done - aNow), minimum);
+  if (aQueue.empty()) {
+    return minimum;
+  }
+  return std::max(duration_cast<microseconds>(FinishTime(aQueue) - aNow),
+                  minimum);
+}
+
+void FleetLoad::SetUnstarted(const std::vector<QueuedPrefill>& aQueue,
+                             TimePoint aNow,
+                             EndpointShare& aShare)
+{
+  if (aQueue.empty()) {
+    return;
+  }
+  microseconds total(0);
+  for (const QueuedPrefill& queued : aQueue) {
+    total += queued.prefill_;
+  }
+  aShare.unstarted_ = std::chrono::ceil<std::chrono::milliseconds>(total);
+  aShare.unstartedFor_ = std::max(
+    duration_cast<std::chrono::milliseconds>(aNow - FinishTime(aQueue) + total),
+    std::chrono::milliseconds(0));
 }
 
 void FleetLoad::AddUnstarted(const LocalLoad& aOwn,
@@ -256,7 +284,7 @@
     }
   }
   if (!queue.empty()) {
-    load.backlog_ += OutstandingPrefill(std::move(queue), aNow);
+    load.backlog_ += OutstandingPrefill(queue, aNow);
   }
   return load;
 }
@@ -266,8 +294,8 @@
   TimePoint aNow) const
 {
   std::map<std::string, EndpointShare> sums;
-  const auto add = [&sums](const EndpointShare& aShare,
-                           TimePoint::duration aAge) {
+  std::map<std::string, std::vector<QueuedPrefill>> queues;
+  const auto add = [&](const EndpointShare& aShare, TimePoint::duration aAge) {
     const auto silent =
       aShare.silent_ + duration_cast<std::chrono::milliseconds>(aAge);
     const auto [sum, isFirst] = sums.try_emplace(
@@ -280,10 +308,11 @@
     share.deferred_ += aShare.deferred_;
     share.silent_ = std::min(share.silent_, silent);
     if (aShare.unstarted_.count() > 0) {
-      share.unstarted_ += aShare.unstarted_;
-      share.unstartedFor_ = std::max(
-        share.unstartedFor_,
-        aShare.unstartedFor_ + duration_cast<std::chrono::milliseconds>(aAge));
+      queues[aShare.id_].push_back(
+        { .sentAt_ = aNow - aAge - aShare.unstartedFor_,
+          .prefill_ = aShare.unstarted_,
+          .minimum_ =
+            RemainingBacklog(aShare.unstarted_ / kMinBacklogDivisor, aAge) });
     }
     // Hosts report the same rejections and backoffs, so these are not added up.
     share.rejections_ = std::max(share.rejections_, aShare.rejections_);
@@ -304,6 +333,10 @@
   std::vector<EndpointShare> all;
   all.reserve(sums.size());
   for (auto& [endpoint, share] : sums) {
+    // Without what has been done, because the age of the single reports would
+    // be lost: receivers would take it for the age of the sum.
+    share.unstarted_ = std::chrono::ceil<std::chrono::milliseconds>(
+      OutstandingPrefill(queues[endpoint], aNow));
     all.push_back(std::move(share));
   }
   return all;
