Name reports of other hosts and lost large prompts by usual terms

OnTold and TellIn become OnPeerReport and AddReportsTo, LoseLarge becomes AreLargeOnesLost, IsForWantOfRoom becomes MayBeServedLater. No behaviour changes; names in logs and messages stay.

--- a/include/gooseberrylift/limits/gooseberrylift-waiting-order.h
+++ b/include/gooseberrylift/limits/gooseberrylift-waiting-order.h
@@ -200,7 +200,7 @@
                   std::chrono::milliseconds aWindow,
                   TimePoint aNow);
   void RecordLost(const WaitingPrompt& aPrompt, TimePoint aNow);
-  bool LoseLarge(std::uint32_t aService, TimePoint aNow) const;
+  bool AreLargeOnesLost(std::uint32_t aService, TimePoint aNow) const;
   void RecordSent(const WaitingPrompt& aPrompt, TimePoint aNow);
   void Rebuild(TimePoint aNow);
   void SortService(ServiceOrder& aOrder, TimePoint aNow);
--- a/include/gooseberrylift/routing/gooseberrylift-endpoint-pressure.h
+++ b/include/gooseberrylift/routing/gooseberrylift-endpoint-pressure.h
@@ -75,9 +75,9 @@
     std::chrono::milliseconds trust_{ 2'000 };
     // Time for which a rejection is told at least: longer than the interval
     // between the snapshots of a large fleet.
-    std::chrono::milliseconds minTelling_{ 800 };
+    std::chrono::milliseconds minReporting_{ 800 };
     // Limit of a backoff that another host reports.
-    std::chrono::milliseconds maxToldBackoff_{ 10'000 };
+    std::chrono::milliseconds maxReportedBackoff_{ 10'000 };
     // Time after a pressure for which the number of rejections is remembered.
     std::chrono::milliseconds memory_{ 2'000 };
   };
@@ -118,14 +118,14 @@
   /// backoffs bind only the host that received them: they count less than what
   /// this host received, so that a faulty host can't overload the endpoints
   /// that it doesn't report.
-  void OnTold(const EndpointShare& aShare, TimePoint aNow);
+  void OnPeerReport(const EndpointShare& aShare, TimePoint aNow);
 
   /// Adds the rejections and backoffs that this host received to its load, with
   /// new shares for endpoints at which it has no requests.
-  void TellIn(std::vector<EndpointShare>& aShares, TimePoint aNow) const;
+  void AddReportsTo(std::vector<EndpointShare>& aShares, TimePoint aNow) const;
 
   /// Adds the same for one endpoint.
-  void TellIn(EndpointShare& aShare, TimePoint aNow) const;
+  void AddReportsTo(EndpointShare& aShare, TimePoint aNow) const;
 
   /// Adds the counted load to the candidates of a request.
   /// @param aDraw random, and the same whenever the request is placed
@@ -159,14 +159,14 @@
             PressureCause aCause,
             std::chrono::milliseconds aDuration,
             TimePoint aNow);
-  static bool AppliesTold(const Record& aRecord, TimePoint aNow);
+  static bool AppliesPeerReport(const Record& aRecord, TimePoint aNow);
   int SlotsPerSlot(const std::string& aEndpoint,
                    std::uint64_t aDraw,
                    std::size_t aCandidates,
                    TimePoint aNow) const;
-  static void TellIn(const Record& aRecord,
-                     EndpointShare& aShare,
-                     TimePoint aNow);
+  static void AddReportsTo(const Record& aRecord,
+                           EndpointShare& aShare,
+                           TimePoint aNow);
   static void Report(const std::string& aEndpoint,
                      Record& aRecord,
                      TimePoint aNow,
--- a/src/core/limits/gooseberrylift-waiting-order.cc
+++ b/src/core/limits/gooseberrylift-waiting-order.cc
@@ -96,7 +96,8 @@
 
 // Returns whether the large prompts of a service are lost more often than they
 // may be.
-bool WaitingOrder::LoseLarge(std::uint32_t aService, TimePoint aNow) const
+bool WaitingOrder::AreLargeOnesLost(std::uint32_t aService,
+                                    TimePoint aNow) const
 {
   double lost = 0;
   double sent = 0;
@@ -305,7 +306,7 @@
     static_cast<double>(aSupply.engines_) * options_.keptShare_);
   const bool keepsForLarge =
     !aOrder.entries_.empty() &&
-    LoseLarge(aOrder.entries_.front().prompt_.service_, aNow);
+    AreLargeOnesLost(aOrder.entries_.front().prompt_.service_, aNow);
   std::size_t kept = 0;
   bool largeKept = false;
   for (std::size_t place = 0; place < aPlace; ++place) {
@@ -397,7 +398,8 @@
   turn.inTime_ = turn.expectedWait_ <= std::max(remaining, milliseconds(0));
   const std::size_t kept =
     EnginesKeptAhead(all, place, own->second.prompt_, aSupply, aNow);
-  turn.isFirst_ = LoseLarge(service, aNow) && IsFirstLarge(all, place, aNow);
+  turn.isFirst_ =
+    AreLargeOnesLost(service, aNow) && IsFirstLarge(all, place, aNow);
   turn.yields_ = kept > 0 && remaining > milliseconds(0) &&
                  kept + aSupply.wanted_ > aSupply.free_;
   return turn;
--- a/src/core/routing/gooseberrylift-endpoint-pressure.cc
+++ b/src/core/routing/gooseberrylift-endpoint-pressure.cc
@@ -22,7 +22,7 @@
 
 // The same if only other hosts know of the pressure: the endpoint is used when
 // the others are full.
-constexpr int kToldWeight = 1;
+constexpr int kReportedWeight = 1;
 
 // Doublings of a hold beyond this exceed any limit.
 constexpr int kMaxDoublings = 10;
@@ -105,7 +105,7 @@
   record.trustedUntil_ = {};
   const milliseconds hold = HoldFor(record.rejections_);
   Hold(record, PressureCause::kRejected, hold, aNow);
-  record.ownRejectionUntil_ = aNow + std::max(hold, options_.minTelling_);
+  record.ownRejectionUntil_ = aNow + std::max(hold, options_.minReporting_);
   return isNew;
 }
 
@@ -158,19 +158,19 @@
 
 // Returns whether a report of another host counts. What this host itself saw
 // counts more.
-bool EndpointPressure::AppliesTold(const Record& aRecord, TimePoint aNow)
+bool EndpointPressure::AppliesPeerReport(const Record& aRecord, TimePoint aNow)
 {
   return aNow >= aRecord.trustedUntil_ &&
          (aRecord.told_ || aNow >= aRecord.heldUntil_);
 }
 
-void EndpointPressure::OnTold(const EndpointShare& aShare, TimePoint aNow)
+void EndpointPressure::OnPeerReport(const EndpointShare& aShare, TimePoint aNow)
 {
   if (aShare.rejections_ <= 0 && aShare.backoff_.count() <= 0) {
     return;
   }
   Record& record = records_[aShare.id_];
-  if (!AppliesTold(record, aNow)) {
+  if (!AppliesPeerReport(record, aNow)) {
     return;
   }
   // Hosts report the same rejection several times and through others. Only a
@@ -184,14 +184,14 @@
     record.told_ = true;
     Hold(record,
          PressureCause::kBackedOff,
-         std::min(aShare.backoff_, options_.maxToldBackoff_),
+         std::min(aShare.backoff_, options_.maxReportedBackoff_),
          aNow);
   }
 }
 
-void EndpointPressure::TellIn(const Record& aRecord,
-                              EndpointShare& aShare,
-                              TimePoint aNow)
+void EndpointPressure::AddReportsTo(const Record& aRecord,
+                                    EndpointShare& aShare,
+                                    TimePoint aNow)
 {
   if (aNow < aRecord.ownRejectionUntil_) {
     aShare.rejections_ = std::max(aShare.rejections_, aRecord.rejections_);
@@ -203,16 +203,16 @@
   }
 }
 
-void EndpointPressure::TellIn(EndpointShare& aShare, TimePoint aNow) const
+void EndpointPressure::AddReportsTo(EndpointShare& aShare, TimePoint aNow) const
 {
   const auto found = records_.find(aShare.id_);
   if (found != records_.end()) {
-    TellIn(found->second, aShare, aNow);
+    AddReportsTo(found->second, aShare, aNow);
   }
 }
 
-void EndpointPressure::TellIn(std::vector<EndpointShare>& aShares,
-                              TimePoint aNow) const
+void EndpointPressure::AddReportsTo(std::vector<EndpointShare>& aShares,
+                                    TimePoint aNow) const
 {
   if (records_.empty()) {
     return;
@@ -220,14 +220,14 @@
   std::set<std::string> present;
   for (EndpointShare& share : aShares) {
     present.insert(share.id_);
-    TellIn(share, aNow);
+    AddReportsTo(share, aNow);
   }
   for (const auto& [id, record] : records_) {
     if (present.contains(id)) {
       continue;
     }
     EndpointShare share{ .id_ = id, .silent_ = kNoRequestSilence };
-    TellIn(record, share, aNow);
+    AddReportsTo(record, share, aNow);
     if (share.rejections_ > 0 || share.backoff_.count() > 0) {
       aShares.push_back(std::move(share));
     }
@@ -246,7 +246,7 @@
   }
   const Record& record = found->second;
   if (aNow < record.heldUntil_) {
-    return record.told_ ? kToldWeight : kHoldWeight;
+    return record.told_ ? kReportedWeight : kHoldWeight;
   }
   if (aNow >= record.rampUntil_) {
     return 0;
@@ -263,7 +263,7 @@
   if (DrawFor(aEndpoint, aDraw) < admitted) {
     return 0;
   }
-  return record.told_ ? kToldWeight : kRampWeight;
+  return record.told_ ? kReportedWeight : kRampWeight;
 }
 
 std::size_t EndpointPressure::AddTo(
--- a/src/gateway/gooseberrylift-request-return.cc
+++ b/src/gateway/gooseberrylift-request-return.cc
@@ -16,7 +16,7 @@
 namespace {
 
 // Returns whether a request that was rejected may be served some time later.
-bool IsForWantOfRoom(const Error& aError)
+bool MayBeServedLater(const Error& aError)
 {
   switch (aError.code_) {
     case ResultCode::kSuspectRequest:
@@ -37,7 +37,7 @@
 Error RequestRun::MakeFinalError()
 {
   Error error = attempts_.FinalError();
-  if (!IsForWantOfRoom(error)) {
+  if (!MayBeServedLater(error)) {
     return error;
   }
   error.retryAfter_ = error.retryAfter_.value_or(RandomRetryDelay());
--- a/src/gateway/gooseberrylift-service-loads.cc
+++ b/src/gateway/gooseberrylift-service-loads.cc
@@ -143,7 +143,7 @@
     FleetLoad& load = aState.load_;
     std::vector<EndpointShare>& shares = byService[aService];
     for (const EndpointShare& share : shares) {
-      aState.pressure_.OnTold(share, aNow);
+      aState.pressure_.OnPeerReport(share, aNow);
     }
     switch (aMessage.kind_) {
       case LoadMessageKind::kSnapshot:
@@ -171,7 +171,7 @@
   std::vector<EndpointShare> all;
   ForEach([&](const std::string& /*aService*/, ServiceLoad& aState) {
     std::vector<EndpointShare> sum = aState.load_.Sum(counts, aNow);
-    aState.pressure_.TellIn(sum, aNow);
+    aState.pressure_.AddReportsTo(sum, aNow);
     Append(std::move(sum), all);
   });
   return all;
@@ -195,7 +195,7 @@
   std::vector<EndpointShare> all;
   ForEach([&](const std::string& /*aService*/, ServiceLoad& aState) {
     std::vector<EndpointShare> own = aState.load_.OwnShares(aNow);
-    aState.pressure_.TellIn(own, aNow);
+    aState.pressure_.AddReportsTo(own, aNow);
     Append(std::move(own), all);
   });
   return all;
@@ -210,7 +210,7 @@
   for (const ListedEndpoint& endpoint : aEndpoints) {
     shares.push_back(With(endpoint.service_, [&](ServiceLoad& aState) {
       EndpointShare share = aState.load_.OwnShare(endpoint.id_, aNow);
-      aState.pressure_.TellIn(share, aNow);
+      aState.pressure_.AddReportsTo(share, aNow);
       return share;
     }));
   }
--- a/test/core/gooseberrylift-endpoint-pressure-test.cc
+++ b/test/core/gooseberrylift-endpoint-pressure-test.cc
@@ -242,7 +242,7 @@
   EndpointShare ShareAt(const Host& aHost, const std::string& aId) const
   {
     EndpointShare share = aHost.load_.OwnShare(aId, Now());
-    aHost.pressure_.TellIn(share, Now());
+    aHost.pressure_.AddReportsTo(share, Now());
     return share;
   }
 
@@ -254,7 +254,7 @@
       std::max(20, schedule_.hosts_ < 32 ? 20 : schedule_.hosts_ * 1000 / 300));
     At(Random(interval / 2, interval), [=, this] {
       auto shares = hosts_[index]->load_.OwnShares(Now());
-      hosts_[index]->pressure_.TellIn(shares, Now());
+      hosts_[index]->pressure_.AddReportsTo(shares, Now());
       Send(hosts_[index], LoadMessageKind::kSnapshot, shares);
       Repeat(aHost);
     });
@@ -274,7 +274,7 @@
           const std::string& name = aFrom->name_;
           for (const EndpointShare& share : aShares) {
             if (schedule_.tells_) {
-              to->pressure_.OnTold(share, Now());
+              to->pressure_.OnPeerReport(share, Now());
             }
           }
           if (aKind == LoadMessageKind::kSnapshot) {
@@ -344,11 +344,11 @@
 {
   const EndpointShare told{ .id_ = "a", .rejections_ = 1 };
   for (int message = 0; message < 10; ++message) {
-    pressure_.OnTold(told, now_);
+    pressure_.OnPeerReport(told, now_);
     now_ += 60ms;
   }
   LONGS_EQUAL(0, CountedAtFirst());
-  pressure_.OnTold({ .id_ = "a", .rejections_ = 2 }, now_);
+  pressure_.OnPeerReport({ .id_ = "a", .rejections_ = 2 }, now_);
   LONGS_EQUAL(kSlots, CountedAtFirst());
   pressure_.OnRejected("a", now_, now_); // seen by this host, it counts more
   CHECK_TRUE(CountedAtFirst() > kSlots);
@@ -356,11 +356,12 @@
 
 TEST(EndpointPressureTest, TrustsItsOwnAnswersMoreThanOtherHosts)
 {
-  pressure_.OnTold({ .id_ = "a", .backoff_ = 3s }, now_);
+  pressure_.OnPeerReport({ .id_ = "a", .backoff_ = 3s }, now_);
   LONGS_EQUAL(kSlots, CountedAtFirst());
   pressure_.OnAnswered("a", now_, now_);
   now_ += 3s / 2;
-  pressure_.OnTold({ .id_ = "a", .rejections_ = 9, .backoff_ = 9s }, now_);
+  pressure_.OnPeerReport({ .id_ = "a", .rejections_ = 9, .backoff_ = 9s },
+                         now_);
   now_ += 3s; // the ramp of the first backoff has ended
   LONGS_EQUAL(0, CountedAtFirst());
 }
@@ -369,9 +370,9 @@
 {
   pressure_.OnRejected("a", now_, now_);
   pressure_.OnBackoff("b", 3s, now_);
-  pressure_.OnTold({ .id_ = "c", .rejections_ = 5 }, now_);
+  pressure_.OnPeerReport({ .id_ = "c", .rejections_ = 5 }, now_);
   std::vector<EndpointShare> shares{ { .id_ = "a", .running_ = 2 } };
-  pressure_.TellIn(shares, now_);
+  pressure_.AddReportsTo(shares, now_);
   LONGS_EQUAL(2, shares.size());
   LONGS_EQUAL(2, shares.front().running_);
   LONGS_EQUAL(1, shares.front().rejections_);
@@ -478,7 +479,7 @@
     simulation.At(at, [&simulation] {
       for (const auto& host : simulation.Hosts()) {
         for (int id = 1; id < 8; ++id) {
-          host->pressure_.OnTold(
+          host->pressure_.OnPeerReport(
             { .id_ = std::to_string(id), .rejections_ = 1'000, .backoff_ = 1h },
             simulation.Now());
         }
