Place by the engines' own pace, as hosts observe it

Placement, split of a prefill, hold and admission took all engines of a service for equally fast. Hosts now compare the events of their streams with the engine profile, tell the ratio with their load, and scale predicted waits, prefill parts and passes by the median of all reports.

pass-bench gets engines slower than their profile.

--- a/bench/gooseberrylift-pass-bench-main.cc
+++ b/bench/gooseberrylift-pass-bench-main.cc
@@ -186,6 +186,21 @@
   app.add_option("--limit-mode", options.limits_.mode_, "how hosts keep to it")
     ->transform(CLI::CheckedTransformer(modes));
   std::int64_t wordDelay = 0;
+  app.add_option(
+    "--slow-every", options.slowdown_.every_, "every nth engine is slow");
+  app.add_option("--slow-factor", options.slowdown_.factor_, "times as slow");
+  app.add_option("--slow-from", options.slowdown_.fromSeconds_, "in seconds");
+  app.add_option("--slow-to", options.slowdown_.toSeconds_, "in seconds");
+  bool steady = false;
+  app.add_flag("--steady", steady, "without the site's phases");
+  app.add_option("--jitter", options.passJitter_, "of passes, relative");
+  const std::map<std::string, PassPace> paces = {
+    { "unknown", PassPace::kUnknown },
+    { "observed", PassPace::kObserved },
+    { "known", PassPace::kKnown }
+  };
+  app.add_option("--pace", options.pace_, "what hosts know of engines' pace")
+    ->transform(CLI::CheckedTransformer(paces));
   app.add_flag("--bounded",
                options.bounded_,
                "engines run out of memory, queue and parts");
@@ -207,6 +222,9 @@
   played.hosts_ = hosts > 0 ? hosts : played.hosts_;
   played.engines_ = engines > 0 ? engines : played.engines_;
   played.zones_ = zones > 0 ? zones : played.zones_;
+  if (steady) {
+    played.phases_.clear();
+  }
   for (PassClass& kind : played.classes_) {
     kind.perSecond_ *= load;
   }
--- a/bench/gooseberrylift-pass-bench.cc
+++ b/bench/gooseberrylift-pass-bench.cc
@@ -43,12 +43,16 @@
     if (!limits_.MayUse(aRequest->host_, listed.id_)) {
       continue;
     }
+    const std::size_t index = candidates.size();
     candidates.push_back(
       { .endpoint_ = &listed,
         .load_ = aHost.load_.Of(listed.id_, At(clock_)),
         .tried_ = aRequest->tried_.contains(listed.id_),
         .limited_ = limits_.IsLimited(listed.id_) &&
                     options_.limits_.mode_ != PassLimitMode::kIgnored });
+    if (options_.pace_ == PassPace::kKnown) {
+      candidates[index].load_.pace_ = PaceOf(NumberOf(listed.id_));
+    }
   }
   if (candidates.empty()) {
     return std::nullopt;
@@ -186,6 +190,7 @@
     AnnouncePlacement(aRequest->host_, *choice);
   }
   aRequest->deferred_ = choice->deferred_;
+  aRequest->nominalFirst_ = choice->nominalFirst_;
   aRequest->helperTokens_.assign(choice->helpers_.size(),
                                  choice->reservedTokens_);
   ReserveMemory(aRequest, 0);
@@ -285,6 +290,7 @@
     aRequest->gapExceeded_ = true;
   }
   host.load_.OnStarted(aRequest->engine_, aRequest->id_, At(clock_));
+  ObservePace(aRequest);
   for (const std::string& helper : aRequest->helpers_) {
     host.load_.OnEnded(helper, aRequest->id_);
   }
@@ -297,6 +303,15 @@
   WatchForStall(aRequest, now, EndpointStallTimeout(RouteOf(aRequest->class_)));
 }
 
+void PassSimulation::ObservePace(const PassRequestPtr& aRequest)
+{
+  if (options_.pace_ != PassPace::kObserved) {
+    return;
+  }
+  hosts_[aRequest->host_].load_.OnEvents(
+    aRequest->engine_, aRequest->id_, 1, site_.profile_, At(clock_));
+}
+
 void PassSimulation::End(const PassRequestPtr& aRequest, bool aServed)
 {
   if (aRequest->done_) {
--- a/bench/gooseberrylift-pass-bench.h
+++ b/bench/gooseberrylift-pass-bench.h
@@ -52,6 +52,23 @@
   double seconds_ = 34;
 };
 
+// Engines that take longer than their profile says.
+struct PassSlowdown
+{
+  std::size_t every_ = 0; // every nth engine; 0: none
+  double factor_ = 1;
+  double fromSeconds_ = 0;
+  double toSeconds_ = 1e6;
+};
+
+// What hosts know of the engines' pace.
+enum class PassPace
+{
+  kUnknown,
+  kObserved, // what they observe and tell each other
+  kKnown     // the pace itself, at any time
+};
+
 enum class PassStrategy
 {
   kPlaced,           // EnginePlacement
@@ -89,6 +106,9 @@
   bool knowsQueues_ =
     true; // no stall timeout while a queue explains the silence
   PassLimitOptions limits_{};
+  PassSlowdown slowdown_{};
+  PassPace pace_ = PassPace::kObserved;
+  double passJitter_ = 0; // standard deviation of a pass, relative
   // Engines have limited memory, queue length and number of helper parts.
   bool bounded_ = false;
   // Mean extra delay of a host's load messages beyond the network delay, and
--- a/bench/gooseberrylift-pass-callers.cc
+++ b/bench/gooseberrylift-pass-callers.cc
@@ -19,10 +19,34 @@
            .maxGap_ = kind.maxGap_ };
 }
 
+int NumberOf(const std::string& aEngine)
+{
+  return std::stoi(aEngine.substr(std::string("engine-").size()));
+}
+
 PassEngine& PassSimulation::EngineOf(const std::string& aId)
 {
-  return *engines_.at(static_cast<std::size_t>(
-    std::stoi(aId.substr(std::string("engine-").size()))));
+  return *engines_.at(static_cast<std::size_t>(NumberOf(aId)));
+}
+
+double PassSimulation::PaceOf(int aEngine) const
+{
+  const PassSlowdown& slow = options_.slowdown_;
+  const double seconds = static_cast<double>(clock_.Now()) / 1e6;
+  const bool isSlow = slow.every_ > 0 &&
+                      static_cast<std::size_t>(aEngine) % slow.every_ == 0 &&
+                      seconds >= slow.fromSeconds_ && seconds < slow.toSeconds_;
+  return isSlow ? slow.factor_ : 1;
+}
+
+double PassSimulation::DrawPassFactor(int aEngine)
+{
+  const double pace = PaceOf(aEngine);
+  if (options_.passJitter_ <= 0) {
+    return pace;
+  }
+  std::lognormal_distribution<double> jitter(0, options_.passJitter_);
+  return pace * jitter(jitter_);
 }
 
 // The value of a request is 0.3 plus 0.7 times its size relative to the mean,
--- a/bench/gooseberrylift-pass-engine.cc
+++ b/bench/gooseberrylift-pass-engine.cc
@@ -181,7 +181,7 @@
   const auto pass =
     static_cast<double>(profile_.PassTime(writers, context).count()) / 1000 *
     steps / profile_.stepsPerPass_;
-  const double ms = pass + PlanPrefill(steps);
+  const double ms = (pass + PlanPrefill(steps)) * pace_();
   clock_.After(static_cast<std::int64_t>(ms * 1000), [this] { EndPass(); });
 }
 
--- a/bench/gooseberrylift-pass-engine.h
+++ b/bench/gooseberrylift-pass-engine.h
@@ -94,6 +94,9 @@
   /// Returns how often a request was preempted and had to be prefilled again.
   int Preempted() const { return preempted_; }
 
+  /// Sets the source of the factor on the duration of each pass.
+  void SetPace(std::function<double()> aPace) { pace_ = std::move(aPace); }
+
   /// Resumes when the last part of a job was prefilled elsewhere.
   void Wake();
 
@@ -111,6 +114,7 @@
   bool bounded_;
   bool busy_ = false;
   int preempted_ = 0;
+  std::function<double()> pace_ = [] { return 1.0; };
   // Reserved tokens by request.
   std::map<std::uint64_t, std::uint64_t> reservations_;
   std::list<std::shared_ptr<PassJob>> jobs_;  // requests in slots, and parts
--- a/bench/gooseberrylift-pass-player.h
+++ b/bench/gooseberrylift-pass-player.h
@@ -29,6 +29,9 @@
   return TimePoint(std::chrono::microseconds(aClock.Now()));
 }
 
+/// Returns the number in the id of a simulated engine.
+int NumberOf(const std::string& aEngine);
+
 // A request with its state on the host.
 struct PassRequest
 {
@@ -56,6 +59,7 @@
   std::vector<std::uint64_t> helperTokens_; // tokens to reserve, by helper
   std::vector<std::string> reservations_;   // engines with reserved memory
   std::int64_t reservationTime_ = 0; // us spent on failed memory reservations
+  NominalTime nominalFirst_;
 };
 using PassRequestPtr = std::shared_ptr<PassRequest>;
 
@@ -87,6 +91,7 @@
                           .slots_ = site_.profile_.slots_ });
       engines_.push_back(std::make_unique<PassEngine>(
         clock_, site_.profile_, options_.bounded_));
+      engines_.back()->SetPace([this, index] { return DrawPassFactor(index); });
     }
     for (int index = 0; index < site_.hosts_; ++index) {
       hosts_.push_back(
@@ -105,6 +110,9 @@
   const PassLimitCount& Limited() const { return limits_.Count(); }
 
 private:
+  double PaceOf(int aEngine) const;
+  double DrawPassFactor(int aEngine);
+  void ObservePace(const PassRequestPtr& aRequest);
   void ScheduleArrivals(std::size_t aClass);
   double FactorAt(std::size_t aClass, double aSeconds) const;
   void Arrive(std::size_t aClass);
@@ -152,6 +160,7 @@
   VirtualClock clock_;
   std::mt19937_64 arrivals_; // separate, so that options don't change arrivals
   std::mt19937_64 random_;
+  std::mt19937_64 jitter_{ 1 };
   EnginePlacement placement_;
   PassLimits limits_;
   std::vector<ListedEndpoint> listed_;
--- a/bench/gooseberrylift-pass-send.cc
+++ b/bench/gooseberrylift-pass-send.cc
@@ -115,6 +115,13 @@
   };
   job->onRefused_ = refuse;
   aRequest->job_ = job;
+  if (options_.pace_ == PassPace::kObserved) {
+    hosts_[aRequest->host_].load_.ExpectFirst(aRequest->engine_,
+                                              aRequest->id_,
+                                              aRequest->helpers_,
+                                              aRequest->nominalFirst_,
+                                              At(clock_));
+  }
   aRequest->parts_.clear();
   clock_.After(kNetworkDelay, [this, job, engine = aRequest->engine_] {
     EngineOf(engine).Add(job);
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "gooseberrylift/gooseberrylift-endpoint.h"
+#include "gooseberrylift/routing/gooseberrylift-endpoint-pace.h"
 
 namespace gooseberrylift {
 
@@ -59,6 +60,9 @@
   std::uint64_t memoryTokens_ = 0;
   std::chrono::microseconds backlog_{ 0 };
   int deferred_ = 0; // of running_, queued behind all others
+  // Duration of its work relative to the predicted one, as most hosts observe
+  // it; never below 1.
+  double pace_ = 1;
 };
 
 // Tracks the load of all endpoints as far as this host knows it. Not
@@ -72,6 +76,9 @@
     // the peer is down or disconnected, and most of its requests have ended.
     // Ten times the usual interval between messages.
     std::chrono::milliseconds peerTimeout_{ 2'000 };
+    // Age of a message from which on the pace in it is ignored: twice the usual
+    // interval between a host's messages.
+    std::chrono::milliseconds maxPaceAge_{ 1'000 };
   };
 
   explicit FleetLoad(Options aOptions)
@@ -147,12 +154,39 @@
   /// Records that an endpoint sent data.
   void OnDataReceived(const std::string& aEndpoint, TimePoint aNow);
 
+  /// Sets the predicted time from now to the first event of a request that was
+  /// just sent. From then on, its events are compared with predictions.
+  /// @param aHelpers endpoints that prefill parts of its prompt
+  void ExpectFirst(const std::string& aEndpoint,
+                   std::uint64_t aRequest,
+                   const std::vector<std::string>& aHelpers,
+                   const NominalTime& aFirst,
+                   TimePoint aNow);
+
+  /// Records events of a request that arrived together, after OnStarted.
+  void OnEvents(const std::string& aEndpoint,
+                std::uint64_t aRequest,
+                std::size_t aEvents,
+                const EngineProfile& aProfile,
+                TimePoint aNow);
+
+  /// Returns the endpoints that most hosts observe as slow, with their pace in
+  /// percent.
+  std::map<std::string, int> SlowEndpoints(TimePoint aNow) const;
+
+  /// Removes expired observations; to be called periodically.
+  void Sweep(TimePoint aNow) { pace_.Sweep(aNow); }
+
 private:
   struct SentRequest
   {
     RequestCost cost_;
     TimePoint at_;
     bool started_ = false;
+    // Of the time from expectedSince_ to its next event.
+    NominalTime expected_{};
+    TimePoint expectedSince_{};
+    std::vector<std::string> prefilledBy_{}; // until the first event
   };
   struct LocalLoad
   {
@@ -182,15 +216,28 @@
                        TimePoint aAt);
   bool IsCurrent(const PeerShare& aReported, TimePoint aNow) const;
 
-  static EndpointShare ShareOf(const std::string& aId,
-                               const LocalLoad& aOwn,
-                               TimePoint aNow);
+  EndpointShare ShareOf(const std::string& aId,
+                        const LocalLoad& aOwn,
+                        double aPace,
+                        TimePoint aNow) const;
+  int OverduePercent(const LocalLoad& aOwn, TimePoint aNow) const;
+  void AddPeerVotes(const PeerShares& aShares,
+                    TimePoint aNow,
+                    PaceVotes& aVotes) const;
+  double CombinedPace(const std::string& aEndpoint,
+                      const LocalLoad* aOwn,
+                      const PeerShares* aShares,
+                      TimePoint aNow) const;
+  double CombinedPace(const std::string& aEndpoint, TimePoint aNow) const;
+  const LocalLoad* FindLocalLoad(const std::string& aEndpoint) const;
+  const PeerShares* FindPeerShares(const std::string& aEndpoint) const;
 
   Options options_;
   // By endpoint. Hash maps, because each placement looks up every endpoint.
   std::unordered_map<std::string, LocalLoad> local_;
   std::unordered_map<std::string, PeerShares> shares_;
   std::map<std::string, Peer> peers_; // by host
+  EndpointPace pace_{ EndpointPace::Options{} };
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
+#include "gooseberrylift/routing/gooseberrylift-endpoint-pace.h"
 #include "gooseberrylift/routing/gooseberrylift-engine-profile.h"
 #include "gooseberrylift/routing/gooseberrylift-fleet-load.h"
 #include "gooseberrylift/routing/gooseberrylift-route-table.h"
@@ -48,6 +49,9 @@
   // if the whole prompt is stored at the endpoint.
   std::uint64_t reservedTokens_ = 0;
   std::chrono::microseconds firstAnswer_{ 0 }; // predicted, from now
+  // The same at engines of usual pace; not predicted if the request has to wait
+  // for a slot.
+  NominalTime nominalFirst_{};
   bool slowsDecoding_ =
     false; // its prefill delays requests that decode beside it
   // Predicted to miss its objective at every engine; it yields to requests that
@@ -194,6 +198,10 @@
   bool HasMemory(const Task& aTask,
                  const EndpointLoad& aLoad,
                  std::size_t aEngines) const;
+  static NominalTime PredictNominalFirst(
+    const Task& aTask,
+    std::chrono::microseconds aPart,
+    const std::vector<const PlacementCandidate*>& aEngines);
   std::chrono::microseconds DelayPenalty(
     const Task& aTask,
     const EndpointLoad& aLoad,
--- a/include/gooseberrylift/streams/gooseberrylift-event-splitter.h
+++ b/include/gooseberrylift/streams/gooseberrylift-event-splitter.h
@@ -33,12 +33,16 @@
   /// Returns the next complete event; nothing if there is none yet.
   std::optional<StreamEvent> Next();
 
+  /// Returns the number of events returned so far.
+  std::size_t Returned() const { return returned_; }
+
   /// Returns the number of buffered bytes that are not yet returned as events.
   std::size_t Pending() const { return buffer_.size() - begin_; }
 
 private:
   std::string buffer_;
   std::size_t begin_ = 0;
+  std::size_t returned_ = 0;
 };
 
 // Checks that the event ids of one response are consecutive, whichever engines
--- a/src/core/membership/gooseberrylift-zone-load.cc
+++ b/src/core/membership/gooseberrylift-zone-load.cc
@@ -1,6 +1,7 @@
 #include "gooseberrylift/membership/gooseberrylift-zone-load.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -19,6 +20,16 @@
     aShare.running_, aShare.tightGap_, aShare.memoryTokens_, aShare.deferred_);
 }
 
+// Returns whether the pace differs clearly. A small difference isn't worth a
+// message, and an endpoint that is not observed counts as a usual one.
+bool HasNewPace(const EndpointShare& aNew, const EndpointShare& aSent)
+{
+  constexpr int kClearDifference = 25; // percent
+  const int pace = std::max(aNew.pacePercent_, EndpointPace::kUsualPercent);
+  const int sent = std::max(aSent.pacePercent_, EndpointPace::kUsualPercent);
+  return std::abs(pace - sent) * 100 > kClearDifference * sent;
+}
+
 } // namespace
 
 std::string PeerNameOfZone(const std::string& aZone)
@@ -38,6 +49,7 @@
     aSent.share_.silent_ +
     std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
   return CountsOf(aNew) != CountsOf(aSent.share_) ||
+         HasNewPace(aNew, aSent.share_) ||
          std::chrono::abs(aNew.backlog_ - expected) >
            options_.backlogTolerance_ ||
          aNew.silent_ + options_.activityInterval_ < silent;
@@ -56,7 +68,8 @@
   }
   for (auto& [id, sent] : sentShares_) {
     const EndpointShare idle{ .id_ = id };
-    if (!listed.contains(id) && CountsOf(idle) != CountsOf(sent.share_)) {
+    if (!listed.contains(id) && (CountsOf(idle) != CountsOf(sent.share_) ||
+                                 HasNewPace(idle, sent.share_))) {
       sent = { .share_ = idle, .at_ = aNow, .isPending_ = true };
     }
   }
--- a/src/core/routing/gooseberrylift-fleet-load.cc
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -9,15 +9,34 @@
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 
-// Returns the backlog that remains after an engine has worked on it for a
-// while.
+// Returns the backlog that remains after an engine of the given pace has worked
+// on it for a while.
 microseconds RemainingBacklog(microseconds aBacklog,
-                              TimePoint::duration aElapsed)
+                              TimePoint::duration aElapsed,
+                              double aPace)
 {
-  return std::max(aBacklog - duration_cast<microseconds>(aElapsed),
-                  microseconds(0));
+  auto done = duration_cast<microseconds>(aElapsed);
+  if (aPace > 1) {
+    done = duration_cast<microseconds>(done / aPace);
+  }
+  return std::max(aBacklog - done, microseconds(0));
+}
+
+bool HasLoad(const EndpointShare& aShare)
+{
+  return aShare.running_ > 0 || aShare.memoryTokens_ > 0 ||
+         aShare.backlog_.count() > 0;
 }
 
+// Votes of this host's own observation if it is certain; every other host has
+// one.
+constexpr int kCertainPaceVotes = 2;
+
+// An endpoint that has sent nothing for this multiple of the longest predicted
+// time counts as slow before its next event shows it. Higher than the
+// tolerance, since a pass with a prefill that isn't known yet ends soon.
+constexpr double kOverdueFactor = 2;
+
 // Until its first token arrives, a prompt counts with at least its prefill time
 // divided by this, however long ago it was sent: other prompts may have been
 // prefilled first, or a pass may have taken longer. Without this lower bound,
@@ -56,6 +75,74 @@
   }
 }
 
+void FleetLoad::ExpectFirst(const std::string& aEndpoint,
+                            std::uint64_t aRequest,
+                            const std::vector<std::string>& aHelpers,
+                            const NominalTime& aFirst,
+                            TimePoint aNow)
+{
+  SentRequest& sent = local_[aEndpoint].requests_[aRequest];
+  sent.expected_ = aFirst;
+  sent.expectedSince_ = aNow;
+  sent.prefilledBy_ = { aEndpoint };
+  sent.prefilledBy_.insert(
+    sent.prefilledBy_.end(), aHelpers.begin(), aHelpers.end());
+}
+
+void FleetLoad::OnEvents(const std::string& aEndpoint,
+                         std::uint64_t aRequest,
+                         std::size_t aEvents,
+                         const EngineProfile& aProfile,
+                         TimePoint aNow)
+{
+  const auto own = local_.find(aEndpoint);
+  if (aEvents == 0 || own == local_.end()) {
+    return;
+  }
+  const auto found = own->second.requests_.find(aRequest);
+  if (found == own->second.requests_.end()) {
+    return;
+  }
+  SentRequest& sent = found->second;
+  const auto elapsed = duration_cast<microseconds>(aNow - sent.expectedSince_);
+  if (sent.prefilledBy_.empty()) {
+    // Events that arrive together were delayed on their way.
+    pace_.OnObserved(aEndpoint,
+                     sent.expected_,
+                     elapsed / static_cast<std::int64_t>(aEvents),
+                     aNow);
+  } else {
+    pace_.OnSharedWorkObserved(
+      sent.prefilledBy_, sent.expected_, elapsed, aNow);
+  }
+  sent.prefilledBy_.clear();
+  sent.expected_ = NominalGap(aProfile, Of(aEndpoint, aNow));
+  sent.expectedSince_ = aNow;
+}
+
+// Returns how slow an endpoint is at least if none of its events arrived for
+// longer than predicted; 0 if that may still be usual.
+int FleetLoad::OverduePercent(const LocalLoad& aOwn, TimePoint aNow) const
+{
+  double longest = 0;
+  for (const auto& [request, sent] : aOwn.requests_) {
+    // Of a shared prefill, any engine may be the slow one.
+    if (sent.expected_.shortest_ >= EndpointPace::kMinWork &&
+        sent.prefilledBy_.size() <= 1) {
+      const auto silent = aNow - std::max(aOwn.lastHeard_, sent.expectedSince_);
+      longest =
+        std::max(longest,
+                 std::chrono::duration<double>(silent) /
+                   std::chrono::duration<double>(sent.expected_.longest_));
+    }
+  }
+  longest /= pace_.HostRatio();
+  return longest < kOverdueFactor ? 0
+                                  : static_cast<int>(std::min<double>(
+                                      longest * EndpointPace::kUsualPercent,
+                                      EndpointPace::kMaxPercent));
+}
+
 bool FleetLoad::IsOvertaken(const std::string& aEndpoint,
                             std::uint64_t aRequest) const
 {
@@ -88,6 +175,7 @@
 {
   local_.erase(aEndpoint);
   shares_.erase(aEndpoint);
+  pace_.OnRestarted(aEndpoint);
 }
 
 void FleetLoad::OnDataReceived(const std::string& aEndpoint, TimePoint aNow)
@@ -147,11 +235,14 @@
 
 EndpointShare FleetLoad::ShareOf(const std::string& aId,
                                  const LocalLoad& aOwn,
-                                 TimePoint aNow)
+                                 double aPace,
+                                 TimePoint aNow) const
 {
   EndpointShare share{ .id_ = aId,
                        .silent_ = duration_cast<std::chrono::milliseconds>(
-                         aNow - aOwn.lastHeard_) };
+                         aNow - aOwn.lastHeard_),
+                       .pacePercent_ = std::max(pace_.PercentOf(aId, aNow),
+                                                OverduePercent(aOwn, aNow)) };
   TimePoint oldestSent = aNow;
   microseconds minBacklog(0);
   for (const auto& [request, sent] : aOwn.requests_) {
@@ -169,31 +260,31 @@
   }
   // An engine prefills its prompts one after another, so the time since the
   // oldest was sent is subtracted from the sum only once.
-  share.backlog_ =
-    std::max(RemainingBacklog(share.backlog_, aNow - oldestSent), minBacklog);
+  share.backlog_ = std::max(
+    RemainingBacklog(share.backlog_, aNow - oldestSent, aPace), minBacklog);
   return share;
 }
 
 EndpointLoad FleetLoad::Of(const std::string& aEndpoint, TimePoint aNow) const
 {
-  EndpointLoad load;
+  const LocalLoad* own = FindLocalLoad(aEndpoint);
+  const PeerShares* peers = FindPeerShares(aEndpoint);
+  EndpointLoad load{ .pace_ = CombinedPace(aEndpoint, own, peers, aNow) };
   const auto add = [&load](const EndpointShare& aShare,
                            TimePoint::duration aAge) {
     load.running_ += aShare.running_;
     load.tightGap_ += aShare.tightGap_;
     load.memoryTokens_ += aShare.memoryTokens_;
-    load.backlog_ += RemainingBacklog(aShare.backlog_, aAge);
+    load.backlog_ += RemainingBacklog(aShare.backlog_, aAge, load.pace_);
     load.deferred_ += aShare.deferred_;
   };
-  const auto own = local_.find(aEndpoint);
-  if (own != local_.end()) {
-    add(ShareOf(aEndpoint, own->second, aNow), TimePoint::duration(0));
+  if (own != nullptr) {
+    add(ShareOf(aEndpoint, *own, load.pace_, aNow), TimePoint::duration(0));
   }
-  const auto peers = shares_.find(aEndpoint);
-  if (peers == shares_.end()) {
+  if (peers == nullptr) {
     return load;
   }
-  for (const auto& [host, reported] : peers->second) {
+  for (const auto& [host, reported] : *peers) {
     if (IsCurrent(reported, aNow)) {
       add(reported.share_, aNow - reported.at_);
     }
@@ -201,13 +292,90 @@
   return load;
 }
 
+const FleetLoad::LocalLoad* FleetLoad::FindLocalLoad(
+  const std::string& aEndpoint) const
+{
+  const auto found = local_.find(aEndpoint);
+  return found == local_.end() ? nullptr : &found->second;
+}
+
+const FleetLoad::PeerShares* FleetLoad::FindPeerShares(
+  const std::string& aEndpoint) const
+{
+  const auto found = shares_.find(aEndpoint);
+  return found == shares_.end() ? nullptr : &found->second;
+}
+
+void FleetLoad::AddPeerVotes(const PeerShares& aShares,
+                             TimePoint aNow,
+                             PaceVotes& aVotes) const
+{
+  for (const auto& [host, reported] : aShares) {
+    if (reported.share_.pacePercent_ > 0 &&
+        aNow - reported.at_ < options_.maxPaceAge_) {
+      aVotes.Add(reported.share_.pacePercent_);
+    }
+  }
+}
+
+// Called for each endpoint at each placement, so that the usual case, in which
+// nobody reports a slow endpoint, only looks at the peers' shares.
+double FleetLoad::CombinedPace(const std::string& aEndpoint,
+                               const LocalLoad* aOwn,
+                               const PeerShares* aShares,
+                               TimePoint aNow) const
+{
+  // A usual engine has one vote: a single peer's report isn't enough.
+  PaceVotes votes;
+  votes.Add(EndpointPace::kUsualPercent);
+  if (aShares != nullptr) {
+    AddPeerVotes(*aShares, aNow, votes);
+  }
+  const int overdue = aOwn == nullptr ? 0 : OverduePercent(*aOwn, aNow);
+  if (!votes.HasSlow() && !pace_.MayHaveSlow(aNow) && overdue == 0) {
+    return 1;
+  }
+  const int observed = pace_.PercentOf(aEndpoint, aNow);
+  if (overdue > observed) {
+    votes.Add(overdue);
+  } else {
+    votes.Add(observed, pace_.IsCertain(aEndpoint) ? kCertainPaceVotes : 1);
+  }
+  return 1.0 * votes.Median() / EndpointPace::kUsualPercent;
+}
+
+double FleetLoad::CombinedPace(const std::string& aEndpoint,
+                               TimePoint aNow) const
+{
+  return CombinedPace(
+    aEndpoint, FindLocalLoad(aEndpoint), FindPeerShares(aEndpoint), aNow);
+}
+
+std::map<std::string, int> FleetLoad::SlowEndpoints(TimePoint aNow) const
+{
+  std::map<std::string, int> slow;
+  const auto add = [&](const std::string& aEndpoint) {
+    const double pace = CombinedPace(aEndpoint, aNow);
+    if (pace > 1) {
+      slow[aEndpoint] = static_cast<int>(pace * EndpointPace::kUsualPercent);
+    }
+  };
+  for (const std::string& endpoint : pace_.SlowEndpoints(aNow)) {
+    add(endpoint);
+  }
+  for (const auto& [endpoint, shares] : shares_) {
+    add(endpoint);
+  }
+  return slow;
+}
+
 std::vector<EndpointShare> FleetLoad::Sum(
   const std::function<bool(const std::string& aHost)>& aIncludes,
   TimePoint aNow) const
 {
   std::map<std::string, EndpointShare> sums;
-  const auto add = [&sums](const EndpointShare& aShare,
-                           TimePoint::duration aAge) {
+  std::map<std::string, PaceVotes> votes;
+  const auto add = [&](const EndpointShare& aShare, TimePoint::duration aAge) {
     const auto silent =
       aShare.silent_ + duration_cast<std::chrono::milliseconds>(aAge);
     const auto [sum, isFirst] = sums.try_emplace(
@@ -216,8 +384,14 @@
     share.running_ += aShare.running_;
     share.tightGap_ += aShare.tightGap_;
     share.memoryTokens_ += aShare.memoryTokens_;
-    share.backlog_ += RemainingBacklog(aShare.backlog_, aAge);
+    share.backlog_ +=
+      RemainingBacklog(aShare.backlog_,
+                       aAge,
+                       1.0 * aShare.pacePercent_ / EndpointPace::kUsualPercent);
     share.deferred_ += aShare.deferred_;
+    if (aAge < options_.maxPaceAge_) {
+      votes[aShare.id_].Add(aShare.pacePercent_);
+    }
     share.silent_ = std::min(share.silent_, silent);
   };
   for (const EndpointShare& own : OwnShares(aNow)) {
@@ -233,6 +407,7 @@
   std::vector<EndpointShare> all;
   all.reserve(sums.size());
   for (auto& [endpoint, share] : sums) {
+    share.pacePercent_ = votes[endpoint].Median();
     all.push_back(std::move(share));
   }
   return all;
@@ -248,7 +423,9 @@
     return silent;
   }
   for (const auto& [host, reported] : peers->second) {
-    if (!IsCurrent(reported, aNow)) {
+    const bool isPaceOnly =
+      reported.share_.pacePercent_ > 0 && !HasLoad(reported.share_);
+    if (!IsCurrent(reported, aNow) || isPaceOnly) {
       continue;
     }
     const auto since =
@@ -263,8 +440,11 @@
                                   TimePoint aNow) const
 {
   const auto own = local_.find(aEndpoint);
-  return own == local_.end() ? EndpointShare{ .id_ = aEndpoint }
-                             : ShareOf(aEndpoint, own->second, aNow);
+  return own == local_.end()
+           ? EndpointShare{ .id_ = aEndpoint,
+                            .pacePercent_ = pace_.PercentOf(aEndpoint, aNow) }
+           : ShareOf(
+               aEndpoint, own->second, CombinedPace(aEndpoint, aNow), aNow);
 }
 
 std::vector<EndpointShare> FleetLoad::OwnShares(TimePoint aNow) const
@@ -272,7 +452,13 @@
   std::vector<EndpointShare> shares;
   shares.reserve(local_.size());
   for (const auto& [id, own] : local_) {
-    shares.push_back(ShareOf(id, own, aNow));
+    shares.push_back(ShareOf(id, own, CombinedPace(id, aNow), aNow));
+  }
+  // Other hosts would place requests there as soon as this host's end.
+  for (const std::string& id : pace_.SlowEndpoints(aNow)) {
+    if (!local_.contains(id)) {
+      shares.push_back(OwnShare(id, aNow));
+    }
   }
   return shares;
 }
--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -48,6 +48,13 @@
   return aLoad.running_ - aLoad.deferred_;
 }
 
+// Returns the duration of work at an engine of which the usual duration is
+// known.
+microseconds AtPace(microseconds aTime, const EndpointLoad& aLoad)
+{
+  return aLoad.pace_ > 1 ? Scaled(aTime, aLoad.pace_) : aTime;
+}
+
 // An engine that decodes may delay a prompt by this much more than an idle one:
 // about one pass.
 constexpr std::chrono::milliseconds kDecodingWaitMargin{ 60 };
@@ -94,7 +101,7 @@
     // duration of one request.
     wait += Scaled(pass, passes * excess / std::max(aProfile.slots_, 1));
   }
-  return wait;
+  return AtPace(wait, aLoad);
 }
 
 // Returns the penalty for the requests that decode at an engine. They are late
@@ -103,20 +110,41 @@
                                            const EndpointLoad& aLoad,
                                            microseconds aPrefill) const
 {
-  const microseconds pass =
-    aTask.profile_.PassTime(aLoad.running_, aLoad.memoryTokens_) + aPrefill;
+  const microseconds pass = AtPace(
+    aTask.profile_.PassTime(aLoad.running_, aLoad.memoryTokens_) + aPrefill,
+    aLoad);
   microseconds penalty(0);
   if (pass > aTask.shortestGap_) {
     penalty +=
       duration_cast<microseconds>(options_.tightGapPenalty_) * aLoad.tightGap_;
   }
-  if (pass + aLoad.backlog_ > aTask.nextGap_) {
+  if (pass + AtPace(aLoad.backlog_, aLoad) > aTask.nextGap_) {
     penalty += duration_cast<microseconds>(options_.otherGapPenalty_) *
                (aLoad.running_ - aLoad.tightGap_);
   }
   return penalty;
 }
 
+// Predicts the first answer of a prompt that engines of usual pace prefill in
+// parts; the first of them answers.
+NominalTime EnginePlacement::PredictNominalFirst(
+  const Task& aTask,
+  microseconds aPart,
+  const std::vector<const PlacementCandidate*>& aEngines)
+{
+  const EndpointLoad& load = aEngines.front()->load_;
+  if (load.running_ >= aTask.profile_.slots_) {
+    return {};
+  }
+  const microseconds shortest =
+    aPart + aTask.profile_.PassTime(load.running_ + 1, load.memoryTokens_);
+  microseconds wait(0);
+  for (const PlacementCandidate* engine : aEngines) {
+    wait = std::max(wait, NominalGap(aTask.profile_, engine->load_).longest_);
+  }
+  return { .shortest_ = shortest, .longest_ = shortest + wait };
+}
+
 // Returns whether an engine has memory for an equal part of the request.
 bool EnginePlacement::HasMemory(const Task& aTask,
                                 const EndpointLoad& aLoad,
@@ -250,8 +278,10 @@
       break; // an engine of the lane is fast enough
     }
     const microseconds first =
-      PredictWait(profile, load, CountNotDeferred(load)) + aTask.prefill_ +
-      profile.PassTime(load.running_ + 1, load.memoryTokens_);
+      PredictWait(profile, load, CountNotDeferred(load)) +
+      AtPace(aTask.prefill_ +
+               profile.PassTime(load.running_ + 1, load.memoryTokens_),
+             load);
     shortCandidates.push_back(
       { .candidate_ = aCandidates[index], .first_ = first });
     bestFirst = std::min(bestFirst, first);
@@ -285,11 +315,13 @@
     bestFirst += PredictWait(profile, load, load.running_) -
                  PredictWait(profile, load, CountNotDeferred(load));
   }
-  return PlacementChoice{ .endpoint_ = best->endpoint_,
-                          .firstAnswer_ = bestFirst,
-                          .deferred_ = late,
-                          .cost_ = { .prefill_ = aTask.prefill_,
-                                     .deferred_ = late } };
+  return PlacementChoice{
+    .endpoint_ = best->endpoint_,
+    .firstAnswer_ = bestFirst,
+    .nominalFirst_ = PredictNominalFirst(aTask, aTask.prefill_, { best }),
+    .deferred_ = late,
+    .cost_ = { .prefill_ = aTask.prefill_, .deferred_ = late }
+  };
 }
 
 // An engine considered for prefilling a part of a prompt.
@@ -299,6 +331,12 @@
   microseconds wait_;
   microseconds penalty_;
   std::size_t order_; // of equals, the lowest is preferred
+
+  // Returns when the engine has prefilled its part.
+  microseconds FinishTime(microseconds aPart) const
+  {
+    return wait_ + AtPace(aPart, candidate_->load_);
+  }
 };
 
 // Returns the best engines for prefilling the parts of a prompt, best first;
@@ -326,9 +364,10 @@
     ranked.begin(),
     ranked.begin() + static_cast<std::ptrdiff_t>(selected),
     ranked.end(),
-    [](const RankedEngine& aLeft, const RankedEngine& aRight) {
-      return std::pair(aLeft.wait_ + aLeft.penalty_, aLeft.order_) <
-             std::pair(aRight.wait_ + aRight.penalty_, aRight.order_);
+    [part](const RankedEngine& aLeft, const RankedEngine& aRight) {
+      return std::pair(aLeft.FinishTime(part) + aLeft.penalty_, aLeft.order_) <
+             std::pair(aRight.FinishTime(part) + aRight.penalty_,
+                       aRight.order_);
     });
   ranked.resize(selected);
   return ranked;
@@ -345,9 +384,9 @@
   microseconds aPart,
   std::vector<RankedEngine>& aChosen) const
 {
-  microseconds longest(0);
+  microseconds latest(0);
   for (const RankedEngine& one : aChosen) {
-    longest = std::max(longest, one.wait_);
+    latest = std::max(latest, one.FinishTime(aPart));
   }
   const PlacementCandidate* decoding = nullptr;
   for (const PlacementCandidate* candidate : aCandidates) {
@@ -356,8 +395,9 @@
       load.running_ > 0 && load.tightGap_ == 0 &&
       load.running_ < aTask.profile_.slots_ && HasMemory(aTask, load, 1) &&
       DelayPenalty(aTask, load, aPart).count() == 0 &&
-      PredictWait(aTask.profile_, load, CountNotDeferred(load)) <=
-        longest + duration_cast<microseconds>(kDecodingWaitMargin);
+      PredictWait(aTask.profile_, load, CountNotDeferred(load)) +
+          AtPace(aPart, load) <=
+        latest + duration_cast<microseconds>(kDecodingWaitMargin);
     if (eligible &&
         (decoding == nullptr || load.running_ > decoding->load_.running_)) {
       decoding = candidate;
@@ -428,14 +468,15 @@
     if (ranked.size() < engines) {
       continue; // too few engines have memory for parts of this size
     }
-    microseconds wait(0);
+    const microseconds part =
+      aTask.prefill_ / static_cast<std::int64_t>(engines);
+    // The parts are equal in size, so the slowest engine decides.
+    microseconds first(0);
     microseconds penalty(0);
     for (const RankedEngine& one : ranked) {
-      wait = std::max(wait, one.wait_);
+      first = std::max(first, one.FinishTime(part));
       penalty += one.penalty_;
     }
-    const microseconds first =
-      wait + aTask.prefill_ / static_cast<std::int64_t>(engines);
     microseconds value = first + penalty;
     if (first > missThreshold) {
       value += duration_cast<microseconds>(options_.missedObjectivePenalty_);
@@ -460,10 +501,13 @@
   PlacementChoice choice{ .endpoint_ = best.front().candidate_->endpoint_,
                           .cost_ = { .prefill_ = part },
                           .helperCost_ = { .prefill_ = part } };
-  microseconds wait(0);
+  microseconds prefilled(0);
   microseconds penalty(0);
+  std::vector<const PlacementCandidate*> engines;
+  engines.reserve(best.size());
   for (const RankedEngine& one : best) {
-    wait = std::max(wait, one.wait_);
+    engines.push_back(one.candidate_);
+    prefilled = std::max(prefilled, one.FinishTime(part));
     penalty += one.penalty_;
     if (&one != &best.front()) {
       choice.helpers_.push_back(one.candidate_->endpoint_);
@@ -473,10 +517,13 @@
     choice.reservedTokens_ =
       (aTask.totalTokens_ + best.size() - 1) / best.size();
   }
+  choice.nominalFirst_ = PredictNominalFirst(aTask, part, engines);
   choice.slowsDecoding_ = true;
-  choice.wait_ = wait + Scaled(penalty, options_.waitPenaltyShare_);
+  // Includes the delay of its part by a slow engine.
+  choice.wait_ = prefilled - part + Scaled(penalty, options_.waitPenaltyShare_);
   choice.firstAnswer_ =
-    wait + part + profile.PassTime(load.running_ + 1, load.memoryTokens_);
+    prefilled +
+    AtPace(profile.PassTime(load.running_ + 1, load.memoryTokens_), load);
   return choice;
 }
 
--- a/src/core/streams/gooseberrylift-event-splitter.cc
+++ b/src/core/streams/gooseberrylift-event-splitter.cc
@@ -51,6 +51,7 @@
                      .id_ = std::nullopt };
   event.id_ = ParseEventId(event.bytes_);
   begin_ = after;
+  ++returned_;
   return event;
 }
 
--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -243,6 +243,50 @@
              ids(OrderForHost(engines_, "two", options)));
 }
 
+TEST(FleetPlacementTest, PrefersEnginesOfUsualPaceForAShortRequest)
+{
+  AddEngines(3);
+  candidates_[0].load_.pace_ = 4;
+  candidates_[1].load_.pace_ = 4;
+  const auto choice = Choose(ShortRequest());
+  STRCMP_EQUAL("2", choice->endpoint_->id_.c_str());
+  const auto usual = choice->firstAnswer_;
+  candidates_[2].load_.pace_ = 4;
+  LONGS_EQUAL(usual.count() * 4, Choose(ShortRequest())->firstAnswer_.count());
+  CHECK_TRUE(Choose(ShortRequest())->nominalFirst_.shortest_ == usual);
+}
+
+// The parts of a prefill are equal in size, so the slowest engine decides.
+TEST(FleetPlacementTest, LeavesASlowEngineOutOfASharedPrefill)
+{
+  AddEngines(8);
+  const std::size_t engines = Choose(LongRequest(200'000))->helpers_.size() + 1;
+  CHECK_TRUE(engines > 4);
+  for (const std::size_t slow : { 3U, 5U, 7U }) {
+    candidates_[slow].load_.pace_ = 4;
+  }
+  const auto choice = Choose(LongRequest(200'000));
+  LONGS_EQUAL(4, choice->helpers_.size() + 1);
+  for (const ListedEndpoint* helper : choice->helpers_) {
+    CHECK_TRUE(helper->id_ != "3" && helper->id_ != "5" && helper->id_ != "7");
+  }
+}
+
+// The hold and the admission control decide by the wait and the first answer.
+TEST(FleetPlacementTest, PredictsTheDelayOfALongPromptAtSlowEngines)
+{
+  AddEngines(8);
+  const auto usual = Choose(LongRequest(200'000));
+  for (PlacementCandidate& candidate : candidates_) {
+    candidate.load_.pace_ = 3;
+  }
+  const auto slow = Choose(LongRequest(200'000));
+  LONGS_EQUAL(0, usual->wait_.count());
+  LONGS_EQUAL(2 * usual->cost_.prefill_.count(), slow->wait_.count());
+  LONGS_EQUAL(3 * usual->firstAnswer_.count(), slow->firstAnswer_.count());
+  CHECK_TRUE(slow->cost_.prefill_ == usual->cost_.prefill_);
+}
+
 TEST_GROUP(LongHoldTest)
 {
   HoldInput question_{ .wait_ = 900ms,
@@ -455,3 +499,80 @@
   CHECK_TRUE(spread > 0.99);
   CHECK_TRUE(score({ .placement_ = { .spareForShortShare_ = 0 } }) < spread);
 }
+
+namespace {
+
+int InTimeOf(const bench::PassSite& aSite,
+             bench::PassOptions aOptions,
+             bench::PassPace aPace,
+             std::uint64_t aSeeds)
+{
+  int inTime = 0;
+  aOptions.pace_ = aPace;
+  for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
+    aOptions.seed_ = seed;
+    for (const bench::PassResult& result :
+         bench::SimulateSite(aSite, aOptions)) {
+      inTime += result.inTime_;
+    }
+  }
+  return inTime;
+}
+
+} // namespace
+
+TEST(FleetPlacementTest, UsesAPoolInWhichEverySecondEngineIsTwiceAsSlow)
+{
+  bench::PassSite site = bench::SiteByName("notes");
+  site.phases_.clear();
+  for (const int hosts : { 2, 40 }) {
+    site.hosts_ = hosts;
+    const auto inTime = [&](bench::PassPace aPace) {
+      return InTimeOf(
+        site, { .slowdown_ = { .every_ = 2, .factor_ = 2 } }, aPace, 6);
+    };
+    const double known = inTime(bench::PassPace::kKnown);
+    CHECK_TRUE(inTime(bench::PassPace::kObserved) > 0.9 * known);
+    CHECK_TRUE(inTime(bench::PassPace::kUnknown) < 0.8 * known);
+  }
+}
+
+TEST(FleetPlacementTest, RecoversLossesWhileAFifthOfTheEnginesIsSlowed)
+{
+  bench::PassSite site = bench::SiteByName("notes");
+  site.hosts_ = 80;
+  const auto inTime = [&site](bench::PassPace aPace) {
+    return InTimeOf(site,
+                    { .slowdown_ = { .every_ = 5,
+                                     .factor_ = 4,
+                                     .fromSeconds_ = 8,
+                                     .toSeconds_ = 15 } },
+                    aPace,
+                    4);
+  };
+  const int unknown = inTime(bench::PassPace::kUnknown);
+  const int known = inTime(bench::PassPace::kKnown);
+  CHECK_TRUE(inTime(bench::PassPace::kObserved) >
+             unknown + (known - unknown) / 3);
+}
+
+// A single engine taken for slow would change all later choices.
+TEST(FleetPlacementTest, PlacesExactlyAsBeforeInAUniformPoolWithNoise)
+{
+  bench::PassSite site = bench::SiteByName("notes");
+  for (bench::PassClass& kind : site.classes_) {
+    kind.perSecond_ *= 0.5;
+  }
+  for (const std::uint64_t seed : { 1U, 2U, 3U }) {
+    bench::PassOptions options{ .passJitter_ = 0.1, .seed_ = seed };
+    const auto observed = bench::SimulateSite(site, options);
+    options.pace_ = bench::PassPace::kUnknown;
+    const auto unknown = bench::SimulateSite(site, options);
+    for (std::size_t kind = 0; kind < unknown.size(); ++kind) {
+      LONGS_EQUAL(unknown[kind].inTime_, observed[kind].inTime_);
+      DOUBLES_EQUAL(unknown[kind].worth_, observed[kind].worth_, 0);
+      DOUBLES_EQUAL(unknown[kind].firstP50Ms_, observed[kind].firstP50Ms_, 0);
+      DOUBLES_EQUAL(unknown[kind].firstP99Ms_, observed[kind].firstP99Ms_, 0);
+    }
+  }
+}
--- a/test/core/gooseberrylift-zone-load-test.cc
+++ b/test/core/gooseberrylift-zone-load-test.cc
@@ -65,6 +65,22 @@
   LONGS_EQUAL(0, message->shares_.front().running_);
 }
 
+TEST(ZoneLoadAggregatorTest, SendsOnlyClearChangesOfThePace)
+{
+  const auto sends = [this](int aPercent) {
+    now_ += 10ms;
+    EndpointShare share = Share("a", 1);
+    share.pacePercent_ = aPercent;
+    return aggregator_.NextMessage({ share }, now_).has_value();
+  };
+  CHECK_TRUE(sends(0)); // the first snapshot
+  CHECK_FALSE(sends(100));
+  CHECK_TRUE(sends(400));
+  CHECK_FALSE(sends(350));
+  CHECK_TRUE(sends(250));
+  CHECK_TRUE(sends(0));
+}
+
 TEST(ZoneLoadAggregatorTest, SendsHeartbeats)
 {
   aggregator_.NextMessage({ Share("a", 1) }, now_);
