Observe the pace of engines in the gateway, and log its changes

Streams of engines report their events by complete event, so that events which arrive together count as one delay. Event 1210 and a counter tell when an endpoint becomes slow and no longer is; placements log the pace they used.

--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -43,6 +43,7 @@
   std::vector<ListedEndpoint> helpers_;
   std::uint64_t reservedTokens_ = 0;           // at each helper
   std::chrono::microseconds firstAnswer_{ 0 }; // predicted
+  NominalTime nominalFirst_; // the same at engines of usual pace
   // The part of firstAnswer_ before prefill starts.
   std::chrono::microseconds wait_{ 0 };
   bool slowsDecoding_ = false; // its prefill delays requests that are decoding
@@ -70,6 +71,8 @@
     EndpointRateLimiter& limiter_;
     // Called when an endpoint has restarted under the same id.
     std::function<void(const std::string& aEndpoint)> onRestarted_{};
+    // Called when an endpoint becomes slow or is no longer slow.
+    std::function<void(const PaceChange& aChange)> onPaceChanged_{};
   };
 
   explicit Fleet(Options aOptions);
@@ -103,6 +106,13 @@
 
     TimePoint SentAt() const { return sentAt_; }
 
+    /// Records that the request is about to be sent and that its events are to
+    /// be compared with the predicted pace; for streams of engines.
+    void ExpectEvents();
+
+    /// Records complete events that arrived together.
+    void OnEvents(std::size_t aEvents);
+
     /// Records that the endpoint sent data for this request.
     /// @param aFirst whether the data began the answer
     void OnDataReceived(bool aFirst);
@@ -120,6 +130,7 @@
     Fleet& fleet_;
     std::uint64_t id_;
     std::string service_;
+    std::optional<EngineProfile> engineProfile_;
     FleetPlacement placement_;
     TimePoint sentAt_;
     TimePoint lastDataAt_; // equals sentAt_ until data arrives
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -50,6 +50,7 @@
   kZoneEvacuated = 1205,
   kEndpointNotice = 1206,
   kEndpointBackoffEnded = 1207,
+  kEndpointPace = 1210,
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
--- a/include/gooseberrylift/internal/gooseberrylift-service-loads.h
+++ b/include/gooseberrylift/internal/gooseberrylift-service-loads.h
@@ -19,6 +19,14 @@
 
 namespace gooseberrylift {
 
+// An endpoint that became slow, or is no longer slow.
+struct PaceChange
+{
+  std::string endpoint_;
+  bool isSlow_ = false;
+  int percent_ = 0; // its pace; when it ended, the last one
+};
+
 // What this host knows about the endpoints of one service.
 struct ServiceLoad
 {
@@ -26,6 +34,8 @@
   OutlierDetector outlierDetector_{ OutlierDetector::Options{} };
   // Of a request to a plain service; assumed until the first answer arrives.
   std::chrono::microseconds typicalDuration_{ 20'000 };
+  // Pace in percent of the endpoints that were slow at the last sweep.
+  std::map<std::string, int> slow_;
 
   /// Returns whether an endpoint fails, or has sent nothing to this host's
   /// requests for longer than any engine pass takes.
@@ -37,6 +47,10 @@
                  std::chrono::microseconds aDuration,
                  TimePoint aNow);
 
+  /// Removes expired records; to be called periodically.
+  /// @param aChanges receives the endpoints that became slow or are no longer
+  void Sweep(TimePoint aNow, std::vector<PaceChange>& aChanges);
+
   /// Discards the load, silence and failures of an endpoint's previous
   /// incarnation. Otherwise the restarted endpoint would be avoided although it
   /// is idle.
@@ -84,7 +98,8 @@
     TimePoint aNow);
 
   /// Removes expired records; to be called periodically.
-  void Sweep(TimePoint aNow);
+  /// @return the endpoints that became slow or are no longer
+  std::vector<PaceChange> Sweep(TimePoint aNow);
 
 private:
   struct Shard
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -63,6 +63,7 @@
         .endpoint_ = *choice->endpoint_,
         .reservedTokens_ = choice->reservedTokens_,
         .firstAnswer_ = choice->firstAnswer_,
+        .nominalFirst_ = choice->nominalFirst_,
         .wait_ = choice->wait_,
         .slowsDecoding_ = choice->slowsDecoding_,
         .deferred_ = choice->deferred_,
@@ -142,7 +143,15 @@
 void Fleet::Sweep()
 {
   access_.Sweep();
-  loads_.Sweep(TimerService::Now());
+  for (const PaceChange& change : loads_.Sweep(TimerService::Now())) {
+    Log(LogEvent::kEndpointPace,
+        { { "endpoint", change.endpoint_ },
+          { "slow", change.isSlow_ },
+          { "pace_percent", change.percent_ } });
+    if (options_.onPaceChanged_) {
+      options_.onPaceChanged_(change);
+    }
+  }
 }
 
 Fleet::ActiveRequest::ActiveRequest(Fleet& aFleet,
@@ -151,6 +160,7 @@
   : fleet_(aFleet)
   , id_(aQuery.id_)
   , service_(aQuery.service_)
+  , engineProfile_(aQuery.engineProfile_)
   , placement_(std::move(aPlacement))
   , sentAt_(TimerService::Now())
   , lastDataAt_(sentAt_)
@@ -169,6 +179,39 @@
   Release();
 }
 
+void Fleet::ActiveRequest::ExpectEvents()
+{
+  if (!engineProfile_) {
+    return;
+  }
+  std::vector<std::string> helpers;
+  helpers.reserve(placement_.helpers_.size());
+  for (const ListedEndpoint& helper : placement_.helpers_) {
+    helpers.push_back(helper.id_);
+  }
+  fleet_.loads_.With(service_, [&](ServiceLoad& aState) {
+    aState.load_.ExpectFirst(placement_.endpoint_.id_,
+                             id_,
+                             helpers,
+                             placement_.nominalFirst_,
+                             TimerService::Now());
+  });
+}
+
+void Fleet::ActiveRequest::OnEvents(std::size_t aEvents)
+{
+  if (!engineProfile_ || aEvents == 0) {
+    return;
+  }
+  fleet_.loads_.With(service_, [&](ServiceLoad& aState) {
+    aState.load_.OnEvents(placement_.endpoint_.id_,
+                          id_,
+                          aEvents,
+                          *engineProfile_,
+                          TimerService::Now());
+  });
+}
+
 void Fleet::ActiveRequest::OnDataReceived(bool aFirst)
 {
   const TimePoint now = TimerService::Now();
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -219,7 +219,9 @@
     aActiveRequest.OnDataReceived(first);
     first = false;
     splitter.Feed(*chunk.value());
+    const std::size_t before = splitter.Returned();
     auto events = ParseEvents(splitter);
+    aActiveRequest.OnEvents(splitter.Returned() - before);
     if (!events) {
       co_return events.error();
     }
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -257,6 +257,9 @@
   if (!request_.route_->IsRepeatable()) {
     options.http_.maxIdle_ = kNonRepeatableMaxIdle;
   }
+  if (request_.route_->kind_ == RouteKind::kStreaming) {
+    use.ExpectEvents();
+  }
   auto sent = co_await parts_.client_.Send(
     endpoint, std::move(send), request_.deadline_, options);
   const bool sentBytes = sent || sent.error().ran_ != RanState::kNo;
@@ -399,6 +402,9 @@
       { "blind", aPlacement.peerLoadUnknown_ },
       { "backlog_ms",
         duration_cast<milliseconds>(aPlacement.load_.backlog_).count() },
+      { "pace_percent",
+        static_cast<int>(aPlacement.load_.pace_ *
+                         EndpointPace::kUsualPercent) },
       { "predicted_ms",
         duration_cast<milliseconds>(aPlacement.firstAnswer_).count() },
       { "held_ms",
--- a/src/gateway/gooseberrylift-service-loads.cc
+++ b/src/gateway/gooseberrylift-service-loads.cc
@@ -45,6 +45,25 @@
     average + (duration - average) * kDurationSmoothing));
 }
 
+void ServiceLoad::Sweep(TimePoint aNow, std::vector<PaceChange>& aChanges)
+{
+  outlierDetector_.Sweep(aNow);
+  load_.Sweep(aNow);
+  std::map<std::string, int> slow = load_.SlowEndpoints(aNow);
+  for (const auto& [endpoint, percent] : slow) {
+    if (!slow_.contains(endpoint)) {
+      aChanges.push_back(
+        { .endpoint_ = endpoint, .isSlow_ = true, .percent_ = percent });
+    }
+  }
+  for (const auto& [endpoint, percent] : slow_) {
+    if (!slow.contains(endpoint)) {
+      aChanges.push_back({ .endpoint_ = endpoint, .percent_ = percent });
+    }
+  }
+  slow_ = std::move(slow);
+}
+
 void ServiceLoad::OnRestarted(const std::string& aEndpoint)
 {
   load_.OnRestarted(aEndpoint);
@@ -142,11 +161,13 @@
   return shares;
 }
 
-void ServiceLoads::Sweep(TimePoint aNow)
+std::vector<PaceChange> ServiceLoads::Sweep(TimePoint aNow)
 {
-  ForEach([aNow](const std::string& /*aService*/, ServiceLoad& aState) {
-    aState.outlierDetector_.Sweep(aNow);
+  std::vector<PaceChange> changes;
+  ForEach([&](const std::string& /*aService*/, ServiceLoad& aState) {
+    aState.Sweep(aNow, changes);
   });
+  return changes;
 }
 
 } // namespace gooseberrylift
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -77,6 +77,13 @@
              .onRestarted_ =
                [this](const std::string& aEndpoint) {
                  poisonRequestMonitor_.OnEndpointExit(aEndpoint);
+               },
+             .onPaceChanged_ =
+               [this](const PaceChange& aChange) {
+                 metrics_.Count("gooseberrylift_endpoint_pace_changes_total",
+                                "endpoint=\"" + aChange.endpoint_ +
+                                  "\",slow=\"" + (aChange.isSlow_ ? "1" : "0") +
+                                  "\"");
                } })
   , endpointClient_({ .client_ = client_,
                       .dialect_ = *dialect_,
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -139,6 +139,12 @@
                 "endpoint-backoff-ended",
                 "The backoff that an endpoint asked for has ended; it gets "
                 "requests again." },
+  LogEventInfo{ kEndpointPace,
+                LogLevel::kInfo,
+                "endpoint-pace",
+                "Most hosts observe that an endpoint became slow, or is no "
+                "longer slow; 'pace_percent' is the duration of its work as a "
+                "percentage of the predicted one." },
   LogEventInfo{ kRequestFinished,
                 LogLevel::kDebug,
                 "request-finished",
