Reproduce hosts that lose their links to all endpoints

Callers of such a host get 503 after up to a second, or nothing at all, while the other hosts serve theirs. The harness gives the first hosts a store of their own whose entries name proxies, so that only their links can be cut: they hang, are reset, refuse new connections only, or lose the responses.

--- a/fakes/gooseberrylift-fake-proxy-script.cc
+++ b/fakes/gooseberrylift-fake-proxy-script.cc
@@ -9,15 +9,11 @@
 namespace {
 
 const std::map<std::string, Fault> kFaults = {
-  { "delay", Fault::kDelay },
-  { "cut", Fault::kCut },
-  { "drop", Fault::kDrop },
-  { "black_hole", Fault::kBlackHole },
-  { "truncate", Fault::kTruncate },
-  { "refuse", Fault::kRefuse },
-  { "cross", Fault::kCross },
-  { "stale", Fault::kStale },
-  { "lose_answer", Fault::kLoseAnswer }
+  { "delay", Fault::kDelay },       { "cut", Fault::kCut },
+  { "drop", Fault::kDrop },         { "black_hole", Fault::kBlackHole },
+  { "truncate", Fault::kTruncate }, { "refuse", Fault::kRefuse },
+  { "hang", Fault::kHang },         { "cross", Fault::kCross },
+  { "stale", Fault::kStale },       { "lose_answer", Fault::kLoseAnswer }
 };
 
 const std::map<std::string, Direction> kDirections = {
@@ -72,7 +68,7 @@
     // Draws for every rule, so that a rule that has reached its count does not
     // change the random sequence that the other rules see.
     const bool drawn = draw(aRandom) < rule.probability_;
-    if (rule.fault_ == Fault::kRefuse ||
+    if (rule.fault_ == Fault::kRefuse || rule.fault_ == Fault::kHang ||
         aFirstChunk.find(rule.match_) == std::string_view::npos ||
         ++entry.matched_ <= rule.skip_ || entry.applied_ >= rule.count_ ||
         !drawn) {
@@ -85,11 +81,12 @@
   return std::nullopt;
 }
 
-bool FaultScript::RefusesConnections() const
+bool FaultScript::Has(Fault aFault) const
 {
-  return std::any_of(entries_.begin(), entries_.end(), [](const Entry& aEntry) {
-    return aEntry.rule_.fault_ == Fault::kRefuse;
-  });
+  return std::any_of(
+    entries_.begin(), entries_.end(), [aFault](const Entry& aEntry) {
+      return aEntry.rule_.fault_ == aFault;
+    });
 }
 
 } // namespace gooseberrylift::fakes
--- a/fakes/gooseberrylift-fake-proxy-script.h
+++ b/fakes/gooseberrylift-fake-proxy-script.h
@@ -27,6 +27,7 @@
   kBlackHole,  // discards data of a direction, stays connected
   kTruncate,   // closes the client side cleanly after after_bytes
   kRefuse,     // closes the listener while the rule is loaded
+  kHang,       // new connections are never established while it is loaded
   kCross,      // swaps the responses of two connections
   kStale,      // repeats the previous response of the connection first
   kLoseAnswer, // forwards the request, then resets both sides
@@ -77,12 +78,17 @@
                                        std::mt19937_64& aRandom);
 
   /// Returns whether a rule closes the listener.
-  bool RefusesConnections() const;
+  bool RefusesConnections() const { return Has(Fault::kRefuse); }
+
+  /// Returns whether a rule lets new connections hang.
+  bool HangsConnections() const { return Has(Fault::kHang); }
 
   /// Returns the number of applications by fault name.
   const std::map<std::string, std::uint64_t>& Hits() const { return hits_; }
 
 private:
+  bool Has(Fault aFault) const;
+
   struct Entry
   {
     FaultRule rule_;
--- a/fakes/gooseberrylift-fake-proxy.cc
+++ b/fakes/gooseberrylift-fake-proxy.cc
@@ -350,18 +350,35 @@
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(endpoint);
-    acceptor_.listen();
+    const bool hangs = state_.script_.HangsConnections();
+    acceptor_.listen(hangs ? 0 : asio::socket_base::max_listen_connections);
     port_ = acceptor_.local_endpoint().port();
-    asio::co_spawn(context_, Accept(), asio::detached);
+    if (hangs) {
+      FillAcceptQueue(acceptor_.local_endpoint());
+    } else {
+      asio::co_spawn(context_, Accept(), asio::detached);
+    }
+  }
+
+  // The kernel ignores connection requests while the accept queue is full. With
+  // a backlog of 0 it holds one connection.
+  void FillAcceptQueue(const tcp::endpoint& aEndpoint)
+  {
+    queued_ = std::make_unique<tcp::socket>(context_);
+    boost::system::error_code ignored;
+    queued_->connect(aEndpoint, ignored);
   }
 
   // The kernel refuses connections only while no socket listens on the port.
   void UpdateListener()
   {
     const bool refuses = state_.script_.RefusesConnections();
-    if (refuses && acceptor_.is_open()) {
+    const bool hangs = state_.script_.HangsConnections();
+    if (acceptor_.is_open() && (refuses || hangs != (queued_ != nullptr))) {
       acceptor_.close();
-    } else if (!refuses && !acceptor_.is_open()) {
+      queued_.reset();
+    }
+    if (!refuses && !acceptor_.is_open()) {
       Listen(port_);
     }
   }
@@ -389,6 +406,8 @@
   tcp::endpoint target_;
   std::uint16_t port_ = 0;
   ProxyState state_;
+  // Set while new connections hang.
+  std::unique_ptr<tcp::socket> queued_;
 };
 
 } // namespace
--- /dev/null
+++ b/test/integration/gooseberrylift-link-loss-test.cc
@@ -0,0 +1,186 @@
+// Tests of hosts that lose the links to their endpoints while callers, the
+// store and the other hosts still reach them.
+
+#include "harness-callers.h"
+
+#include <csignal>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// What happens to a link between a host and an endpoint.
+enum class LinkFault
+{
+  kHang,      // old connections fall silent, new ones hang
+  kReset,     // all connections are reset
+  kRefuseNew, // old connections live on, new ones are refused
+  kOneWay,    // requests arrive, responses are lost
+};
+
+json RulesOf(LinkFault aFault)
+{
+  switch (aFault) {
+    case LinkFault::kHang:
+      return { { { "fault", "hang" } },
+               { { "fault", "black_hole" }, { "direction", "both" } } };
+    case LinkFault::kReset:
+    case LinkFault::kRefuseNew:
+      return { { { "fault", "refuse" } } };
+    case LinkFault::kOneWay:
+      return { { { "fault", "black_hole" }, { "direction", "to_client" } } };
+  }
+  return json::array();
+}
+
+void CutLinks(GatewayDeployment& aDeployment,
+              LinkFault aFault,
+              std::size_t aBegin,
+              std::size_t aEnd)
+{
+  for (std::size_t link = aBegin; link < aEnd; ++link) {
+    aDeployment.Link(link).Script(RulesOf(aFault));
+    if (aFault == LinkFault::kReset) {
+      aDeployment.Link(link).ResetAll();
+    }
+  }
+}
+
+void CutAllLinks(GatewayDeployment& aDeployment, LinkFault aFault)
+{
+  CutLinks(aDeployment, aFault, 0, aDeployment.CountLinks());
+}
+
+// First tries of callers: each request is sent once.
+struct FirstTries
+{
+  int asked_ = 0;
+  int served_ = 0;
+
+  double Share() const
+  {
+    return asked_ == 0 ? 1.0 : static_cast<double>(served_) / asked_;
+  }
+};
+
+// The time from the beginning of a cut after which hosts that lost their links
+// must serve their callers about as well as the others.
+constexpr std::chrono::milliseconds kStableWindow{ 3'000 };
+
+// Concurrent callers of each host.
+constexpr std::size_t kCallers = 6;
+
+FirstTries SendFor(std::chrono::milliseconds aDuration,
+                   const std::vector<Host*>& aHosts,
+                   MakeCallerRequest aMake,
+                   std::size_t aCallersPerHost)
+{
+  std::vector<Host*> callersOf;
+  for (std::size_t caller = 0; caller < aCallersPerHost; ++caller) {
+    callersOf.insert(callersOf.end(), aHosts.begin(), aHosts.end());
+  }
+  Callers callers(callersOf, aMake, 20ms);
+  std::this_thread::sleep_for(aDuration);
+  callers.Stop();
+  return { .asked_ = callers.Asked(), .served_ = callers.Served() };
+}
+
+// Warms few connections up, keeps callers of the linked hosts busy through the
+// beginning of a cut, then compares the first tries at these hosts with those
+// at the others.
+void CheckServedDespiteCut(GatewayDeployment& aDeployment,
+                           LinkFault aFault,
+                           MakeCallerRequest aMake,
+                           std::size_t aLinked,
+                           std::size_t aHosts)
+{
+  std::vector<Host*> cut;
+  std::vector<Host*> others;
+  for (std::size_t host = 0; host < aHosts; ++host) {
+    (host < aLinked ? cut : others).push_back(&aDeployment.At(host));
+  }
+  CHECK_EQUAL(1.0, SendFor(1s, cut, aMake, 1).Share());
+  CutAllLinks(aDeployment, aFault);
+  (void)SendFor(kStableWindow, cut, aMake, kCallers);
+  FirstTries atOthers;
+  std::thread caller([&] { atOthers = SendFor(3s, others, aMake, kCallers); });
+  const FirstTries atCut = SendFor(3s, cut, aMake, kCallers);
+  caller.join();
+  CHECK_TRUE(atCut.asked_ >= 20);
+  CHECK_TRUE(atCut.Share() >= atOthers.Share() * 2 / 3);
+  const int failed = atCut.asked_ - atCut.served_;
+  CHECK_TRUE(failed <= 10 + (atCut.asked_ + atOthers.asked_) / 50);
+}
+
+GatewayDeployment::Options ThreeHosts(int aLinked)
+{
+  return { .hosts_ = 3, .engines_ = 6, .boards_ = 3, .linkedHosts_ = aLinked };
+}
+
+} // namespace
+
+TEST_GROUP(LinkLossTest){};
+
+TEST(LinkLossTest, ServesStreamsWhileAllLinksHang)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  CheckServedDespiteCut(deployment, LinkFault::kHang, MakeShortPrompt, 1, 3);
+}
+
+TEST(LinkLossTest, ServesStreamsWhileAllLinksAreReset)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  CheckServedDespiteCut(deployment, LinkFault::kReset, MakeShortPrompt, 1, 3);
+}
+
+TEST(LinkLossTest, ServesStreamsWhileNewConnectionsAreRefused)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  CheckServedDespiteCut(
+    deployment, LinkFault::kRefuseNew, MakeShortPrompt, 1, 3);
+}
+
+TEST(LinkLossTest, ServesStreamsWhileResponsesAreLost)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  CheckServedDespiteCut(deployment, LinkFault::kOneWay, MakeShortPrompt, 1, 3);
+}
+
+TEST(LinkLossTest, ServesPlainRequestsWhileAllLinksHang)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  CheckServedDespiteCut(deployment, LinkFault::kHang, MakeSafeRequest, 1, 3);
+}
+
+TEST(LinkLossTest, ServesPlainRequestsWhileAllLinksAreReset)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  CheckServedDespiteCut(deployment, LinkFault::kReset, MakeSafeRequest, 1, 3);
+}
+
+// Guards against failing callers when most hosts of a fleet lose their links.
+TEST(LinkLossTest, ServesStreamsWhileMostHostsAreCutOff)
+{
+  GatewayDeployment deployment(ThreeHosts(2));
+  CheckServedDespiteCut(deployment, LinkFault::kHang, MakeShortPrompt, 2, 3);
+}
+
+// Guards against failing the first requests of a host that learns of the loss
+// of its links only from them.
+TEST(LinkLossTest, ServesTheFirstRequestsOfAnIdleHost)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  std::this_thread::sleep_for(1s);
+  CutAllLinks(deployment, LinkFault::kHang);
+  std::this_thread::sleep_for(kStableWindow);
+  for (int number = 0; number < 5; ++number) {
+    const auto answer =
+      Send(deployment.At(0).Port(), MakeShortPrompt(AttemptIdOf(0, number)));
+    LONGS_EQUAL(200, answer.value().status_);
+  }
+}
--- a/test/integration/harness-gateway.cc
+++ b/test/integration/harness-gateway.cc
@@ -54,6 +54,10 @@
   , document_(DefaultDocument())
   , store_(std::make_unique<Fake>("fleet-store", json::object()))
 {
+  if (options_.linkedHosts_ > 0) {
+    linkStore_ = std::make_unique<Fake>("fleet-store", json::object());
+    Put("peer-keys/main", { { "key", "a key for both stores" } });
+  }
   const auto start = [this](std::vector<std::unique_ptr<Fake>>& aFakes,
                             int aCount,
                             const std::string& aService) {
@@ -61,6 +65,10 @@
       json settings = options_.engine_;
       settings["id"] = aService + "-" + std::to_string(index);
       aFakes.push_back(std::make_unique<Fake>("fleet-engine", settings));
+      if (linkStore_) {
+        links_.push_back(
+          std::make_unique<Proxy>(aFakes.back()->Address(), json::object()));
+      }
       List(settings["id"], *aFakes.back(), aService);
     }
   };
@@ -68,7 +76,12 @@
   start(boards_, options_.boards_, "board");
   PutDocument(document_);
   for (int index = 0; index < options_.hosts_; ++index) {
-    const json settings = HostSettings("host-" + std::to_string(index));
+    json settings = HostSettings("host-" + std::to_string(index),
+                                 index < options_.linkedHosts_);
+    if (linkStore_ && index > 0) {
+      settings["peer"]["seeds"] = { "127.0.0.1:" +
+                                    std::to_string(hosts_[0]->AdminPort()) };
+    }
     if (index == 0 && !options_.settingsPath_.empty()) {
       std::ofstream(options_.settingsPath_) << settings.dump();
       hosts_.push_back(std::make_unique<Host>(options_.settingsPath_));
@@ -81,15 +94,24 @@
   }
 }
 
-json GatewayDeployment::HostSettings(const std::string& aName) const
+json GatewayDeployment::HostSettings(const std::string& aName,
+                                     bool aLinked) const
 {
   json gateway = { { "revoke_ms", 5000 } };
   gateway.merge_patch(options_.gateway_);
-  json settings = { { "host", { { "name", aName }, { "zone", "zone-a" } } },
-                    { "caller", { { "port", 0 } } },
-                    { "store", { { "addresses", { store_->Address() } } } },
-                    { "drain", { { "lag_ms", 300 }, { "limit_ms", 5000 } } },
-                    { "gateway", gateway } };
+  json settings = {
+    { "host", { { "name", aName }, { "zone", "zone-a" } } },
+    { "caller", { { "port", 0 } } },
+    { "store",
+      { { "addresses", { (aLinked ? linkStore_ : store_)->Address() } } } },
+    { "drain", { { "lag_ms", 300 }, { "limit_ms", 5000 } } },
+    { "gateway", gateway }
+  };
+  if (linkStore_) {
+    settings["peer"]["port"] = 0;
+    // A host must not take the entries of the other store from its peers.
+    settings["gateway"]["store_relay"] = false;
+  }
   settings.merge_patch(options_.host_);
   return settings;
 }
@@ -98,7 +120,15 @@
 {
   const std::string key =
     std::string(names::kRoutesKind) + "/" + names::kRoutesName;
-  store_->Control({ { "put", { { key, aDocument } } } });
+  Put(key, aDocument);
+}
+
+void GatewayDeployment::Write(const json& aChange)
+{
+  store_->Control(aChange);
+  if (linkStore_) {
+    linkStore_->Control(aChange);
+  }
 }
 
 void GatewayDeployment::List(const std::string& aId,
@@ -108,21 +138,25 @@
                              const std::string& aZone)
 {
   const std::string key = std::string(names::kEndpointsKind) + "/" + aId;
-  const json entry = { { "service", aService }, { "address", aFake.Address() },
-                       { "zone", aZone },       { "version", "v1" },
-                       { "slots", 16 },         { "sequence", 1 },
-                       { "state", aState } };
+  json entry = { { "service", aService }, { "address", aFake.Address() },
+                 { "zone", aZone },       { "version", "v1" },
+                 { "slots", 16 },         { "sequence", 1 },
+                 { "state", aState } };
   store_->Control({ { "put", { { key, entry } } } });
+  if (linkStore_) {
+    entry["address"] = links_.back()->Address();
+    linkStore_->Control({ { "put", { { key, entry } } } });
+  }
 }
 
 void GatewayDeployment::Put(const std::string& aKey, const json& aSpec)
 {
-  store_->Control({ { "put", { { aKey, aSpec } } } });
+  Write({ { "put", { { aKey, aSpec } } } });
 }
 
 void GatewayDeployment::Remove(const std::string& aKey)
 {
-  store_->Control({ { "remove", { aKey } } });
+  Write({ { "remove", { aKey } } });
 }
 
 int GatewayDeployment::Count(const std::string& aCount,
--- a/test/integration/harness-gateway.h
+++ b/test/integration/harness-gateway.h
@@ -23,6 +23,9 @@
     json engine_ = json::object();  // merged into each endpoint's settings
     json gateway_ = json::object(); // merged into the hosts' section "gateway"
     json host_ = json::object();    // merged into all settings of the hosts
+    // The first hosts, which reach the endpoints only through Link(). They
+    // have a store of their own, whose entries name the links' addresses.
+    int linkedHosts_ = 0;
     std::string
       settingsPath_; // first host's settings file; empty: inline settings
   };
@@ -34,6 +37,12 @@
   Fake& Board(std::size_t aIndex) { return *boards_.at(aIndex); }
   Host& At(std::size_t aIndex) { return *hosts_.at(aIndex); }
 
+  /// Returns the link of the linked hosts to an endpoint: first those of the
+  /// engines, then those of the boards.
+  Proxy& Link(std::size_t aIndex) { return *links_.at(aIndex); }
+
+  std::size_t CountLinks() const { return links_.size(); }
+
   /// Returns the initial route document. A test may change the copy and pass it
   /// to PutDocument().
   json Document() const { return document_; }
@@ -57,7 +66,7 @@
   void Remove(const std::string& aKey);
 
   /// Returns the settings of a host.
-  json HostSettings(const std::string& aName) const;
+  json HostSettings(const std::string& aName, bool aLinked = false) const;
 
   /// Sums a counter for one request ID, such as arrivals or runs, over all
   /// endpoints.
@@ -67,9 +76,13 @@
   Outcome<HttpResponse> SendToFirstHost(HttpRequest aRequest);
 
 private:
+  void Write(const json& aChange);
+
   Options options_;
   json document_;
   std::unique_ptr<Fake> store_;
+  std::unique_ptr<Fake> linkStore_; // of the linked hosts
+  std::vector<std::unique_ptr<Proxy>> links_;
   std::vector<std::unique_ptr<Fake>> engines_;
   std::vector<std::unique_ptr<Fake>> boards_;
   std::vector<std::unique_ptr<Host>> hosts_;
