Find out whether a host has lost its links to the endpoints, and log it

When two distinct endpoints of a service fail without a success in between (a connection, or a response), the host now probes a sample of five: fewer than half answered means lost, at least half in two rounds in a row means up again. Lost links to one service put those to the others to the same test. No probe is sent while nothing fails. Event 1212, two counters and a list in /status show the outcome; nothing acts on it yet.

--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -49,6 +49,8 @@
       co_await SendJson(aExchange, 200, json::object());
     } else if (path == "/stats") {
       co_await SendJson(aExchange, 200, Stats());
+    } else if (path == names::kReportPath) {
+      co_await SendJson(aExchange, 200, json::object());
     } else if (path == names::kOrderPath) {
       co_await HandleOrder(aExchange);
     } else {
--- a/include/gooseberrylift/internal/gooseberrylift-endpoint-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-endpoint-client.h
@@ -12,6 +12,7 @@
 
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
+#include "gooseberrylift/internal/gooseberrylift-link-prober.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 
@@ -30,7 +31,8 @@
 // Checks right before the first byte is written that the endpoint may still
 // receive requests, because it may have withdrawn while a request waited for
 // memory or a connection. Passes on to the fleet what an endpoint states about
-// itself in its responses, whatever was requested. Thread-safe.
+// itself in its responses, whatever was requested, and to the link prober
+// whether endpoints accept connections and respond. Thread-safe.
 class EndpointClient
 {
 public:
@@ -40,6 +42,7 @@
     const WireDialect& dialect_;
     Fleet& fleet_;
     Metrics& metrics_;
+    LinkProber& links_;
   };
 
   struct CallOptions
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -81,6 +81,7 @@
   std::unique_ptr<WireDialect> dialect_;
   EndpointRateLimiter limiter_;
   Fleet fleet_;
+  LinkProber links_;
   EndpointClient endpointClient_;
   ReaderRank rank_;       // among the live hosts, as last reported
   PeerGroups peerGroups_; // of the other hosts, as last reported
--- a/include/gooseberrylift/internal/gooseberrylift-http-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-client.h
@@ -77,6 +77,8 @@
     std::optional<std::chrono::milliseconds> connectTimeout_{};
     // Called before the first byte is written; an error cancels the call.
     std::function<std::optional<Error>()> checkBeforeWrite_{};
+    // Called when a new connection has been established.
+    std::function<void()> onConnected_{};
   };
 
   HttpClient(boost::asio::any_io_executor aExecutor, Options aOptions);
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -53,6 +53,7 @@
   kEndpointCold = 1208,
   kEndpointPressureBegan = 1210,
   kEndpointPressureEnded = 1211,
+  kLinkState = 1212,
   kRequestFinished = 1300,
   kRequestFailed = 1301,
   kAttemptFailed = 1302,
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -79,6 +79,7 @@
     EndpointClient& client_;
     const WireDialect& dialect_;
     Fleet& fleet_;
+    LinkProber& links_;
     RouteFollower& routes_;
     SharedRetryBudget& retryBudget_;
     PoisonRequestMonitor& poisonRequestMonitor_;
--- a/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
+++ b/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
@@ -119,6 +119,10 @@
   virtual HttpRequest MakeReleaseRequest(
     const std::string& aReservationId) const = 0;
 
+  /// Creates a request to which an endpoint responds at once, however many
+  /// requests it processes.
+  virtual HttpRequest MakeProbeRequest() const = 0;
+
   virtual StoreKinds Kinds() const = 0;
 
   /// Parses a route document.
--- /dev/null
+++ b/src/core/routing/gooseberrylift-link-monitor.cc
@@ -0,0 +1,121 @@
+#include "gooseberrylift/routing/gooseberrylift-link-monitor.h"
+
+#include <algorithm>
+
+namespace gooseberrylift {
+
+namespace {
+
+bool IsMajority(const ProbeResult& aResult)
+{
+  return aResult.answered_ * 2 >= aResult.sent_;
+}
+
+} // namespace
+
+bool LinkMonitor::OnFailed(const std::string& aService,
+                           const std::string& aEndpoint,
+                           LinkFailure aFailure,
+                           std::size_t aEndpoints,
+                           TimePoint aNow)
+{
+  Links& links = links_[aService];
+  std::set<std::string>& failed = links.failed_[aFailure];
+  failed.insert(aEndpoint);
+  const std::size_t threshold =
+    std::min(options_.suspicionThreshold_, aEndpoints);
+  const bool refutedRecently =
+    links.refutedAt_ != TimePoint{} &&
+    aNow - links.refutedAt_ < options_.suspicionInterval_;
+  if (links.state_ != LinkState::kUp || failed.size() < threshold ||
+      refutedRecently) {
+    return false;
+  }
+  links.state_ = LinkState::kSuspected;
+  return true;
+}
+
+void LinkMonitor::OnSucceeded(const std::string& aService,
+                              LinkFailure aExpected)
+{
+  links_[aService].failed_[aExpected].clear();
+}
+
+bool LinkMonitor::Suspect(const std::string& aService)
+{
+  Links& links = links_[aService];
+  if (links.state_ != LinkState::kUp) {
+    return false;
+  }
+  links.state_ = LinkState::kSuspected;
+  return true;
+}
+
+LinkState LinkMonitor::OnProbed(const std::string& aService,
+                                const ProbeResult& aResult,
+                                TimePoint aNow)
+{
+  Links& links = links_[aService];
+  const bool answered = IsMajority(aResult);
+  if (links.state_ == LinkState::kSuspected) {
+    if (answered) {
+      OnRefuted(links, aNow);
+    } else {
+      OnLost(links, aNow);
+    }
+  } else if (links.state_ == LinkState::kLost) {
+    links.roundsAnswered_ = answered ? links.roundsAnswered_ + 1 : 0;
+    if (links.roundsAnswered_ >= links.roundsToRestore_) {
+      links.restoredAt_ = aNow;
+      OnRefuted(links, aNow);
+    }
+  }
+  return links.state_;
+}
+
+void LinkMonitor::OnRefuted(Links& aLinks, TimePoint aNow) const
+{
+  aLinks.state_ = LinkState::kUp;
+  aLinks.failed_.clear();
+  aLinks.refutedAt_ = aNow;
+}
+
+void LinkMonitor::OnLost(Links& aLinks, TimePoint aNow) const
+{
+  const bool relapsed = aLinks.restoredAt_ != TimePoint{} &&
+                        aNow - aLinks.restoredAt_ < options_.relapseTime_;
+  aLinks.roundsToRestore_ = relapsed ? std::min(aLinks.roundsToRestore_ * 2,
+                                                options_.maxRoundsToRestore_)
+                                     : options_.roundsToRestore_;
+  aLinks.roundsAnswered_ = 0;
+  aLinks.state_ = LinkState::kLost;
+}
+
+LinkState LinkMonitor::StateOf(const std::string& aService) const
+{
+  const auto found = links_.find(aService);
+  return found == links_.end() ? LinkState::kUp : found->second.state_;
+}
+
+std::vector<std::string> LinkMonitor::Lost() const
+{
+  std::vector<std::string> lost;
+  for (const auto& [service, links] : links_) {
+    if (links.state_ == LinkState::kLost) {
+      lost.push_back(service);
+    }
+  }
+  return lost;
+}
+
+std::vector<std::string> LinkMonitor::Services() const
+{
+  std::vector<std::string> services;
+  services.reserve(links_.size());
+  for (const auto& [service, links] : links_) {
+    services.push_back(service);
+  }
+  return services;
+}
+
+} // namespace gooseberrylift
--- a/src/gateway/gooseberrylift-endpoint-client.cc
+++ b/src/gateway/gooseberrylift-endpoint-client.cc
@@ -41,7 +41,10 @@
   {
     auto read = co_await call_->ReadHead();
     if (read) {
+      parts_.links_.OnSucceeded(endpoint_, LinkFailure::kResponse);
       OnHead();
+    } else if (read.error().code_ == ResultCode::kEndpointBroken) {
+      parts_.links_.OnFailed(endpoint_, LinkFailure::kResponse);
     }
     co_return read;
   }
@@ -148,10 +151,16 @@
 {
   HttpClient::CallOptions http = aOptions.http_;
   http.checkBeforeWrite_ = [&] { return CheckSend(aEndpoint, aOptions); };
+  http.onConnected_ = [&] {
+    parts_.links_.OnSucceeded(aEndpoint, LinkFailure::kConnection);
+  };
   const TimePoint sentAt = TimerService::Now();
   auto call = co_await parts_.client_.Send(
     aEndpoint.address_, std::move(aRequest), aDeadline, std::move(http));
   if (!call) {
+    if (call.error().code_ == ResultCode::kEndpointUnreachable) {
+      parts_.links_.OnFailed(aEndpoint, LinkFailure::kConnection);
+    }
     co_return call.error();
   }
   co_return std::make_unique<EndpointCall>(std::move(call.value()),
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -288,6 +288,9 @@
                              " for the rest of a stream");
     }
   }
+  if (!done && done.error().code_ == ResultCode::kEndpointSilent) {
+    parts_.links_.OnFailed(endpoint, LinkFailure::kResponse);
+  }
   use.End(done ? EndpointOutcome::kServed : OutcomeOf(done.error()));
   parts_.loadExchange_.OnRequestEnded();
   co_return done;
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -80,10 +80,18 @@
                [this](const std::string& aEndpoint) {
                  poisonRequestMonitor_.OnEndpointExit(aEndpoint);
                } })
+  , links_(
+      { .client_ = client_,
+        .dialect_ = *dialect_,
+        .access_ = fleet_.Access(),
+        .metrics_ = metrics_,
+        .executor_ = context_.get_executor(),
+        .onChanged_ = [](const std::string& /*aService*/, bool /*aLost*/) {} })
   , endpointClient_({ .client_ = client_,
                       .dialect_ = *dialect_,
                       .fleet_ = fleet_,
-                      .metrics_ = metrics_ })
+                      .metrics_ = metrics_,
+                      .links_ = links_ })
   , routes_(*dialect_, board_)
   , endpoints_(*dialect_, fleet_)
   , storeFollower_(StoreFollowerParts(), StoreFollowerOptions())
@@ -173,6 +181,7 @@
                        .client_ = endpointClient_,
                        .dialect_ = *dialect_,
                        .fleet_ = fleet_,
+                       .links_ = links_,
                        .routes_ = routes_,
                        .retryBudget_ = retryBudget_,
                        .poisonRequestMonitor_ = poisonRequestMonitor_,
@@ -471,6 +480,7 @@
     { "proof_age_ms", age ? age->count() : -1 },
     { "keys_proven", routes_.AreKeysProven() },
     { "cold_endpoints", limiter_.CountCold() },
+    { "links_lost", links_.Lost() },
   };
   return status.dump();
 }
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -334,6 +334,9 @@
       co_return connected.error();
     }
     connection = std::move(connected.value());
+    if (aOptions.onConnected_) {
+      aOptions.onConnected_();
+    }
   }
   // The process may have been suspended while connecting; a request must not be
   // sent after its deadline.
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -155,6 +155,12 @@
                 LogLevel::kInfo,
                 "endpoint-pressure-ended",
                 "An endpoint gets its full share of the requests again." },
+  LogEventInfo{ kLinkState,
+                LogLevel::kWarning,
+                "link-state",
+                "This host's links to the endpoints of a service were found to "
+                "be lost, or up again or after all; 'answered' of 'probes' "
+                "endpoints answered." },
   LogEventInfo{ kRequestFinished,
                 LogLevel::kDebug,
                 "request-finished",
--- a/test/integration/gooseberrylift-link-loss-test.cc
+++ b/test/integration/gooseberrylift-link-loss-test.cc
@@ -56,6 +56,13 @@
   CutLinks(aDeployment, aFault, 0, aDeployment.CountLinks());
 }
 
+void RestoreLinks(GatewayDeployment& aDeployment)
+{
+  for (std::size_t link = 0; link < aDeployment.CountLinks(); ++link) {
+    aDeployment.Link(link).Script(json::array());
+  }
+}
+
 // First tries of callers: each request is sent once.
 struct FirstTries
 {
@@ -184,3 +191,18 @@
     LONGS_EQUAL(200, answer.value().status_);
   }
 }
+
+// Guards against a host that takes the loss of its links for a failure of the
+// endpoints, and against one that doesn't notice the end of it.
+TEST(LinkLossTest, ReportsThatItsLinksAreLostAndThatTheyAreUpAgain)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  CutAllLinks(deployment, LinkFault::kHang);
+  Process& host = deployment.At(0).Handle();
+  (void)SendFor(kStableWindow, { &deployment.At(0) }, MakeShortPrompt, 1);
+  CHECK_FALSE(host.WaitForLine("\"links\":\"lost\"", 0ms).empty());
+  CHECK_FALSE(deployment.At(0).Status().at("links_lost").empty());
+  RestoreLinks(deployment);
+  CHECK_FALSE(host.WaitForLine("\"links\":\"up\"", kStableWindow).empty());
+  CHECK_TRUE(deployment.At(0).Status().at("links_lost").empty());
+}
