--- a/include/gooseberrylift/gooseberrylift-digest.h
+++ b/include/gooseberrylift/gooseberrylift-digest.h
@@ -69,7 +69,10 @@
   std::vector<QuarantineEntry> quarantine_;
   std::vector<EndpointRate> rates_;
   std::vector<TeamDemand> demand_;
-  bool keysProven_ = false;       // it may authenticate callers by their keys
+  bool keysProven_ = false;    // it may authenticate callers by their keys
+  bool acceptsRelays_ = false; // it processes requests of other hosts
+  std::vector<std::string>
+    linksLost_;                   // services whose endpoints it can't reach
   std::size_t zoneHostCount_ = 0; // known hosts in its zone, including itself
 };
 
--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -54,6 +54,8 @@
   kEndpointsLimited = 70,
   kEndpointsBackedOff = 71,
   kNoEndpointInRegions = 72,
+  kLinksLost = 73,
+  kRelayFull = 74,
   kStoreUnavailable = 90,
   kStoreConflict = 91,
   kStoreNotFound = 92,
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -38,10 +38,25 @@
 
   explicit GatewayFront(Parts aParts);
 
-  /// Handles one request of the HTTP server.
+  // A request that another host received from its caller.
+  struct Relayed
+  {
+    RelayTerms terms_;
+    // Adds the outcome to an error response, for the other host.
+    std::function<void(const RelayOutcome& aOutcome, HttpResponse& aResponse)>
+      signOutcome_;
+  };
+
+  /// Handles one request of a caller.
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
 
+  /// Handles one request that another host relayed.
+  boost::asio::awaitable<void> HandleRelayed(HttpExchange& aExchange,
+                                             Relayed aRelayed);
+
 private:
+  boost::asio::awaitable<void> Serve(HttpExchange& aExchange,
+                                     const Relayed* aRelayed);
   boost::asio::awaitable<void> WaitForFirstProof();
   Outcome<RoutedRequest> Resolve(const HttpRequest& aRequest,
                                  CallerRequestMetadata aFacts,
@@ -51,7 +66,8 @@
                                                    RequestRun& aRun);
   boost::asio::awaitable<void> SendErrorResponse(HttpExchange& aExchange,
                                                  const std::string& aAttemptId,
-                                                 const Error& aError);
+                                                 RelayOutcome aOutcome,
+                                                 const Relayed* aRelayed);
   void RecordSuccess(const RoutedRequest& aRequest, const RequestRun& aRun);
   void RecordFailure(const std::string& aAttemptId,
                      const std::string& aRoute,
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -21,6 +21,8 @@
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-promise-book.h"
+#include "gooseberrylift/internal/gooseberrylift-relay-client.h"
+#include "gooseberrylift/internal/gooseberrylift-relay-server.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-settings-watch.h"
 #include "gooseberrylift/internal/gooseberrylift-store-follower.h"
@@ -50,6 +52,7 @@
   Outcome<void> Listen();
   Digest OwnDigest();
   void ApplyPeers(const PeersState& aPeers);
+  void OnLinksChanged(const std::string& aService, bool aLost);
   bool IsSeed() const; // other hosts contact seeds first
   std::string AdminAddress() const;
   EndpointRateLimiter::Parts LimiterParts();
@@ -63,6 +66,7 @@
   std::string StatusText();
   boost::asio::awaitable<void> HandleReady(HttpExchange& aExchange);
   boost::asio::awaitable<void> HandleAdmin(HttpExchange& aExchange);
+  boost::asio::awaitable<void> HandlePeer(HttpExchange& aExchange);
   boost::asio::awaitable<void> WaitForStop();
   boost::asio::awaitable<void> Drain();
 
@@ -93,6 +97,7 @@
   // Whether another host that is not draining accepts keys.
   std::atomic<bool> peersHaveProvenKeys_ = false;
   PeerExchange peers_;
+  RelayClient relays_;
   PoisonRequestMonitor poisonRequestMonitor_;
   PeerDatagrams datagrams_;
   StoreStatusExchange statusExchange_;
@@ -100,6 +105,7 @@
   LoadExchange loadExchange_;
   SettingsWatch settingsWatch_;
   GatewayFront front_;
+  RelayServer relayServer_;
   HttpServer callerServer_;
   HttpServer readyServer_;
   HttpServer adminServer_;
--- a/include/gooseberrylift/internal/gooseberrylift-link-prober.h
+++ b/include/gooseberrylift/internal/gooseberrylift-link-prober.h
@@ -50,6 +50,9 @@
 
   LinkState StateOf(const std::string& aService) const;
 
+  /// Returns whether no endpoint of a service answers this host.
+  bool IsCutOff(const std::string& aService) const;
+
   /// Returns the services whose links are lost.
   std::vector<std::string> Lost() const;
 
--- a/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
@@ -113,6 +113,10 @@
                                                        nlohmann::json aParams,
                                                        TimePoint aDeadline);
 
+  /// Returns the calls between hosts; nothing before Start, when this host has
+  /// no keys yet.
+  PeerRpc* Rpc() { return started_ ? &rpc_ : nullptr; }
+
   /// Handles one request of the peer port's HTTP server.
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
 
--- a/include/gooseberrylift/internal/gooseberrylift-peer-rpc.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-rpc.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -78,6 +79,40 @@
   /// Handles one request of the HTTP server.
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
 
+  /// Signs a request that a peer is to receive as it is, in additional header
+  /// fields. They replace those of the same name.
+  /// @return the nonce, by which the peer's outcome is recognized
+  std::string SignRelayed(const Target& aTarget,
+                          nlohmann::json aTerms,
+                          HttpRequest& aRequest);
+
+  // What accompanies a request that was signed by SignRelayed.
+  struct RelayedEnvelope
+  {
+    std::string nonce_;
+    nlohmann::json terms_;
+  };
+
+  /// Returns whether a request was signed by SignRelayed.
+  static bool IsRelayed(const HttpRequest& aRequest);
+
+  /// Verifies a relayed request and removes the added header fields.
+  /// @return the envelope, or kPeerRefused if the request is not from a host
+  /// with the same keys, is meant for another host, or is a replay
+  Outcome<RelayedEnvelope> VerifyRelayed(HttpRequest& aRequest);
+
+  /// Signs the outcome of a relayed request and adds it to the response, which
+  /// must not contain an endpoint's response.
+  void SignOutcome(const std::string& aNonce,
+                   nlohmann::json aOutcome,
+                   HttpResponse& aResponse) const;
+
+  /// Returns the outcome in the response to a relayed request; nothing if it
+  /// has none that the peer signed for this request.
+  std::optional<nlohmann::json> VerifyOutcome(
+    const std::string& aNonce,
+    const HttpResponse& aResponse) const;
+
   /// Returns the total size of the bodies sent and received so far.
   std::uint64_t ByteCount() const { return byteCount_; }
 
@@ -85,6 +120,7 @@
   std::string Sign(const std::string& aBody) const;
   bool IsSigned(const std::string& aBody, std::string_view aSignature) const;
   std::string Dispatch(const Method& aMethod, const std::string& aParams);
+  std::optional<std::string> CheckEnvelope(const nlohmann::json& aEnvelope);
   nlohmann::json MakeEnvelope(const Target& aTarget, nlohmann::json aParams);
 
   HttpClient& client_;
--- a/include/gooseberrylift/internal/gooseberrylift-poison-request-monitor.h
+++ b/include/gooseberrylift/internal/gooseberrylift-poison-request-monitor.h
@@ -16,6 +16,7 @@
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/limits/gooseberrylift-poison-request-detector.h"
 #include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
+#include "gooseberrylift/routing/gooseberrylift-link-monitor.h"
 
 namespace gooseberrylift {
 
@@ -30,6 +31,9 @@
     // Called when a request has been quarantined, so that the peers learn of it
     // at once.
     std::function<void()> notifyPeers_;
+    // Returns the state of this host's links to a service. An endpoint behind a
+    // lost link looks as if it had exited.
+    std::function<LinkState(const std::string& aService)> linkState_;
   };
 
   explicit PoisonRequestMonitor(Parts aParts);
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -21,6 +21,7 @@
 #include "gooseberrylift/internal/gooseberrylift-memory-reservation.h"
 #include "gooseberrylift/internal/gooseberrylift-poison-request-monitor.h"
 #include "gooseberrylift/internal/gooseberrylift-promise-book.h"
+#include "gooseberrylift/internal/gooseberrylift-relay-client.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-waiting-room.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
@@ -59,6 +60,8 @@
   // told to; otherwise arrived_.
   TimePoint firstArrived_;
   bool returnedEarly_ = false; // before the time that its caller was told
+  // Set if another host received it from its caller and relayed it.
+  std::optional<RelayTerms> relay_{};
   TimePoint deadline_;
 };
 
@@ -80,6 +83,8 @@
     const WireDialect& dialect_;
     Fleet& fleet_;
     LinkProber& links_;
+    RelayClient& relays_;
+    std::string host_; // name of this host
     RouteFollower& routes_;
     SharedRetryBudget& retryBudget_;
     PoisonRequestMonitor& poisonRequestMonitor_;
@@ -114,11 +119,38 @@
   /// part of the request.
   int Sends() const { return sends_; }
 
+  /// Returns the endpoints that failed the request.
+  std::vector<std::string> Tried() const
+  {
+    return { tried_.begin(), tried_.end() };
+  }
+
 private:
   using Call = std::unique_ptr<HttpCall>;
 
+  // What follows a failed attempt.
+  enum class Next
+  {
+    kTryAgain,
+    kEnd,
+  };
+
+  Next OnEndpointFailed(const FleetPlacement& aPlacement, const Error& aError);
+  std::optional<PeerMember> ChooseRelay();
+  bool MayRelayLate();
+  boost::asio::awaitable<Outcome<void>> RunAtPeer(PeerMember aPeer,
+                                                  Next& aNext);
+  boost::asio::awaitable<Outcome<void>> SendToPeer(
+    RelayClient::Target& aTarget);
+  Next OnRelayFailed(const RelayClient::Target& aTarget,
+                     const Error& aError,
+                     bool aRefusedByHost);
+  void LogRelayed(const PeerMember& aPeer) const;
+  int MaxAttempts() const;
   std::optional<Error> CheckSendPreconditions() const;
   std::optional<Error> Admit(const FleetPlacement& aPlacement) const;
+  std::optional<Error> DecideRefusal(const FleetPlacement& aPlacement,
+                                     HoldDecision aDecision) const;
   std::chrono::milliseconds RemainingTime() const;
   Error MakeRefusal(const FleetPlacement& aPlacement,
                     std::chrono::milliseconds aRetryAfter) const;
@@ -145,25 +177,27 @@
   boost::asio::awaitable<Outcome<std::unique_ptr<MemoryReservation>>>
   ReserveMemory(const FleetPlacement& aPlacement);
   boost::asio::awaitable<Outcome<void>> Attempt(FleetPlacement aPlacement);
-  boost::asio::awaitable<Outcome<void>> ReadHead(
-    HttpCall& aCall,
-    Fleet::ActiveRequest& aActiveRequest);
+  boost::asio::awaitable<Outcome<void>> ForwardResponse(HttpCall& aCall,
+                                                        AttemptTarget& aTarget);
+  boost::asio::awaitable<Outcome<void>> ReadHead(HttpCall& aCall,
+                                                 AttemptTarget& aTarget);
   boost::asio::awaitable<Outcome<std::optional<std::string>>> ReadChunk(
     HttpCall& aCall,
-    const Fleet::ActiveRequest& aActiveRequest);
+    const AttemptTarget& aTarget);
   std::optional<Error> ValidateHead(const HttpResponse& aHead,
-                                    const Fleet::ActiveRequest& aActiveRequest);
+                                    AttemptTarget& aTarget);
+  void OnNotExecuted(const EndpointResponseMetadata& aFacts,
+                     const Fleet::ActiveRequest& aActiveRequest);
   void RecordRejection(const EndpointResponseMetadata& aFacts,
                        const Fleet::ActiveRequest& aActiveRequest);
   boost::asio::awaitable<Outcome<void>> ForwardBuffered(
     HttpCall& aCall,
-    const Fleet::ActiveRequest& aActiveRequest);
+    const AttemptTarget& aTarget);
   boost::asio::awaitable<Outcome<void>> ForwardUnbuffered(
     HttpCall& aCall,
     std::string aBuffered);
-  boost::asio::awaitable<Outcome<void>> ForwardStream(
-    HttpCall& aCall,
-    Fleet::ActiveRequest& aActiveRequest);
+  boost::asio::awaitable<Outcome<void>> ForwardStream(HttpCall& aCall,
+                                                      AttemptTarget& aTarget);
   Outcome<std::string> ParseEvents(EventSplitter& aSplitter);
   boost::asio::awaitable<Outcome<void>> WriteEvents(const HttpResponse& aHead,
                                                     std::string aEvents);
@@ -176,7 +210,7 @@
   bool MayRetryElsewhere() const;
   TimePoint StallDeadline() const;
   TimePoint NextStallCheck() const;
-  bool TryAbandonStalled(const Fleet::ActiveRequest& aActiveRequest);
+  bool TryAbandonStalled(const AttemptTarget& aTarget);
   bool IsStallTimeout(const Error& aError) const;
   bool TryConsumeRetryBudget();
   void EnsureRetryDelay(Error aError);
@@ -197,6 +231,12 @@
   std::unique_ptr<WaitingRoom::Ticket> waiting_;
   WaitingTurn turn_;
   int sends_ = 0; // attempts that sent at least part of the request
+  std::size_t failedConnections_ = 0; // endpoints that it could not be sent to
+  // Whether it would be late or rejected at the endpoints in reach.
+  bool lateHere_ = false;
+  std::size_t relays_ = 0;              // hosts that it was relayed to
+  std::set<std::string> excludedPeers_; // of these, those that refused it
+  RelayReason relayReason_ = RelayReason::kNone; // of the last decision
   // Total time of the attempts that sent nothing, such as failed connections.
   TimePoint::duration timeOnUnsentAttempts_{ 0 };
   bool retryBudgeted_ = false; // the budget has been charged for the next send
--- a/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
+++ b/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
@@ -89,6 +89,15 @@
     const HttpRequest& aCaller,
     const EndpointRequestMetadata& aMetadata) const = 0;
 
+  /// Creates the request to a host that the caller's is relayed to. It keeps
+  /// the caller's key, which that host checks itself.
+  /// @param aRemaining the time until the deadline
+  /// @param aLastEventId the last event that the caller has of a stream
+  virtual HttpRequest MakeRelayRequest(
+    const HttpRequest& aCaller,
+    std::chrono::milliseconds aRemaining,
+    std::optional<std::uint64_t> aLastEventId) const = 0;
+
   virtual EndpointResponseMetadata ParseEndpointResponse(
     const HttpResponse& aHead) const = 0;
 
--- a/include/gooseberrylift/routing/gooseberrylift-link-monitor.h
+++ b/include/gooseberrylift/routing/gooseberrylift-link-monitor.h
@@ -41,8 +41,9 @@
 // Keeps the state of the links to each service. When several endpoints have
 // failed in a row, a sample of all endpoints is probed: the links count as lost
 // if fewer than half of the sample answer, and as up again after several
-// rounds in which at least half do. A single endpoint that crashed or is silent
-// for a while thus never counts as a lost link. Not thread-safe.
+// rounds in which at least half do. One or two endpoints that crashed or are
+// silent for a while never count as lost links, unless they are all that the
+// service has. Not thread-safe.
 class LinkMonitor
 {
 public:
@@ -93,6 +94,10 @@
 
   LinkState StateOf(const std::string& aService) const;
 
+  /// Returns whether the links to a service are lost and no probe of the last
+  /// round was answered.
+  bool IsCutOff(const std::string& aService) const;
+
   /// Returns the services whose links are lost, ordered by name.
   std::vector<std::string> Lost() const;
 
@@ -105,7 +110,8 @@
     LinkState state_ = LinkState::kUp;
     // Endpoints that failed since the last success of the same kind.
     std::map<LinkFailure, std::set<std::string>> failed_;
-    int roundsAnswered_ = 0; // in a row, while lost
+    bool anyAnswered_ = false; // in the last round
+    int roundsAnswered_ = 0;   // in a row, while lost
     int roundsToRestore_ = 0;
     TimePoint restoredAt_{};
     TimePoint refutedAt_{};
--- a/include/gooseberrylift/routing/gooseberrylift-outlier-detector.h
+++ b/include/gooseberrylift/routing/gooseberrylift-outlier-detector.h
@@ -62,6 +62,13 @@
   /// epoch if it was never ejected.
   TimePoint EjectedUntil(const std::string& aEndpoint) const;
 
+  /// Returns the number of endpoints that were unreachable when last tried.
+  std::size_t CountUnreachable() const;
+
+  /// Discards the records of unreachable endpoints: this host's links to them
+  /// were down.
+  void OnLinksRestored();
+
   /// Discards the record of an endpoint that has restarted.
   void OnRestarted(const std::string& aEndpoint) { records_.erase(aEndpoint); }
 
--- a/src/clients/gooseberrylift-peer-rpc.cc
+++ b/src/clients/gooseberrylift-peer-rpc.cc
@@ -19,6 +19,8 @@
 
 constexpr const char* kRpcPath = "/rpc";
 constexpr const char* kSignatureField = "X-Peer-Signature";
+constexpr const char* kRelayField = "X-Peer-Relay";
+constexpr const char* kOutcomeField = "X-Peer-Outcome";
 
 std::string Hmac(const std::string& aKey, const std::string& aBody)
 {
@@ -66,6 +68,29 @@
   return response;
 }
 
+void RemovePeerFields(HttpFields& aFields)
+{
+  std::erase_if(aFields, [](const HttpField& aField) {
+    const HttpFields one{ aField };
+    return !FindField(one, kRelayField).empty() ||
+           !FindField(one, kSignatureField).empty();
+  });
+}
+
+// The header fields of a relayed request are not covered, since a proxy between
+// the hosts may change them as it may those of a caller's request.
+std::string RelayedText(std::string_view aEnvelope, const HttpRequest& aRequest)
+{
+  return std::string(aEnvelope) + "\n" + aRequest.method_ + "\n" +
+         aRequest.target_ + "\n" + aRequest.body_;
+}
+
+// Header fields hold ASCII only.
+std::string ToHeaderValue(const json& aValue)
+{
+  return aValue.dump(-1, ' ', true);
+}
+
 } // namespace
 
 PeerRpc::PeerRpc(HttpClient& aClient, Options aOptions)
@@ -92,31 +117,39 @@
   if (!params.is_object()) {
     return json{ { "refused", "parameters are no object" } }.dump();
   }
-  const std::string nonce = params.value("nonce", "");
-  const std::chrono::milliseconds sent(params.value("at", std::int64_t{ 0 }));
-  // The signature of a message recorded on the network remains valid. A replay
-  // to another host is rejected because the message names its receiver, and a
-  // later replay because its nonce and send time are checked.
-  const std::string receiver = params.value("to", "");
-  if (receiver.empty() ||
-      (receiver != options_.host_ && !addresses_.contains(receiver))) {
-    return json{ { "refused", "meant for another host" } }.dump();
-  }
-  {
-    const std::lock_guard lock(mutex_);
-    if (!replayGuard_.Accept(
-          nonce, ReplayGuard::Time(sent), std::chrono::system_clock::now())) {
-      Log(LogEvent::kPeerRefused,
-          { { "reason", "replayed message, or clocks differ" } });
-      return json{ { "refused", "replayed, or clocks differ" } }.dump();
-    }
+  if (const auto refusal = CheckEnvelope(params)) {
+    return json{ { "refused", *refusal } }.dump();
   }
   json result;
-  result["nonce"] = nonce;
+  result["nonce"] = params.value("nonce", "");
   result["result"] = aMethod(params.value("p", json::object()));
   return result.dump();
 }
 
+// Returns why a signed message is refused. The signature of a message recorded
+// on the network remains valid. A replay to another host is rejected because
+// the message names its receiver, and a later replay because its nonce and send
+// time are checked.
+std::optional<std::string> PeerRpc::CheckEnvelope(const json& aEnvelope)
+{
+  const std::string nonce = aEnvelope.value("nonce", "");
+  const std::chrono::milliseconds sent(
+    aEnvelope.value("at", std::int64_t{ 0 }));
+  const std::string receiver = aEnvelope.value("to", "");
+  if (receiver.empty() ||
+      (receiver != options_.host_ && !addresses_.contains(receiver))) {
+    return "meant for another host";
+  }
+  const std::lock_guard lock(mutex_);
+  if (!replayGuard_.Accept(
+        nonce, ReplayGuard::Time(sent), std::chrono::system_clock::now())) {
+    Log(LogEvent::kPeerRefused,
+        { { "reason", "replayed message, or clocks differ" } });
+    return "replayed, or clocks differ";
+  }
+  return std::nullopt;
+}
+
 json PeerRpc::MakeEnvelope(const Target& aTarget, json aParams)
 {
   return { { "to", aTarget.host_ },
@@ -189,6 +222,68 @@
   co_await aExchange.Send(MakeSignedResponse(response, Sign(response)));
 }
 
+std::string PeerRpc::SignRelayed(const Target& aTarget,
+                                 json aTerms,
+                                 HttpRequest& aRequest)
+{
+  const json envelope = MakeEnvelope(aTarget, std::move(aTerms));
+  const std::string value = ToHeaderValue(envelope);
+  RemovePeerFields(aRequest.fields_);
+  std::string signature = Sign(RelayedText(value, aRequest));
+  aRequest.fields_.push_back({ kRelayField, value });
+  aRequest.fields_.push_back({ kSignatureField, std::move(signature) });
+  return envelope.at("nonce");
+}
+
+bool PeerRpc::IsRelayed(const HttpRequest& aRequest)
+{
+  return !aRequest.Field(kRelayField).empty();
+}
+
+Outcome<PeerRpc::RelayedEnvelope> PeerRpc::VerifyRelayed(HttpRequest& aRequest)
+{
+  const std::string value(aRequest.Field(kRelayField));
+  const std::string signature(aRequest.Field(kSignatureField));
+  RemovePeerFields(aRequest.fields_);
+  const json envelope = json::parse(value, nullptr, false);
+  if (!envelope.is_object() ||
+      !IsSigned(RelayedText(value, aRequest), signature)) {
+    Log(LogEvent::kPeerRefused, { { "reason", "signature" } });
+    return PeerError(ResultCode::kPeerRefused, "invalid signature");
+  }
+  if (const auto refusal = CheckEnvelope(envelope)) {
+    return PeerError(ResultCode::kPeerRefused, *refusal);
+  }
+  return RelayedEnvelope{ .nonce_ = envelope.value("nonce", ""),
+                          .terms_ = envelope.value("p", json::object()) };
+}
+
+void PeerRpc::SignOutcome(const std::string& aNonce,
+                          json aOutcome,
+                          HttpResponse& aResponse) const
+{
+  const json envelope = { { "nonce", aNonce }, { "p", std::move(aOutcome) } };
+  std::string value = ToHeaderValue(envelope);
+  std::string signature = Sign(value);
+  aResponse.fields_.push_back({ kOutcomeField, std::move(value) });
+  aResponse.fields_.push_back({ kSignatureField, std::move(signature) });
+}
+
+std::optional<json> PeerRpc::VerifyOutcome(const std::string& aNonce,
+                                           const HttpResponse& aResponse) const
+{
+  const std::string value(aResponse.Field(kOutcomeField));
+  if (value.empty() || !IsSigned(value, aResponse.Field(kSignatureField))) {
+    return std::nullopt;
+  }
+  const json envelope = json::parse(value, nullptr, false);
+  if (!envelope.is_object() || envelope.value("nonce", "") != aNonce ||
+      !envelope.contains("p")) {
+    return std::nullopt;
+  }
+  return envelope.at("p");
+}
+
 std::string PeerRpc::Sign(const std::string& aBody) const
 {
   return options_.keys_.empty() ? "" : Hmac(options_.keys_.front(), aBody);
--- a/src/core/gooseberrylift-digest-codec.cc
+++ b/src/core/gooseberrylift-digest-codec.cc
@@ -170,6 +170,12 @@
   if (aDigest.keysProven_) {
     document["k"] = true;
   }
+  if (aDigest.acceptsRelays_) {
+    document["w"] = true;
+  }
+  if (!aDigest.linksLost_.empty()) {
+    document["u"] = aDigest.linksLost_;
+  }
   if (aDigest.zoneHostCount_ > 0) {
     document["n"] = aDigest.zoneHostCount_;
   }
@@ -196,6 +202,8 @@
       .storeReachable_ = aDocument.value("o", false),
       .draining_ = aDocument.value("l", false),
       .keysProven_ = aDocument.value("k", false),
+      .acceptsRelays_ = aDocument.value("w", false),
+      .linksLost_ = aDocument.value("u", std::vector<std::string>{}),
       .zoneHostCount_ = aDocument.value("n", std::size_t{ 0 }),
     };
     ParseLists(aDocument, digest);
--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -143,6 +143,16 @@
               "no-endpoint-in-regions",
               503,
               "No endpoint is in a region that the route and the team allow." },
+  ResultInfo{ kLinksLost,
+              "links-lost",
+              503,
+              "This host has lost its links to the endpoints of the service, "
+              "and no other host took the request." },
+  ResultInfo{ kRelayFull,
+              "relay-full",
+              503,
+              "This host already processes as many requests for other hosts "
+              "as it can." },
   ResultInfo{ kStoreUnavailable,
               "store-unavailable",
               503,
--- a/src/core/routing/gooseberrylift-link-monitor.cc
+++ b/src/core/routing/gooseberrylift-link-monitor.cc
@@ -6,9 +6,16 @@
 
 namespace {
 
-bool IsMajority(const ProbeResult& aResult)
+// One request may crash two endpoints before it is quarantined.
+constexpr std::size_t kMaxCrashedTogether = 2;
+
+// Returns whether at least half of the sample answered, or too few are missing
+// to tell a lost link from endpoints that crashed together.
+bool AreLinksUp(const ProbeResult& aResult)
 {
-  return aResult.answered_ * 2 >= aResult.sent_;
+  const std::size_t missing = aResult.sent_ - aResult.answered_;
+  return aResult.answered_ * 2 >= aResult.sent_ ||
+         (aResult.answered_ > 0 && missing <= kMaxCrashedTogether);
 }
 
 } // namespace
@@ -56,7 +63,8 @@
                                 TimePoint aNow)
 {
   Links& links = links_[aService];
-  const bool answered = IsMajority(aResult);
+  links.anyAnswered_ = aResult.answered_ > 0;
+  const bool answered = AreLinksUp(aResult);
   if (links.state_ == LinkState::kSuspected) {
     if (answered) {
       OnRefuted(links, aNow);
@@ -97,6 +105,13 @@
   return found == links_.end() ? LinkState::kUp : found->second.state_;
 }
 
+bool LinkMonitor::IsCutOff(const std::string& aService) const
+{
+  const auto found = links_.find(aService);
+  return found != links_.end() && found->second.state_ == LinkState::kLost &&
+         !found->second.anyAnswered_;
+}
+
 std::vector<std::string> LinkMonitor::Lost() const
 {
   std::vector<std::string> lost;
--- a/src/core/routing/gooseberrylift-outlier-detector.cc
+++ b/src/core/routing/gooseberrylift-outlier-detector.cc
@@ -59,6 +59,21 @@
   return found == records_.end() ? TimePoint{} : found->second.ejectedUntil_;
 }
 
+std::size_t OutlierDetector::CountUnreachable() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(records_.begin(), records_.end(), [](const auto& aEntry) {
+      return aEntry.second.consecutiveUnreachable_ > 0;
+    }));
+}
+
+void OutlierDetector::OnLinksRestored()
+{
+  std::erase_if(records_, [](const auto& aEntry) {
+    return aEntry.second.consecutiveUnreachable_ > 0;
+  });
+}
+
 void OutlierDetector::Sweep(TimePoint aNow)
 {
   std::erase_if(records_, [aNow](const auto& aEntry) {
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -98,7 +98,6 @@
   request.fingerprint_ = RequestFingerprint(
     aRequest.target_, request.facts_.teamKey_, aRequest.body_);
   request.identified_ = !aRequest.body_.empty();
-  ApplyPromise(request);
   request.service_ = RouteTable::ChooseService(*request.route_, RandomNumber());
   const milliseconds timeout =
     request.facts_.callerTimeout_.value_or(request.route_->timeout_);
@@ -136,19 +135,42 @@
 
 asio::awaitable<void> GatewayFront::Handle(HttpExchange& aExchange)
 {
-  const TimePoint arrived = TimerService::Now();
   co_await WaitForFirstProof();
+  co_await Serve(aExchange, nullptr);
+}
+
+asio::awaitable<void> GatewayFront::HandleRelayed(HttpExchange& aExchange,
+                                                  Relayed aRelayed)
+{
+  co_await Serve(aExchange, &aRelayed);
+}
+
+asio::awaitable<void> GatewayFront::Serve(HttpExchange& aExchange,
+                                          const Relayed* aRelayed)
+{
+  const TimePoint arrived = TimerService::Now();
   CallerRequestMetadata facts =
     parts_.dialect_.ParseCallerRequest(aExchange.Request());
   const std::string attemptId = facts.attemptId_;
   auto request = Resolve(aExchange.Request(), std::move(facts), arrived);
+  if (request && aRelayed != nullptr &&
+      request.value().table_->Version() < aRelayed->terms_.generation_) {
+    request = MakeNotConfiguredError();
+  }
+  RelayOutcome outcome;
   if (!request) {
+    outcome.error_ = request.error();
     RecordFailure(attemptId, {}, request.error(), arrived);
-    co_await SendErrorResponse(aExchange, attemptId, request.error());
+    co_await SendErrorResponse(aExchange, attemptId, outcome, aRelayed);
     co_return;
   }
-  const RoutedRequest& routed = request.value();
-  {
+  RoutedRequest& routed = request.value();
+  if (aRelayed != nullptr) {
+    routed.relay_ = aRelayed->terms_;
+    routed.firstArrived_ = arrived - aRelayed->terms_.waited_;
+  } else {
+    // The host that received a relayed request has done this.
+    ApplyPromise(routed);
     const std::lock_guard lock(parts_.run_.retryBudget_.mutex_);
     parts_.run_.retryBudget_.budget_.OnRequest(routed.service_, arrived);
   }
@@ -161,7 +183,10 @@
   }
   RecordFailure(attemptId, routed.route_->name_, done.error(), arrived);
   if (!aExchange.ResponseStarted()) {
-    co_await SendErrorResponse(aExchange, attemptId, done.error());
+    outcome = { .error_ = done.error(),
+                .sends_ = run.Sends(),
+                .tried_ = run.Tried() };
+    co_await SendErrorResponse(aExchange, attemptId, outcome, aRelayed);
   }
   // A started stream is left unfinished, which tells the caller that it is
   // truncated.
@@ -194,24 +219,30 @@
 asio::awaitable<void> GatewayFront::SendErrorResponse(
   HttpExchange& aExchange,
   const std::string& aAttemptId,
-  const Error& aError)
+  RelayOutcome aOutcome,
+  const Relayed* aRelayed)
 {
   if (aExchange.Reason() == AbortReason::kCallerLeft ||
       aExchange.Reason() == AbortReason::kCallerStalled) {
     co_return;
   }
   HttpResponse answer = parts_.dialect_.MakeHostErrorResponse(
-    HttpStatusOf(aError), aError, aAttemptId);
+    HttpStatusOf(aOutcome.error_), aOutcome.error_, aAttemptId);
+  if (aRelayed != nullptr) {
+    aRelayed->signOutcome_(aOutcome, answer);
+  }
   co_await aExchange.Send(std::move(answer));
 }
 
 void GatewayFront::RecordSuccess(const RoutedRequest& aRequest,
                                  const RequestRun& aRun)
 {
-  parts_.metrics_.Count("gooseberrylift_requests_total",
-                        "code=\"0\",kind=\"" +
-                          std::string(NameOf(aRequest.route_->kind_)) + "\"");
-  if (aRun.TimeToFirstByte()) {
+  const std::string kind(NameOf(aRequest.route_->kind_));
+  parts_.metrics_.Count(aRequest.relay_
+                          ? "gooseberrylift_relayed_requests_total"
+                          : "gooseberrylift_requests_total",
+                        "code=\"0\",kind=\"" + kind + "\"");
+  if (aRun.TimeToFirstByte() && !aRequest.relay_) {
     parts_.metrics_.RecordFirstToken(aRequest.service_,
                                      aRequest.facts_.promptTokens_,
                                      *aRun.TimeToFirstByte());
@@ -221,6 +252,7 @@
         { "route", aRequest.route_->name_ },
         { "status", aRun.Status() },
         { "sends", aRun.Sends() },
+        { "relayed_from", aRequest.relay_ ? aRequest.relay_->from_ : "" },
         { "first_ms",
           aRun.TimeToFirstByte()
             ? duration_cast<milliseconds>(*aRun.TimeToFirstByte()).count()
--- a/src/gateway/gooseberrylift-link-prober.cc
+++ b/src/gateway/gooseberrylift-link-prober.cc
@@ -52,6 +52,12 @@
   return monitor_.StateOf(aService);
 }
 
+bool LinkProber::IsCutOff(const std::string& aService) const
+{
+  const std::lock_guard lock(mutex_);
+  return monitor_.IsCutOff(aService);
+}
+
 std::vector<std::string> LinkProber::Lost() const
 {
   const std::lock_guard lock(mutex_);
--- a/src/gateway/gooseberrylift-poison-request-monitor.cc
+++ b/src/gateway/gooseberrylift-poison-request-monitor.cc
@@ -21,6 +21,10 @@
 // unreachable machine doesn't respond, which proves nothing.
 constexpr milliseconds kCheckTimeout{ 250 };
 
+// Suspected links are verified within this time.
+constexpr milliseconds kMaxVerification{ 1'000 };
+constexpr milliseconds kVerificationPoll{ 20 };
+
 } // namespace
 
 PoisonRequestMonitor::PoisonRequestMonitor(Parts aParts)
@@ -53,11 +57,17 @@
   co_await TimerService::SleepFor(kCheckDelay);
   const bool refused = co_await parts_.client_.IsConnectionRefused(
     aEndpoint.address_, kCheckTimeout);
+  LinkState links = parts_.linkState_(aEndpoint.service_);
+  const TimePoint limit = TimerService::Now() + kMaxVerification;
+  while (links == LinkState::kSuspected && TimerService::Now() < limit) {
+    co_await TimerService::SleepFor(kVerificationPoll);
+    links = parts_.linkState_(aEndpoint.service_);
+  }
   {
     const std::lock_guard lock(mutex_);
     beingChecked_.erase(aEndpoint.id_);
   }
-  if (refused) {
+  if (refused && links == LinkState::kUp) {
     OnEndpointExit(aEndpoint.id_);
   }
 }
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -57,21 +57,39 @@
 
 // Returns whether to abandon the attempt at a stalled endpoint in favor of
 // another one. If so, charges the retry budget.
-bool RequestRun::TryAbandonStalled(const Fleet::ActiveRequest& aActiveRequest)
+bool RequestRun::TryAbandonStalled(const AttemptTarget& aTarget)
 {
-  return IsRequestStalled(aActiveRequest.CurrentActivity(),
-                          EndpointStallTimeout(*request_.route_)) &&
-         MayRetryElsewhere() && TryConsumeRetryBudget();
+  return aTarget.IsStalled() && MayRetryElsewhere() && TryConsumeRetryBudget();
 }
 
-asio::awaitable<Outcome<void>> RequestRun::ReadHead(
+// Reads a response and forwards it to the caller.
+asio::awaitable<Outcome<void>> RequestRun::ForwardResponse(
   HttpCall& aCall,
-  Fleet::ActiveRequest& aActiveRequest)
+  AttemptTarget& aTarget)
+{
+  auto done = co_await ReadHead(aCall, aTarget);
+  if (!done) {
+    co_return done;
+  }
+  const bool streams = request_.route_->kind_ == RouteKind::kStreaming &&
+                       aCall.Head().status_ == 200;
+  if (streams) {
+    co_return co_await ForwardStream(aCall, aTarget);
+  }
+  if (streamStarted_) {
+    co_return MakeBrokenError("status " + std::to_string(aCall.Head().status_) +
+                              " for the rest of a stream");
+  }
+  co_return co_await ForwardBuffered(aCall, aTarget);
+}
+
+asio::awaitable<Outcome<void>> RequestRun::ReadHead(HttpCall& aCall,
+                                                    AttemptTarget& aTarget)
 {
   aCall.SetDeadline(StallDeadline());
   auto read = co_await aCall.ReadHead();
   while (!read && IsStallTimeout(read.error())) {
-    if (TryAbandonStalled(aActiveRequest)) {
+    if (TryAbandonStalled(aTarget)) {
       co_return MakeStallError();
     }
     aCall.SetDeadline(NextStallCheck());
@@ -80,20 +98,20 @@
   if (!read) {
     co_return read.error();
   }
-  if (const auto rejection = ValidateHead(aCall.Head(), aActiveRequest)) {
+  if (const auto rejection = ValidateHead(aCall.Head(), aTarget)) {
     co_return *rejection;
   }
-  aActiveRequest.OnDataReceived(request_.route_->kind_ !=
-                                RouteKind::kStreaming);
+  aTarget.OnDataReceived(request_.route_->kind_ != RouteKind::kStreaming);
   co_return boost::outcome_v2::success();
 }
 
 // Checks the head of a response before its content is trusted.
-std::optional<Error> RequestRun::ValidateHead(
-  const HttpResponse& aHead,
-  const Fleet::ActiveRequest& aActiveRequest)
+std::optional<Error> RequestRun::ValidateHead(const HttpResponse& aHead,
+                                              AttemptTarget& aTarget)
 {
-  const FleetPlacement& placement = aActiveRequest.Placement();
+  if (const auto error = aTarget.FindError(aHead)) {
+    return error;
+  }
   const EndpointResponseMetadata facts =
     parts_.dialect_.ParseEndpointResponse(aHead);
   // A late response to an earlier request could be mistaken for this one's. A
@@ -104,13 +122,7 @@
                   .ran_ = RanState::kUnknown };
   }
   if (facts.notExecuted_) {
-    RecordRejection(facts, aActiveRequest);
-    // The next attempt must not use the same helper again.
-    for (const ListedEndpoint& helper : placement.helpers_) {
-      if (helper.address_ == facts.failedHelperAddress_) {
-        tried_.insert(helper.id_);
-      }
-    }
+    aTarget.OnNotExecuted(facts);
     return Error{ .code_ = ResultCode::kEndpointRefused,
                   .text_ = "status " + std::to_string(aHead.status_) +
                            (facts.failedHelperAddress_.empty()
@@ -127,6 +139,18 @@
   return std::nullopt;
 }
 
+void RequestRun::OnNotExecuted(const EndpointResponseMetadata& aFacts,
+                               const Fleet::ActiveRequest& aActiveRequest)
+{
+  RecordRejection(aFacts, aActiveRequest);
+  // The next attempt must not use the same helper again.
+  for (const ListedEndpoint& helper : aActiveRequest.Placement().helpers_) {
+    if (helper.address_ == aFacts.failedHelperAddress_) {
+      tried_.insert(helper.id_);
+    }
+  }
+}
+
 // Counts the rejection at the endpoint or helper that is full. An endpoint that
 // leaves, was replaced or states a rate limit has another reason.
 void RequestRun::RecordRejection(const EndpointResponseMetadata& aFacts,
@@ -160,12 +184,12 @@
 
 asio::awaitable<Outcome<std::optional<std::string>>> RequestRun::ReadChunk(
   HttpCall& aCall,
-  const Fleet::ActiveRequest& aActiveRequest)
+  const AttemptTarget& aTarget)
 {
   aCall.SetDeadline(StallDeadline());
   auto chunk = co_await aCall.ReadSome();
   while (!chunk && IsStallTimeout(chunk.error())) {
-    if (TryAbandonStalled(aActiveRequest)) {
+    if (TryAbandonStalled(aTarget)) {
       co_return MakeStallError();
     }
     aCall.SetDeadline(NextStallCheck());
@@ -176,11 +200,11 @@
 
 asio::awaitable<Outcome<void>> RequestRun::ForwardBuffered(
   HttpCall& aCall,
-  const Fleet::ActiveRequest& aActiveRequest)
+  const AttemptTarget& aTarget)
 {
   HttpResponse answer = parts_.dialect_.MakeCallerResponse(aCall.Head());
   while (true) {
-    auto chunk = co_await ReadChunk(aCall, aActiveRequest);
+    auto chunk = co_await ReadChunk(aCall, aTarget);
     if (!chunk) {
       co_return chunk.error();
     }
@@ -234,21 +258,20 @@
   co_return MakeError(ResultCode::kCallerLeft);
 }
 
-asio::awaitable<Outcome<void>> RequestRun::ForwardStream(
-  HttpCall& aCall,
-  Fleet::ActiveRequest& aActiveRequest)
+asio::awaitable<Outcome<void>> RequestRun::ForwardStream(HttpCall& aCall,
+                                                         AttemptTarget& aTarget)
 {
   EventSplitter splitter;
   bool first = true;
   while (true) {
-    auto chunk = co_await ReadChunk(aCall, aActiveRequest);
+    auto chunk = co_await ReadChunk(aCall, aTarget);
     if (!chunk) {
       co_return chunk.error();
     }
     if (!chunk.value()) {
       break;
     }
-    aActiveRequest.OnDataReceived(first);
+    aTarget.OnDataReceived(first);
     first = false;
     splitter.Feed(*chunk.value());
     auto events = ParseEvents(splitter);
--- a/src/gateway/gooseberrylift-request-return.cc
+++ b/src/gateway/gooseberrylift-request-return.cc
@@ -41,7 +41,8 @@
     return error;
   }
   error.retryAfter_ = error.retryAfter_.value_or(RandomRetryDelay());
-  if (request_.identified_) {
+  // The host that relayed a request tells its caller when to return.
+  if (request_.identified_ && !request_.relay_) {
     error.retryAfter_ = PromiseReturn(*error.retryAfter_);
   }
   return error;
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gooseberrylift-connect-timeouts.h"
 #include "gooseberrylift-request-errors.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -18,16 +19,6 @@
 
 namespace {
 
-// A connection within a region is established within a few milliseconds. An
-// endpoint that takes longer is dead or overloaded, and another endpoint serves
-// the caller sooner.
-constexpr milliseconds kConnectTimeout{ 250 };
-
-// A request that must not be repeated doesn't reuse a connection that was idle
-// for longer than this: the endpoint may be closing it at that moment, and the
-// request could not be sent again.
-constexpr milliseconds kNonRepeatableMaxIdle{ 2'000 };
-
 // Failed connections don't count as attempts or against the retry budget, but
 // take time. A refused connection takes only a few milliseconds, so a request
 // tries further endpoints until it has lost this much time. With a maximum
@@ -85,11 +76,24 @@
 
 asio::awaitable<Outcome<void>> RequestRun::Run()
 {
-  while (true) {
+  Next next = Next::kTryAgain;
+  while (next == Next::kTryAgain) {
     if (const auto refusal = CheckSendPreconditions()) {
       attempts_.OnRefused(*refusal);
       break;
     }
+    if (const auto peer = ChooseRelay()) {
+      LeaveWaitingRoom(false);
+      const auto done = co_await RunAtPeer(*peer, next);
+      if (done) {
+        co_return boost::outcome_v2::success();
+      }
+      continue;
+    }
+    if (parts_.links_.IsCutOff(request_.service_)) {
+      attempts_.OnRefused(MakeError(ResultCode::kLinksLost));
+      break;
+    }
     auto placement = parts_.fleet_.Place(MakeQuery());
     if (!placement) {
       auto wait = DelayForEndpoint();
@@ -101,6 +105,9 @@
         continue;
       }
       LeaveWaitingRoom(false);
+      if (MayRelayLate()) {
+        continue;
+      }
       attempts_.OnRefused(MakeNoEndpointError());
       break;
     }
@@ -110,12 +117,11 @@
       continue;
     }
     LeaveWaitingRoom(decision == HoldDecision::kSend);
-    if (decision == HoldDecision::kReject) {
-      attempts_.OnRefused(
-        MakeRefusal(*placement, MaxRetryDelay(RemainingTime())));
-      break;
+    const auto refusal = DecideRefusal(*placement, decision);
+    if ((refusal || placement->deferred_) && MayRelayLate()) {
+      continue;
     }
-    if (const auto refusal = Admit(*placement)) {
+    if (refusal) {
       attempts_.OnRefused(*refusal);
       break;
     }
@@ -128,14 +134,7 @@
     if (done) {
       co_return boost::outcome_v2::success();
     }
-    LogFailedAttempt(chosen, done.error());
-    attempts_.OnFailed(done.error());
-    RecordLostConnection(chosen.endpoint_, done.error());
-    tried_.insert(chosen.endpoint_.id_);
-    if (!MayRetry(done.error())) {
-      EnsureRetryDelay(done.error());
-      break;
-    }
+    next = OnEndpointFailed(chosen, done.error());
   }
   if (savedFailure_) {
     co_return co_await SendSavedFailure();
@@ -143,6 +142,33 @@
   co_return MakeFinalError();
 }
 
+// Returns why a placed request is rejected; nothing if it is sent.
+std::optional<Error> RequestRun::DecideRefusal(const FleetPlacement& aPlacement,
+                                               HoldDecision aDecision) const
+{
+  if (aDecision == HoldDecision::kReject) {
+    return MakeRefusal(aPlacement, MaxRetryDelay(RemainingTime()));
+  }
+  return Admit(aPlacement);
+}
+
+RequestRun::Next RequestRun::OnEndpointFailed(const FleetPlacement& aPlacement,
+                                              const Error& aError)
+{
+  LogFailedAttempt(aPlacement, aError);
+  attempts_.OnFailed(aError);
+  RecordLostConnection(aPlacement.endpoint_, aError);
+  tried_.insert(aPlacement.endpoint_.id_);
+  if (aError.code_ == ResultCode::kEndpointUnreachable) {
+    ++failedConnections_;
+  }
+  if (MayRetry(aError)) {
+    return Next::kTryAgain;
+  }
+  EnsureRetryDelay(aError);
+  return Next::kEnd;
+}
+
 // Checked again before each attempt: if this host was paused in the meantime,
 // the deadline may have passed and the keys may be outdated.
 std::optional<Error> RequestRun::CheckSendPreconditions() const
@@ -258,7 +284,7 @@
   EndpointClient::CallOptions options;
   options.helpers_ = use.Placement().helpers_;
   options.requestId_ = request_.facts_.attemptId_;
-  options.http_.connectTimeout_ = kConnectTimeout;
+  options.http_.connectTimeout_ = kEndpointConnectTimeout;
   if (!request_.route_->IsRepeatable()) {
     options.http_.maxIdle_ = kNonRepeatableMaxIdle;
   }
@@ -274,20 +300,12 @@
     use.End(OutcomeOf(sent.error()));
     co_return sent.error();
   }
-  HttpCall& call = *sent.value();
-  auto done = co_await ReadHead(call, use);
-  if (done) {
-    const bool streams = request_.route_->kind_ == RouteKind::kStreaming &&
-                         call.Head().status_ == 200;
-    if (streams) {
-      done = co_await ForwardStream(call, use);
-    } else if (!streamStarted_) {
-      done = co_await ForwardBuffered(call, use);
-    } else {
-      done = MakeBrokenError("status " + std::to_string(call.Head().status_) +
-                             " for the rest of a stream");
-    }
-  }
+  EndpointTarget target(use,
+                        EndpointStallTimeout(*request_.route_),
+                        [this, &use](const EndpointResponseMetadata& aFacts) {
+                          OnNotExecuted(aFacts, use);
+                        });
+  const auto done = co_await ForwardResponse(*sent.value(), target);
   if (!done && done.error().code_ == ResultCode::kEndpointSilent) {
     parts_.links_.OnFailed(endpoint, LinkFailure::kResponse);
   }
@@ -318,6 +336,13 @@
   }
 }
 
+// A relayed request is sent to one endpoint only: the host that relayed it
+// decides about the next attempt.
+int RequestRun::MaxAttempts() const
+{
+  return request_.relay_ ? 1 : request_.route_->maxAttempts_;
+}
+
 bool RequestRun::MayRetry(const Error& aError)
 {
   if (aError.code_ == ResultCode::kCallerLeft ||
@@ -328,10 +353,13 @@
   if (!notReceived && !request_.route_->IsRepeatable()) {
     return false;
   }
+  if (request_.relay_ && failedConnections_ >= kMaxFailedConnections) {
+    return false; // the host that relayed it may choose another one
+  }
   const bool noneLeft = aError.code_ == ResultCode::kEndpointUnreachable &&
                         !parts_.fleet_.Access().HasUntried(
                           request_.service_, tried_, request_.allowedZones_);
-  if (sends_ >= request_.route_->maxAttempts_ || noneLeft ||
+  if (sends_ >= MaxAttempts() || noneLeft ||
       timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts) {
     return false;
   }
@@ -354,12 +382,19 @@
 // endpoint.
 bool RequestRun::MayRetryElsewhere() const
 {
-  return request_.route_->IsRepeatable() &&
-         sends_ < request_.route_->maxAttempts_;
+  if (request_.relay_) {
+    return request_.relay_->mayMove_;
+  }
+  return request_.route_->IsRepeatable() && sends_ < MaxAttempts();
 }
 
+// Charges the retry budget for a further attempt. That of a relayed request is
+// charged by the host that relayed it.
 bool RequestRun::TryConsumeRetryBudget()
 {
+  if (request_.relay_) {
+    return true;
+  }
   const std::lock_guard lock(parts_.retryBudget_.mutex_);
   retryBudgeted_ = parts_.retryBudget_.budget_.TryRetry(
     request_.service_, parts_.retryBudget_.hosts_, TimerService::Now());
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -36,6 +36,9 @@
 // host thus receives some 23 digests a second, one of each host in under three
 // seconds; a host without a digest for nine seconds counts as gone.
 constexpr std::size_t kRelayedDigests = 6;
+// Upper bound of the header fields that accompany a relayed request.
+constexpr std::uint32_t kRelayFieldBytes = 4 * 1024;
+constexpr milliseconds kRelayDrainPoll{ 20 };
 // RPC method that returns the store's objects that the calling host lacks.
 constexpr const char* kStoreMethod = "store";
 // RPC method that grants permits to send to endpoints with a rate limit.
@@ -86,7 +89,8 @@
         .access_ = fleet_.Access(),
         .metrics_ = metrics_,
         .executor_ = context_.get_executor(),
-        .onChanged_ = [](const std::string& /*aService*/, bool /*aLost*/) {} })
+        .onChanged_ = [this](const std::string& aService,
+                             bool aLost) { OnLinksChanged(aService, aLost); } })
   , endpointClient_({ .client_ = client_,
                       .dialect_ = *dialect_,
                       .fleet_ = fleet_,
@@ -111,10 +115,16 @@
              .roundFanout_ = kPeerRoundFanout,
              .roundsUntilExpired_ = kPeerRoundsUntilExpired,
              .relayed_ = kRelayedDigests })
+  , relays_({ .client_ = peerClient_, .peers_ = peers_, .metrics_ = metrics_ },
+            { .zone_ = settings_.zone_, .region_ = settings_.region_ })
   , poisonRequestMonitor_(
       { .client_ = client_,
         .executor_ = context_.get_executor(),
-        .notifyPeers_ = [this] { peers_.ExchangeInScope(); } })
+        .notifyPeers_ = [this] { peers_.ExchangeInScope(); },
+        .linkState_ =
+          [this](const std::string& aService) {
+            return links_.StateOf(aService);
+          } })
   , datagrams_(context_.get_executor())
   , waitingRoom_({ .metrics_ = metrics_,
                    .onChanged_ = [this] { loadExchange_.OnListsChanged(); } },
@@ -182,6 +192,8 @@
                        .dialect_ = *dialect_,
                        .fleet_ = fleet_,
                        .links_ = links_,
+                       .relays_ = relays_,
+                       .host_ = settings_.hostName_,
                        .routes_ = routes_,
                        .retryBudget_ = retryBudget_,
                        .poisonRequestMonitor_ = poisonRequestMonitor_,
@@ -190,6 +202,11 @@
                        .executor_ = context_.get_executor(),
                        .loadExchange_ = loadExchange_,
                        .waitingRoom_ = waitingRoom_ } })
+  , relayServer_({ .peers_ = peers_,
+                   .front_ = front_,
+                   .board_ = board_,
+                   .metrics_ = metrics_ },
+                 {})
   , callerServer_(
       context_.get_executor(),
       { .address_ = settings_.caller_.address_,
@@ -210,7 +227,7 @@
   , peerServer_(
       context_.get_executor(),
       { .address_ = settings_.peer_.address_, .port_ = settings_.peer_.port_ },
-      [this](HttpExchange& aExchange) { return peers_.Handle(aExchange); })
+      [this](HttpExchange& aExchange) { return HandlePeer(aExchange); })
 {
   peers_.AddMethod(kStoreMethod, [this](const nlohmann::json& aParams) {
     return storeFollower_.Answer(aParams);
@@ -225,6 +242,10 @@
                               .maxBodyBytes_ = limits.maxBodyBytes_,
                               .headerTimeout_ = limits.headerTimeout_,
                               .idleTimeout_ = limits.idleTimeout_ });
+    peerServer_.SetLimits(
+      { .maxHeaderBytes_ = limits.maxHeaderBytes_ + kRelayFieldBytes,
+        .maxBodyBytes_ =
+          std::max(limits.maxBodyBytes_, HttpServer::Limits{}.maxBodyBytes_) });
     ApplyColdTerms(*aSnapshot->table_);
   });
 }
@@ -239,6 +260,8 @@
   digest.storeReachable_ = !storeFollower_.IsStoreUnavailable();
   digest.draining_ = board_.host_.Read()->draining_;
   digest.keysProven_ = routes_.AreKeysProven();
+  digest.acceptsRelays_ = true;
+  digest.linksLost_ = links_.Lost();
   digest.quarantine_ = poisonRequestMonitor_.Entries();
   digest.rates_ = limiter_.Entries();
   return digest;
@@ -254,6 +277,7 @@
     fleet_.OnPeerContact();
   }
   fleet_.OnPeersKnown(aPeers.known_);
+  relays_.SetPeers(aPeers.digests_);
   peerGroups_ = GroupPeers({ .host_ = settings_.hostName_,
                              .zone_ = settings_.zone_,
                              .known_ = peers_.Known(),
@@ -282,6 +306,18 @@
   retryBudget_.hosts_ = aPeers.known_ + 1;
 }
 
+// Other hosts learn at once whether to relay requests to this one. What was
+// recorded of endpoints behind lost links was the links' failure.
+void GatewayHost::OnLinksChanged(const std::string& aService, bool aLost)
+{
+  if (!aLost) {
+    fleet_.Loads().With(aService, [](ServiceLoad& aLoad) {
+      aLoad.outlierDetector_.OnLinksRestored();
+    });
+  }
+  peers_.ExchangeInScope();
+}
+
 void GatewayHost::ApplyColdTerms(const RouteTable& aTable)
 {
   const auto board = board_.gatewaySettings_.Read();
@@ -512,6 +548,15 @@
   co_await aExchange.Send(std::move(unknown));
 }
 
+asio::awaitable<void> GatewayHost::HandlePeer(HttpExchange& aExchange)
+{
+  if (RelayServer::IsRelayed(aExchange.Request())) {
+    co_await relayServer_.Handle(aExchange);
+  } else {
+    co_await peers_.Handle(aExchange);
+  }
+}
+
 asio::awaitable<void> GatewayHost::WaitForStop()
 {
   co_await stopSignals_.async_wait(asio::use_awaitable);
@@ -523,9 +568,14 @@
 {
   Log(LogEvent::kDrainStarted);
   board_.host_.Write({ .draining_ = true });
-  const std::size_t abortedRequests = co_await callerServer_.Drain(
-    settings_.drainLag_,
-    TimerService::Now() + settings_.drainLag_ + settings_.drainLimit_);
+  const TimePoint limit =
+    TimerService::Now() + settings_.drainLag_ + settings_.drainLimit_;
+  std::size_t abortedRequests =
+    co_await callerServer_.Drain(settings_.drainLag_, limit);
+  while (relayServer_.Active() > 0 && TimerService::Now() < limit) {
+    co_await TimerService::SleepFor(kRelayDrainPoll);
+  }
+  abortedRequests += relayServer_.Active();
   Log(LogEvent::kDrainFinished, { { "cut", abortedRequests } });
 }
 
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -179,6 +179,11 @@
                 "request-served",
                 "A routed request was answered completely; the fields give its "
                 "times." },
+  LogEventInfo{ kRelayFailed,
+                LogLevel::kInfo,
+                "relay-failed",
+                "A relayed request was not served by the other host; if "
+                "'refused_by_host', a further host may take it." },
   LogEventInfo{ kRequestPlaced,
                 LogLevel::kInfo,
                 "request-placed",
@@ -198,6 +203,11 @@
                 "request-waits",
                 "A long prompt waits for engines; the fields give its place "
                 "among those that wait at all hosts." },
+  LogEventInfo{ kRequestRelayed,
+                LogLevel::kInfo,
+                "request-relayed",
+                "A request was sent to another host, since this one lacks "
+                "links to endpoints; 'reason' says how it knows." },
   LogEventInfo{ kReturnPromised,
                 LogLevel::kInfo,
                 "return-promised",
--- a/test/core/gooseberrylift-link-monitor-test.cc
+++ b/test/core/gooseberrylift-link-monitor-test.cc
@@ -75,6 +75,19 @@
   CHECK_TRUE(monitor_.OnFailed("board", "b1", LinkFailure::kResponse, 1, now_));
 }
 
+// Guards against taking the endpoints that a request crashes for lost links,
+// over which it would reach the next ones.
+TEST(LinkMonitorTest, LosesNoLinksToTwoEndpointsThatCrashTogether)
+{
+  for (const std::size_t endpoints : { 3, 4, 5 }) {
+    LinkMonitor monitor{ LinkMonitor::Options{} };
+    monitor.OnFailed("board", "b1", LinkFailure::kResponse, endpoints, now_);
+    monitor.OnFailed("board", "b2", LinkFailure::kResponse, endpoints, now_);
+    const ProbeResult result{ .sent_ = endpoints, .answered_ = endpoints - 2 };
+    CHECK_TRUE(monitor.OnProbed("board", result, now_) == LinkState::kUp);
+  }
+}
+
 TEST(LinkMonitorTest, RestoresLinksAfterSeveralAnsweredRounds)
 {
   Lose();
--- a/test/integration/gooseberrylift-link-loss-test.cc
+++ b/test/integration/gooseberrylift-link-loss-test.cc
@@ -2,9 +2,7 @@
 // store and the other hosts still reach them.
 
 #include "harness-callers.h"
-
-#include <csignal>
-#include <set>
+#include "harness-links.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -14,55 +12,6 @@
 
 namespace {
 
-// What happens to a link between a host and an endpoint.
-enum class LinkFault
-{
-  kHang,      // old connections fall silent, new ones hang
-  kReset,     // all connections are reset
-  kRefuseNew, // old connections live on, new ones are refused
-  kOneWay,    // requests arrive, responses are lost
-};
-
-json RulesOf(LinkFault aFault)
-{
-  switch (aFault) {
-    case LinkFault::kHang:
-      return { { { "fault", "hang" } },
-               { { "fault", "black_hole" }, { "direction", "both" } } };
-    case LinkFault::kReset:
-    case LinkFault::kRefuseNew:
-      return { { { "fault", "refuse" } } };
-    case LinkFault::kOneWay:
-      return { { { "fault", "black_hole" }, { "direction", "to_client" } } };
-  }
-  return json::array();
-}
-
-void CutLinks(GatewayDeployment& aDeployment,
-              LinkFault aFault,
-              std::size_t aBegin,
-              std::size_t aEnd)
-{
-  for (std::size_t link = aBegin; link < aEnd; ++link) {
-    aDeployment.Link(link).Script(RulesOf(aFault));
-    if (aFault == LinkFault::kReset) {
-      aDeployment.Link(link).ResetAll();
-    }
-  }
-}
-
-void CutAllLinks(GatewayDeployment& aDeployment, LinkFault aFault)
-{
-  CutLinks(aDeployment, aFault, 0, aDeployment.CountLinks());
-}
-
-void RestoreLinks(GatewayDeployment& aDeployment)
-{
-  for (std::size_t link = 0; link < aDeployment.CountLinks(); ++link) {
-    aDeployment.Link(link).Script(json::array());
-  }
-}
-
 // First tries of callers: each request is sent once.
 struct FirstTries
 {
@@ -124,11 +73,6 @@
   CHECK_TRUE(failed <= 10 + (atCut.asked_ + atOthers.asked_) / 50);
 }
 
-GatewayDeployment::Options ThreeHosts(int aLinked)
-{
-  return { .hosts_ = 3, .engines_ = 6, .boards_ = 3, .linkedHosts_ = aLinked };
-}
-
 } // namespace
 
 TEST_GROUP(LinkLossTest){};
--- /dev/null
+++ b/test/integration/harness-links.cc
@@ -0,0 +1,65 @@
+#include "harness-links.h"
+
+namespace gooseberrylift::test {
+
+namespace {
+
+json RulesOf(LinkFault aFault)
+{
+  switch (aFault) {
+    case LinkFault::kHang:
+      return { { { "fault", "hang" } },
+               { { "fault", "black_hole" }, { "direction", "both" } } };
+    case LinkFault::kReset:
+    case LinkFault::kRefuseNew:
+      return { { { "fault", "refuse" } } };
+    case LinkFault::kOneWay:
+      return { { { "fault", "black_hole" }, { "direction", "to_client" } } };
+  }
+  return json::array();
+}
+
+} // namespace
+
+void CutLinks(GatewayDeployment& aDeployment,
+              LinkFault aFault,
+              std::size_t aBegin,
+              std::size_t aEnd)
+{
+  for (std::size_t link = aBegin; link < aEnd; ++link) {
+    aDeployment.Link(link).Script(RulesOf(aFault));
+  }
+  // No link is reset while another one still accepts connections.
+  for (std::size_t link = aBegin; link < aEnd; ++link) {
+    if (aFault == LinkFault::kReset) {
+      aDeployment.Link(link).ResetAll();
+    }
+  }
+}
+
+void CutAllLinks(GatewayDeployment& aDeployment, LinkFault aFault)
+{
+  CutLinks(aDeployment, aFault, 0, aDeployment.CountLinks());
+}
+
+void RestoreLinks(GatewayDeployment& aDeployment)
+{
+  for (std::size_t link = 0; link < aDeployment.CountLinks(); ++link) {
+    aDeployment.Link(link).Script(json::array());
+  }
+}
+
+GatewayDeployment::Options ThreeHosts(int aLinked)
+{
+  return { .hosts_ = 3, .engines_ = 6, .boards_ = 3, .linkedHosts_ = aLinked };
+}
+
+bool WaitUntilLinksAreLost(Host& aHost)
+{
+  return WaitUntil(std::chrono::seconds(10), [&aHost] {
+    const json status = aHost.Status();
+    return status.is_object() && !status.at("links_lost").empty();
+  });
+}
+
+} // namespace gooseberrylift::test
