Wait for the state of the links before a request's last attempt

The probes that decide whether links are lost take some milliseconds then, 400 at most; a request that has failed once waits for them.

--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -136,6 +136,7 @@
   };
 
   Next OnEndpointFailed(const FleetPlacement& aPlacement, const Error& aError);
+  bool MustAwaitLinkState() const;
   std::optional<PeerMember> ChooseRelay();
   bool MayRelayLate();
   boost::asio::awaitable<Outcome<void>> RunAtPeer(PeerMember aPeer,
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -109,7 +109,7 @@
 std::optional<Error> RequestRun::ValidateHead(const HttpResponse& aHead,
                                               AttemptTarget& aTarget)
 {
-  if (const auto error = aTarget.FindError(aHead)) {
+  if (auto error = aTarget.FindError(aHead)) {
     return error;
   }
   const EndpointResponseMetadata facts =
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -40,6 +40,16 @@
 
 } // namespace
 
+// Returns whether to wait until it is known whether the links are lost, which
+// takes one round of probes. A request that has failed would otherwise spend
+// its last attempt on an endpoint behind the same links.
+bool RequestRun::MustAwaitLinkState() const
+{
+  const bool failed = sends_ > 0 || failedConnections_ > 0;
+  return failed && !request_.relay_ &&
+         parts_.links_.StateOf(request_.service_) == LinkState::kSuspected;
+}
+
 // Returns the host to which to relay the request; nothing if this host sends it
 // itself.
 std::optional<PeerMember> RequestRun::ChooseRelay()
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -33,6 +33,8 @@
 // With less time than this left, no endpoint can respond in time.
 constexpr milliseconds kMinRemaining{ 10 };
 
+constexpr milliseconds kLinkStatePoll{ 10 };
+
 // Long, because a retry of a poison request would crash more endpoints.
 constexpr milliseconds kQuarantineRetryDelay{ 600'000 };
 
@@ -82,6 +84,10 @@
       attempts_.OnRefused(*refusal);
       break;
     }
+    if (MustAwaitLinkState()) {
+      co_await TimerService::SleepFor(kLinkStatePoll);
+      continue;
+    }
     if (const auto peer = ChooseRelay()) {
       LeaveWaitingRoom(false);
       const auto done = co_await RunAtPeer(*peer, next);
