Test hosts without links to most endpoints, one service or one endpoint

The tests cut all links of a host only. Most endpoints out of reach (five of six engines) and one service alone are served like the others; one silent endpoint does not make a host take its links for lost. Failures of relayed requests are counted by the host that received them from their callers, as successes are.

--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -72,7 +72,8 @@
   void RecordFailure(const std::string& aAttemptId,
                      const std::string& aRoute,
                      const Error& aError,
-                     TimePoint aArrived);
+                     TimePoint aArrived,
+                     const Relayed* aRelayed);
 
   Parts parts_;
   std::atomic<std::uint64_t> nextId_ = 0;
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -26,6 +26,14 @@
 constexpr milliseconds kFirstProofWait{ 400 };
 constexpr milliseconds kFirstProofPollInterval{ 10 };
 
+// The host that received a request from its caller counts it, also if it
+// relayed it.
+const char* RequestCounter(bool aRelayed)
+{
+  return aRelayed ? "gooseberrylift_relayed_requests_total"
+                  : "gooseberrylift_requests_total";
+}
+
 Error MakeNotConfiguredError()
 {
   Error error = MakeError(ResultCode::kNoConfiguration);
@@ -160,7 +168,7 @@
   RelayOutcome outcome;
   if (!request) {
     outcome.error_ = request.error();
-    RecordFailure(attemptId, {}, request.error(), arrived);
+    RecordFailure(attemptId, {}, request.error(), arrived, aRelayed);
     co_await SendErrorResponse(aExchange, attemptId, outcome, aRelayed);
     co_return;
   }
@@ -181,7 +189,8 @@
     RecordSuccess(routed, run);
     co_return;
   }
-  RecordFailure(attemptId, routed.route_->name_, done.error(), arrived);
+  RecordFailure(
+    attemptId, routed.route_->name_, done.error(), arrived, aRelayed);
   if (!aExchange.ResponseStarted()) {
     outcome = { .error_ = done.error(),
                 .sends_ = run.Sends(),
@@ -238,9 +247,7 @@
                                  const RequestRun& aRun)
 {
   const std::string kind(NameOf(aRequest.route_->kind_));
-  parts_.metrics_.Count(aRequest.relay_
-                          ? "gooseberrylift_relayed_requests_total"
-                          : "gooseberrylift_requests_total",
+  parts_.metrics_.Count(RequestCounter(aRequest.relay_.has_value()),
                         "code=\"0\",kind=\"" + kind + "\"");
   if (aRun.TimeToFirstByte() && !aRequest.relay_) {
     parts_.metrics_.RecordFirstToken(aRequest.service_,
@@ -267,10 +274,11 @@
 void GatewayFront::RecordFailure(const std::string& aAttemptId,
                                  const std::string& aRoute,
                                  const Error& aError,
-                                 TimePoint aArrived)
+                                 TimePoint aArrived,
+                                 const Relayed* aRelayed)
 {
   const int code = static_cast<int>(aError.code_);
-  parts_.metrics_.Count("gooseberrylift_requests_total",
+  parts_.metrics_.Count(RequestCounter(aRelayed != nullptr),
                         "code=\"" + std::to_string(code) + "\"");
   Log(LogEvent::kRequestFailed,
       { { "request_id", aAttemptId },
@@ -279,6 +287,7 @@
         { "status", HttpStatusOf(aError) },
         { "text", aError.text_ },
         { "ran", NameOf(aError.ran_) },
+        { "relayed_from", aRelayed != nullptr ? aRelayed->terms_.from_ : "" },
         { "retry_after_ms",
           aError.retryAfter_ ? aError.retryAfter_->count() : -1 },
         { "elapsed_ms",
--- a/test/integration/gooseberrylift-link-loss-test.cc
+++ b/test/integration/gooseberrylift-link-loss-test.cc
@@ -4,6 +4,9 @@
 #include "harness-callers.h"
 #include "harness-links.h"
 
+#include <algorithm>
+#include <cstdint>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace gooseberrylift;
@@ -46,6 +49,13 @@
   return { .asked_ = callers.Asked(), .served_ = callers.Served() };
 }
 
+// The links that are cut; by default all.
+struct LinkRange
+{
+  std::size_t begin_ = 0;
+  std::size_t end_ = SIZE_MAX;
+};
+
 // Warms few connections up, keeps callers of the linked hosts busy through the
 // beginning of a cut, then compares the first tries at these hosts with those
 // at the others.
@@ -53,7 +63,8 @@
                            LinkFault aFault,
                            MakeCallerRequest aMake,
                            std::size_t aLinked,
-                           std::size_t aHosts)
+                           std::size_t aHosts,
+                           LinkRange aLinks = {})
 {
   std::vector<Host*> cut;
   std::vector<Host*> others;
@@ -61,7 +72,10 @@
     (host < aLinked ? cut : others).push_back(&aDeployment.At(host));
   }
   CHECK_EQUAL(1.0, SendFor(1s, cut, aMake, 1).Share());
-  CutAllLinks(aDeployment, aFault);
+  CutLinks(aDeployment,
+           aFault,
+           aLinks.begin_,
+           std::min(aLinks.end_, aDeployment.CountLinks()));
   (void)SendFor(kStableWindow, cut, aMake, kCallers);
   FirstTries atOthers;
   std::thread caller([&] { atOthers = SendFor(3s, others, aMake, kCallers); });
@@ -121,6 +135,34 @@
   CheckServedDespiteCut(deployment, LinkFault::kHang, MakeShortPrompt, 2, 3);
 }
 
+// Guards against sending all requests to the few endpoints in reach.
+TEST(LinkLossTest, ServesStreamsWhileMostEndpointsAreOutOfReach)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  CheckServedDespiteCut(
+    deployment, LinkFault::kHang, MakeShortPrompt, 1, 3, { 0, 5 });
+}
+
+TEST(LinkLossTest, ServesPlainRequestsWhileOneServiceIsOutOfReach)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  CheckServedDespiteCut(
+    deployment, LinkFault::kHang, MakeSafeRequest, 1, 3, { 6, 9 });
+  const FirstTries others =
+    SendFor(1s, { &deployment.At(0) }, MakeShortPrompt, 1);
+  CHECK_EQUAL(1.0, others.Share());
+}
+
+// Guards against taking one silent endpoint for lost links.
+TEST(LinkLossTest, KeepsItsLinksWhileOneEndpointIsSilent)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  CutLinks(deployment, LinkFault::kHang, 0, 1);
+  (void)SendFor(2s, { &deployment.At(0) }, MakeShortPrompt, kCallers);
+  CHECK_TRUE(
+    deployment.At(0).Handle().WaitForLine("\"links\":\"lost\"", 0ms).empty());
+}
+
 // Guards against failing the first requests of a host that learns of the loss
 // of its links only from them.
 TEST(LinkLossTest, ServesTheFirstRequestsOfAnIdleHost)
