Count a caller's deadline from its arrival again

Since requests of callers and of other hosts share a path, the time of arrival was taken after the wait for the first proof of the routes, up to 0.4 s later, and the deadline with it. Found by reading the change; no run showed it.

--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -55,7 +55,9 @@
                                              Relayed aRelayed);
 
 private:
+  // Serves a request of a caller, or a relayed one if aRelayed is not null.
   boost::asio::awaitable<void> Serve(HttpExchange& aExchange,
+                                     TimePoint aArrived,
                                      const Relayed* aRelayed);
   boost::asio::awaitable<void> WaitForFirstProof();
   Outcome<RoutedRequest> Resolve(const HttpRequest& aRequest,
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -143,24 +143,25 @@
 
 asio::awaitable<void> GatewayFront::Handle(HttpExchange& aExchange)
 {
+  const TimePoint arrived = TimerService::Now();
   co_await WaitForFirstProof();
-  co_await Serve(aExchange, nullptr);
+  co_await Serve(aExchange, arrived, nullptr);
 }
 
 asio::awaitable<void> GatewayFront::HandleRelayed(HttpExchange& aExchange,
                                                   Relayed aRelayed)
 {
-  co_await Serve(aExchange, &aRelayed);
+  co_await Serve(aExchange, TimerService::Now(), &aRelayed);
 }
 
 asio::awaitable<void> GatewayFront::Serve(HttpExchange& aExchange,
+                                          TimePoint aArrived,
                                           const Relayed* aRelayed)
 {
-  const TimePoint arrived = TimerService::Now();
   CallerRequestMetadata facts =
     parts_.dialect_.ParseCallerRequest(aExchange.Request());
   const std::string attemptId = facts.attemptId_;
-  auto request = Resolve(aExchange.Request(), std::move(facts), arrived);
+  auto request = Resolve(aExchange.Request(), std::move(facts), aArrived);
   if (request && aRelayed != nullptr &&
       request.value().table_->Version() < aRelayed->terms_.generation_) {
     request = MakeNotConfiguredError();
@@ -168,19 +169,19 @@
   RelayOutcome outcome;
   if (!request) {
     outcome.error_ = request.error();
-    RecordFailure(attemptId, {}, request.error(), arrived, aRelayed);
+    RecordFailure(attemptId, {}, request.error(), aArrived, aRelayed);
     co_await SendErrorResponse(aExchange, attemptId, outcome, aRelayed);
     co_return;
   }
   RoutedRequest& routed = request.value();
   if (aRelayed != nullptr) {
     routed.relay_ = aRelayed->terms_;
-    routed.firstArrived_ = arrived - aRelayed->terms_.waited_;
+    routed.firstArrived_ = aArrived - aRelayed->terms_.waited_;
   } else {
     // The host that received a relayed request has done this.
     ApplyPromise(routed);
     const std::lock_guard lock(parts_.run_.retryBudget_.mutex_);
-    parts_.run_.retryBudget_.budget_.OnRequest(routed.service_, arrived);
+    parts_.run_.retryBudget_.budget_.OnRequest(routed.service_, aArrived);
   }
   aExchange.SetDeadline(routed.deadline_);
   RequestRun run(parts_.run_, aExchange, routed);
@@ -190,7 +191,7 @@
     co_return;
   }
   RecordFailure(
-    attemptId, routed.route_->name_, done.error(), arrived, aRelayed);
+    attemptId, routed.route_->name_, done.error(), aArrived, aRelayed);
   if (!aExchange.ResponseStarted()) {
     outcome = { .error_ = done.error(),
                 .sends_ = run.Sends(),
