--- a/include/gooseberrylift/routing/gooseberrylift-link-monitor.h
+++ b/include/gooseberrylift/routing/gooseberrylift-link-monitor.h
@@ -36,6 +36,7 @@
 {
   std::size_t sent_ = 0;
   std::size_t answered_ = 0;
+  bool complete_ = false; // whether all endpoints were probed
 };
 
 // Keeps the state of the links to each service. When several endpoints have
@@ -94,8 +95,9 @@
 
   LinkState StateOf(const std::string& aService) const;
 
-  /// Returns whether the links to a service are lost and no probe of the last
-  /// round was answered.
+  /// Returns whether the links to a service are lost and none of its endpoints
+  /// answered in the last round. With more endpoints than are probed in a
+  /// round, this is not known.
   bool IsCutOff(const std::string& aService) const;
 
   /// Returns the services whose links are lost, ordered by name.
@@ -110,8 +112,8 @@
     LinkState state_ = LinkState::kUp;
     // Endpoints that failed since the last success of the same kind.
     std::map<LinkFailure, std::set<std::string>> failed_;
-    bool anyAnswered_ = false; // in the last round
-    int roundsAnswered_ = 0;   // in a row, while lost
+    bool cutOff_ = false;    // by the last round
+    int roundsAnswered_ = 0; // in a row, while lost
     int roundsToRestore_ = 0;
     TimePoint restoredAt_{};
     TimePoint refutedAt_{};
--- a/src/core/routing/gooseberrylift-link-monitor.cc
+++ b/src/core/routing/gooseberrylift-link-monitor.cc
@@ -63,7 +63,7 @@
                                 TimePoint aNow)
 {
   Links& links = links_[aService];
-  links.anyAnswered_ = aResult.answered_ > 0;
+  links.cutOff_ = aResult.complete_ && aResult.answered_ == 0;
   const bool answered = AreLinksUp(aResult);
   if (links.state_ == LinkState::kSuspected) {
     if (answered) {
@@ -109,7 +109,7 @@
 {
   const auto found = links_.find(aService);
   return found != links_.end() && found->second.state_ == LinkState::kLost &&
-         !found->second.anyAnswered_;
+         found->second.cutOff_;
 }
 
 std::vector<std::string> LinkMonitor::Lost() const
--- a/src/gateway/gooseberrylift-link-prober.cc
+++ b/src/gateway/gooseberrylift-link-prober.cc
@@ -116,6 +116,7 @@
   const auto round = std::make_shared<Round>();
   round->result_.sent_ =
     std::min(LinkMonitor::Options{}.sampleSize_, endpoints->size());
+  round->result_.complete_ = round->result_.sent_ == endpoints->size();
   for (std::size_t index = 0; index < round->result_.sent_; ++index) {
     SpawnTask(parts_.executor_, Probe(endpoints->at(index), round));
   }
--- a/test/core/gooseberrylift-link-monitor-test.cc
+++ b/test/core/gooseberrylift-link-monitor-test.cc
@@ -88,6 +88,17 @@
   }
 }
 
+// Guards against rejecting requests while an endpoint that was not probed could
+// serve them.
+TEST(LinkMonitorTest, KnowsThatItIsCutOffOnlyFromProbesOfAllEndpoints)
+{
+  Lose();
+  CHECK_FALSE(monitor_.IsCutOff("engines"));
+  monitor_.OnProbed(
+    "engines", { .sent_ = 5, .answered_ = 0, .complete_ = true }, now_);
+  CHECK_TRUE(monitor_.IsCutOff("engines"));
+}
+
 TEST(LinkMonitorTest, RestoresLinksAfterSeveralAnsweredRounds)
 {
   Lose();
