--- a/include/gooseberrylift/internal/gooseberrylift-relay-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-relay-server.h
@@ -31,8 +31,8 @@
 
   struct Options
   {
-    // Each holds a connection and its buffers twice, some 60 KB, which the
-    // smallest hosts with 112 MB bear beside their own.
+    // Bounds the memory of small hosts: each holds two connections with their
+    // buffers, and the body of the request.
     std::size_t maxActive_ = 256;
   };
 
