Log how far a broken attempt had come, its prompt's parts, and the check of its endpoint

In the incident of the crashing prompt part the logs could not tell whether crashes were not counted (links taken for lost) or counted for the wrong thing (the hash of whole requests). Event 1302 now has the parts and how long the endpoint had been answering; 1405 and 1406 have the outcome of the check whether an endpoint has exited. No decision changes.

--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -64,6 +64,8 @@
   kRequestWaits = 1403,
   kPoisonRequestDetected = 1402,
   kRequestRelayed = 1404,
+  kEndpointCrashed = 1405,
+  kExitUnconfirmed = 1406,
   kReturnPromised = 1420,
   kReturnClaimed = 1421,
   kJobEnded = 1520,
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -25,6 +25,7 @@
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-waiting-room.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
+#include "gooseberrylift/limits/gooseberrylift-answer-progress.h"
 #include "gooseberrylift/limits/gooseberrylift-fleet-retry-budget.h"
 #include "gooseberrylift/limits/gooseberrylift-long-prompt-hold.h"
 #include "gooseberrylift/streams/gooseberrylift-event-splitter.h"
@@ -205,6 +206,7 @@
   boost::asio::awaitable<bool> EnsureStreamStarted(const HttpResponse& aHead);
   boost::asio::awaitable<Outcome<void>> SendSavedFailure();
   void AnnouncePlacement(const FleetPlacement& aPlacement) const;
+  void RecordAnswerData();
   void RecordLostConnection(const ListedEndpoint& aEndpoint,
                             const Error& aError);
   bool MayRetry(const Error& aError);
@@ -231,7 +233,8 @@
   // While it waits in the order of all hosts, and its place when last checked.
   std::unique_ptr<WaitingRoom::Ticket> waiting_;
   WaitingTurn turn_;
-  int sends_ = 0; // attempts that sent at least part of the request
+  AnswerProgress progress_; // of the current attempt
+  int sends_ = 0;           // attempts that sent at least part of the request
   std::size_t failedConnections_ = 0; // endpoints that it could not be sent to
   // Whether it would be late or rejected at the endpoints in reach.
   bool lateHere_ = false;
--- a/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
+++ b/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
@@ -29,6 +29,9 @@
   std::uint64_t promptTokens_ = 0; // 0 if the request is not a generation
   std::uint64_t answerTokens_ = 0; // upper bound
   std::optional<std::uint64_t> lastEventId_; // of the stream to resume
+  // The IDs of the prompt's parts in order. The last part belongs to this
+  // request alone.
+  std::vector<std::string> promptParts_;
 };
 
 // An engine that prefills a part of a prompt for another engine.
--- a/src/gateway/gooseberrylift-poison-request-monitor.cc
+++ b/src/gateway/gooseberrylift-poison-request-monitor.cc
@@ -68,8 +68,15 @@
     beingChecked_.erase(aEndpoint.id_);
   }
   if (refused && links == LinkState::kUp) {
+    Log(LogEvent::kEndpointCrashed,
+        { { "endpoint", aEndpoint.id_ }, { "proof", "refused" } });
     OnEndpointExit(aEndpoint.id_);
+    co_return;
   }
+  Log(LogEvent::kExitUnconfirmed,
+      { { "endpoint", aEndpoint.id_ },
+        { "connection", refused ? "refused" : "other" },
+        { "links_up", links == LinkState::kUp } });
 }
 
 void PoisonRequestMonitor::OnEndpointExit(const std::string& aEndpoint)
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -101,7 +101,12 @@
   if (const auto rejection = ValidateHead(aCall.Head(), aTarget)) {
     co_return *rejection;
   }
-  aTarget.OnDataReceived(request_.route_->kind_ != RouteKind::kStreaming);
+  // The head of a stream may be sent while the prompt is still being read.
+  const bool begins = request_.route_->kind_ != RouteKind::kStreaming;
+  aTarget.OnDataReceived(begins);
+  if (begins) {
+    RecordAnswerData();
+  }
   co_return boost::outcome_v2::success();
 }
 
@@ -272,6 +277,7 @@
       break;
     }
     aTarget.OnDataReceived(first);
+    RecordAnswerData();
     first = false;
     splitter.Feed(*chunk.value());
     auto events = ParseEvents(splitter);
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -294,6 +294,7 @@
   if (!request_.route_->IsRepeatable()) {
     options.http_.maxIdle_ = kNonRepeatableMaxIdle;
   }
+  progress_.OnSent(startTime);
   auto sent = co_await parts_.client_.Send(
     endpoint, std::move(send), request_.deadline_, options);
   const bool sentBytes = sent || sent.error().ran_ != RanState::kNo;
@@ -342,6 +343,11 @@
   }
 }
 
+void RequestRun::RecordAnswerData()
+{
+  progress_.OnData(TimerService::Now());
+}
+
 // A relayed request is sent to one endpoint only: the host that relayed it
 // decides about the next attempt.
 int RequestRun::MaxAttempts() const
@@ -462,12 +468,19 @@
 void RequestRun::LogFailedAttempt(const FleetPlacement& aPlacement,
                                   const Error& aError) const
 {
+  const TimePoint now = TimerService::Now();
+  const auto answered =
+    progress_.begunAt_
+      ? duration_cast<milliseconds>(now - *progress_.begunAt_).count()
+      : -1;
   Log(LogEvent::kAttemptFailed,
       { { "request_id", request_.facts_.attemptId_ },
         { "endpoint", aPlacement.endpoint_.id_ },
         { "code", static_cast<int>(aError.code_) },
         { "text", aError.text_ },
         { "fingerprint", request_.fingerprint_ },
+        { "parts", request_.facts_.promptParts_ },
+        { "answered_ms", answered },
         { "ran", NameOf(aError.ran_) },
         { "send", sends_ },
         { "elapsed_ms",
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -208,6 +208,17 @@
                 "request-relayed",
                 "A request was sent to another host, since this one lacks "
                 "links to endpoints; 'reason' says how it knows." },
+  LogEventInfo{ kEndpointCrashed,
+                LogLevel::kInfo,
+                "endpoint-crashed",
+                "An endpoint whose connections broke is confirmed to have "
+                "exited; 'proof' says how." },
+  LogEventInfo{ kExitUnconfirmed,
+                LogLevel::kInfo,
+                "exit-unconfirmed",
+                "An endpoint's connections broke; how it responded to a new "
+                "one, and the state of this host's links, don't show that it "
+                "exited." },
   LogEventInfo{ kReturnPromised,
                 LogLevel::kInfo,
                 "return-promised",
