--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -1,6 +1,10 @@
 // A fake endpoint of the fleet platform. It streams events for requests with a
 // token usage header, like an engine, and sends a single response to all
-// others. Settings: "id", "events", "event_ms", "kv_total", "work_ms".
+// others. Settings: "id", "events", "event_ms", "kv_total", "work_ms", and
+// "crash_part": the process terminates 50 ms after it began to write an answer
+// to a prompt that has this part, which is printed on arrival; "crash_at": what
+// it has written by then, "nothing" (the default), "head" or "event" (half of
+// the first one).
 //   POST /control  {"fault": F, "times": n, "after_events": k, "id": new}
 //     F: "cut" (after k events, within the next event), "drop" (no response),
 //     "full" (503, not executed), "helper" (same, attributed to first helper),
@@ -14,6 +18,7 @@
 //   GET  /stats    arrivals, executions, helpers, orders and tickets
 
 #include <cstdlib>
+#include <iostream>
 #include <map>
 #include <vector>
 
@@ -38,6 +43,8 @@
     , eventInterval_(aSettings.value("event_ms", 5))
     , serviceTime_(aSettings.value("work_ms", 1))
     , kvTotal_(aSettings.value("kv_total", std::uint64_t{ 450'000 }))
+    , crashPart_(aSettings.value("crash_part", ""))
+    , crashAt_(aSettings.value("crash_at", "nothing"))
   {
   }
 
@@ -204,6 +211,10 @@
     }
     helpers_[attempt] = request.Field(names::kHelpers);
     ++ran_[attempt];
+    if (HasCrashingPart(request)) {
+      std::cout << "crashed by " << attempt << std::endl;
+      co_await CrashWhileWriting(aExchange);
+    }
     if (fault == "hang") {
       co_await TimerService::SleepFor(std::chrono::seconds(20));
     }
@@ -221,6 +232,28 @@
     }
   }
 
+  bool HasCrashingPart(const HttpRequest& aRequest) const
+  {
+    const std::string parts =
+      "," + std::string(aRequest.Field(names::kPrefixHash));
+    return !crashPart_.empty() &&
+           parts.find("," + crashPart_ + ":") != std::string::npos;
+  }
+
+  asio::awaitable<void> CrashWhileWriting(HttpExchange& aExchange) const
+  {
+    if (crashAt_ != "nothing") {
+      HttpResponse head = MakeResponseHead(200, aExchange.Request());
+      head.fields_.push_back({ "Content-Type", "text/event-stream" });
+      co_await aExchange.StartStream(std::move(head));
+    }
+    if (crashAt_ == "event") {
+      co_await aExchange.Write("id: 1\ndata: pi");
+    }
+    co_await TimerService::SleepFor(milliseconds(50));
+    std::_Exit(1);
+  }
+
   asio::awaitable<void> RespondPlain(HttpExchange& aExchange,
                                      std::string aFault)
   {
@@ -273,6 +306,8 @@
   milliseconds eventInterval_;
   milliseconds serviceTime_;
   std::uint64_t kvTotal_;
+  std::string crashPart_;
+  std::string crashAt_;
   // Header values; empty sends no header.
   std::string rateLimit_;
   std::string retryAfter_;
