--- a/include/gooseberrylift/gooseberrylift-peer-table.h
+++ b/include/gooseberrylift/gooseberrylift-peer-table.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gooseberrylift/gooseberrylift-digest.h"
+#include "gooseberrylift/limits/gooseberrylift-crash-evidence.h"
 
 namespace gooseberrylift {
 
@@ -32,6 +33,7 @@
 {
   Digest from_;
   std::vector<Digest> relayed_;
+  CrashEvidence crashEvidence_{}; // that the sender knows of
 };
 
 // The result of processing a message.
--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -56,6 +56,7 @@
   kNoEndpointInRegions = 72,
   kLinksLost = 73,
   kRelayFull = 74,
+  kSuspectPart = 75,
   kStoreUnavailable = 90,
   kStoreConflict = 91,
   kStoreNotFound = 92,
--- a/include/gooseberrylift/internal/gooseberrylift-endpoint-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-endpoint-client.h
@@ -3,6 +3,7 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_ENDPOINT_CLIENT_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_ENDPOINT_CLIENT_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -51,6 +52,8 @@
     // Endpoints that the request makes do part of the work.
     std::vector<ListedEndpoint> helpers_{};
     std::string requestId_{}; // for the log
+    // Called right before the first byte is written; an error cancels the call.
+    std::function<std::optional<Error>()> checkRequest_{};
     HttpClient::CallOptions http_{};
   };
 
@@ -61,7 +64,8 @@
 
   /// Sends a request; see HttpClient::Send.
   /// @return the call, or an error: kEndpointWithdrawn if the endpoint or a
-  /// helper may not receive requests any more, in which case nothing was sent
+  /// helper may not receive requests any more, or that of checkRequest_; in
+  /// both cases nothing was sent
   boost::asio::awaitable<Outcome<std::unique_ptr<HttpCall>>> Send(
     ListedEndpoint aEndpoint,
     HttpRequest aRequest,
--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -75,7 +75,9 @@
     std::string zone_;
     EndpointRateLimiter& limiter_;
     // Called when an endpoint has restarted under the same id.
-    std::function<void(const std::string& aEndpoint)> onRestarted_{};
+    std::function<void(const ListedEndpoint& aEndpoint)> onListed_{};
+    // Called when the entry of an endpoint was removed.
+    std::function<void(const std::string& aEndpoint)> onUnlisted_{};
   };
 
   explicit Fleet(Options aOptions);
@@ -93,6 +95,9 @@
   /// Applies a new or changed endpoint entry to the directory.
   void OnListed(const ListedEndpoint& aListed);
 
+  /// Handles the removal of an endpoint's entry.
+  void OnUnlisted(const std::string& aEndpoint);
+
   // Counts a request in the load of its endpoint and helpers until End is
   // called or the object is destroyed.
   class ActiveRequest
--- a/include/gooseberrylift/internal/gooseberrylift-http-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-client.h
@@ -48,6 +48,14 @@
   virtual bool HasExplicitEnd() const = 0;
 };
 
+// How an address responds to a connection attempt.
+enum class ConnectResult
+{
+  kAccepted,
+  kRefused,  // no process listens there
+  kNoAnswer, // shows nothing
+};
+
 /// Reads the head and the body of a response.
 /// @return the complete response, or the first error of the call
 boost::asio::awaitable<Outcome<HttpResponse>> ReadResponse(HttpCall& aCall);
@@ -120,9 +128,7 @@
 
   /// Connects to an address and closes the connection, to find out whether a
   /// process listens there.
-  /// @return true only if the connection was refused; a timeout doesn't show
-  /// that no process listens
-  boost::asio::awaitable<bool> IsConnectionRefused(
+  boost::asio::awaitable<ConnectResult> TryConnect(
     std::string aAddress,
     std::chrono::milliseconds aTimeout);
 
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -66,6 +66,7 @@
   kRequestRelayed = 1404,
   kEndpointCrashed = 1405,
   kExitUnconfirmed = 1406,
+  kQuarantineReleased = 1407,
   kReturnPromised = 1420,
   kReturnClaimed = 1421,
   kJobEnded = 1520,
--- a/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-exchange.h
@@ -52,6 +52,10 @@
     // Empty when hosts get configurations in another way.
     std::function<OfferedConfiguration()> configuration_{};
     std::function<void(const OfferedConfiguration& aOffered)> offer_{};
+    // Return this host's evidence of crashed endpoints and receive that of a
+    // peer. Empty when hosts exchange none.
+    std::function<CrashEvidence()> crashEvidence_{};
+    std::function<void(const CrashEvidence& aEvidence)> onCrashEvidence_{};
     // Returns whether this host adds itself to the store's list, where hosts
     // that reach no peer look for one; empty: always.
     std::function<bool()> isListed_{};
@@ -137,6 +141,7 @@
   std::vector<PeerMember> SeedPeers() const;
   void StartExchanges(const std::vector<PeerMember>& aPeers);
   void UpdateOwnDigest();
+  PeerMessage MakeMessage(const std::string& aZone);
   nlohmann::json HandleExchange(const nlohmann::json& aParams);
   nlohmann::json HandleConfiguration() const;
   nlohmann::json HandleMembers() const;
--- a/include/gooseberrylift/internal/gooseberrylift-poison-request-monitor.h
+++ b/include/gooseberrylift/internal/gooseberrylift-poison-request-monitor.h
@@ -4,9 +4,11 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_POISON_REQUEST_MONITOR_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_POISON_REQUEST_MONITOR_H_
 
+#include <chrono>
 #include <functional>
+#include <map>
 #include <mutex>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +16,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
+#include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/limits/gooseberrylift-poison-request-detector.h"
 #include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
 #include "gooseberrylift/routing/gooseberrylift-link-monitor.h"
@@ -28,8 +31,9 @@
   {
     HttpClient& client_;
     boost::asio::any_io_executor executor_;
-    // Called when a request has been quarantined, so that the peers learn of it
-    // at once.
+    Metrics& metrics_;
+    // Called when this host has evidence or a quarantine entry that its peers
+    // must learn of at once.
     std::function<void()> notifyPeers_;
     // Returns the state of this host's links to a service. An endpoint behind a
     // lost link looks as if it had exited.
@@ -38,32 +42,76 @@
 
   explicit PoisonRequestMonitor(Parts aParts);
 
-  /// Records that the connection to an endpoint broke while it ran a request,
-  /// and checks shortly afterwards whether the endpoint still listens.
-  void OnConnectionLost(const std::string& aFingerprint,
-                        const ListedEndpoint& aEndpoint);
+  /// Records that a request was answered for longer than a crash takes, or
+  /// completely.
+  /// @param aSinceBegin time since its answer began
+  void OnAnswered(const RequestFeatures& aFeatures,
+                  std::chrono::milliseconds aSinceBegin);
 
-  /// Records that an endpoint has exited, as its restart shows.
-  void OnEndpointExit(const std::string& aEndpoint);
+  /// Records that the connection to an endpoint broke, and checks shortly
+  /// afterwards whether the endpoint still runs.
+  /// @param aJustBegun whether the request's answer had just begun, or may have
+  /// @param aSinceAlive time since the endpoint was last known to run
+  void OnConnectionLost(const RequestFeatures& aFeatures,
+                        const ListedEndpoint& aEndpoint,
+                        bool aJustBegun,
+                        std::chrono::milliseconds aSinceAlive);
 
-  /// Returns whether a request must be rejected.
-  bool IsQuarantined(const std::string& aFingerprint);
+  /// Records a new or changed endpoint entry. An endpoint whose address belongs
+  /// to another incarnation has exited.
+  void OnListed(const ListedEndpoint& aEndpoint);
+
+  /// Records that the entry of an endpoint was removed.
+  void OnUnlisted(const std::string& aEndpoint);
+
+  /// Returns the feature for which a request must be rejected, if any.
+  std::optional<std::string> FindQuarantined(const RequestFeatures& aFeatures);
+
+  /// Returns whether to send a request only once it is known which of the
+  /// endpoints whose connections broke have crashed.
+  bool MustAwaitCheck(const RequestFeatures& aFeatures);
+
+  /// Returns whether an endpoint is confirmed to have exited.
+  bool HasExited(const ListedEndpoint& aEndpoint);
 
   /// Merges the quarantine entries of a peer.
   void OnPeer(const std::vector<QuarantineEntry>& aEntries);
 
-  /// Returns the current quarantine entries, which are sent to the peers.
+  /// Merges the evidence of a peer.
+  /// @param aForward whether to pass on at once what is new
+  void OnPeerEvidence(const CrashEvidence& aEvidence, bool aForward);
+
+  /// Returns the quarantine entries, which are sent to the peers.
   std::vector<QuarantineEntry> Entries();
 
+  /// Returns the evidence that is sent to the peers.
+  CrashEvidence Evidence();
+
+  /// Drops what is outdated; to be called periodically.
+  void Sweep();
+
 private:
+  // An endpoint whose connections broke and that may have exited.
+  struct Watched
+  {
+    ListedEndpoint listed_;
+    bool checkPending_ = false;
+    WallTime since_{};
+  };
+
   boost::asio::awaitable<void> CheckForExit(ListedEndpoint aEndpoint);
-  void ReportQuarantined(const std::vector<std::string>& aFingerprints,
-                         const std::string& aEndpoint);
+  boost::asio::awaitable<LinkState> ResolveLinkState(std::string aService);
+  void OnEndpointExit(const std::string& aEndpoint, const char* aProof);
+  void ApplyChanges();
+  void NotifyPeersSoon();
+  boost::asio::awaitable<void> NotifyPeers();
 
   Parts parts_;
   std::mutex mutex_; // guards the members below
   PoisonRequestDetector detector_{ PoisonRequestDetector::Options{} };
-  std::set<std::string> beingChecked_; // endpoints with a pending check
+  std::map<std::string, Watched> watched_; // by incarnation
+  std::size_t pendingChecks_ = 0;
+  bool notifies_ = false; // the peers are about to be notified
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -28,6 +28,7 @@
 #include "gooseberrylift/limits/gooseberrylift-answer-progress.h"
 #include "gooseberrylift/limits/gooseberrylift-fleet-retry-budget.h"
 #include "gooseberrylift/limits/gooseberrylift-long-prompt-hold.h"
+#include "gooseberrylift/limits/gooseberrylift-request-features.h"
 #include "gooseberrylift/streams/gooseberrylift-event-splitter.h"
 
 namespace gooseberrylift {
@@ -43,7 +44,7 @@
 // A request whose route and team have been resolved.
 struct RoutedRequest
 {
-  std::string fingerprint_; // the same for each retry of it
+  RequestFeatures features_;
   // Whether other callers hardly have the same fingerprint: without a body, all
   // callers of a team do.
   bool identified_ = false;
@@ -138,6 +139,8 @@
 
   Next OnEndpointFailed(const FleetPlacement& aPlacement, const Error& aError);
   bool MustAwaitLinkState() const;
+  bool MustAwaitCrashCheck();
+  std::optional<Error> CheckQuarantine() const;
   std::optional<PeerMember> ChooseRelay();
   bool MayRelayLate();
   boost::asio::awaitable<Outcome<void>> RunAtPeer(PeerMember aPeer,
@@ -207,7 +210,8 @@
   boost::asio::awaitable<Outcome<void>> SendSavedFailure();
   void AnnouncePlacement(const FleetPlacement& aPlacement) const;
   void RecordAnswerData();
-  void RecordLostConnection(const ListedEndpoint& aEndpoint,
+  void RecordSound() const;
+  void RecordLostConnection(const FleetPlacement& aPlacement,
                             const Error& aError);
   bool MayRetry(const Error& aError);
   bool MayRetryElsewhere() const;
@@ -234,7 +238,10 @@
   std::unique_ptr<WaitingRoom::Ticket> waiting_;
   WaitingTurn turn_;
   AnswerProgress progress_; // of the current attempt
-  int sends_ = 0;           // attempts that sent at least part of the request
+  // While endpoints were checked under which parts of its prompt may have
+  // crashed.
+  std::chrono::milliseconds awaitedCrashChecks_{ 0 };
+  int sends_ = 0; // attempts that sent at least part of the request
   std::size_t failedConnections_ = 0; // endpoints that it could not be sent to
   // Whether it would be late or rejected at the endpoints in reach.
   bool lateHere_ = false;
--- a/include/gooseberrylift/limits/gooseberrylift-poison-request-detector.h
+++ b/include/gooseberrylift/limits/gooseberrylift-poison-request-detector.h
@@ -1,111 +1,177 @@
-// Detects and quarantines poison requests: requests whose content crashes the
-// endpoints that run them. A caller may retry such a request at any host, and
-// without the quarantine each retry crashes two more engines and aborts
-// everything that they are running.
+// Detects and quarantines what requests have in common that crashes the
+// endpoints that run them: the content of a request that its caller retries, or
+// a part of the prompts of many requests. Without the quarantine each such
+// request crashes two more engines and aborts everything that they are running.
 
 #ifndef GOOSEBERRYLIFT_LIMITS_GOOSEBERRYLIFT_POISON_REQUEST_DETECTOR_H_
 #define GOOSEBERRYLIFT_LIMITS_GOOSEBERRYLIFT_POISON_REQUEST_DETECTOR_H_
 
 #include <chrono>
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "gooseberrylift/gooseberrylift-digest.h"
+#include "gooseberrylift/limits/gooseberrylift-crash-evidence.h"
+#include "gooseberrylift/limits/gooseberrylift-crash-history.h"
+#include "gooseberrylift/limits/gooseberrylift-quarantine-list.h"
+#include "gooseberrylift/limits/gooseberrylift-request-features.h"
+#include "gooseberrylift/limits/gooseberrylift-sound-features.h"
 
 namespace gooseberrylift {
 
-/// Returns a hash of a request that is the same for each of its retries, as 16
-/// hexadecimal digits.
-std::string RequestFingerprint(std::string_view aTarget,
-                               std::string_view aCaller,
-                               std::string_view aBody);
-
-// Counts, for each request, the endpoints that crashed while they ran it. A
-// lost connection alone is no evidence of a crash: responses also get lost
-// while the endpoint keeps running, and a harmless request that loses two of
-// them must not be rejected for minutes. A lost connection therefore counts
-// only once the endpoint is confirmed to have exited at about the same time.
+// A feature that is now quarantined, or no longer.
+struct QuarantineChange
+{
+  std::string feature_;
+  bool released_ = false;
+  std::vector<std::string> endpoints_{}; // that crashed under it, in order
+  bool fromPeer_ = false;
+};
+
+// Such a feature crashes each endpoint that begins to answer a request that has
+// it. This tells it from the features of other requests on the same endpoints:
 //
-// Two such endpoints quarantine a request. The crash of one aborts all requests
-// that it runs and doesn't tell which one caused it, but a second crash under
-// the same request is rarely a coincidence. If several requests share the same
-// two crashes, a third one identifies the cause. Quarantine entries are sent to
-// all hosts. Not thread-safe.
+// - An answer that went on for longer than a crash takes clears the features of
+//   its request of all crashes before it began.
+// - A crash accuses only requests whose answers had just begun, or may have.
+// - Endpoints that crash at the same moment, such as those of one rack, are a
+//   single piece of evidence. The same applies to groups that crash together.
+// - Crashes under a part that is quarantined accuse nothing else.
+//
+// Not thread-safe.
 class PoisonRequestDetector
 {
 public:
-  using WallTime = std::chrono::system_clock::time_point;
-
   struct Options
   {
-    // Endpoints that must crash under a request before it is quarantined.
-    std::size_t crashThreshold_ = 2;
-    // The same threshold if another request ran on all of these endpoints too.
-    std::size_t sharedCrashThreshold_ = 3;
-    // The crashes must fall within this time. Crashed endpoints are back after
-    // some seconds, and callers retry at once.
-    std::chrono::seconds observationWindow_{ 30 };
-    // Maximum time between a lost connection and the confirmation that the
-    // endpoint exited, in either order: a refused connection confirms it within
-    // 0.1 s, a restart after some seconds.
-    std::chrono::seconds confirmationWindow_{ 6 };
-    // Long, because a retry with the same content would crash endpoints again;
-    // the caller has to change the request.
-    std::chrono::seconds quarantineTime_{ 600 };
-    // Fingerprints kept; the oldest are evicted first.
-    std::size_t maxEntries_ = 256;
+    // Crashes that quarantine a content. More are needed if a feature of other
+    // requests was part of all of them, or if endpoints crashed that did not
+    // run it.
+    std::size_t contentThreshold_ = 2;
+    std::size_t doubtfulContentThreshold_ = 3;
+    // Crashes that quarantine a part, and the least number of contents among
+    // them: a sound request that is retried may meet the next crash.
+    std::size_t partThreshold_ = 3;
+    std::size_t partContents_ = 2;
+    // Crashes with this time between them happened at different moments,
+    // however late they are noticed.
+    std::chrono::milliseconds momentGap_{ 500 };
+    // A crash with this many others about it that did not run a request is one
+    // of a group that crashed for another reason.
+    std::size_t groupSize_ = 2;
+    std::chrono::milliseconds groupTime_{ 250 };
+    // A feature that was sound before must fail for this long. Popular ones are
+    // part of each crash, and the answers that clear them are on the way.
+    std::chrono::milliseconds settleTime_{ 2'000 };
+    // Parts that were part of the same crashes are not quarantined sooner than
+    // this after the first one: an answer may yet clear one of them.
+    std::chrono::milliseconds tieTime_{ 1'000 };
+    std::size_t maxSound_ = 8'192;        // features remembered as sound
+    std::size_t maxReportedCrashes_ = 24; // in a message to another host
+    CrashHistory::Options history_{};
+    QuarantineList::Options quarantine_{};
   };
 
-  explicit PoisonRequestDetector(Options aOptions)
+  explicit PoisonRequestDetector(const Options& aOptions)
     : options_(aOptions)
+    , sound_(aOptions.maxSound_)
+    , history_(aOptions.history_)
+    , quarantine_(aOptions.quarantine_)
   {
   }
 
-  /// Records that the connection to an endpoint broke while it ran a request.
-  /// @return true if the request is quarantined as a result
-  bool OnConnectionLost(const std::string& aFingerprint,
-                        const std::string& aEndpoint,
-                        WallTime aNow);
+  /// Records that a request was answered for longer than a crash takes, or
+  /// completely.
+  /// @param aBegunAt when its answer began
+  void OnAnswered(const RequestFeatures& aFeatures, WallTime aBegunAt);
+
+  /// Records that the connection to an endpoint broke.
+  void OnConnectionLost(const BrokenAttempt& aAttempt, WallTime aNow);
 
   /// Records the confirmation that an endpoint has just exited: its address
-  /// refuses connections, or it has restarted.
-  /// @return the fingerprints of the requests that are quarantined as a result
-  std::vector<std::string> OnEndpointExit(const std::string& aEndpoint,
-                                          WallTime aNow);
+  /// refuses connections, or belongs to its next incarnation.
+  /// @return whether that was not known before
+  bool OnEndpointExit(const std::string& aEndpoint, WallTime aNow);
 
-  /// Returns whether a request must be rejected.
-  bool IsQuarantined(const std::string& aFingerprint, WallTime aNow) const;
+  /// Records that an endpoint still ran after connections to it broke.
+  void OnEndpointAlive(const std::string& aEndpoint);
 
   /// Merges the quarantine entries of a peer.
   void OnPeer(const std::vector<QuarantineEntry>& aEntries);
 
-  /// Returns the current quarantine entries, which are sent to the peers.
-  std::vector<QuarantineEntry> Entries(WallTime aNow) const;
+  /// Merges the evidence of a peer.
+  /// @return whether it contained crashes or accusations that are new
+  bool OnPeerEvidence(const CrashEvidence& aEvidence, WallTime aNow);
 
-private:
-  struct LostConnection
+  /// Returns which features were quarantined or released since the last call.
+  std::vector<QuarantineChange> TakeChanges();
+
+  /// Returns the feature for which a request must be rejected; nothing if it
+  /// may be sent.
+  std::optional<std::string> FindQuarantined(const RequestFeatures& aFeatures,
+                                             WallTime aNow) const;
+
+  /// Returns whether a request has a part that never was known to be sound and
+  /// was part of several crashes, confirmed or not.
+  bool IsSuspect(const RequestFeatures& aFeatures) const;
+
+  /// Returns whether an endpoint is confirmed to have exited.
+  bool HasExited(const std::string& aEndpoint) const
   {
-    WallTime at_{};
-    bool crashed_ = false; // the endpoint is confirmed to have exited
-  };
-  struct Suspect
+    return history_.HasExited(aEndpoint);
+  }
+
+  /// Returns the quarantine entries, which are sent to the peers.
+  std::vector<QuarantineEntry> Entries(WallTime aNow) const
   {
-    std::map<std::string, LostConnection> lostConnections_; // by endpoint
-    WallTime firstLost_{};
-  };
+    return quarantine_.Entries(aNow);
+  }
 
-  std::set<std::string> ConfirmedCrashes(const Suspect& aSuspect) const;
-  bool HasSameCrashes(const std::string& aFingerprint,
-                      const std::set<std::string>& aCrashed) const;
-  bool QuarantineIfConfirmed(const std::string& aFingerprint, WallTime aNow);
+  /// Returns the evidence that is sent to the peers; empty while nothing
+  /// crashes.
+  CrashEvidence Evidence(WallTime aNow) const;
+
+  /// Drops what is outdated, and decides what had to wait. To be called
+  /// periodically.
+  void Sweep(WallTime aNow);
+
+private:
+  // The confirmed crashes that accuse a feature.
+  struct Suspicion
+  {
+    std::vector<CrashHistory::Crashes::const_iterator> crashes_;
+    std::set<std::string> contents_;
+    bool wasSound_ = false; // before these crashes
+  };
+  using Suspicions = std::map<std::string, Suspicion>; // by feature
+
+  void Clear(const std::string& aFeature, WallTime aBegunAt);
+  bool IsClearedOf(const std::string& aFeature,
+                   const EndpointCrash& aCrash) const;
+  bool IsExplained(const EndpointCrash& aCrash, WallTime aNow) const;
+  Suspicions CollectSuspicions(WallTime aNow) const;
+  bool IsInGroup(const std::string& aFeature,
+                 const EndpointCrash& aCrash) const;
+  std::size_t CountMoments(const std::string& aFeature,
+                           const Suspicion& aSuspicion) const;
+  bool IsShared(const std::string& aContent, const Suspicion& aSuspicion) const;
+  bool IsProven(const std::string& aFeature, const Suspicion& aSuspicion) const;
+  std::vector<Suspicions::const_iterator> FindProven(const Suspicions& aAll,
+                                                     WallTime aNow) const;
+  void Decide(WallTime aNow);
+  void Quarantine(const std::string& aFeature,
+                  const Suspicion& aSuspicion,
+                  WallTime aNow);
 
   Options options_;
-  std::map<std::string, Suspect> suspects_;    // by fingerprint
-  std::map<std::string, WallTime> lastExits_;  // by endpoint
-  std::map<std::string, WallTime> quarantine_; // by fingerprint, expiry
+  SoundFeatures sound_;
+  CrashHistory history_;
+  QuarantineList quarantine_;
+  std::vector<QuarantineChange> changes_;
 };
 
 } // namespace gooseberrylift
--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -153,6 +153,11 @@
               503,
               "This host already processes as many requests for other hosts "
               "as it can." },
+  ResultInfo{ kSuspectPart,
+              "suspect-part",
+              503,
+              "A part of the prompt crashed several endpoints; no request with "
+              "it is sent to another." },
   ResultInfo{ kStoreUnavailable,
               "store-unavailable",
               503,
--- a/src/gateway/gooseberrylift-endpoint-client.cc
+++ b/src/gateway/gooseberrylift-endpoint-client.cc
@@ -150,7 +150,12 @@
   CallOptions aOptions)
 {
   HttpClient::CallOptions http = aOptions.http_;
-  http.checkBeforeWrite_ = [&] { return CheckSend(aEndpoint, aOptions); };
+  http.checkBeforeWrite_ = [&]() -> std::optional<Error> {
+    if (auto withdrawn = CheckSend(aEndpoint, aOptions)) {
+      return withdrawn;
+    }
+    return aOptions.checkRequest_ ? aOptions.checkRequest_() : std::nullopt;
+  };
   http.onConnected_ = [&] {
     parts_.links_.OnSucceeded(aEndpoint, LinkFailure::kConnection);
   };
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -38,6 +38,9 @@
 {
   const TimePoint now = TimerService::Now();
   const bool isNew = access_.ServiceOf(aListed.id_).empty();
+  if (options_.onListed_) {
+    options_.onListed_(aListed);
+  }
   if (!access_.OnListed(aListed)) {
     if (isNew) {
       loads_.OnReturned({ aListed }, now);
@@ -47,14 +50,22 @@
   Log(LogEvent::kEndpointRestarted,
       { { "endpoint", aListed.id_ },
         { "born_ms", aListed.startTime_.time_since_epoch().count() } });
-  if (options_.onRestarted_) {
-    options_.onRestarted_(aListed.id_);
-  }
   loads_.With(aListed.service_, [&aListed, now](ServiceLoad& aState) {
     aState.OnRestarted(aListed.id_, now);
   });
 }
 
+void Fleet::OnUnlisted(const std::string& aEndpoint)
+{
+  const TimePoint now = TimerService::Now();
+  access_.WithDirectory([&](EndpointDirectory& aDirectory) {
+    aDirectory.OnRemoved(aEndpoint, now);
+  });
+  if (options_.onUnlisted_) {
+    options_.onUnlisted_(aEndpoint);
+  }
+}
+
 std::optional<FleetPlacement> Fleet::Place(FleetQuery aQuery)
 {
   aQuery.request_.peerLoadUnknown_ = IsPeerLoadUnknown();
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -103,8 +103,10 @@
     request.route_->allowedRegions_,
     teamRegions,
     parts_.board_.gatewaySettings_.Read()->gatewaySettings_.zoneRegions_);
-  request.fingerprint_ = RequestFingerprint(
-    aRequest.target_, request.facts_.teamKey_, aRequest.body_);
+  request.features_ = MakeRequestFeatures(
+    RequestFingerprint(
+      aRequest.target_, request.facts_.teamKey_, aRequest.body_),
+    request.facts_.promptParts_);
   request.identified_ = !aRequest.body_.empty();
   request.service_ = RouteTable::ChooseService(*request.route_, RandomNumber());
   const milliseconds timeout =
@@ -120,7 +122,7 @@
     return;
   }
   const ArrivedReturn arrived = parts_.run_.promises_.OnArrived(
-    aRequest.facts_.attemptId_, aRequest.fingerprint_);
+    aRequest.facts_.attemptId_, aRequest.features_.content_);
   if (arrived.kind_ == ReturnKind::kNone) {
     return;
   }
--- a/src/gateway/gooseberrylift-poison-request-monitor.cc
+++ b/src/gateway/gooseberrylift-poison-request-monitor.cc
@@ -25,6 +25,33 @@
 constexpr milliseconds kMaxVerification{ 1'000 };
 constexpr milliseconds kVerificationPoll{ 20 };
 
+// The next incarnation of a crashed endpoint starts within this time.
+constexpr std::chrono::seconds kMaxWatched{ 6 };
+
+// Short against the time until the next request meets the next endpoint.
+constexpr milliseconds kNotificationDelay{ 20 };
+
+// The same text for all hosts.
+std::string NameOf(const Incarnation& aIncarnation)
+{
+  const auto start = aIncarnation.startTime_.time_since_epoch().count();
+  return start == 0 ? aIncarnation.id_
+                    : aIncarnation.id_ + "@" + std::to_string(start);
+}
+
+const char* NameOf(ConnectResult aResult)
+{
+  switch (aResult) {
+    case ConnectResult::kAccepted:
+      return "accepted";
+    case ConnectResult::kRefused:
+      return "refused";
+    case ConnectResult::kNoAnswer:
+      break;
+  }
+  return "no-answer";
+}
+
 } // namespace
 
 PoisonRequestMonitor::PoisonRequestMonitor(Parts aParts)
@@ -32,86 +59,242 @@
 {
 }
 
-void PoisonRequestMonitor::OnConnectionLost(const std::string& aFingerprint,
-                                            const ListedEndpoint& aEndpoint)
+void PoisonRequestMonitor::OnAnswered(const RequestFeatures& aFeatures,
+                                      milliseconds aSinceBegin)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    detector_.OnAnswered(aFeatures, system_clock::now() - aSinceBegin);
+  }
+  ApplyChanges();
+}
+
+void PoisonRequestMonitor::OnConnectionLost(const RequestFeatures& aFeatures,
+                                            const ListedEndpoint& aEndpoint,
+                                            bool aJustBegun,
+                                            milliseconds aSinceAlive)
 {
-  bool quarantined = false;
+  const std::string endpoint = NameOf(aEndpoint.IncarnationId());
   bool startCheck = false;
+  bool crashed = false;
   {
     const std::lock_guard lock(mutex_);
-    quarantined = detector_.OnConnectionLost(
-      aFingerprint, aEndpoint.id_, system_clock::now());
-    startCheck = beingChecked_.insert(aEndpoint.id_).second;
+    const WallTime now = system_clock::now();
+    detector_.OnConnectionLost({ .endpoint_ = endpoint,
+                                 .features_ = aFeatures,
+                                 .justBegun_ = aJustBegun,
+                                 .aliveAt_ = now - aSinceAlive },
+                               now);
+    crashed = detector_.HasExited(endpoint);
+    Watched& watched = watched_[endpoint];
+    startCheck = !crashed && !watched.checkPending_;
+    if (startCheck) {
+      watched = { .listed_ = aEndpoint, .checkPending_ = true, .since_ = now };
+      ++pendingChecks_;
+    }
   }
-  if (quarantined) {
-    ReportQuarantined({ aFingerprint }, aEndpoint.id_);
+  ApplyChanges();
+  if (crashed && aJustBegun) {
+    NotifyPeersSoon(); // of a further request that had begun there
   }
   if (startCheck) {
     SpawnTask(parts_.executor_, CheckForExit(aEndpoint));
   }
 }
 
-asio::awaitable<void> PoisonRequestMonitor::CheckForExit(
-  ListedEndpoint aEndpoint)
+asio::awaitable<LinkState> PoisonRequestMonitor::ResolveLinkState(
+  std::string aService)
 {
-  co_await TimerService::SleepFor(kCheckDelay);
-  const bool refused = co_await parts_.client_.IsConnectionRefused(
-    aEndpoint.address_, kCheckTimeout);
-  LinkState links = parts_.linkState_(aEndpoint.service_);
+  LinkState links = parts_.linkState_(aService);
   const TimePoint limit = TimerService::Now() + kMaxVerification;
   while (links == LinkState::kSuspected && TimerService::Now() < limit) {
     co_await TimerService::SleepFor(kVerificationPoll);
-    links = parts_.linkState_(aEndpoint.service_);
+    links = parts_.linkState_(aService);
   }
+  co_return links;
+}
+
+asio::awaitable<void> PoisonRequestMonitor::CheckForExit(
+  ListedEndpoint aEndpoint)
+{
+  co_await TimerService::SleepFor(kCheckDelay);
+  const std::string endpoint = NameOf(aEndpoint.IncarnationId());
+  const ConnectResult result =
+    co_await parts_.client_.TryConnect(aEndpoint.address_, kCheckTimeout);
+  const LinkState links = co_await ResolveLinkState(aEndpoint.service_);
+  const bool exited =
+    result == ConnectResult::kRefused && links == LinkState::kUp;
   {
     const std::lock_guard lock(mutex_);
-    beingChecked_.erase(aEndpoint.id_);
+    --pendingChecks_;
+    watched_[endpoint].checkPending_ = false;
+    if (result == ConnectResult::kAccepted) {
+      watched_.erase(endpoint);
+      detector_.OnEndpointAlive(endpoint);
+    }
   }
-  if (refused && links == LinkState::kUp) {
-    Log(LogEvent::kEndpointCrashed,
-        { { "endpoint", aEndpoint.id_ }, { "proof", "refused" } });
-    OnEndpointExit(aEndpoint.id_);
+  if (exited) {
+    OnEndpointExit(endpoint, NameOf(result));
     co_return;
   }
   Log(LogEvent::kExitUnconfirmed,
-      { { "endpoint", aEndpoint.id_ },
-        { "connection", refused ? "refused" : "other" },
+      { { "endpoint", endpoint },
+        { "connection", NameOf(result) },
         { "links_up", links == LinkState::kUp } });
 }
 
-void PoisonRequestMonitor::OnEndpointExit(const std::string& aEndpoint)
+void PoisonRequestMonitor::OnListed(const ListedEndpoint& aEndpoint)
+{
+  std::vector<std::string> exited;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [incarnation, watched] : watched_) {
+      const ListedEndpoint& listed = watched.listed_;
+      const bool isSame = listed.IncarnationId() == aEndpoint.IncarnationId();
+      if (!isSame && (listed.address_ == aEndpoint.address_ ||
+                      listed.id_ == aEndpoint.id_)) {
+        exited.push_back(incarnation);
+      }
+    }
+  }
+  for (const std::string& incarnation : exited) {
+    OnEndpointExit(incarnation, "replaced");
+  }
+}
+
+void PoisonRequestMonitor::OnUnlisted(const std::string& aEndpoint)
+{
+  std::vector<std::string> exited;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [incarnation, watched] : watched_) {
+      if (watched.listed_.id_ == aEndpoint && !watched.checkPending_) {
+        exited.push_back(incarnation);
+      }
+    }
+  }
+  for (const std::string& incarnation : exited) {
+    OnEndpointExit(incarnation, "unlisted");
+  }
+}
+
+void PoisonRequestMonitor::OnEndpointExit(const std::string& aEndpoint,
+                                          const char* aProof)
+{
+  bool isNews = false;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!watched_[aEndpoint].checkPending_) {
+      watched_.erase(aEndpoint);
+    }
+    isNews = detector_.OnEndpointExit(aEndpoint, system_clock::now());
+  }
+  if (isNews) {
+    Log(LogEvent::kEndpointCrashed,
+        { { "endpoint", aEndpoint }, { "proof", aProof } });
+    parts_.metrics_.Count("gooseberrylift_endpoint_crashes_total",
+                          std::string("proof=\"") + aProof + "\"");
+  }
+  ApplyChanges();
+  NotifyPeersSoon();
+}
+
+// Logs the changes and passes them on, since requests with these features may
+// arrive at any host.
+void PoisonRequestMonitor::ApplyChanges()
 {
-  std::vector<std::string> quarantined;
+  std::vector<QuarantineChange> changes;
   {
     const std::lock_guard lock(mutex_);
-    quarantined = detector_.OnEndpointExit(aEndpoint, system_clock::now());
+    changes = detector_.TakeChanges();
+  }
+  bool own = false;
+  for (const QuarantineChange& change : changes) {
+    const char* kind = IsPartFeature(change.feature_) ? "part" : "content";
+    Log(change.released_ ? LogEvent::kQuarantineReleased
+                         : LogEvent::kPoisonRequestDetected,
+        { { "feature", change.feature_ },
+          { "kind", kind },
+          { "source", change.fromPeer_ ? "peer" : "own" },
+          { "endpoints", change.endpoints_ } });
+    parts_.metrics_.Count(change.released_
+                            ? "gooseberrylift_quarantine_releases_total"
+                            : "gooseberrylift_quarantines_total",
+                          std::string("kind=\"") + kind + "\"");
+    own = own || !change.fromPeer_;
+  }
+  if (own) {
+    NotifyPeersSoon();
   }
-  ReportQuarantined(quarantined, aEndpoint);
 }
 
-void PoisonRequestMonitor::ReportQuarantined(
-  const std::vector<std::string>& aFingerprints,
-  const std::string& aEndpoint)
+// Crashes and the requests that they accuse come in groups, which are sent in
+// one message.
+void PoisonRequestMonitor::NotifyPeersSoon()
 {
-  for (const std::string& fingerprint : aFingerprints) {
-    Log(LogEvent::kPoisonRequestDetected,
-        { { "fingerprint", fingerprint }, { "endpoint", aEndpoint } });
+  {
+    const std::lock_guard lock(mutex_);
+    if (notifies_) {
+      return;
+    }
+    notifies_ = true;
   }
-  if (!aFingerprints.empty()) {
-    parts_.notifyPeers_(); // the caller may retry at any host
+  SpawnTask(parts_.executor_, NotifyPeers());
+}
+
+asio::awaitable<void> PoisonRequestMonitor::NotifyPeers()
+{
+  co_await TimerService::SleepFor(kNotificationDelay);
+  {
+    const std::lock_guard lock(mutex_);
+    notifies_ = false;
   }
+  parts_.notifyPeers_();
 }
 
-bool PoisonRequestMonitor::IsQuarantined(const std::string& aFingerprint)
+std::optional<std::string> PoisonRequestMonitor::FindQuarantined(
+  const RequestFeatures& aFeatures)
 {
   const std::lock_guard lock(mutex_);
-  return detector_.IsQuarantined(aFingerprint, system_clock::now());
+  return detector_.FindQuarantined(aFeatures, system_clock::now());
 }
 
-void PoisonRequestMonitor::OnPeer(const std::vector<QuarantineEntry>& aEntries)
+bool PoisonRequestMonitor::MustAwaitCheck(const RequestFeatures& aFeatures)
 {
   const std::lock_guard lock(mutex_);
-  detector_.OnPeer(aEntries);
+  return pendingChecks_ > 0 && detector_.IsSuspect(aFeatures);
+}
+
+bool PoisonRequestMonitor::HasExited(const ListedEndpoint& aEndpoint)
+{
+  const std::lock_guard lock(mutex_);
+  return detector_.HasExited(NameOf(aEndpoint.IncarnationId()));
+}
+
+void PoisonRequestMonitor::OnPeer(const std::vector<QuarantineEntry>& aEntries)
+{
+  if (aEntries.empty()) {
+    return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    detector_.OnPeer(aEntries);
+  }
+  ApplyChanges();
+}
+
+void PoisonRequestMonitor::OnPeerEvidence(const CrashEvidence& aEvidence,
+                                          bool aForward)
+{
+  bool isNews = false;
+  {
+    const std::lock_guard lock(mutex_);
+    isNews = detector_.OnPeerEvidence(aEvidence, system_clock::now());
+  }
+  ApplyChanges();
+  if (isNews && aForward) {
+    NotifyPeersSoon();
+  }
 }
 
 std::vector<QuarantineEntry> PoisonRequestMonitor::Entries()
@@ -120,4 +303,24 @@
   return detector_.Entries(system_clock::now());
 }
 
+CrashEvidence PoisonRequestMonitor::Evidence()
+{
+  const std::lock_guard lock(mutex_);
+  return detector_.Evidence(system_clock::now());
+}
+
+void PoisonRequestMonitor::Sweep()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    const WallTime now = system_clock::now();
+    detector_.Sweep(now);
+    std::erase_if(watched_, [now](const auto& aEntry) {
+      const Watched& watched = aEntry.second;
+      return !watched.checkPending_ && now - watched.since_ > kMaxWatched;
+    });
+  }
+  ApplyChanges();
+}
+
 } // namespace gooseberrylift
--- a/src/gateway/gooseberrylift-request-return.cc
+++ b/src/gateway/gooseberrylift-request-return.cc
@@ -20,6 +20,7 @@
 {
   switch (aError.code_) {
     case ResultCode::kSuspectRequest:
+    case ResultCode::kSuspectPart:
     case ResultCode::kFreshnessLost:
     case ResultCode::kDeadlineExceeded:
     case ResultCode::kCallerLeft:
@@ -59,7 +60,7 @@
                            });
   const milliseconds delay =
     parts_.promises_.Promise({ .attemptId_ = request_.facts_.attemptId_,
-                               .fingerprint_ = request_.fingerprint_,
+                               .fingerprint_ = request_.features_.content_,
                                .service_ = request_.service_,
                                .firstArrived_ = request_.firstArrived_,
                                .expectedWait_ = aExpectedWait,
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -35,6 +35,11 @@
 
 constexpr milliseconds kLinkStatePoll{ 10 };
 
+// A check of an endpoint whose connections broke ends within this time unless
+// this host's links are in doubt.
+constexpr milliseconds kMaxCrashCheckWait{ 400 };
+constexpr milliseconds kCrashCheckPoll{ 10 };
+
 // Long, because a retry of a poison request would crash more endpoints.
 constexpr milliseconds kQuarantineRetryDelay{ 600'000 };
 
@@ -56,6 +61,8 @@
       return EndpointOutcome::kUnreachable;
     case ResultCode::kEndpointRefused:
     case ResultCode::kEndpointWithdrawn:
+    case ResultCode::kSuspectRequest:
+    case ResultCode::kSuspectPart:
     case ResultCode::kCallerLeft:
       return EndpointOutcome::kRefused;
     default:
@@ -88,6 +95,10 @@
       co_await TimerService::SleepFor(kLinkStatePoll);
       continue;
     }
+    if (MustAwaitCrashCheck()) {
+      co_await TimerService::SleepFor(kCrashCheckPoll);
+      continue;
+    }
     if (const auto peer = ChooseRelay()) {
       LeaveWaitingRoom(false);
       const auto done = co_await RunAtPeer(*peer, next);
@@ -163,7 +174,7 @@
 {
   LogFailedAttempt(aPlacement, aError);
   attempts_.OnFailed(aError);
-  RecordLostConnection(aPlacement.endpoint_, aError);
+  RecordLostConnection(aPlacement, aError);
   tried_.insert(aPlacement.endpoint_.id_);
   if (aError.code_ == ResultCode::kEndpointUnreachable) {
     ++failedConnections_;
@@ -182,10 +193,8 @@
   if (TimerService::Now() + kMinRemaining >= request_.deadline_) {
     return MakeError(ResultCode::kDeadlineExceeded);
   }
-  if (parts_.poisonRequestMonitor_.IsQuarantined(request_.fingerprint_)) {
-    Error error = MakeError(ResultCode::kSuspectRequest);
-    error.retryAfter_ = kQuarantineRetryDelay;
-    return error;
+  if (const auto quarantined = CheckQuarantine()) {
+    return quarantined;
   }
   if (request_.authenticatedByKey_ && !parts_.routes_.AreKeysProven()) {
     Error error = MakeError(ResultCode::kFreshnessLost);
@@ -195,6 +204,33 @@
   return std::nullopt;
 }
 
+// Returns why the request must not reach any endpoint; nothing if it may.
+std::optional<Error> RequestRun::CheckQuarantine() const
+{
+  const auto feature =
+    parts_.poisonRequestMonitor_.FindQuarantined(request_.features_);
+  if (!feature) {
+    return std::nullopt;
+  }
+  Error error = MakeError(IsPartFeature(*feature) ? ResultCode::kSuspectPart
+                                                  : ResultCode::kSuspectRequest,
+                          *feature);
+  error.retryAfter_ = kQuarantineRetryDelay;
+  return error;
+}
+
+// Returns whether to wait until it is known whether an endpoint has crashed,
+// since a part of the prompt may be the cause and would crash the next one.
+bool RequestRun::MustAwaitCrashCheck()
+{
+  if (awaitedCrashChecks_ >= kMaxCrashCheckWait ||
+      !parts_.poisonRequestMonitor_.MustAwaitCheck(request_.features_)) {
+    return false;
+  }
+  awaitedCrashChecks_ += kCrashCheckPoll;
+  return true;
+}
+
 const EngineProfile* RequestRun::FindEngineProfile() const
 {
   const RoutedService* service =
@@ -290,11 +326,14 @@
   EndpointClient::CallOptions options;
   options.helpers_ = use.Placement().helpers_;
   options.requestId_ = request_.facts_.attemptId_;
+  options.checkRequest_ = [this] {
+    progress_.OnSent(TimerService::Now());
+    return CheckQuarantine();
+  };
   options.http_.connectTimeout_ = kEndpointConnectTimeout;
   if (!request_.route_->IsRepeatable()) {
     options.http_.maxIdle_ = kNonRepeatableMaxIdle;
   }
-  progress_.OnSent(startTime);
   auto sent = co_await parts_.client_.Send(
     endpoint, std::move(send), request_.deadline_, options);
   const bool sentBytes = sent || sent.error().ran_ != RanState::kNo;
@@ -316,6 +355,9 @@
   if (!done && done.error().code_ == ResultCode::kEndpointSilent) {
     parts_.links_.OnFailed(endpoint, LinkFailure::kResponse);
   }
+  if (done && sent.value()->HasExplicitEnd() && status_ < 500) {
+    RecordSound();
+  }
   use.End(done ? EndpointOutcome::kServed : OutcomeOf(done.error()));
   parts_.loadExchange_.OnRequestEnded();
   co_return done;
@@ -334,18 +376,39 @@
 // Reports an endpoint whose response broke off or was invalid to the detection
 // of poison requests. A silent endpoint isn't reported, because it is only slow
 // or unreachable.
-void RequestRun::RecordLostConnection(const ListedEndpoint& aEndpoint,
+void RequestRun::RecordLostConnection(const FleetPlacement& aPlacement,
                                       const Error& aError)
 {
-  if (aError.code_ == ResultCode::kEndpointBroken) {
-    parts_.poisonRequestMonitor_.OnConnectionLost(request_.fingerprint_,
-                                                  aEndpoint);
+  if (aError.code_ != ResultCode::kEndpointBroken) {
+    return;
   }
+  // Half of what is predicted: engines differ in speed.
+  const microseconds minPrefill = FindEngineProfile() != nullptr
+                                    ? aPlacement.cost_.prefill_ / 2
+                                    : microseconds(0);
+  const TimePoint now = TimerService::Now();
+  parts_.poisonRequestMonitor_.OnConnectionLost(
+    request_.features_,
+    aPlacement.endpoint_,
+    progress_.JustBegun(now, minPrefill),
+    duration_cast<milliseconds>(now - progress_.AliveAt()));
 }
 
 void RequestRun::RecordAnswerData()
 {
-  progress_.OnData(TimerService::Now());
+  if (progress_.OnData(TimerService::Now())) {
+    RecordSound();
+  }
+}
+
+// Records that the answer has come further than that of a request that crashes
+// its endpoint.
+void RequestRun::RecordSound() const
+{
+  const TimePoint now = TimerService::Now();
+  parts_.poisonRequestMonitor_.OnAnswered(
+    request_.features_,
+    duration_cast<milliseconds>(now - progress_.begunAt_.value_or(now)));
 }
 
 // A relayed request is sent to one endpoint only: the host that relayed it
@@ -478,8 +541,8 @@
         { "endpoint", aPlacement.endpoint_.id_ },
         { "code", static_cast<int>(aError.code_) },
         { "text", aError.text_ },
-        { "fingerprint", request_.fingerprint_ },
-        { "parts", request_.facts_.promptParts_ },
+        { "fingerprint", request_.features_.content_ },
+        { "parts", request_.features_.parts_ },
         { "answered_ms", answered },
         { "ran", NameOf(aError.ran_) },
         { "send", sends_ },
--- a/src/gateway/gooseberrylift-route-follower.cc
+++ b/src/gateway/gooseberrylift-route-follower.cc
@@ -114,9 +114,7 @@
   if (!listed) {
     // An entry that became invalid is handled like a deleted one.
     Log(LogEvent::kEndpointState, { { "endpoint", id }, { "state", "gone" } });
-    const TimePoint now = TimerService::Now();
-    fleet_.Access().WithDirectory(
-      [&](EndpointDirectory& aDirectory) { aDirectory.OnRemoved(id, now); });
+    fleet_.OnUnlisted(id);
     return;
   }
   Log(LogEvent::kEndpointState,
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -36,6 +36,9 @@
 // host thus receives some 23 digests a second, one of each host in under three
 // seconds; a host without a digest for nine seconds counts as gone.
 constexpr std::size_t kRelayedDigests = 6;
+// Peers that learn at once of what concerns all hosts. In a larger fleet they
+// pass it on.
+constexpr std::size_t kScopeFanout = 8;
 // Upper bound of the header fields that accompany a relayed request.
 constexpr std::uint32_t kRelayFieldBytes = 4 * 1024;
 constexpr milliseconds kRelayDrainPoll{ 20 };
@@ -79,9 +82,13 @@
   , fleet_({ .host_ = settings_.hostName_,
              .zone_ = settings_.zone_,
              .limiter_ = limiter_,
-             .onRestarted_ =
+             .onListed_ =
+               [this](const ListedEndpoint& aEndpoint) {
+                 poisonRequestMonitor_.OnListed(aEndpoint);
+               },
+             .onUnlisted_ =
                [this](const std::string& aEndpoint) {
-                 poisonRequestMonitor_.OnEndpointExit(aEndpoint);
+                 poisonRequestMonitor_.OnUnlisted(aEndpoint);
                } })
   , links_(
       { .client_ = client_,
@@ -100,26 +107,35 @@
   , endpoints_(*dialect_, fleet_)
   , storeFollower_(StoreFollowerParts(), StoreFollowerOptions())
   , promises_(metrics_)
-  , peers_({ .settings_ = settings_,
-             .store_ = *store_,
-             .client_ = peerClient_,
-             .executor_ = context_.get_executor(),
-             .own_ = [this] { return OwnDigest(); },
-             .onPeersChanged_ =
-               [this](const PeersState& aPeers) { ApplyPeers(aPeers); },
-             .isListed_ = [this] { return rank_.rank_ == 0; } },
-           { .round_ = kPeerRound,
-             .largeFleetRound_ = kLargePeerRound,
-             .publishesInRounds_ = true,
-             .callTimeout_ = milliseconds(500),
-             .roundFanout_ = kPeerRoundFanout,
-             .roundsUntilExpired_ = kPeerRoundsUntilExpired,
-             .relayed_ = kRelayedDigests })
+  , peers_(
+      { .settings_ = settings_,
+        .store_ = *store_,
+        .client_ = peerClient_,
+        .executor_ = context_.get_executor(),
+        .own_ = [this] { return OwnDigest(); },
+        .onPeersChanged_ =
+          [this](const PeersState& aPeers) { ApplyPeers(aPeers); },
+        .crashEvidence_ = [this] { return poisonRequestMonitor_.Evidence(); },
+        .onCrashEvidence_ =
+          [this](const CrashEvidence& aEvidence) {
+            poisonRequestMonitor_.OnPeerEvidence(
+              aEvidence, peers_.Known().size() > kScopeFanout);
+          },
+        .isListed_ = [this] { return rank_.rank_ == 0; } },
+      { .round_ = kPeerRound,
+        .largeFleetRound_ = kLargePeerRound,
+        .publishesInRounds_ = true,
+        .callTimeout_ = milliseconds(500),
+        .roundFanout_ = kPeerRoundFanout,
+        .roundsUntilExpired_ = kPeerRoundsUntilExpired,
+        .relayed_ = kRelayedDigests,
+        .scopeFanout_ = kScopeFanout })
   , relays_({ .client_ = peerClient_, .peers_ = peers_, .metrics_ = metrics_ },
             { .zone_ = settings_.zone_, .region_ = settings_.region_ })
   , poisonRequestMonitor_(
       { .client_ = client_,
         .executor_ = context_.get_executor(),
+        .metrics_ = metrics_,
         .notifyPeers_ = [this] { peers_.ExchangeInScope(); },
         .linkState_ =
           [this](const std::string& aService) {
@@ -299,6 +315,7 @@
                     peers_.Known(),
                     board_.host_.Read()->draining_);
   fleet_.Sweep();
+  poisonRequestMonitor_.Sweep();
   limiter_.Sweep();
   promises_.Sweep();
   promises_.SetHosts(aPeers.known_ + 1);
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -366,18 +366,22 @@
   co_return std::unique_ptr<HttpCall>(std::move(call));
 }
 
-asio::awaitable<bool> HttpClient::IsConnectionRefused(
+asio::awaitable<ConnectResult> HttpClient::TryConnect(
   std::string aAddress,
   std::chrono::milliseconds aTimeout)
 {
   const auto endpoint = ParseAddress(aAddress);
   if (!endpoint) {
-    co_return false;
+    co_return ConnectResult::kNoAnswer;
   }
   Connection connection(co_await asio::this_coro::executor);
   const auto code = co_await Impl::Open(
     connection, endpoint.value(), TimerService::Now() + aTimeout);
-  co_return code == asio::error::connection_refused;
+  if (!code) {
+    co_return ConnectResult::kAccepted;
+  }
+  co_return code == asio::error::connection_refused ? ConnectResult::kRefused
+                                                    : ConnectResult::kNoAnswer;
 }
 
 asio::awaitable<Outcome<std::unique_ptr<HttpCall>>> HttpClient::Start(
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -197,7 +197,9 @@
   LogEventInfo{ kPoisonRequestDetected,
                 LogLevel::kWarning,
                 "request-suspected",
-                "A request crashed two endpoints; all hosts now reject it." },
+                "A feature of requests, their content or a part of their "
+                "prompts, crashed several endpoints; all hosts now reject "
+                "requests with it." },
   LogEventInfo{ kRequestWaits,
                 LogLevel::kInfo,
                 "request-waits",
@@ -219,6 +221,11 @@
                 "An endpoint's connections broke; how it responded to a new "
                 "one, and the state of this host's links, don't show that it "
                 "exited." },
+  LogEventInfo{ kQuarantineReleased,
+                LogLevel::kWarning,
+                "quarantine-released",
+                "Requests with a feature are sent again, since the answer to "
+                "one of them went on." },
   LogEventInfo{ kReturnPromised,
                 LogLevel::kInfo,
                 "return-promised",
--- a/src/runtime/gooseberrylift-peer-exchange.cc
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -9,6 +9,7 @@
 #include "gooseberrylift/internal/gooseberrylift-member-list.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+#include "gooseberrylift/limits/gooseberrylift-crash-evidence-codec.h"
 
 namespace gooseberrylift {
 
@@ -66,6 +67,9 @@
   json document;
   document["f"] = DigestToJson(aMessage.from_);
   document["r"] = std::move(relayed);
+  if (!aMessage.crashEvidence_.IsEmpty()) {
+    document["c"] = CrashEvidenceToJson(aMessage.crashEvidence_);
+  }
   return document;
 }
 
@@ -79,6 +83,9 @@
   for (const json& item : aDocument.value("r", json::array())) {
     message.relayed_.push_back(DigestFromJson(item));
   }
+  if (aDocument.contains("c")) {
+    message.crashEvidence_ = CrashEvidenceFromJson(aDocument["c"]);
+  }
   return message;
 }
 
@@ -350,13 +357,22 @@
   }
 }
 
-asio::awaitable<void> PeerExchange::ExchangeWith(PeerMember aPeer)
+PeerMessage PeerExchange::MakeMessage(const std::string& aZone)
 {
-  json message;
+  PeerMessage message;
   {
     const std::lock_guard lock(mutex_);
-    message = MessageToJson(table_->MakeMessage(aPeer.zone_));
+    message = table_->MakeMessage(aZone);
+  }
+  if (parts_.crashEvidence_) {
+    message.crashEvidence_ = parts_.crashEvidence_();
   }
+  return message;
+}
+
+asio::awaitable<void> PeerExchange::ExchangeWith(PeerMember aPeer)
+{
+  json message = MessageToJson(MakeMessage(aPeer.zone_));
   PeerRpc::Target target{ .host_ = aPeer.host_, .address_ = aPeer.address_ };
   const auto answer =
     co_await rpc_.Call(std::move(target),
@@ -372,8 +388,7 @@
 {
   const PeerMessage message = MessageFromJson(aParams);
   HandleMessage(message);
-  const std::lock_guard lock(mutex_);
-  return MessageToJson(table_->MakeMessage(message.from_.zone_));
+  return MessageToJson(MakeMessage(message.from_.zone_));
 }
 
 void PeerExchange::HandleMessage(const PeerMessage& aMessage)
@@ -390,6 +405,9 @@
             merged.generation_ > table_->Own().generation_;
     fetching_ = fetching_ || fetch;
   }
+  if (parts_.onCrashEvidence_ && !aMessage.crashEvidence_.IsEmpty()) {
+    parts_.onCrashEvidence_(aMessage.crashEvidence_);
+  }
   if (fetch) {
     SpawnTask(parts_.executor_, FetchConfiguration(MemberOf(aMessage.from_)));
   }
