Leave endpoints that are known to have crashed out of the probes of the links

In the incident five of six hosts took crashed engines for lost links, seven times within eight seconds, and relayed 202 requests to hosts where they crashed the next engine; crashes found meanwhile were not counted. A sample of five probes says little while a third of the engines is down.

--- a/include/gooseberrylift/internal/gooseberrylift-link-prober.h
+++ b/include/gooseberrylift/internal/gooseberrylift-link-prober.h
@@ -32,6 +32,9 @@
     EndpointAccess& access_;
     Metrics& metrics_;
     boost::asio::any_io_executor executor_;
+    // Returns whether an endpoint is known to have exited, so that its silence
+    // shows nothing about the links.
+    std::function<bool(const ListedEndpoint& aEndpoint)> hasExited_;
     // Called when the links to a service were found to be lost or up again.
     std::function<void(const std::string& aService, bool aLost)> onChanged_;
   };
--- a/src/gateway/gooseberrylift-link-prober.cc
+++ b/src/gateway/gooseberrylift-link-prober.cc
@@ -112,13 +112,14 @@
 
 asio::awaitable<ProbeResult> LinkProber::ProbeSample(std::string aService)
 {
-  const auto endpoints = parts_.access_.Shuffled(aService, RandomNumber());
+  auto endpoints = *parts_.access_.Shuffled(aService, RandomNumber());
+  std::erase_if(endpoints, parts_.hasExited_);
   const auto round = std::make_shared<Round>();
   round->result_.sent_ =
-    std::min(LinkMonitor::Options{}.sampleSize_, endpoints->size());
-  round->result_.complete_ = round->result_.sent_ == endpoints->size();
+    std::min(LinkMonitor::Options{}.sampleSize_, endpoints.size());
+  round->result_.complete_ = round->result_.sent_ == endpoints.size();
   for (std::size_t index = 0; index < round->result_.sent_; ++index) {
-    SpawnTask(parts_.executor_, Probe(endpoints->at(index), round));
+    SpawnTask(parts_.executor_, Probe(endpoints.at(index), round));
   }
   const TimePoint limit = TimerService::Now() + kProbeTimeout;
   while (round->ended_ < round->result_.sent_ && TimerService::Now() < limit) {
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -96,6 +96,10 @@
         .access_ = fleet_.Access(),
         .metrics_ = metrics_,
         .executor_ = context_.get_executor(),
+        .hasExited_ =
+          [this](const ListedEndpoint& aEndpoint) {
+            return poisonRequestMonitor_.HasExited(aEndpoint);
+          },
         .onChanged_ = [this](const std::string& aService,
                              bool aLost) { OnLinksChanged(aService, aLost); } })
   , endpointClient_({ .client_ = client_,
