Resume a stream whose engine exited as its unframed answer ended

An answer may have neither a length nor chunks and end with its connection. A stream whose engine crashed between two events then ended like a whole one, and callers got a part of it as the whole. Now the host asks whether the engine still accepts connections before it ends such a stream to its caller, if the stream may be resumed: if it was whole, the next engine adds nothing. A stream that may not be resumed ends between events as before, and so does an answer of another kind.

Resets, ends within an event and the reuse of such connections were handled already.

--- a/include/gooseberrylift/internal/gooseberrylift-attempt-target.h
+++ b/include/gooseberrylift/internal/gooseberrylift-attempt-target.h
@@ -8,6 +8,9 @@
 #include <functional>
 #include <optional>
 
+#include <boost/asio/awaitable.hpp>
+
+#include "gooseberrylift/internal/gooseberrylift-endpoint-client.h"
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 
@@ -31,6 +34,10 @@
 
   /// Records that an endpoint stated that it did not run the request.
   virtual void OnNotExecuted(const EndpointResponseMetadata& aFacts) = 0;
+
+  /// Returns whether the sender of a response has exited, so that the close of
+  /// the connection may have cut the response off.
+  virtual boost::asio::awaitable<bool> HasExited() = 0;
 };
 
 // An endpoint, reached over a link of this host.
@@ -41,10 +48,12 @@
     std::function<void(const EndpointResponseMetadata& aFacts)>;
 
   /// @param aStallTimeout of the endpoint
-  EndpointTarget(Fleet::ActiveRequest& aActive,
+  EndpointTarget(EndpointClient& aClient,
+                 Fleet::ActiveRequest& aActive,
                  std::chrono::milliseconds aStallTimeout,
                  NotExecuted aOnNotExecuted)
-    : active_(aActive)
+    : client_(aClient)
+    , active_(aActive)
     , stallTimeout_(aStallTimeout)
     , onNotExecuted_(std::move(aOnNotExecuted))
   {
@@ -67,7 +76,13 @@
     onNotExecuted_(aFacts);
   }
 
+  boost::asio::awaitable<bool> HasExited() override
+  {
+    return client_.HasExited(active_.Placement().endpoint_);
+  }
+
 private:
+  EndpointClient& client_;
   Fleet::ActiveRequest& active_;
   std::chrono::milliseconds stallTimeout_;
   NotExecuted onNotExecuted_;
--- a/include/gooseberrylift/internal/gooseberrylift-endpoint-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-endpoint-client.h
@@ -79,6 +79,10 @@
                                                       TimePoint aDeadline,
                                                       CallOptions aOptions);
 
+  /// Returns whether an endpoint has exited, as far as a refused connection
+  /// shows it.
+  boost::asio::awaitable<bool> HasExited(ListedEndpoint aEndpoint);
+
 private:
   std::optional<Error> CheckSend(const ListedEndpoint& aEndpoint,
                                  const CallOptions& aOptions) const;
--- a/include/gooseberrylift/internal/gooseberrylift-relay-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-relay-client.h
@@ -77,6 +77,8 @@
     bool IsStalled() const override;
     std::optional<Error> FindError(const HttpResponse& aHead) override;
     void OnNotExecuted(const EndpointResponseMetadata& aFacts) override;
+    // Hosts respond with a length or in chunks.
+    boost::asio::awaitable<bool> HasExited() override { co_return false; }
 
   private:
     RelayClient& client_;
--- a/src/gateway/gooseberrylift-endpoint-client.cc
+++ b/src/gateway/gooseberrylift-endpoint-client.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+// A refused connection is reported within one round trip in the region.
+constexpr std::chrono::milliseconds kExitCheckTimeout{ 250 };
+
 const char* ReasonOf(SendBlock aBlock)
 {
   return aBlock == SendBlock::kBackoff ? "asked for a backoff"
@@ -189,4 +192,11 @@
   co_return co_await ReadResponse(*call.value());
 }
 
+asio::awaitable<bool> EndpointClient::HasExited(ListedEndpoint aEndpoint)
+{
+  const ConnectResult result =
+    co_await parts_.client_.TryConnect(aEndpoint.address_, kExitCheckTimeout);
+  co_return result == ConnectResult::kRefused;
+}
+
 } // namespace gooseberrylift
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -293,6 +293,10 @@
   if (splitter.Pending() > 0) {
     co_return MakeBrokenError("the stream ended within an event");
   }
+  if (!aCall.HasExplicitEnd() && request_.route_->IsRepeatable() &&
+      co_await aTarget.HasExited()) {
+    co_return MakeBrokenError("the endpoint exited as the stream ended");
+  }
   // An empty stream is valid, for instance when the caller resumes a stream of
   // which it already has all events.
   bool open = co_await EnsureStreamStarted(aCall.Head());
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -346,7 +346,8 @@
     use.End(OutcomeOf(sent.error()));
     co_return sent.error();
   }
-  EndpointTarget target(use,
+  EndpointTarget target(parts_.client_,
+                        use,
                         EndpointStallTimeout(*request_.route_),
                         [this, &use](const EndpointResponseMetadata& aFacts) {
                           OnNotExecuted(aFacts, use);
--- /dev/null
+++ b/test/integration/harness-raw-endpoint.cc
@@ -0,0 +1,118 @@
+#include "harness-raw-endpoint.h"
+
+#include <chrono>
+
+#include <boost/asio.hpp>
+
+#include "gooseberrylift-fleet-names.h"
+
+namespace gooseberrylift::test {
+
+namespace asio = boost::asio;
+namespace names = gooseberrylift::platform;
+using tcp = asio::ip::tcp;
+
+class RawEndpoint::Impl
+{
+public:
+  asio::io_context context_;
+  tcp::acceptor acceptor_{ context_, { asio::ip::address_v4::loopback(), 0 } };
+};
+
+namespace {
+
+// Returns the value of a header field; empty if the request lacks it.
+std::string FieldOf(const std::string& aRequest, const std::string& aName)
+{
+  const std::size_t at = aRequest.find("\r\n" + aName + ": ");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t begin = at + aName.size() + 4;
+  return aRequest.substr(begin, aRequest.find("\r\n", begin) - begin);
+}
+
+// Reads a request with its body; empty if the connection was closed.
+std::string ReadRequest(tcp::socket& aSocket)
+{
+  std::string text;
+  boost::system::error_code code;
+  const std::size_t head =
+    asio::read_until(aSocket, asio::dynamic_buffer(text), "\r\n\r\n", code);
+  if (code) {
+    return {};
+  }
+  const std::size_t size =
+    std::strtoul(FieldOf(text, "Content-Length").c_str(), nullptr, 10);
+  if (text.size() < head + size) {
+    const std::size_t missing = head + size - text.size();
+    asio::read(aSocket,
+               asio::dynamic_buffer(text),
+               asio::transfer_exactly(missing),
+               code);
+  }
+  return text;
+}
+
+} // namespace
+
+RawEndpoint::RawEndpoint(Answer aAnswer)
+  : answer_(std::move(aAnswer))
+  , impl_(std::make_unique<Impl>())
+  , thread_([this] { Run(); })
+{
+}
+
+RawEndpoint::~RawEndpoint()
+{
+  stop_ = true;
+  thread_.join();
+}
+
+std::string RawEndpoint::Address() const
+{
+  return "127.0.0.1:" +
+         std::to_string(impl_->acceptor_.local_endpoint().port());
+}
+
+// Serves one connection after the other.
+void RawEndpoint::Run()
+{
+  impl_->acceptor_.non_blocking(true);
+  while (!stop_) {
+    boost::system::error_code code;
+    tcp::socket socket(impl_->context_);
+    impl_->acceptor_.accept(socket, code);
+    if (code) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+      continue;
+    }
+    socket.non_blocking(false);
+    const std::string request = ReadRequest(socket);
+    if (request.empty()) {
+      continue;
+    }
+    const std::string text =
+      "HTTP/1.1 200 OK\r\n" + std::string(names::kAttemptId) + ": " +
+      FieldOf(request, names::kAttemptId) + "\r\n" + names::kResponseStamp +
+      ": raw\r\n" + answer_.fields_ + "\r\n" + answer_.body_;
+    asio::write(socket, asio::buffer(text), code);
+    ++answered_;
+    // What was sent must have arrived before a reset discards it.
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    reused_ += socket.available(code) > 0 ? 1 : 0;
+    if (answer_.end_ == End::kReset) {
+      socket.set_option(asio::socket_base::linger(true, 0), code);
+    }
+    const bool exits = answer_.end_ == End::kExited;
+    if (exits) {
+      impl_->acceptor_.close(code);
+    }
+    socket.close(code); // the destructor would not reset the connection
+    if (exits) {
+      return;
+    }
+  }
+}
+
+} // namespace gooseberrylift::test
