--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -193,7 +193,7 @@
   if (TimerService::Now() + kMinRemaining >= request_.deadline_) {
     return MakeError(ResultCode::kDeadlineExceeded);
   }
-  if (const auto quarantined = CheckQuarantine()) {
+  if (auto quarantined = CheckQuarantine()) {
     return quarantined;
   }
   if (request_.authenticatedByKey_ && !parts_.routes_.AreKeysProven()) {
