--- a/include/gooseberrylift/limits/gooseberrylift-poison-request-detector.h
+++ b/include/gooseberrylift/limits/gooseberrylift-poison-request-detector.h
@@ -150,6 +150,7 @@
   using Suspicions = std::map<std::string, Suspicion>; // by feature
 
   void Clear(const std::string& aFeature, WallTime aBegunAt);
+  void KeepMostTelling(std::vector<CrashReport>& aReports, WallTime aNow) const;
   bool IsClearedOf(const std::string& aFeature,
                    const EndpointCrash& aCrash) const;
   bool IsExplained(const EndpointCrash& aCrash, WallTime aNow) const;
--- a/src/core/limits/gooseberrylift-poison-request-detector.cc
+++ b/src/core/limits/gooseberrylift-poison-request-detector.cc
@@ -143,28 +143,9 @@
   if (evidence.crashes_.empty()) {
     return evidence;
   }
-  // Of many crashes at once, those are sent first whose requests were part of
-  // several: the others prove nothing yet.
-  const Suspicions suspicions = CollectSuspicions(aNow);
-  const auto weightOf = [&](const CrashReport& aReport) {
-    std::size_t weight = 0;
-    for (const RequestFeatures& request : aReport.accused_) {
-      for (const std::string& feature : FeaturesOf(request)) {
-        const auto found = suspicions.find(feature);
-        if (found != suspicions.end() && !found->second.wasSound_) {
-          weight = std::max(weight, found->second.crashes_.size());
-        }
-      }
-    }
-    return std::pair(weight, aReport.at_);
-  };
-  std::sort(evidence.crashes_.begin(),
-            evidence.crashes_.end(),
-            [&](const CrashReport& aOne, const CrashReport& aOther) {
-              return weightOf(aOne) > weightOf(aOther);
-            });
-  evidence.crashes_.resize(
-    std::min(evidence.crashes_.size(), options_.maxReportedCrashes_));
+  if (evidence.crashes_.size() > options_.maxReportedCrashes_) {
+    KeepMostTelling(evidence.crashes_, aNow);
+  }
   std::set<std::string> accused;
   for (const CrashReport& report : evidence.crashes_) {
     for (const RequestFeatures& request : report.accused_) {
@@ -179,6 +160,39 @@
   return evidence;
 }
 
+// Of many crashes at once, keeps those whose requests were part of several: the
+// others prove nothing yet.
+void PoisonRequestDetector::KeepMostTelling(std::vector<CrashReport>& aReports,
+                                            WallTime aNow) const
+{
+  const Suspicions suspicions = CollectSuspicions(aNow);
+  using Weighted = std::pair<std::size_t, CrashReport>;
+  std::vector<Weighted> weighted;
+  for (CrashReport& report : aReports) {
+    std::size_t weight = 0;
+    for (const RequestFeatures& request : report.accused_) {
+      for (const std::string& feature : FeaturesOf(request)) {
+        const auto found = suspicions.find(feature);
+        if (found != suspicions.end() && !found->second.wasSound_) {
+          weight = std::max(weight, found->second.crashes_.size());
+        }
+      }
+    }
+    weighted.emplace_back(weight, std::move(report));
+  }
+  std::sort(weighted.begin(),
+            weighted.end(),
+            [](const Weighted& aOne, const Weighted& aOther) {
+              return std::pair(aOne.first, aOne.second.at_) >
+                     std::pair(aOther.first, aOther.second.at_);
+            });
+  weighted.resize(options_.maxReportedCrashes_);
+  aReports.clear();
+  for (Weighted& entry : weighted) {
+    aReports.push_back(std::move(entry.second));
+  }
+}
+
 void PoisonRequestDetector::Sweep(WallTime aNow)
 {
   history_.Sweep(aNow);
@@ -315,6 +329,10 @@
                                      const Suspicion& aSuspicion) const
 {
   const bool isPart = IsPartFeature(aFeature);
+  if (aSuspicion.crashes_.size() <
+      std::min(options_.contentThreshold_, options_.partThreshold_)) {
+    return false; // most features; what follows takes longer
+  }
   if (isPart && aSuspicion.contents_.size() < options_.partContents_) {
     return false;
   }
