Bound what hosts tell each other when many endpoints crash at once

Only crashes that accuse a request, or a request that was not accused before, are told at once; others go with the next exchange. A host tells others every 100 ms at most, and waits 150 ms before it passes on the news of another host, by when most hosts have it. Before, each further accusation in a group of crashes could start eight calls every 20 ms at each host of a large fleet. Not measured at size.

A delayed entry of an older incarnation no longer shows that the newer one has exited.

--- a/include/gooseberrylift/internal/gooseberrylift-poison-request-monitor.h
+++ b/include/gooseberrylift/internal/gooseberrylift-poison-request-monitor.h
@@ -103,8 +103,8 @@
   boost::asio::awaitable<LinkState> ResolveLinkState(std::string aService);
   void OnEndpointExit(const std::string& aEndpoint, const char* aProof);
   void ApplyChanges();
-  void NotifyPeersSoon();
-  boost::asio::awaitable<void> NotifyPeers();
+  void NotifyPeersAfter(std::chrono::milliseconds aDelay);
+  boost::asio::awaitable<void> NotifyPeers(TimePoint aWhen);
 
   Parts parts_;
   std::mutex mutex_; // guards the members below
@@ -112,6 +112,7 @@
   std::map<std::string, Watched> watched_; // by incarnation
   std::size_t pendingChecks_ = 0;
   bool notifies_ = false; // the peers are about to be notified
+  TimePoint lastNotified_{};
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/limits/gooseberrylift-crash-history.h
+++ b/include/gooseberrylift/limits/gooseberrylift-crash-history.h
@@ -82,12 +82,16 @@
   void OnAlive(const std::string& aEndpoint);
 
   /// Merges a crash that another host has recorded.
-  /// @return whether the crash or one of the accused requests is new
+  /// @return whether this accuses a request that was not accused before
   bool OnReport(const CrashReport& aReport, WallTime aNow);
 
   /// Returns whether an endpoint is confirmed to have exited.
   bool HasExited(const std::string& aEndpoint) const;
 
+  /// Returns whether a request had just begun at an endpoint when its
+  /// connections broke.
+  bool HasAccused(const std::string& aEndpoint) const;
+
   /// Returns all crashes, confirmed or not, of the last time.
   const Crashes& All() const { return crashes_; }
 
--- a/include/gooseberrylift/limits/gooseberrylift-poison-request-detector.h
+++ b/include/gooseberrylift/limits/gooseberrylift-poison-request-detector.h
@@ -104,7 +104,7 @@
   void OnPeer(const std::vector<QuarantineEntry>& aEntries);
 
   /// Merges the evidence of a peer.
-  /// @return whether it contained crashes or accusations that are new
+  /// @return whether it accuses requests that were not accused before
   bool OnPeerEvidence(const CrashEvidence& aEvidence, WallTime aNow);
 
   /// Returns which features were quarantined or released since the last call.
@@ -125,6 +125,13 @@
     return history_.HasExited(aEndpoint);
   }
 
+  /// Returns whether a request had just begun at an endpoint when its
+  /// connections broke.
+  bool HasAccused(const std::string& aEndpoint) const
+  {
+    return history_.HasAccused(aEndpoint);
+  }
+
   /// Returns the quarantine entries, which are sent to the peers.
   std::vector<QuarantineEntry> Entries(WallTime aNow) const
   {
--- a/src/core/limits/gooseberrylift-crash-history.cc
+++ b/src/core/limits/gooseberrylift-crash-history.cc
@@ -58,7 +58,7 @@
     return false; // delayed, or of a host whose clock is wrong
   }
   EndpointCrash& crash = RecordOf(aReport.endpoint_, aReport.at_);
-  bool isNews = !crash.confirmed_;
+  bool isNews = !crash.confirmed_ && !crash.accused_.empty();
   crash.confirmed_ = true;
   crash.brokenAt_ = std::min(crash.brokenAt_, aReport.at_);
   crash.aliveAt_ = std::max(crash.aliveAt_, aReport.aliveAt_);
@@ -75,6 +75,12 @@
   return found != crashes_.end() && found->second.confirmed_;
 }
 
+bool CrashHistory::HasAccused(const std::string& aEndpoint) const
+{
+  const auto found = crashes_.find(aEndpoint);
+  return found != crashes_.end() && !found->second.accused_.empty();
+}
+
 std::vector<CrashReport> CrashHistory::Reports(WallTime aNow) const
 {
   std::vector<CrashReport> reports;
--- a/src/gateway/gooseberrylift-poison-request-monitor.cc
+++ b/src/gateway/gooseberrylift-poison-request-monitor.cc
@@ -1,5 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-poison-request-monitor.h"
 
+#include <algorithm>
+
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -28,8 +30,14 @@
 // The next incarnation of a crashed endpoint starts within this time.
 constexpr std::chrono::seconds kMaxWatched{ 6 };
 
-// Short against the time until the next request meets the next endpoint.
+// Crashes and the requests that had begun there are noticed in groups, which
+// are sent in one message. The delay is short against the time until the next
+// request meets the next endpoint.
 constexpr milliseconds kNotificationDelay{ 20 };
+// In a large fleet most hosts have the news from several others by then.
+constexpr milliseconds kForwardDelay{ 150 };
+// Bounds the work of small hosts when many endpoints crash.
+constexpr milliseconds kMinNotificationInterval{ 100 };
 
 // The same text for all hosts.
 std::string NameOf(const Incarnation& aIncarnation)
@@ -95,7 +103,7 @@
   }
   ApplyChanges();
   if (crashed && aJustBegun) {
-    NotifyPeersSoon(); // of a further request that had begun there
+    NotifyPeersAfter(kNotificationDelay); // a further request had begun there
   }
   if (startCheck) {
     SpawnTask(parts_.executor_, CheckForExit(aEndpoint));
@@ -150,9 +158,10 @@
     const std::lock_guard lock(mutex_);
     for (const auto& [incarnation, watched] : watched_) {
       const ListedEndpoint& listed = watched.listed_;
-      const bool isSame = listed.IncarnationId() == aEndpoint.IncarnationId();
-      if (!isSame && (listed.address_ == aEndpoint.address_ ||
-                      listed.id_ == aEndpoint.id_)) {
+      const bool isReplaced = listed.id_ == aEndpoint.id_
+                                ? listed.startTime_ < aEndpoint.startTime_
+                                : listed.address_ == aEndpoint.address_;
+      if (isReplaced) {
         exited.push_back(incarnation);
       }
     }
@@ -182,12 +191,14 @@
                                           const char* aProof)
 {
   bool isNews = false;
+  bool accuses = false;
   {
     const std::lock_guard lock(mutex_);
     if (!watched_[aEndpoint].checkPending_) {
       watched_.erase(aEndpoint);
     }
     isNews = detector_.OnEndpointExit(aEndpoint, system_clock::now());
+    accuses = detector_.HasAccused(aEndpoint);
   }
   if (isNews) {
     Log(LogEvent::kEndpointCrashed,
@@ -196,7 +207,9 @@
                           std::string("proof=\"") + aProof + "\"");
   }
   ApplyChanges();
-  NotifyPeersSoon();
+  if (accuses) {
+    NotifyPeersAfter(kNotificationDelay);
+  }
 }
 
 // Logs the changes and passes them on, since requests with these features may
@@ -224,27 +237,29 @@
     own = own || !change.fromPeer_;
   }
   if (own) {
-    NotifyPeersSoon();
+    NotifyPeersAfter(kNotificationDelay);
   }
 }
 
-// Crashes and the requests that they accuse come in groups, which are sent in
-// one message.
-void PoisonRequestMonitor::NotifyPeersSoon()
+void PoisonRequestMonitor::NotifyPeersAfter(milliseconds aDelay)
 {
+  const TimePoint now = TimerService::Now();
+  TimePoint when = now + aDelay;
   {
     const std::lock_guard lock(mutex_);
     if (notifies_) {
       return;
     }
     notifies_ = true;
+    when = std::max(when, lastNotified_ + kMinNotificationInterval);
+    lastNotified_ = when;
   }
-  SpawnTask(parts_.executor_, NotifyPeers());
+  SpawnTask(parts_.executor_, NotifyPeers(when));
 }
 
-asio::awaitable<void> PoisonRequestMonitor::NotifyPeers()
+asio::awaitable<void> PoisonRequestMonitor::NotifyPeers(TimePoint aWhen)
 {
-  co_await TimerService::SleepFor(kNotificationDelay);
+  co_await TimerService::SleepUntil(aWhen);
   {
     const std::lock_guard lock(mutex_);
     notifies_ = false;
@@ -293,7 +308,7 @@
   }
   ApplyChanges();
   if (isNews && aForward) {
-    NotifyPeersSoon();
+    NotifyPeersAfter(kForwardDelay);
   }
 }
 
