Don't take a kept connection for a sign that its endpoint still ran

The send counted as a sign that the second engine still ran. Now only a new connection shows that, or data, less the time that a busy host takes to read it.

--- a/include/gooseberrylift/limits/gooseberrylift-answer-progress.h
+++ b/include/gooseberrylift/limits/gooseberrylift-answer-progress.h
@@ -19,9 +19,15 @@
   // of processor time read what was sent before it some time later.
   static constexpr std::chrono::milliseconds kSoundAfter{ 400 };
 
-  /// Records that the request is about to be written to a connection that was
-  /// not closed.
-  void OnSent(TimePoint aNow) { *this = AnswerProgress{ .sentAt_ = aNow }; }
+  // Data may have been sent this long before it is read.
+  static constexpr std::chrono::milliseconds kReadLag{ 30 };
+
+  /// Records that the endpoint accepted a new connection for the request.
+  void OnConnected(TimePoint aNow) { connectedAt_ = aNow; }
+
+  /// Records that the request is about to be written. A connection that is used
+  /// again may have ended without notice.
+  void OnSent(TimePoint aNow) { sentAt_ = aNow; }
 
   /// Records that a part of the answer was received.
   /// @return whether this shows for the first time that the request does not
@@ -44,8 +50,14 @@
   }
 
   /// Returns when the endpoint was last known to run.
-  TimePoint AliveAt() const { return std::max(sentAt_, lastDataAt_); }
+  /// @return the epoch if it is not known
+  TimePoint AliveAt() const
+  {
+    return begunAt_ ? std::max(connectedAt_, lastDataAt_ - kReadLag)
+                    : connectedAt_;
+  }
 
+  TimePoint connectedAt_{};
   TimePoint sentAt_{};
   std::optional<TimePoint> begunAt_{};
   TimePoint lastDataAt_{};
--- a/src/gateway/gooseberrylift-endpoint-client.cc
+++ b/src/gateway/gooseberrylift-endpoint-client.cc
@@ -161,6 +161,9 @@
   };
   http.onConnected_ = [&] {
     parts_.links_.OnSucceeded(aEndpoint, LinkFailure::kConnection);
+    if (aOptions.http_.onConnected_) {
+      aOptions.http_.onConnected_();
+    }
   };
   const TimePoint sentAt = TimerService::Now();
   auto call = co_await parts_.client_.Send(
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -108,6 +108,7 @@
   RelayClient::Target& aTarget)
 {
   const TimePoint startTime = TimerService::Now();
+  progress_ = {};
   progress_.OnSent(startTime);
   RelayTerms terms;
   terms.from_ = parts_.host_;
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -326,6 +326,10 @@
   EndpointClient::CallOptions options;
   options.helpers_ = use.Placement().helpers_;
   options.requestId_ = request_.facts_.attemptId_;
+  progress_ = {};
+  options.http_.onConnected_ = [this] {
+    progress_.OnConnected(TimerService::Now());
+  };
   options.checkRequest_ = [this] {
     progress_.OnSent(TimerService::Now());
     return CheckQuarantine();
