--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -74,7 +74,7 @@
     std::string host_;
     std::string zone_;
     EndpointRateLimiter& limiter_;
-    // Called when an endpoint has restarted under the same id.
+    // Called with each new or changed entry of an endpoint.
     std::function<void(const ListedEndpoint& aEndpoint)> onListed_{};
     // Called when the entry of an endpoint was removed.
     std::function<void(const std::string& aEndpoint)> onUnlisted_{};
