Log what the retry budget stood at, and whom a quarantine rejects

By the logs of one host, three things could not be told apart: a budget that is spent and one that is split by a wrong number of hosts; a quarantine of what few requests have and of what all have; a request that was sent although its caller had left and one that was not.

Event 1408 has the requests, retries, limit and hosts of a denied retry; event 1402 the requests of this host with and without the feature, and how long the host has run; two metrics count retries and callers that left before the first byte. No decision has changed: the counts of arrivals are only logged.

--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -67,6 +67,7 @@
   kEndpointCrashed = 1405,
   kExitUnconfirmed = 1406,
   kQuarantineReleased = 1407,
+  kRetryDenied = 1408,
   kReturnPromised = 1420,
   kReturnClaimed = 1421,
   kJobEnded = 1520,
--- a/include/gooseberrylift/internal/gooseberrylift-poison-request-monitor.h
+++ b/include/gooseberrylift/internal/gooseberrylift-poison-request-monitor.h
@@ -17,6 +17,7 @@
 
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-poison-request-detector.h"
 #include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
 #include "gooseberrylift/routing/gooseberrylift-link-monitor.h"
@@ -42,6 +43,9 @@
 
   explicit PoisonRequestMonitor(Parts aParts);
 
+  /// Records that a caller's request arrived at this host.
+  void OnArrived(const RequestFeatures& aFeatures);
+
   /// Records that a request was answered for longer than a crash takes, or
   /// completely.
   /// @param aSinceBegin time since its answer began
@@ -111,6 +115,7 @@
   PoisonRequestDetector detector_{ PoisonRequestDetector::Options{} };
   std::map<std::string, Watched> watched_; // by incarnation
   std::size_t pendingChecks_ = 0;
+  const TimePoint start_ = TimerService::Now();
   bool notifies_ = false; // the peers are about to be notified
   TimePoint lastNotified_{};
 };
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -23,24 +23,16 @@
 #include "gooseberrylift/internal/gooseberrylift-promise-book.h"
 #include "gooseberrylift/internal/gooseberrylift-relay-client.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
+#include "gooseberrylift/internal/gooseberrylift-shared-retry-budget.h"
 #include "gooseberrylift/internal/gooseberrylift-waiting-room.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 #include "gooseberrylift/limits/gooseberrylift-answer-progress.h"
-#include "gooseberrylift/limits/gooseberrylift-fleet-retry-budget.h"
 #include "gooseberrylift/limits/gooseberrylift-long-prompt-hold.h"
 #include "gooseberrylift/limits/gooseberrylift-request-features.h"
 #include "gooseberrylift/streams/gooseberrylift-event-splitter.h"
 
 namespace gooseberrylift {
 
-// The retry budget of this host, shared by all of its requests.
-struct SharedRetryBudget
-{
-  std::mutex mutex_; // guards the members below
-  FleetRetryBudget budget_{ FleetRetryBudget::Options{} };
-  std::size_t hosts_ = 1; // number of hosts that share the budget
-};
-
 // A request whose route and team have been resolved.
 struct RoutedRequest
 {
--- a/include/gooseberrylift/limits/gooseberrylift-fleet-retry-budget.h
+++ b/include/gooseberrylift/limits/gooseberrylift-fleet-retry-budget.h
@@ -41,6 +41,15 @@
   std::array<Slice, kSlices + 1> slices_{};
 };
 
+// What a host's share of the budget stands at.
+struct RetryBudgetState
+{
+  std::uint64_t requests_ = 0; // in the window
+  std::uint64_t retries_ = 0;  // in the window
+  double limit_ = 0;           // of the retries in the window
+  std::size_t hosts_ = 0;      // that share the budget
+};
+
 // One host's share of a retry budget for all hosts. The fixed allowance is
 // split evenly. The part proportional to the requests needs no split, because
 // each host counts its own requests. So the sum over all hosts never exceeds
@@ -76,10 +85,10 @@
                 std::size_t aHosts,
                 TimePoint aNow);
 
-  /// Returns the number of retries that this host has left now.
-  double Remaining(const std::string& aService,
-                   std::size_t aHosts,
-                   TimePoint aNow) const;
+  /// Returns what this host has counted, and what it may spend.
+  RetryBudgetState StateOf(const std::string& aService,
+                           std::size_t aHosts,
+                           TimePoint aNow) const;
 
 private:
   struct Counts
--- a/include/gooseberrylift/limits/gooseberrylift-poison-request-detector.h
+++ b/include/gooseberrylift/limits/gooseberrylift-poison-request-detector.h
@@ -17,6 +17,7 @@
 #include "gooseberrylift/gooseberrylift-digest.h"
 #include "gooseberrylift/limits/gooseberrylift-crash-evidence.h"
 #include "gooseberrylift/limits/gooseberrylift-crash-history.h"
+#include "gooseberrylift/limits/gooseberrylift-feature-arrivals.h"
 #include "gooseberrylift/limits/gooseberrylift-quarantine-list.h"
 #include "gooseberrylift/limits/gooseberrylift-request-features.h"
 #include "gooseberrylift/limits/gooseberrylift-sound-features.h"
@@ -30,6 +31,7 @@
   bool released_ = false;
   std::vector<std::string> endpoints_{}; // that crashed under it, in order
   bool fromPeer_ = false;
+  ArrivalCounts arrivals_{}; // at this host
 };
 
 // Such a feature crashes each endpoint that begins to answer a request that has
@@ -72,18 +74,26 @@
     std::chrono::milliseconds tieTime_{ 1'000 };
     std::size_t maxSound_ = 8'192;        // features remembered as sound
     std::size_t maxReportedCrashes_ = 24; // in a message to another host
+    FeatureArrivals::Options arrivals_{};
     CrashHistory::Options history_{};
     QuarantineList::Options quarantine_{};
   };
 
   explicit PoisonRequestDetector(const Options& aOptions)
     : options_(aOptions)
+    , arrivals_(aOptions.arrivals_)
     , sound_(aOptions.maxSound_)
     , history_(aOptions.history_)
     , quarantine_(aOptions.quarantine_)
   {
   }
 
+  /// Records that a caller's request arrived at this host.
+  void OnArrived(const RequestFeatures& aFeatures, WallTime aNow)
+  {
+    arrivals_.OnArrived(aFeatures, aNow);
+  }
+
   /// Records that a request was answered for longer than a crash takes, or
   /// completely.
   /// @param aBegunAt when its answer began
@@ -176,6 +186,7 @@
                   WallTime aNow);
 
   Options options_;
+  FeatureArrivals arrivals_;
   SoundFeatures sound_;
   CrashHistory history_;
   QuarantineList quarantine_;
--- a/src/core/limits/gooseberrylift-fleet-retry-budget.cc
+++ b/src/core/limits/gooseberrylift-fleet-retry-budget.cc
@@ -47,30 +47,30 @@
                                 std::size_t aHosts,
                                 TimePoint aNow)
 {
-  if (Remaining(aService, aHosts, aNow) < 1) {
+  const RetryBudgetState state = StateOf(aService, aHosts, aNow);
+  if (state.limit_ - static_cast<double>(state.retries_) < 1) {
     return false;
   }
   services_[aService].retries_.Add(aNow, options_.window_);
   return true;
 }
 
-double FleetRetryBudget::Remaining(const std::string& aService,
-                                   std::size_t aHosts,
-                                   TimePoint aNow) const
+RetryBudgetState FleetRetryBudget::StateOf(const std::string& aService,
+                                           std::size_t aHosts,
+                                           TimePoint aNow) const
 {
-  const double share =
-    options_.allowance_ / static_cast<double>(std::max<std::size_t>(aHosts, 1));
+  RetryBudgetState state{ .hosts_ = std::max<std::size_t>(aHosts, 1) };
   const auto found = services_.find(aService);
-  double requests = 0;
-  double retries = 0;
   if (found != services_.end()) {
     const Counts& counts = found->second;
-    requests =
-      static_cast<double>(counts.requests_.Sum(aNow, options_.window_));
-    retries = static_cast<double>(counts.retries_.Sum(aNow, options_.window_));
+    state.requests_ = counts.requests_.Sum(aNow, options_.window_);
+    state.retries_ = counts.retries_.Sum(aNow, options_.window_);
   }
-  return (options_.ratio_ * requests + share) * options_.safetyFactor_ -
-         retries;
+  const double share = options_.allowance_ / static_cast<double>(state.hosts_);
+  state.limit_ =
+    (options_.ratio_ * static_cast<double>(state.requests_) + share) *
+    options_.safetyFactor_;
+  return state;
 }
 
 } // namespace gooseberrylift
--- a/src/core/limits/gooseberrylift-poison-request-detector.cc
+++ b/src/core/limits/gooseberrylift-poison-request-detector.cc
@@ -411,7 +411,8 @@
                                        WallTime aNow)
 {
   quarantine_.Add(aFeature, aSuspicion.crashes_.back()->second.At(), aNow);
-  QuarantineChange change{ .feature_ = aFeature };
+  QuarantineChange change{ .feature_ = aFeature,
+                           .arrivals_ = arrivals_.Of(aFeature) };
   for (const auto& crash : aSuspicion.crashes_) {
     change.endpoints_.push_back(crash->first);
   }
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -182,8 +182,8 @@
   } else {
     // The host that received a relayed request has done this.
     ApplyPromise(routed);
-    const std::lock_guard lock(parts_.run_.retryBudget_.mutex_);
-    parts_.run_.retryBudget_.budget_.OnRequest(routed.service_, aArrived);
+    parts_.run_.retryBudget_.OnRequest(routed.service_, aArrived);
+    parts_.run_.poisonRequestMonitor_.OnArrived(routed.features_);
   }
   aExchange.SetDeadline(routed.deadline_);
   RequestRun run(parts_.run_, aExchange, routed);
@@ -194,6 +194,10 @@
   }
   RecordFailure(
     attemptId, routed.route_->name_, done.error(), aArrived, aRelayed);
+  if (done.error().code_ == ResultCode::kCallerLeft && run.Status() == 0) {
+    parts_.metrics_.Count("gooseberrylift_callers_left_total",
+                          run.Sends() > 0 ? "sent=\"yes\"" : "sent=\"no\"");
+  }
   if (!aExchange.ResponseStarted()) {
     outcome = { .error_ = done.error(),
                 .sends_ = run.Sends(),
--- a/src/gateway/gooseberrylift-poison-request-monitor.cc
+++ b/src/gateway/gooseberrylift-poison-request-monitor.cc
@@ -67,6 +67,12 @@
 {
 }
 
+void PoisonRequestMonitor::OnArrived(const RequestFeatures& aFeatures)
+{
+  const std::lock_guard lock(mutex_);
+  detector_.OnArrived(aFeatures, system_clock::now());
+}
+
 void PoisonRequestMonitor::OnAnswered(const RequestFeatures& aFeatures,
                                       milliseconds aSinceBegin)
 {
@@ -224,12 +230,18 @@
   bool own = false;
   for (const QuarantineChange& change : changes) {
     const char* kind = IsPartFeature(change.feature_) ? "part" : "content";
-    Log(change.released_ ? LogEvent::kQuarantineReleased
-                         : LogEvent::kPoisonRequestDetected,
-        { { "feature", change.feature_ },
-          { "kind", kind },
-          { "source", change.fromPeer_ ? "peer" : "own" },
-          { "endpoints", change.endpoints_ } });
+    Log(
+      change.released_ ? LogEvent::kQuarantineReleased
+                       : LogEvent::kPoisonRequestDetected,
+      { { "feature", change.feature_ },
+        { "kind", kind },
+        { "source", change.fromPeer_ ? "peer" : "own" },
+        { "endpoints", change.endpoints_ },
+        { "requests", change.arrivals_.all_ },
+        { "requests_with_it", change.arrivals_.with_ },
+        { "running_ms",
+          std::chrono::duration_cast<milliseconds>(TimerService::Now() - start_)
+            .count() } });
     parts_.metrics_.Count(change.released_
                             ? "gooseberrylift_quarantine_releases_total"
                             : "gooseberrylift_quarantines_total",
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -475,9 +475,8 @@
   if (request_.relay_) {
     return true;
   }
-  const std::lock_guard lock(parts_.retryBudget_.mutex_);
-  retryBudgeted_ = parts_.retryBudget_.budget_.TryRetry(
-    request_.service_, parts_.retryBudget_.hosts_, TimerService::Now());
+  retryBudgeted_ = parts_.retryBudget_.TryRetry(
+    request_.service_, request_.facts_.attemptId_, TimerService::Now());
   return retryBudgeted_;
 }
 
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -110,6 +110,7 @@
   , routes_(*dialect_, board_)
   , endpoints_(*dialect_, fleet_)
   , storeFollower_(StoreFollowerParts(), StoreFollowerOptions())
+  , retryBudget_(metrics_)
   , promises_(metrics_)
   , peers_(
       { .settings_ = settings_,
@@ -323,8 +324,7 @@
   limiter_.Sweep();
   promises_.Sweep();
   promises_.SetHosts(aPeers.known_ + 1);
-  const std::lock_guard lock(retryBudget_.mutex_);
-  retryBudget_.hosts_ = aPeers.known_ + 1;
+  retryBudget_.SetHosts(aPeers.known_ + 1);
 }
 
 // Other hosts learn at once whether to relay requests to this one. What was
@@ -455,11 +455,9 @@
   if (const RouteTable::Ptr table = board_.routes_.Read()->table_) {
     ApplyColdTerms(*table);
   }
-  const std::lock_guard lock(retryBudget_.mutex_);
-  retryBudget_.budget_.SetOptions(
-    { .ratio_ = aGatewaySettings.retryRatio_,
-      .window_ = aGatewaySettings.retryWindow_,
-      .allowance_ = aGatewaySettings.retryAllowance_ });
+  retryBudget_.SetOptions({ .ratio_ = aGatewaySettings.retryRatio_,
+                            .window_ = aGatewaySettings.retryWindow_,
+                            .allowance_ = aGatewaySettings.retryAllowance_ });
 }
 
 Outcome<void> GatewayHost::Run()
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -226,6 +226,12 @@
                 "quarantine-released",
                 "Requests with a feature are sent again, since the answer to "
                 "one of them went on." },
+  LogEventInfo{ kRetryDenied,
+                LogLevel::kInfo,
+                "retry-denied",
+                "A failed request is not sent again, since this host has spent "
+                "its share of the retry budget; the fields are what it has "
+                "counted in the window." },
   LogEventInfo{ kReturnPromised,
                 LogLevel::kInfo,
                 "return-promised",
