--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -15,7 +15,8 @@
 //     that reports "full"; "" removes it
 //   POST /control  {"leaving": true}  announces in all responses that it leaves
 //   POST /control  {"order_ms": n}  delays the responses to orders
-//   GET  /stats    arrivals, executions, helpers, orders and tickets
+//   GET  /stats    arrivals, executions, active requests, helpers, orders and
+//                  tickets
 
 #include <cstdlib>
 #include <iostream>
@@ -34,6 +35,23 @@
 
 namespace {
 
+// Counts a request as long as its handler runs, also if it is cancelled.
+class ActiveCount
+{
+public:
+  explicit ActiveCount(int& aCount)
+    : count_(aCount)
+  {
+    ++count_;
+  }
+  ~ActiveCount() { --count_; }
+  ActiveCount(const ActiveCount&) = delete;
+  ActiveCount& operator=(const ActiveCount&) = delete;
+
+private:
+  int& count_;
+};
+
 class FakeFleetEngine
 {
 public:
@@ -87,6 +105,7 @@
              { "last_us", lastArrival_.time_since_epoch().count() / 1000 },
              { "times_ms", arrivalTimesMs_ },
              { "arrivals", arrivals_ },
+             { "active", active_ },
              { "helpers", helpers_ },
              { "orders", orders_ },
              { "tickets", tickets_ } };
@@ -258,6 +277,7 @@
                                      std::string aFault)
   {
     const HttpRequest& request = aExchange.Request();
+    const ActiveCount count(active_);
     co_await TimerService::SleepFor(serviceTime_);
     HttpResponse answer =
       MakeResponseHead(aFault == "status" ? 500 : 200, request);
@@ -283,6 +303,7 @@
     }
     const int first =
       std::atoi(std::string(request.Field(names::kLastEventId)).c_str()) + 1;
+    const ActiveCount count(active_);
     bool open = co_await aExchange.StartStream(std::move(head));
     for (int event = first; open && event <= events_; ++event) {
       const std::string text =
@@ -316,6 +337,7 @@
   std::string fault_;
   int faultsRemaining_ = 0;
   int afterEvents_ = 2;
+  int active_ = 0; // requests that are being answered
   std::map<std::string, int> arrived_;
   std::map<std::string, int> ran_;
   // The headers of all requests, each with its latest value.
--- a/test/integration/gooseberrylift-crashing-part-test.cc
+++ b/test/integration/gooseberrylift-crashing-part-test.cc
@@ -3,10 +3,9 @@
 // incarnations at the same addresses.
 
 #include "harness-callers.h"
+#include "harness-crashing-part.h"
 
 #include <algorithm>
-#include <atomic>
-#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -16,141 +15,14 @@
 using namespace gooseberrylift;
 using namespace gooseberrylift::test;
 using namespace std::chrono_literals;
-namespace names = gooseberrylift::platform;
 
 namespace {
 
 constexpr int kHosts = 3;
-constexpr const char* kCrashingPart = "bad0";
-constexpr const char* kCommonPart = "c0"; // of all prompts
 // The hosts have to reject the prompts within this time after the fifth crash,
 // and to serve the others within twice this time.
 constexpr std::chrono::milliseconds kReactionTime{ 3'000 };
 constexpr int kCrashesToReact = 5;
-constexpr int kMaxLateArrivals = 3;
-
-HttpRequest MakePrompt(const std::string& aAttempt, const std::string& aParts)
-{
-  HttpRequest request = StreamRequest(aAttempt);
-  request.body_ = "prompt of " + aAttempt;
-  request.fields_.push_back(
-    { names::kPrefixHash,
-      std::string(kCommonPart) + ":40," + aParts + "5e" +
-        std::to_string(std::hash<std::string>{}(aAttempt)) + ":500" });
-  return request;
-}
-
-HttpRequest MakeSoundPrompt(const std::string& aAttempt)
-{
-  return MakePrompt(aAttempt, "a1:200,");
-}
-
-HttpRequest MakeCrashingPrompt(const std::string& aAttempt)
-{
-  return MakePrompt(aAttempt, std::string(kCrashingPart) + ":200,");
-}
-
-// Engines that are started again some time after they crashed.
-class ReturningEngines
-{
-public:
-  ReturningEngines(GatewayDeployment& aDeployment,
-                   std::size_t aCount,
-                   json aSettings)
-    : deployment_(aDeployment)
-    , settings_(std::move(aSettings))
-  {
-    for (std::size_t slot = 0; slot < aCount; ++slot) {
-      slots_.push_back({});
-      Start(slots_.back());
-    }
-    thread_ = std::thread([this] { Run(); });
-  }
-
-  ~ReturningEngines() { Stop(); }
-  ReturningEngines(const ReturningEngines&) = delete;
-  ReturningEngines& operator=(const ReturningEngines&) = delete;
-
-  void Stop()
-  {
-    stop_ = true;
-    if (thread_.joinable()) {
-      thread_.join();
-    }
-  }
-
-  /// Returns when engines crashed, in order, by the steady clock in ms.
-  std::vector<std::int64_t> Crashes() const
-  {
-    const std::lock_guard lock(mutex_);
-    return crashes_;
-  }
-
-private:
-  struct Slot
-  {
-    std::string id_;
-    std::unique_ptr<Fake> fake_;
-    std::uint16_t port_ = 0;
-    std::int64_t crashedAt_ = 0; // 0 while it runs
-    bool listed_ = false;
-  };
-
-  void Start(Slot& aSlot)
-  {
-    json settings = settings_;
-    aSlot.id_ = "engine-" + std::to_string(++started_);
-    settings["id"] = aSlot.id_;
-    settings["port"] = aSlot.port_;
-    aSlot.fake_ = std::make_unique<Fake>("fleet-engine", settings);
-    aSlot.port_ = aSlot.fake_->Port();
-    aSlot.crashedAt_ = 0;
-    aSlot.listed_ = true;
-    deployment_.List(aSlot.id_, *aSlot.fake_, "engines");
-  }
-
-  void Check(Slot& aSlot)
-  {
-    const std::int64_t now = NowMs();
-    if (aSlot.crashedAt_ == 0) {
-      if (aSlot.fake_->Handle().WaitForExit(0ms) != -1) {
-        aSlot.crashedAt_ = now;
-        const std::lock_guard lock(mutex_);
-        crashes_.push_back(now);
-      }
-      return;
-    }
-    if (aSlot.listed_ && now - aSlot.crashedAt_ > kUnlistedAfterMs) {
-      aSlot.listed_ = false;
-      deployment_.Remove(std::string(names::kEndpointsKind) + "/" + aSlot.id_);
-    }
-    if (now - aSlot.crashedAt_ > kBackAfterMs) {
-      Start(aSlot);
-    }
-  }
-
-  void Run()
-  {
-    while (!stop_) {
-      for (Slot& slot : slots_) {
-        Check(slot);
-      }
-      std::this_thread::sleep_for(10ms);
-    }
-  }
-
-  static constexpr std::int64_t kUnlistedAfterMs = 1500;
-  static constexpr std::int64_t kBackAfterMs = 2000;
-
-  GatewayDeployment& deployment_;
-  json settings_;
-  int started_ = 0;
-  std::vector<Slot> slots_;
-  std::atomic<bool> stop_ = false;
-  mutable std::mutex mutex_; // guards the member below
-  std::vector<std::int64_t> crashes_;
-  std::thread thread_;
-};
 
 struct Scenario
 {
--- /dev/null
+++ b/test/integration/gooseberrylift-departed-caller-test.cc
@@ -0,0 +1,116 @@
+// Tests of callers of routes that close their connections before their requests
+// are read, or while more bytes than one request are on the connection.
+
+#include "harness-gateway.h"
+
+#include "harness-raw-connection.h"
+
+#include <csignal>
+#include <memory>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int kCallers = 30;
+// Endpoints have to be free of a request this long after its caller has left.
+constexpr auto kFreedWithin = 500ms;
+
+std::string ToText(const HttpRequest& aRequest)
+{
+  std::string text =
+    aRequest.method_ + " " + aRequest.target_ + " HTTP/1.1\r\n";
+  for (const HttpField& field : aRequest.fields_) {
+    text += field.name_ + ": " + field.value_ + "\r\n";
+  }
+  return text + "Content-Length: " + std::to_string(aRequest.body_.size()) +
+         "\r\n\r\n" + aRequest.body_;
+}
+
+std::string Prompt(int aNumber)
+{
+  return ToText(StreamRequest("at-" + std::to_string(aNumber)));
+}
+
+std::size_t CountArrivals(GatewayDeployment& aDeployment)
+{
+  return aDeployment.Engine(0).Stats().at("arrivals").size();
+}
+
+int CountActive(GatewayDeployment& aDeployment)
+{
+  return aDeployment.Board(0).Stats().value("active", -1);
+}
+
+std::string Call(const std::string& aAttempt)
+{
+  return ToText(RouteRequest("GET", "/safe/a", aAttempt));
+}
+
+} // namespace
+
+TEST_GROUP(DepartedCallerTest)
+{
+  // Streams last five seconds.
+  GatewayDeployment deployment_{ { .engines_ = 1,
+                                   .boards_ = 1,
+                                   .engine_ = { { "events", 100 },
+                                                { "event_ms", 50 } } } };
+};
+
+// Guards against requests that reach engines long after their callers have
+// left, because the host reads them late.
+TEST(DepartedCallerTest, SendsNoRequestWhoseCallerLeftBeforeItWasRead)
+{
+  Process& host = deployment_.At(0).Handle();
+  host.Signal(SIGSTOP);
+  for (int number = 0; number < kCallers; ++number) {
+    RawConnection caller(deployment_.At(0).Port());
+    caller.Write(Prompt(number));
+    caller.Close();
+  }
+  host.Signal(SIGCONT);
+  for (int number = 0; number < kCallers; ++number) {
+    const std::string attempt = "\"request_id\":\"at-" + std::to_string(number);
+    STRCMP_CONTAINS("\"code\":42",
+                    host.WaitForLine(attempt + "\"", 10s).c_str());
+  }
+  LONGS_EQUAL(0, CountArrivals(deployment_));
+}
+
+// Guards against a close that is never seen, because bytes of the next request
+// on the connection came before it.
+TEST(DepartedCallerTest, FreesTheEndpointThoughTheNextRequestHasBegun)
+{
+  GatewayDeployment slow(
+    { .engines_ = 0, .boards_ = 1, .engine_ = { { "work_ms", 2'000 } } });
+  std::vector<std::unique_ptr<RawConnection>> callers;
+  for (const bool together : { true, false }) {
+    callers.push_back(std::make_unique<RawConnection>(slow.At(0).Port()));
+    const std::string next = "GET /sa";
+    const std::string call = Call("at-" + std::to_string(callers.size()));
+    callers.back()->Write(together ? call + next : call);
+    const int active = static_cast<int>(callers.size());
+    CHECK_TRUE(WaitUntil(1s, [&] { return CountActive(slow) == active; }));
+    callers.back()->Write(together ? "fe/a" : next);
+  }
+  for (auto& caller : callers) {
+    caller->Close();
+  }
+  CHECK_TRUE(WaitUntil(kFreedWithin, [&] { return CountActive(slow) == 0; }));
+}
+
+// The close of one request's caller must not abort the next request that is
+// already there.
+TEST(DepartedCallerTest, AnswersRequestsThatAreSentTogether)
+{
+  RawConnection caller(deployment_.At(0).Port());
+  caller.Write(Call("at-a") + Call("at-b") + Call("at-c"));
+  CHECK_TRUE(caller.ReadUntil("at-c"));
+  LONGS_EQUAL(200, caller.Status());
+}
--- a/test/integration/harness-callers.cc
+++ b/test/integration/harness-callers.cc
@@ -4,6 +4,20 @@
 
 namespace gooseberrylift::test {
 
+namespace {
+
+std::vector<std::uint16_t> PortsOf(const std::vector<Host*>& aHosts)
+{
+  std::vector<std::uint16_t> ports;
+  ports.reserve(aHosts.size());
+  for (const Host* host : aHosts) {
+    ports.push_back(host->Port());
+  }
+  return ports;
+}
+
+} // namespace
+
 HttpRequest MakeSafeRequest(const std::string& aAttempt)
 {
   return RouteRequest("GET", "/safe/a", aAttempt);
@@ -44,9 +58,16 @@
 Callers::Callers(const std::vector<Host*>& aHosts,
                  MakeCallerRequest aMake,
                  std::chrono::milliseconds aPause)
+  : Callers(PortsOf(aHosts), aMake, aPause)
+{
+}
+
+Callers::Callers(const std::vector<std::uint16_t>& aPorts,
+                 MakeCallerRequest aMake,
+                 std::chrono::milliseconds aPause)
 {
-  for (std::size_t host = 0; host < aHosts.size(); ++host) {
-    const std::uint16_t port = aHosts[host]->Port();
+  for (std::size_t host = 0; host < aPorts.size(); ++host) {
+    const std::uint16_t port = aPorts[host];
     threads_.emplace_back([this, host, port, aMake, aPause] {
       for (int number = 0; !stop_; ++number) {
         const auto answer = Send(port, aMake(AttemptIdOf(host, number)));
--- a/test/integration/harness-callers.h
+++ b/test/integration/harness-callers.h
@@ -43,6 +43,12 @@
   Callers(const std::vector<Host*>& aHosts,
           MakeCallerRequest aMake,
           std::chrono::milliseconds aPause);
+
+  /// The same for hosts that may restart, by their ports.
+  Callers(const std::vector<std::uint16_t>& aPorts,
+          MakeCallerRequest aMake,
+          std::chrono::milliseconds aPause);
+
   ~Callers();
   Callers(const Callers&) = delete;
   Callers& operator=(const Callers&) = delete;
