Look whether a caller has left before its request is sent

Callers saw nothing of it; endpoints were sent requests whose callers had left, and went on with calls to their end. A host that reads late, after a start or a pause, sent each request that it read together with its caller's close.

Cause: a close was looked for by a wait that begins with the handler, one turn of the reactor after the request may already be written; and by a peek at one byte, which sees bytes of a next request in place of the close. So nothing watched a connection on which such bytes were.

Now a poll of the socket for the peer's close, which unread bytes don't hide, is made before each attempt and right before the first byte, for relayed requests too, and repeated each 100 ms while bytes of a next request are there. The product's own interface looks once before it begins.

--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -76,6 +76,10 @@
   /// closed, so that no other response can be sent.
   virtual bool ResponseStarted() const = 0;
 
+  /// Returns whether the caller has closed the connection, even if the handler
+  /// has not been cancelled yet. Costs a system call.
+  virtual bool HasCallerLeft() = 0;
+
   /// Cancels the handler with the reason kDeadline at the given time.
   virtual void SetDeadline(TimePoint aDeadline) = 0;
 
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -132,6 +132,7 @@
   Next OnEndpointFailed(const FleetPlacement& aPlacement, const Error& aError);
   bool MustAwaitLinkState() const;
   bool MustAwaitCrashCheck();
+  std::optional<Error> CheckFirstByte() const;
   std::optional<Error> CheckQuarantine() const;
   std::optional<PeerMember> ChooseRelay();
   bool MayRelayLate();
--- a/src/front/gooseberrylift-caller-api.cc
+++ b/src/front/gooseberrylift-caller-api.cc
@@ -297,6 +297,9 @@
 asio::awaitable<Outcome<void>> CallerApi::Dispatch(HttpExchange& aExchange,
                                                    RequestContext& aRequest)
 {
+  if (aExchange.HasCallerLeft()) {
+    co_return Error{ .code_ = ResultCode::kCallerLeft };
+  }
   const HttpRequest& request = aExchange.Request();
   const std::string_view path = request.Path();
   const auto* route = std::find_if(
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -122,6 +122,7 @@
     exchange_.Request(), RemainingTime(), events_.Last());
   HttpClient::CallOptions options;
   options.connectTimeout_ = kEndpointConnectTimeout;
+  options.checkBeforeWrite_ = [this] { return CheckFirstByte(); };
   if (!request_.route_->IsRepeatable()) {
     options.maxIdle_ = kNonRepeatableMaxIdle;
   }
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -187,9 +187,13 @@
 }
 
 // Checked again before each attempt: if this host was paused in the meantime,
-// the deadline may have passed and the keys may be outdated.
+// the caller may have left, the deadline may have passed and the keys may be
+// outdated.
 std::optional<Error> RequestRun::CheckSendPreconditions() const
 {
+  if (exchange_.HasCallerLeft()) {
+    return MakeError(ResultCode::kCallerLeft);
+  }
   if (TimerService::Now() + kMinRemaining >= request_.deadline_) {
     return MakeError(ResultCode::kDeadlineExceeded);
   }
@@ -204,6 +208,15 @@
   return std::nullopt;
 }
 
+// Returns why the first byte must not be written; nothing if it may.
+std::optional<Error> RequestRun::CheckFirstByte() const
+{
+  if (exchange_.HasCallerLeft()) {
+    return MakeError(ResultCode::kCallerLeft);
+  }
+  return CheckQuarantine();
+}
+
 // Returns why the request must not reach any endpoint; nothing if it may.
 std::optional<Error> RequestRun::CheckQuarantine() const
 {
@@ -332,7 +345,7 @@
   };
   options.checkRequest_ = [this] {
     progress_.OnSent(TimerService::Now());
-    return CheckQuarantine();
+    return CheckFirstByte();
   };
   options.http_.connectTimeout_ = kEndpointConnectTimeout;
   if (!request_.route_->IsRepeatable()) {
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -1,5 +1,7 @@
 #include "gooseberrylift-http-session.h"
 
+#include <poll.h>
+
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
@@ -128,6 +130,15 @@
     socket_.close(ignored);
   }
 
+  bool HasCallerLeft() override
+  {
+    const bool isClosed = IsClosedByCaller();
+    if (isClosed && reason_ == AbortReason::kNone) {
+      reason_ = AbortReason::kCallerLeft;
+    }
+    return isClosed;
+  }
+
   void SetDeadline(TimePoint aDeadline) override
   {
     deadline_ = TimerService::At(
@@ -219,6 +230,14 @@
     return idle_ && socket_.available(ignored) == 0;
   }
 
+  // Sees a close even if unread bytes precede it.
+  bool IsClosedByCaller()
+  {
+    pollfd closed{ .fd = socket_.native_handle(), .events = POLLRDHUP };
+    return socket_.is_open() && ::poll(&closed, 1, 0) > 0 &&
+           closed.revents != 0;
+  }
+
   SocketDeadline WriteGuard()
   {
     return { socket_,
@@ -330,6 +349,7 @@
 
   asio::awaitable<void> Handle()
   {
+    handlerToken_ = std::make_shared<bool>(true);
     WatchForDisconnect();
     const auto [exception] = co_await asio::co_spawn(
       socket_.get_executor(),
@@ -337,6 +357,7 @@
       asio::bind_cancellation_slot(signal_.slot(),
                                    asio::as_tuple(asio::use_awaitable)));
     deadline_.Cancel();
+    disconnectCheck_.Cancel();
     handlerToken_.reset();
     boost::system::error_code ignored;
     socket_.cancel(ignored);
@@ -348,14 +369,9 @@
   }
 
   // Detects that the caller closes the connection while its request is being
-  // handled. Detection ends when bytes of the next request arrive, because a
-  // close after them can't be seen without reading them.
+  // handled.
   void WatchForDisconnect()
   {
-    handlerToken_ = std::make_shared<bool>(true);
-    if (buffer_.size() > 0) {
-      return;
-    }
     socket_.async_wait(
       tcp::socket::wait_read,
       [self = shared_from_this(), handlerToken = std::weak_ptr(handlerToken_)](
@@ -363,13 +379,24 @@
         if (aCode || handlerToken.expired()) {
           return;
         }
-        char byte = 0;
-        boost::system::error_code code;
-        self->socket_.non_blocking(true, code);
-        const std::size_t size = self->socket_.receive(
-          asio::buffer(&byte, 1), tcp::socket::message_peek, code);
-        if (size == 0 && code != asio::error::would_block) {
+        if (self->IsClosedByCaller()) {
           self->Abort(AbortReason::kCallerLeft);
+        } else {
+          self->WatchAgainLater();
+        }
+      });
+  }
+
+  // Bytes of the next request keep the socket readable until they are read.
+  void WatchAgainLater()
+  {
+    disconnectCheck_ = TimerService::At(
+      TimerService::Now() + kDisconnectCheckInterval,
+      socket_.get_executor(),
+      [self = weak_from_this(), handlerToken = std::weak_ptr(handlerToken_)] {
+        const auto session = self.lock();
+        if (session && !handlerToken.expired()) {
+          session->WatchForDisconnect();
         }
       });
   }
@@ -408,6 +435,7 @@
 
   static constexpr std::size_t kReadBytes = 4096;
   static constexpr std::chrono::milliseconds kLingerTimeout{ 1000 };
+  static constexpr std::chrono::milliseconds kDisconnectCheckInterval{ 100 };
 
   std::shared_ptr<HttpServerState> server_;
   tcp::socket socket_;
@@ -417,6 +445,7 @@
   asio::cancellation_signal signal_;
   std::shared_ptr<bool> handlerToken_;
   TimerSubscription deadline_;
+  TimerSubscription disconnectCheck_;
   AbortReason reason_ = AbortReason::kNone;
   bool idle_ = false;
   bool busy_ = false;
--- a/test/integration/gooseberrylift-caller-leaves-test.cc
+++ b/test/integration/gooseberrylift-caller-leaves-test.cc
@@ -5,6 +5,8 @@
 
 #include "harness-raw-connection.h"
 
+#include <csignal>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace gooseberrylift;
@@ -68,6 +70,36 @@
   LONGS_EQUAL(0, deployment.Engine(0).Stats().value("finished", -1));
 }
 
+// Guards against requests that reach engines after their callers have left,
+// because the host reads them late.
+TEST(CallerLeavesTest, SendsNoRequestWhoseCallerLeftBeforeItWasRead)
+{
+  constexpr int kCallers = 10;
+  Deployment deployment({ .engines_ = 1 });
+  Process& host = deployment.At(0).Handle();
+  host.Signal(SIGSTOP);
+  for (int caller = 0; caller < kCallers; ++caller) {
+    RawConnection wire(deployment.At(0).Port());
+    wire.Write(LongChat(100, true));
+    wire.Close();
+  }
+  host.Signal(SIGCONT);
+  const auto countFailed = [&host] {
+    const std::string output = host.Output();
+    int failed = 0;
+    for (auto at = output.find("\"code\":42"); at != std::string::npos;
+         at = output.find("\"code\":42", at + 1)) {
+      ++failed;
+    }
+    return failed;
+  };
+  CHECK_TRUE(WaitUntil(std::chrono::seconds(10),
+                       [&] { return countFailed() == kCallers; }));
+  const json stats = deployment.Engine(0).Stats();
+  LONGS_EQUAL(0, stats.value("cancels", -1));
+  LONGS_EQUAL(0, stats.value("finished", -1));
+}
+
 // Guards against memory growth with unread output. Eight callers request
 // streams of about 40 MB each and never read, while the engine generates as
 // fast as it can. After the write timeout each caller is disconnected with a
--- a/test/integration/gooseberrylift-departed-caller-test.cc
+++ b/test/integration/gooseberrylift-departed-caller-test.cc
@@ -75,11 +75,14 @@
     caller.Close();
   }
   host.Signal(SIGCONT);
-  for (int number = 0; number < kCallers; ++number) {
-    const std::string attempt = "\"request_id\":\"at-" + std::to_string(number);
-    STRCMP_CONTAINS("\"code\":42",
-                    host.WaitForLine(attempt + "\"", 10s).c_str());
-  }
+  const std::string counted =
+    "gooseberrylift_callers_left_total{sent=\"no\"} " +
+    std::to_string(kCallers);
+  CHECK_TRUE(WaitUntil(10s, [&] {
+    const auto metrics =
+      Send(deployment_.At(0).AdminPort(), MakeRequest("/metrics"));
+    return metrics && metrics.value().body_.find(counted) != std::string::npos;
+  }));
   LONGS_EQUAL(0, CountArrivals(deployment_));
 }
 
