Keep the retry budget over restarts, and count retries when they are sent

Callers' requests were sent again beyond what the budget allows while hosts restarted: 305 of 270 in ten seconds after a loss of power, 343 of 273 after two.

Cause: each host counts in memory, and one that starts had its share of the allowance, and of what its requests allow, whole; what its predecessor had spent in the window was forgotten. Besides, a retry was charged when it was decided, while it may arrive seconds later with those of a later window; and until the first exchange a host took the whole allowance for its own.

A retry is reserved when it is decided, counted when it is sent, and returned if it isn't.

Its hosts now run for a window before the failure, so that they have their whole shares to spend: before, all of the run was a host's first window.

--- a/bench/gooseberrylift-pass-bench.cc
+++ b/bench/gooseberrylift-pass-bench.cc
@@ -260,8 +260,7 @@
       WatchForStall(aRequest, aSince, kLookAgain);
       return;
     }
-    if (aRequest->attempts_ < kMaxAttempts &&
-        host.retries_.TryRetry("engines", hosts_.size(), At(clock_))) {
+    if (aRequest->attempts_ < kMaxAttempts && host.TryRetry(At(clock_))) {
       ++results_[aRequest->class_].retries_;
       CancelAttempt(aRequest);
       aRequest->tried_.insert(aRequest->engine_);
--- a/bench/gooseberrylift-pass-player.h
+++ b/bench/gooseberrylift-pass-player.h
@@ -69,11 +69,23 @@
   // Hosts of other zones that receive its load messages.
   std::set<std::size_t> remoteListeners_;
   FleetLoad load_{ FleetLoad::Options{} };
-  FleetRetryBudget retries_{ FleetRetryBudget::Options{} };
+  // Has run for a while when the simulation begins.
+  FleetRetryBudget retries_{ FleetRetryBudget::Options{},
+                             TimePoint(-std::chrono::hours(1)) };
   WaitingOrder order_{ WaitingOrder::Options{} };
   bool listScheduled_ = false;    // a message with its waiting prompts
   std::int64_t messageDelay_ = 0; // us
   std::size_t next_ = 0;          // next engine for round robin
+
+  /// Charges the retry budget for a retry that is sent at once.
+  bool TryRetry(TimePoint aNow)
+  {
+    const bool allowed = retries_.TryReserve("engines", aNow);
+    if (allowed) {
+      retries_.OnSent("engines", aNow);
+    }
+    return allowed;
+  }
 };
 
 class PassSimulation
@@ -97,6 +109,8 @@
       hosts_.push_back(
         { .name_ = "host-" + std::to_string(index),
           .zone_ = static_cast<std::size_t>(index % site_.zones_) });
+      hosts_.back().retries_.SetHosts(static_cast<std::size_t>(site_.hosts_),
+                                      At(clock_));
     }
     ChooseRemoteListeners();
     DrawMessageDelays();
--- a/bench/gooseberrylift-pass-send.cc
+++ b/bench/gooseberrylift-pass-send.cc
@@ -65,8 +65,7 @@
   aRequest->job_ = nullptr;
   aRequest->tried_.insert(aRequest->engine_);
   if (aRequest->attempts_ < kMaxAttempts &&
-      hosts_[aRequest->host_].retries_.TryRetry(
-        "engines", hosts_.size(), At(clock_))) {
+      hosts_[aRequest->host_].TryRetry(At(clock_))) {
     Send(aRequest);
   } else {
     ReturnToCaller(aRequest, ShortRetryDelay());
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -212,7 +212,7 @@
   TimePoint NextStallCheck() const;
   bool TryAbandonStalled(const AttemptTarget& aTarget);
   bool IsStallTimeout(const Error& aError) const;
-  bool TryConsumeRetryBudget();
+  bool TryReserveRetry();
   void EnsureRetryDelay(Error aError);
   void RecordResponseStart(int aStatus);
   void RecordStreamChunk();
@@ -223,6 +223,7 @@
   Parts parts_;
   HttpExchange& exchange_;
   RoutedRequest request_;
+  SharedRetryBudget::Retry retry_; // its next attempt, unless that is its first
   AttemptErrors attempts_;
   EventSequence events_;
   std::uint64_t requestDraw_; // random
@@ -243,7 +244,6 @@
   RelayReason relayReason_ = RelayReason::kNone; // of the last decision
   // Total time of the attempts that sent nothing, such as failed connections.
   TimePoint::duration timeOnUnsentAttempts_{ 0 };
-  bool retryBudgeted_ = false; // the budget has been charged for the next send
   bool streamStarted_ = false; // the head has been sent to the caller
   int status_ = 0;
   // A 5xx response of an endpoint, sent to the caller if the retries don't
--- a/include/gooseberrylift/internal/gooseberrylift-shared-retry-budget.h
+++ b/include/gooseberrylift/internal/gooseberrylift-shared-retry-budget.h
@@ -16,12 +16,9 @@
 class SharedRetryBudget
 {
 public:
-  explicit SharedRetryBudget(Metrics& aMetrics)
-    : metrics_(aMetrics)
-  {
-  }
+  explicit SharedRetryBudget(Metrics& aMetrics);
 
-  void SetOptions(const FleetRetryBudget::Options& aOptions);
+  void SetOptions(FleetRetryBudget::Options aOptions);
 
   /// Sets the number of hosts that share the budget, this one included.
   void SetHosts(std::size_t aHosts);
@@ -29,18 +26,58 @@
   /// Counts a caller's request for a service.
   void OnRequest(const std::string& aService, TimePoint aNow);
 
-  /// Charges the budget for a retry.
-  /// @param aRequestId for the log
-  /// @return whether the retry is allowed
-  bool TryRetry(const std::string& aService,
-                const std::string& aRequestId,
-                TimePoint aNow);
+  // The retry of one request, from the decision until it is sent. If it is
+  // destroyed before, the budget has it back. Not thread-safe.
+  class Retry
+  {
+  public:
+    Retry(SharedRetryBudget& aBudget,
+          std::string aService,
+          std::string aRequestId);
+    ~Retry();
+    Retry(const Retry&) = delete;
+    Retry& operator=(const Retry&) = delete;
+
+    /// Reserves a retry unless one is reserved.
+    /// @return whether one is reserved now
+    bool TryReserve();
+
+    bool IsReserved() const { return state_ == State::kReserved; }
+
+    /// Records that a reserved retry was sent to an endpoint.
+    void OnSent();
+
+    /// Records that a reserved retry was passed to another host, which may send
+    /// it at any time.
+    void OnRelayed();
+
+    /// Records the outcome of a retry that was passed to another host.
+    /// @param aSent whether the host may have sent it
+    void OnRelayEnded(bool aSent);
+
+  private:
+    enum class State
+    {
+      kNone,
+      kReserved,
+      kRelayed,
+    };
+
+    void Count();
+
+    SharedRetryBudget& budget_;
+    std::string service_;
+    std::string requestId_;
+    State state_ = State::kNone;
+  };
 
 private:
+  bool TryReserve(const std::string& aService, const std::string& aRequestId);
+
   Metrics& metrics_;
-  std::mutex mutex_; // guards the members below
-  FleetRetryBudget budget_{ FleetRetryBudget::Options{} };
-  std::size_t hosts_ = 1;
+  const double startingCredit_;
+  std::mutex mutex_; // guards the member below
+  FleetRetryBudget budget_;
 };
 
 } // namespace gooseberrylift
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -59,7 +59,7 @@
 // another one. If so, charges the retry budget.
 bool RequestRun::TryAbandonStalled(const AttemptTarget& aTarget)
 {
-  return aTarget.IsStalled() && MayRetryElsewhere() && TryConsumeRetryBudget();
+  return aTarget.IsStalled() && MayRetryElsewhere() && TryReserveRetry();
 }
 
 // Reads a response and forwards it to the caller.
@@ -222,7 +222,7 @@
     }
   }
   const bool failed = answer.status_ >= 500;
-  if (failed && MayRetryElsewhere() && TryConsumeRetryBudget()) {
+  if (failed && MayRetryElsewhere() && TryReserveRetry()) {
     const std::string text = "status " + std::to_string(answer.status_);
     savedFailure_ = std::move(answer);
     co_return Error{ .code_ = ResultCode::kEndpointFailed,
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -96,8 +96,10 @@
                              std::move(aPeer),
                              request_.service_,
                              PeerStallTimeout(*request_.route_));
+  retry_.OnRelayed();
   const auto done = co_await SendToPeer(target);
   const bool refusedByHost = target.OnEnded(done, relayReason_);
+  retry_.OnRelayEnded(!refusedByHost);
   if (!done) {
     aNext = OnRelayFailed(target, done.error(), refusedByHost);
   }
@@ -134,7 +136,6 @@
   }
   // Until the host reports otherwise, an endpoint may have the request.
   ++sends_;
-  retryBudgeted_ = false;
   if (!sent) {
     co_return sent.error();
   }
@@ -163,7 +164,6 @@
   if (aRefusedByHost) {
     // Says nothing about the request, so that it doesn't become its result.
     excludedPeers_.insert(aTarget.Peer().host_);
-    retryBudgeted_ = sends_ > 0; // was charged for this attempt
     attempts_.OnRefused(MakeError(ResultCode::kLinksLost));
     return Next::kTryAgain;
   }
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -78,6 +78,7 @@
   : parts_(std::move(aParts))
   , exchange_(aExchange)
   , request_(std::move(aRequest))
+  , retry_(parts_.retryBudget_, request_.service_, request_.facts_.attemptId_)
   , events_(request_.facts_.lastEventId_)
   , requestDraw_(RandomNumber())
 {
@@ -354,11 +355,12 @@
   auto sent = co_await parts_.client_.Send(
     endpoint, std::move(send), request_.deadline_, options);
   const bool sentBytes = sent || sent.error().ran_ != RanState::kNo;
-  sends_ += sentBytes ? 1 : 0;
-  if (!sentBytes) {
+  if (sentBytes) {
+    ++sends_;
+    retry_.OnSent();
+  } else {
     timeOnUnsentAttempts_ += TimerService::Now() - startTime;
   }
-  retryBudgeted_ = retryBudgeted_ && !sentBytes;
   if (!sent) {
     use.End(OutcomeOf(sent.error()));
     co_return sent.error();
@@ -456,7 +458,7 @@
       timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts) {
     return false;
   }
-  return sends_ == 0 || retryBudgeted_ || TryConsumeRetryBudget();
+  return sends_ == 0 || TryReserveRetry();
 }
 
 // Adds a retry delay to the error of a request that has not run, if it has
@@ -483,14 +485,9 @@
 
 // Charges the retry budget for a further attempt. That of a relayed request is
 // charged by the host that relayed it.
-bool RequestRun::TryConsumeRetryBudget()
+bool RequestRun::TryReserveRetry()
 {
-  if (request_.relay_) {
-    return true;
-  }
-  retryBudgeted_ = parts_.retryBudget_.TryRetry(
-    request_.service_, request_.facts_.attemptId_, TimerService::Now());
-  return retryBudgeted_;
+  return request_.relay_ || retry_.TryReserve();
 }
 
 void RequestRun::RecordResponseStart(int aStatus)
--- a/src/gateway/gooseberrylift-shared-retry-budget.cc
+++ b/src/gateway/gooseberrylift-shared-retry-budget.cc
@@ -1,11 +1,34 @@
 #include "gooseberrylift/internal/gooseberrylift-shared-retry-budget.h"
 
+#include <utility>
+
+#include "gooseberrylift-request-errors.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
 
-void SharedRetryBudget::SetOptions(const FleetRetryBudget::Options& aOptions)
+namespace {
+
+// Returns a random number from 0 up to 1.
+double RandomFraction()
+{
+  constexpr std::uint64_t kSteps = 1'000'000;
+  return static_cast<double>(RandomNumber() % kSteps) / kSteps;
+}
+
+} // namespace
+
+SharedRetryBudget::SharedRetryBudget(Metrics& aMetrics)
+  : metrics_(aMetrics)
+  , startingCredit_(RandomFraction())
+  , budget_({ .startingCredit_ = startingCredit_ }, TimerService::Now())
+{
+}
+
+void SharedRetryBudget::SetOptions(FleetRetryBudget::Options aOptions)
 {
+  aOptions.startingCredit_ = startingCredit_;
   const std::lock_guard lock(mutex_);
   budget_.SetOptions(aOptions);
 }
@@ -13,7 +36,7 @@
 void SharedRetryBudget::SetHosts(std::size_t aHosts)
 {
   const std::lock_guard lock(mutex_);
-  hosts_ = aHosts;
+  budget_.SetHosts(aHosts, TimerService::Now());
 }
 
 void SharedRetryBudget::OnRequest(const std::string& aService, TimePoint aNow)
@@ -22,18 +45,18 @@
   budget_.OnRequest(aService, aNow);
 }
 
-bool SharedRetryBudget::TryRetry(const std::string& aService,
-                                 const std::string& aRequestId,
-                                 TimePoint aNow)
+bool SharedRetryBudget::TryReserve(const std::string& aService,
+                                   const std::string& aRequestId)
 {
+  const TimePoint now = TimerService::Now();
   RetryBudgetState state;
   {
     const std::lock_guard lock(mutex_);
-    if (budget_.TryRetry(aService, hosts_, aNow)) {
+    if (budget_.TryReserve(aService, now)) {
       metrics_.Count("gooseberrylift_retries_total", "allowed=\"yes\"");
       return true;
     }
-    state = budget_.StateOf(aService, hosts_, aNow);
+    state = budget_.StateOf(aService, now);
   }
   metrics_.Count("gooseberrylift_retries_total", "allowed=\"no\"");
   Log(LogEvent::kRetryDenied,
@@ -41,9 +64,71 @@
         { "service", aService },
         { "requests", state.requests_ },
         { "retries", state.retries_ },
+        { "reserved", state.reserved_ },
         { "limit", state.limit_ },
-        { "hosts", state.hosts_ } });
+        { "hosts", state.hosts_ },
+        { "running_ms", state.age_.count() } });
   return false;
 }
 
+SharedRetryBudget::Retry::Retry(SharedRetryBudget& aBudget,
+                                std::string aService,
+                                std::string aRequestId)
+  : budget_(aBudget)
+  , service_(std::move(aService))
+  , requestId_(std::move(aRequestId))
+{
+}
+
+SharedRetryBudget::Retry::~Retry()
+{
+  if (state_ == State::kRelayed) {
+    Count();
+  } else if (state_ == State::kReserved) {
+    const std::lock_guard lock(budget_.mutex_);
+    budget_.budget_.Release(service_);
+  }
+}
+
+bool SharedRetryBudget::Retry::TryReserve()
+{
+  if (state_ == State::kNone && budget_.TryReserve(service_, requestId_)) {
+    state_ = State::kReserved;
+  }
+  return state_ == State::kReserved;
+}
+
+void SharedRetryBudget::Retry::OnSent()
+{
+  if (state_ == State::kReserved) {
+    Count();
+  }
+}
+
+void SharedRetryBudget::Retry::OnRelayed()
+{
+  if (state_ == State::kReserved) {
+    state_ = State::kRelayed;
+  }
+}
+
+void SharedRetryBudget::Retry::OnRelayEnded(bool aSent)
+{
+  if (state_ != State::kRelayed) {
+    return;
+  }
+  if (aSent) {
+    Count();
+  } else {
+    state_ = State::kReserved;
+  }
+}
+
+void SharedRetryBudget::Retry::Count()
+{
+  const std::lock_guard lock(budget_.mutex_);
+  budget_.budget_.OnSent(service_, TimerService::Now());
+  state_ = State::kNone;
+}
+
 } // namespace gooseberrylift
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -324,7 +324,9 @@
   limiter_.Sweep();
   promises_.Sweep();
   promises_.SetHosts(aPeers.known_ + 1);
-  retryBudget_.SetHosts(aPeers.known_ + 1);
+  if (aPeers.known_ > 0 || !HasOtherSeeds()) {
+    retryBudget_.SetHosts(aPeers.known_ + 1);
+  }
 }
 
 // Other hosts learn at once whether to relay requests to this one. What was
--- a/test/integration/gooseberrylift-retry-budget-restart-test.cc
+++ b/test/integration/gooseberrylift-retry-budget-restart-test.cc
@@ -87,7 +87,7 @@
   GatewayDeployment deployment({ .hosts_ = 0, .engines_ = 0, .boards_ = 3 });
   RestartableHosts hosts(deployment, kHosts);
   Callers sound(hosts.Ports(), MakeCountedRequest, 40ms);
-  std::this_thread::sleep_for(5s);
+  std::this_thread::sleep_for(std::chrono::milliseconds(kWindowMs) + 1s);
   LONGS_EQUAL(sound.Asked(), sound.Served());
   for (std::size_t board = 0; board < kBoards; ++board) {
     deployment.Board(board).Control(
