--- a/test/core/open/gooseberrylift-quarantine-delay-test.cc
+++ b/test/core/open/gooseberrylift-quarantine-delay-test.cc
@@ -1,7 +1,7 @@
 // Schedules in which hosts need longer than the reaction time to quarantine a
 // part.
 
-#include "poison-schedules.h"
+#include "../poison-schedules.h"
 
 #include <cstdio>
 
