Compute the chance of many crashes without underflow

With a part that nine in ten of the accused requests have, and many crashes, the first term of the sum underflowed to zero, so that chance looked impossible and the part could be quarantined. Boost's binomial distribution computes it now.

ManyCrashesDontProveThatAPopularPartIsTheirCause failed before and passes.

--- a/src/core/limits/gooseberrylift-poison-request-proof.cc
+++ b/src/core/limits/gooseberrylift-poison-request-proof.cc
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <iterator>
 
+#include <boost/math/distributions/binomial.hpp>
+
 namespace gooseberrylift {
 
 namespace {
@@ -17,14 +19,13 @@
 // Returns the probability of at least aSuccesses in aTrials.
 double BinomialTail(std::size_t aTrials, std::size_t aSuccesses, double aChance)
 {
-  double tail = 0;
-  double term = std::pow(1 - aChance, static_cast<double>(aTrials));
-  for (std::size_t count = 0; count <= aTrials; ++count) {
-    tail += count >= aSuccesses ? term : 0;
-    term *= static_cast<double>(aTrials - count) /
-            static_cast<double>(count + 1) * aChance / (1 - aChance);
+  if (aSuccesses == 0) {
+    return 1;
   }
-  return tail;
+  const boost::math::binomial distribution(static_cast<double>(aTrials),
+                                           aChance);
+  return boost::math::cdf(
+    boost::math::complement(distribution, static_cast<double>(aSuccesses - 1)));
 }
 
 } // namespace
@@ -168,12 +169,12 @@
                                           const CrashList& aCrashes,
                                           std::size_t aAccusing) const
 {
-  double chance = 0; // of an average crash
+  double sum = 0;
   for (const auto& crash : aCrashes) {
-    chance +=
-      ChanceOf(aPart, crash->second) / static_cast<double>(aCrashes.size());
+    sum += ChanceOf(aPart, crash->second);
   }
-  return BinomialTail(aCrashes.size(), aAccusing, chance) >
+  const double chance = sum / static_cast<double>(aCrashes.size());
+  return BinomialTail(aCrashes.size(), aAccusing, std::min(chance, 1.0)) >
          options_.maxCoincidence_;
 }
 
--- a/test/core/gooseberrylift-poison-request-detector-test.cc
+++ b/test/core/gooseberrylift-poison-request-detector-test.cc
@@ -348,6 +348,23 @@
   CHECK_TRUE(IsQuarantined(kCommonPart, now_ + 3s));
 }
 
+// Guards against a part of most requests, which a crash with many of them can
+// hardly miss.
+TEST(PoisonRequestDetectorTest,
+     ManyCrashesDontProveThatAPopularPartIsTheirCause)
+{
+  Receive(detector_, 160, { kCommonPart });
+  for (int crash = 0; crash < 100; ++crash) {
+    const std::string engine = "engine-" + std::to_string(crash);
+    for (int request = 0; request < 16; ++request) {
+      Lose(MakePrompt(++prompts_, { kCommonPart }), engine, now_);
+    }
+    detector_.OnEndpointExit(engine, now_);
+    now_ += 15ms;
+  }
+  LONGS_EQUAL(0, CountQuarantined(now_));
+}
+
 // Guards against a wrong decision that rejects all requests which could undo
 // it.
 TEST(PoisonRequestDetectorTest, QuarantineOfAPopularPartIsVerified)
