--- a/include/gooseberrylift/internal/gooseberrylift-shared-retry-budget.h
+++ b/include/gooseberrylift/internal/gooseberrylift-shared-retry-budget.h
@@ -42,8 +42,6 @@
     /// @return whether one is reserved now
     bool TryReserve();
 
-    bool IsReserved() const { return state_ == State::kReserved; }
-
     /// Records that a reserved retry was sent to an endpoint.
     void OnSent();
 
