--- a/test/integration/gooseberrylift-departed-caller-test.cc
+++ b/test/integration/gooseberrylift-departed-caller-test.cc
@@ -1,8 +1,7 @@
 // Tests of callers of routes that close their connections before their requests
 // are read, or while more bytes than one request are on the connection.
 
-#include "harness-gateway.h"
-
+#include "harness-links.h"
 #include "harness-raw-connection.h"
 
 #include <csignal>
@@ -38,19 +37,54 @@
   return ToText(StreamRequest("at-" + std::to_string(aNumber)));
 }
 
-std::size_t CountArrivals(GatewayDeployment& aDeployment)
+std::string Call(const std::string& aAttempt)
 {
-  return aDeployment.Engine(0).Stats().at("arrivals").size();
+  return ToText(RouteRequest("GET", "/safe/a", aAttempt));
 }
 
-int CountActive(GatewayDeployment& aDeployment)
+using OpenCallers = std::vector<std::unique_ptr<RawConnection>>;
+
+OpenCallers StartCalls(std::uint16_t aPort)
 {
-  return aDeployment.Board(0).Stats().value("active", -1);
+  OpenCallers callers;
+  for (int number = 0; number < kCallers; ++number) {
+    callers.push_back(std::make_unique<RawConnection>(aPort));
+    callers.back()->Write(Call("at-" + std::to_string(number)));
+  }
+  return callers;
 }
 
-std::string Call(const std::string& aAttempt)
+int ActiveOf(const json& aStats)
 {
-  return ToText(RouteRequest("GET", "/safe/a", aAttempt));
+  return aStats.at("active").get<int>();
+}
+
+int ArrivalsOf(const json& aStats)
+{
+  return static_cast<int>(aStats.at("arrivals").size());
+}
+
+// Sums a statistic of the first boards.
+int SumAtBoards(GatewayDeployment& aDeployment,
+                std::size_t aBoards,
+                int (*aValueOf)(const json& aStats))
+{
+  int sum = 0;
+  for (std::size_t board = 0; board < aBoards; ++board) {
+    sum += aValueOf(aDeployment.Board(board).Stats());
+  }
+  return sum;
+}
+
+// Starts three hosts, of which the first has lost its links to the endpoints
+// and relays its requests to the others.
+std::unique_ptr<GatewayDeployment> StartRelayingHost()
+{
+  GatewayDeployment::Options options = ThreeHosts(1);
+  options.engine_ = { { "work_ms", 3'000 } };
+  auto deployment = std::make_unique<GatewayDeployment>(options);
+  CutOff(*deployment, 1);
+  return deployment;
 }
 
 } // namespace
@@ -84,7 +118,7 @@
       Send(deployment_.At(0).AdminPort(), MakeRequest("/metrics"));
     return metrics && metrics.value().body_.find(counted) != std::string::npos;
   }));
-  LONGS_EQUAL(0, CountArrivals(deployment_));
+  LONGS_EQUAL(0, ArrivalsOf(deployment_.Engine(0).Stats()));
 }
 
 // Guards against a close that is never seen, because bytes of the next request
@@ -100,13 +134,15 @@
     const std::string call = Call("at-" + std::to_string(callers.size()));
     callers.back()->Write(together ? call + next : call);
     const int active = static_cast<int>(callers.size());
-    CHECK_TRUE(WaitUntil(1s, [&] { return CountActive(slow) == active; }));
+    CHECK_TRUE(
+      WaitUntil(1s, [&] { return ActiveOf(slow.Board(0).Stats()) == active; }));
     callers.back()->Write(together ? "fe/a" : next);
   }
   for (auto& caller : callers) {
     caller->Close();
   }
-  CHECK_TRUE(WaitUntil(kFreedWithin, [&] { return CountActive(slow) == 0; }));
+  CHECK_TRUE(WaitUntil(kFreedWithin,
+                       [&] { return ActiveOf(slow.Board(0).Stats()) == 0; }));
 }
 
 // Guards against a request that reaches its endpoint long after its caller has
@@ -129,7 +165,7 @@
     deployment_.At(0).Handle().WaitForLine("\"code\":42", 10s).empty());
   engine.Signal(SIGCONT);
   std::this_thread::sleep_for(500ms);
-  LONGS_EQUAL(0, CountArrivals(deployment_));
+  LONGS_EQUAL(0, ArrivalsOf(deployment_.Engine(0).Stats()));
 }
 
 // The close of one request's caller must not abort the next request that is
@@ -141,3 +177,55 @@
   CHECK_TRUE(caller.ReadUntil("at-c"));
   LONGS_EQUAL(200, caller.Status());
 }
+
+// Guards against a request that is tried again at another endpoint although its
+// caller left during the first attempt.
+TEST(DepartedCallerTest, MakesNoSecondAttemptForACallerThatLeft)
+{
+  GatewayDeployment slow(
+    { .engines_ = 0, .boards_ = 2, .engine_ = { { "work_ms", 3'000 } } });
+  OpenCallers callers = StartCalls(slow.At(0).Port());
+  CHECK_TRUE(
+    WaitUntil(2s, [&] { return SumAtBoards(slow, 2, ActiveOf) == kCallers; }));
+  const int before = ArrivalsOf(slow.Board(1).Stats());
+  CHECK_TRUE(before < kCallers);
+  slow.At(0).Handle().Signal(SIGSTOP);
+  slow.Board(0).Handle().Signal(SIGKILL);
+  callers.clear();
+  slow.At(0).Handle().Signal(SIGCONT);
+  CHECK_TRUE(
+    WaitUntil(2s, [&] { return ActiveOf(slow.Board(1).Stats()) == 0; }));
+  LONGS_EQUAL(before, ArrivalsOf(slow.Board(1).Stats()));
+}
+
+// Guards against an endpoint that works on for the caller of another host.
+TEST(DepartedCallerTest, FreesTheEndpointOfARelayedRequest)
+{
+  const auto deployment = StartRelayingHost();
+  OpenCallers callers = StartCalls(deployment->At(0).Port());
+  CHECK_TRUE(WaitUntil(
+    2s, [&] { return SumAtBoards(*deployment, 3, ActiveOf) == kCallers; }));
+  callers.clear();
+  CHECK_TRUE(WaitUntil(
+    kFreedWithin, [&] { return SumAtBoards(*deployment, 3, ActiveOf) == 0; }));
+}
+
+// Guards against a host that sends relayed requests whose callers have left at
+// the host that relayed them.
+TEST(DepartedCallerTest, SendsNoRelayedRequestWhoseCallerLeft)
+{
+  const auto deployment = StartRelayingHost();
+  const int before = SumAtBoards(*deployment, 3, ArrivalsOf);
+  for (const std::size_t host : { 1, 2 }) {
+    deployment->At(host).Handle().Signal(SIGSTOP);
+  }
+  OpenCallers callers = StartCalls(deployment->At(0).Port());
+  std::this_thread::sleep_for(300ms);
+  callers.clear();
+  std::this_thread::sleep_for(kFreedWithin);
+  for (const std::size_t host : { 1, 2 }) {
+    deployment->At(host).Handle().Signal(SIGCONT);
+  }
+  std::this_thread::sleep_for(1s);
+  LONGS_EQUAL(before, SumAtBoards(*deployment, 3, ArrivalsOf));
+}
--- a/test/integration/gooseberrylift-relay-test.cc
+++ b/test/integration/gooseberrylift-relay-test.cc
@@ -18,19 +18,6 @@
 
 constexpr int kLinksLostCode = 73;
 
-// Cuts the linked hosts off and waits until each of them knows.
-void CutOff(GatewayDeployment& aDeployment,
-            std::size_t aLinked,
-            LinkFault aFault = LinkFault::kReset)
-{
-  CutAllLinks(aDeployment, aFault);
-  for (std::size_t host = 0; host < aLinked; ++host) {
-    (void)Send(aDeployment.At(host).Port(), MakeSafeRequest("find out"));
-    (void)Send(aDeployment.At(host).Port(), MakeShortPrompt("find out"));
-    CHECK_TRUE(WaitUntilLinksAreLost(aDeployment.At(host)));
-  }
-}
-
 HttpRequest MakeUnsafeRequest(const std::string& aAttempt)
 {
   HttpRequest request = RouteRequest("POST", "/unsafe/stamp?now=1", aAttempt);
--- a/test/integration/harness-links.cc
+++ b/test/integration/harness-links.cc
@@ -1,5 +1,9 @@
 #include "harness-links.h"
 
+#include "harness-callers.h"
+
+#include <CppUTest/TestHarness.h>
+
 namespace gooseberrylift::test {
 
 namespace {
@@ -19,6 +23,15 @@
   return json::array();
 }
 
+// Waits until a host has found its links to all services with requests lost.
+bool WaitUntilLinksAreLost(Host& aHost)
+{
+  return WaitUntil(std::chrono::seconds(10), [&aHost] {
+    const json status = aHost.Status();
+    return status.is_object() && !status.at("links_lost").empty();
+  });
+}
+
 } // namespace
 
 void CutLinks(GatewayDeployment& aDeployment,
@@ -54,12 +67,16 @@
   return { .hosts_ = 3, .engines_ = 6, .boards_ = 3, .linkedHosts_ = aLinked };
 }
 
-bool WaitUntilLinksAreLost(Host& aHost)
+void CutOff(GatewayDeployment& aDeployment,
+            std::size_t aLinked,
+            LinkFault aFault)
 {
-  return WaitUntil(std::chrono::seconds(10), [&aHost] {
-    const json status = aHost.Status();
-    return status.is_object() && !status.at("links_lost").empty();
-  });
+  CutAllLinks(aDeployment, aFault);
+  for (std::size_t host = 0; host < aLinked; ++host) {
+    (void)Send(aDeployment.At(host).Port(), MakeSafeRequest("find out"));
+    (void)Send(aDeployment.At(host).Port(), MakeShortPrompt("find out"));
+    CHECK_TRUE(WaitUntilLinksAreLost(aDeployment.At(host)));
+  }
 }
 
 } // namespace gooseberrylift::test
--- a/test/integration/harness-links.h
+++ b/test/integration/harness-links.h
@@ -31,9 +31,10 @@
 /// Returns options of three hosts, of which the first ones are linked.
 GatewayDeployment::Options ThreeHosts(int aLinked);
 
-/// Waits until a host has found its links to all services with requests lost.
-/// @return false on timeout
-bool WaitUntilLinksAreLost(Host& aHost);
+/// Cuts all links and checks that each linked host finds that they are lost.
+void CutOff(GatewayDeployment& aDeployment,
+            std::size_t aLinked,
+            LinkFault aFault = LinkFault::kReset);
 
 } // namespace gooseberrylift::test
 
