--- a/include/gooseberrylift/internal/gooseberrylift-attempt-target.h
+++ b/include/gooseberrylift/internal/gooseberrylift-attempt-target.h
@@ -29,6 +29,12 @@
   /// request should be sent elsewhere.
   virtual bool IsStalled() const = 0;
 
+  /// Returns the name of the endpoint or host.
+  virtual std::string Name() const = 0;
+
+  /// Returns how recently the target was active.
+  virtual EndpointActivity Activity() const = 0;
+
   /// Returns the error that a response reports; nothing if it is an endpoint's.
   virtual std::optional<Error> FindError(const HttpResponse& aHead) = 0;
 
@@ -66,6 +72,16 @@
     return IsRequestStalled(active_.CurrentActivity(), stallTimeout_);
   }
 
+  std::string Name() const override
+  {
+    return active_.Placement().endpoint_.id_;
+  }
+
+  EndpointActivity Activity() const override
+  {
+    return active_.CurrentActivity();
+  }
+
   std::optional<Error> FindError(const HttpResponse& /*aHead*/) override
   {
     return std::nullopt;
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -71,6 +71,10 @@
                                                  RelayOutcome aOutcome,
                                                  const Relayed* aRelayed);
   void RecordSuccess(const RoutedRequest& aRequest, const RequestRun& aRun);
+  void RecordTruncation(const RoutedRequest& aRequest,
+                        const RequestRun& aRun,
+                        const Error& aError,
+                        AbortReason aReason);
   void RecordFailure(const std::string& aAttemptId,
                      const std::string& aRoute,
                      const Error& aError,
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -19,6 +19,7 @@
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
 #include "gooseberrylift/internal/gooseberrylift-load-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
+#include "gooseberrylift/internal/gooseberrylift-pause-monitor.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-promise-book.h"
 #include "gooseberrylift/internal/gooseberrylift-relay-client.h"
@@ -105,6 +106,7 @@
   WaitingRoom waitingRoom_;
   LoadExchange loadExchange_;
   SettingsWatch settingsWatch_;
+  PauseMonitor pauseMonitor_;
   GatewayFront front_;
   RelayServer relayServer_;
   HttpServer callerServer_;
--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -30,6 +30,9 @@
   kStopping // the host shuts down before the handler has finished
 };
 
+/// Returns the name of a reason in logs and metrics.
+std::string_view NameOf(AbortReason aReason);
+
 /// Returns the result code for a cancelled handler.
 /// @param aDefault returned for the reasons that have no result code
 ResultCode ResultCodeOf(AbortReason aReason, ResultCode aDefault);
--- a/include/gooseberrylift/internal/gooseberrylift-relay-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-relay-client.h
@@ -75,6 +75,8 @@
 
     void OnDataReceived(bool aFirst) override;
     bool IsStalled() const override;
+    std::string Name() const override { return peer_.host_; }
+    EndpointActivity Activity() const override;
     std::optional<Error> FindError(const HttpResponse& aHead) override;
     void OnNotExecuted(const EndpointResponseMetadata& aFacts) override;
     // Hosts respond with a length or in chunks.
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -113,6 +113,16 @@
   /// part of the request.
   int Sends() const { return sends_; }
 
+  // How much of a response the caller has.
+  struct Progress
+  {
+    std::uint64_t lastEvent_ = 0; // of a stream; 0 before the first
+    std::chrono::milliseconds sinceLastWrite_{ 0 };
+    std::size_t relays_ = 0; // hosts that the request was relayed to
+  };
+
+  Progress CurrentProgress() const;
+
   /// Returns the endpoints that failed the request.
   std::vector<std::string> Tried() const
   {
@@ -211,6 +221,8 @@
   TimePoint StallDeadline() const;
   TimePoint NextStallCheck() const;
   bool TryAbandonStalled(const AttemptTarget& aTarget);
+  void LogStalled(const AttemptTarget& aTarget,
+                  std::string_view aDecision) const;
   bool IsStallTimeout(const Error& aError) const;
   bool TryReserveRetry();
   void EnsureRetryDelay(Error aError);
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -194,6 +194,9 @@
   }
   RecordFailure(
     attemptId, routed.route_->name_, done.error(), aArrived, aRelayed);
+  if (run.Status() != 0) {
+    RecordTruncation(routed, run, done.error(), aExchange.Reason());
+  }
   if (done.error().code_ == ResultCode::kCallerLeft && run.Status() == 0) {
     parts_.metrics_.Count("gooseberrylift_callers_left_total",
                           run.Sends() > 0 ? "sent=\"yes\"" : "sent=\"no\"");
@@ -278,6 +281,35 @@
             .count() } });
 }
 
+void GatewayFront::RecordTruncation(const RoutedRequest& aRequest,
+                                    const RequestRun& aRun,
+                                    const Error& aError,
+                                    AbortReason aReason)
+{
+  const int code = static_cast<int>(aError.code_);
+  parts_.metrics_.Count("gooseberrylift_responses_truncated_total",
+                        "code=\"" + std::to_string(code) + "\",reason=\"" +
+                          std::string(NameOf(aReason)) + "\"");
+  const RequestRun::Progress progress = aRun.CurrentProgress();
+  Log(LogEvent::kResponseTruncated,
+      { { "request_id", aRequest.facts_.attemptId_ },
+        { "route", aRequest.route_->name_ },
+        { "generation", aRequest.table_->Version() },
+        { "code", code },
+        { "text", aError.text_ },
+        { "reason", std::string(NameOf(aReason)) },
+        { "last_event", progress.lastEvent_ },
+        { "since_last_write_ms", progress.sinceLastWrite_.count() },
+        { "sends", aRun.Sends() },
+        { "relays", progress.relays_ },
+        { "endpoints_failed", aRun.Tried() },
+        { "keys_proven", parts_.run_.routes_.AreKeysProven() },
+        { "relayed_from", aRequest.relay_ ? aRequest.relay_->from_ : "" },
+        { "elapsed_ms",
+          duration_cast<milliseconds>(TimerService::Now() - aRequest.arrived_)
+            .count() } });
+}
+
 void GatewayFront::RecordFailure(const std::string& aAttemptId,
                                  const std::string& aRoute,
                                  const Error& aError,
--- a/src/gateway/gooseberrylift-relay-client.cc
+++ b/src/gateway/gooseberrylift-relay-client.cc
@@ -88,6 +88,13 @@
   return TimerService::Now() - lastDataAt_ >= stallTimeout_;
 }
 
+EndpointActivity RelayClient::Target::Activity() const
+{
+  const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+    TimerService::Now() - lastDataAt_);
+  return { .requestSilence_ = silence, .hostSilence_ = silence };
+}
+
 std::optional<Error> RelayClient::Target::FindError(const HttpResponse& aHead)
 {
   const auto document =
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "gooseberrylift-request-errors.h"
+#include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
 
@@ -59,7 +60,34 @@
 // another one. If so, charges the retry budget.
 bool RequestRun::TryAbandonStalled(const AttemptTarget& aTarget)
 {
-  return aTarget.IsStalled() && MayRetryElsewhere() && TryReserveRetry();
+  if (!aTarget.IsStalled()) {
+    return false;
+  }
+  const bool mayRetry = MayRetryElsewhere();
+  const bool abandons = mayRetry && TryReserveRetry();
+  LogStalled(aTarget,
+             abandons ? "replace"
+                      : (mayRetry ? "retry-denied" : "no-attempt-left"));
+  return abandons;
+}
+
+void RequestRun::LogStalled(const AttemptTarget& aTarget,
+                            std::string_view aDecision) const
+{
+  const EndpointActivity activity = aTarget.Activity();
+  Log(LogEvent::kAttemptStalled,
+      { { "request_id", request_.facts_.attemptId_ },
+        { "target", aTarget.Name() },
+        { "decision", aDecision },
+        { "last_event", events_.Last().value_or(0) },
+        { "silent_ms", activity.requestSilence_.count() },
+        { "silent_to_host_ms", activity.hostSilence_.count() },
+        { "silent_to_peers_ms",
+          activity.peerSilence_ ? activity.peerSilence_->count() : -1 },
+        { "overtaken", activity.overtaken_ },
+        { "backlog_ms", activity.backlog_.count() },
+        { "running", activity.running_ },
+        { "send", sends_ } });
 }
 
 // Reads a response and forwards it to the caller.
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -510,6 +510,16 @@
   lastChunk_ = now;
 }
 
+RequestRun::Progress RequestRun::CurrentProgress() const
+{
+  const TimePoint now = TimerService::Now();
+  const TimePoint since =
+    lastChunk_ == TimePoint{} ? request_.arrived_ : lastChunk_;
+  return { .lastEvent_ = events_.Last().value_or(0),
+           .sinceLastWrite_ = duration_cast<milliseconds>(now - since),
+           .relays_ = relays_ };
+}
+
 void RequestRun::LogPlacement(const FleetPlacement& aPlacement) const
 {
   const auto proof = parts_.routes_.ProofAge();
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -204,6 +204,7 @@
                        [this](const GatewaySettings& aGatewaySettings) {
                          ApplyGatewaySettings(aGatewaySettings);
                        } })
+  , pauseMonitor_(metrics_)
   , front_({ .board_ = board_,
              .dialect_ = *dialect_,
              .metrics_ = metrics_,
@@ -484,6 +485,7 @@
   SpawnTask(context_.get_executor(), storeFollower_.Run());
   SpawnTask(context_.get_executor(), StartPeers());
   settingsWatch_.Start();
+  pauseMonitor_.Start(context_.get_executor());
   SpawnTask(context_.get_executor(), WaitForStop());
   context_.run();
   FinishStop(context_,
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -17,6 +17,23 @@
 
 } // namespace
 
+std::string_view NameOf(AbortReason aReason)
+{
+  switch (aReason) {
+    case AbortReason::kNone:
+      return "none";
+    case AbortReason::kCallerLeft:
+      return "caller-left";
+    case AbortReason::kCallerStalled:
+      return "caller-stalled";
+    case AbortReason::kDeadline:
+      return "deadline";
+    case AbortReason::kStopping:
+      break;
+  }
+  return "stopping";
+}
+
 ResultCode ResultCodeOf(AbortReason aReason, ResultCode aDefault)
 {
   switch (aReason) {
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -51,6 +51,11 @@
     "stopped",
     "The host exits; 'tasks_left' counts coroutines that did not "
     "finish in time, 'elapsed_ms' is the time since the drain began." },
+  LogEventInfo{ kHostPaused,
+                LogLevel::kWarning,
+                "host-paused",
+                "This process did not run for 'paused_ms': the machine was "
+                "suspended, overloaded or throttled." },
   LogEventInfo{ kConfigurationApplied,
                 LogLevel::kInfo,
                 "configuration-applied",
@@ -184,6 +189,18 @@
                 "relay-failed",
                 "A relayed request was not served by the other host; if "
                 "'refused_by_host', a further host may take it." },
+  LogEventInfo{ kResponseTruncated,
+                LogLevel::kWarning,
+                "response-truncated",
+                "A response ended after a part of it had been sent; 'code' is "
+                "the last error, 'reason' what aborted the request, if "
+                "anything did." },
+  LogEventInfo{ kAttemptStalled,
+                LogLevel::kInfo,
+                "attempt-stalled",
+                "An attempt received nothing for its stall timeout; the fields "
+                "give when the endpoint was last heard from, and 'decision' "
+                "what follows." },
   LogEventInfo{ kRequestPlaced,
                 LogLevel::kInfo,
                 "request-placed",
