--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -5,6 +5,7 @@
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_FLEET_H_
 
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -33,6 +34,9 @@
   ServiceGaps gaps_;
   PlacementRequest request_;
   std::set<std::string> tried_; // endpoints that failed this request
+  // An endpoint that has sent nothing to this host's requests for longer is
+  // avoided.
+  std::chrono::milliseconds maxSilence_ = std::chrono::milliseconds::max();
   AllowedZones allowedZones_;
   std::uint64_t draw_ = 0;        // random, for shuffling and tie-breaking
   std::uint64_t requestDraw_ = 0; // random, the same for each placement of it
@@ -53,8 +57,10 @@
   // theirs.
   bool deferred_ = false;
   bool peerLoadUnknown_ = false; // no load messages from other hosts
-  EndpointLoad load_;            // of the endpoint, without this request
-  std::size_t freeEngines_ = 0;  // that could start a long prompt now
+  // Chosen as a last resort: it failed or avoids the request, or is silent.
+  bool lastResort_ = false;
+  EndpointLoad load_;           // of the endpoint, without this request
+  std::size_t freeEngines_ = 0; // that could start a long prompt now
   std::size_t candidates_ = 0;
   std::size_t withheld_ = 0;  // endpoints skipped because no permit is left
   std::size_t backedOff_ = 0; // endpoints skipped because of a backoff
@@ -92,6 +98,30 @@
   /// @return nothing when no endpoint can take the request
   std::optional<FleetPlacement> Place(FleetQuery aQuery);
 
+  // Allows one attempt in place of a stalled one, until it is destroyed.
+  class ReplacementPermit
+  {
+  public:
+    ReplacementPermit(Fleet& aFleet, std::string aService, bool aIsProbe);
+    ~ReplacementPermit();
+    ReplacementPermit(const ReplacementPermit&) = delete;
+    ReplacementPermit& operator=(const ReplacementPermit&) = delete;
+
+  private:
+    Fleet& fleet_;
+    std::string service_;
+    bool isProbe_;
+  };
+
+  /// Returns a permit to replace a stalled attempt. While no endpoint of the
+  /// service responds to this host, the cause may be common to all of them, and
+  /// only one replacement at a time finds out.
+  /// @param aMaxSilence an endpoint that sent data within this time responds
+  /// @return null if another replacement is finding out
+  std::unique_ptr<ReplacementPermit> TryReplace(
+    const std::string& aService,
+    std::chrono::milliseconds aMaxSilence);
+
   /// Applies a new or changed endpoint entry to the directory.
   void OnListed(const ListedEndpoint& aListed);
 
--- /dev/null
+++ b/include/gooseberrylift/internal/gooseberrylift-request-attempt.h
@@ -0,0 +1,54 @@
+// One attempt of a request, at an endpoint or through another host.
+
+#ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_REQUEST_ATTEMPT_H_
+#define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_REQUEST_ATTEMPT_H_
+
+#include <deque>
+#include <memory>
+
+#include "gooseberrylift/internal/gooseberrylift-attempt-target.h"
+#include "gooseberrylift/internal/gooseberrylift-fleet.h"
+#include "gooseberrylift/internal/gooseberrylift-http-client.h"
+#include "gooseberrylift/internal/gooseberrylift-memory-reservation.h"
+#include "gooseberrylift/internal/gooseberrylift-relay-client.h"
+#include "gooseberrylift/limits/gooseberrylift-answer-progress.h"
+#include "gooseberrylift/streams/gooseberrylift-event-splitter.h"
+
+namespace gooseberrylift {
+
+// Owns the call of an attempt and all that the call needs, so that a stalled
+// attempt can stay open beside the one that may replace it. Destroying it
+// closes the connection of an unfinished call and releases its endpoint's load
+// and memory.
+struct RequestAttempt
+{
+  AttemptTarget& Target() const
+  {
+    return relay_ ? static_cast<AttemptTarget&>(*relay_) : *endpoint_;
+  }
+
+  // Whether data for the caller has been received.
+  bool HasBegun() const { return headRead_ && (!events_.empty() || ended_); }
+
+  // Of an attempt at an endpoint.
+  std::unique_ptr<Fleet::ActiveRequest> active_;
+  std::unique_ptr<MemoryReservation> reservation_;
+  std::unique_ptr<EndpointTarget> endpoint_;
+  // Of an attempt through another host, and why that was chosen.
+  std::unique_ptr<RelayClient::Target> relay_;
+  RelayReason relayReason_ = RelayReason::kNone;
+  bool refusedByHost_ = false; // the other host did not take the request
+
+  std::unique_ptr<HttpCall> call_; // null until the request was sent
+  AnswerProgress progress_;
+  EventSplitter splitter_;
+  std::deque<StreamEvent> events_; // received and not forwarded yet
+  bool headRead_ = false;
+  bool bodyBegun_ = false;
+  bool ended_ = false;       // the body was received to its end
+  bool stallLogged_ = false; // since data was last received
+};
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_REQUEST_ATTEMPT_H_
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -18,18 +18,15 @@
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
 #include "gooseberrylift/internal/gooseberrylift-load-exchange.h"
-#include "gooseberrylift/internal/gooseberrylift-memory-reservation.h"
 #include "gooseberrylift/internal/gooseberrylift-poison-request-monitor.h"
 #include "gooseberrylift/internal/gooseberrylift-promise-book.h"
-#include "gooseberrylift/internal/gooseberrylift-relay-client.h"
+#include "gooseberrylift/internal/gooseberrylift-request-attempt.h"
 #include "gooseberrylift/internal/gooseberrylift-route-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-shared-retry-budget.h"
 #include "gooseberrylift/internal/gooseberrylift-waiting-room.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
-#include "gooseberrylift/limits/gooseberrylift-answer-progress.h"
 #include "gooseberrylift/limits/gooseberrylift-long-prompt-hold.h"
 #include "gooseberrylift/limits/gooseberrylift-request-features.h"
-#include "gooseberrylift/streams/gooseberrylift-event-splitter.h"
 
 namespace gooseberrylift {
 
@@ -130,8 +127,6 @@
   }
 
 private:
-  using Call = std::unique_ptr<HttpCall>;
-
   // What follows a failed attempt.
   enum class Next
   {
@@ -139,20 +134,57 @@
     kEnd,
   };
 
-  Next OnEndpointFailed(const FleetPlacement& aPlacement, const Error& aError);
+  // What the request does now. It waits if it has neither an endpoint nor a
+  // host, and no refusal.
+  struct Step
+  {
+    std::chrono::milliseconds wait_{ 0 };
+    std::optional<FleetPlacement> placement_{};
+    std::optional<PeerMember> peer_{};
+    std::optional<Error> refusal_{};
+  };
+
+  struct Replacement;
+  using AttemptPtr = std::unique_ptr<RequestAttempt>;
+
+  Step DecideStep();
+  Step DecidePlacement();
+  bool MayWaitFor(const Error& aRefusal) const;
+  boost::asio::awaitable<Outcome<AttemptPtr>> NextAttempt();
+  boost::asio::awaitable<Outcome<AttemptPtr>> OpenAttempt();
+  AttemptPtr MakeAttempt(Step aStep);
+  boost::asio::awaitable<Outcome<void>> SendAttempt(RequestAttempt& aAttempt);
+  boost::asio::awaitable<Outcome<void>> SendToEndpoint(
+    RequestAttempt& aAttempt);
+  boost::asio::awaitable<Outcome<void>> SendToPeer(RequestAttempt& aAttempt);
+  std::optional<Error> OnFirstByte(RequestAttempt& aAttempt);
+  void EndAttempt(RequestAttempt& aAttempt, const Outcome<void>& aDone);
+  Next OnAttemptFailed(const RequestAttempt& aAttempt, const Error& aError);
+  Next OnEndpointFailed(const RequestAttempt& aAttempt, const Error& aError);
+  Next OnRelayFailed(const RequestAttempt& aAttempt, const Error& aError);
+
+  // Replacement of a stalled attempt.
+  TimePoint StallDeadline() const;
+  TimePoint NextStallCheck() const;
+  bool IsStallTimeout(const Error& aError) const;
+  std::chrono::milliseconds MaxSilenceOfReplacement() const;
+  bool TryObtainReplacementPermit();
+  boost::asio::awaitable<void> OnStallTimeout(RequestAttempt& aAttempt);
+  boost::asio::awaitable<void> AwaitOrReplace(RequestAttempt& aStalled);
+  void Exclude(const RequestAttempt& aAttempt);
+  boost::asio::awaitable<void> AwaitStalled(RequestAttempt& aStalled,
+                                            const Replacement& aReplacement);
+  boost::asio::awaitable<void> PrepareReplacement(Replacement& aReplacement);
+  boost::asio::awaitable<Outcome<void>> AwaitBegin(RequestAttempt& aAttempt);
+  void LogStalled(RequestAttempt& aAttempt, std::string_view aDecision) const;
+
   bool MustAwaitLinkState() const;
   bool MustAwaitCrashCheck();
   std::optional<Error> CheckFirstByte() const;
   std::optional<Error> CheckQuarantine() const;
   std::optional<PeerMember> ChooseRelay();
   bool MayRelayLate();
-  boost::asio::awaitable<Outcome<void>> RunAtPeer(PeerMember aPeer,
-                                                  Next& aNext);
-  boost::asio::awaitable<Outcome<void>> SendToPeer(
-    RelayClient::Target& aTarget);
-  Next OnRelayFailed(const RelayClient::Target& aTarget,
-                     const Error& aError,
-                     bool aRefusedByHost);
+  std::chrono::milliseconds PeerStallTimeout() const;
   void LogRelayed(const PeerMember& aPeer) const;
   int MaxAttempts() const;
   std::optional<Error> CheckSendPreconditions() const;
@@ -184,14 +216,16 @@
                                   const MemoryReservation* aReservation) const;
   boost::asio::awaitable<Outcome<std::unique_ptr<MemoryReservation>>>
   ReserveMemory(const FleetPlacement& aPlacement);
-  boost::asio::awaitable<Outcome<void>> Attempt(FleetPlacement aPlacement);
-  boost::asio::awaitable<Outcome<void>> ForwardResponse(HttpCall& aCall,
-                                                        AttemptTarget& aTarget);
-  boost::asio::awaitable<Outcome<void>> ReadHead(HttpCall& aCall,
-                                                 AttemptTarget& aTarget);
+
+  // Reads the response of an attempt and forwards it.
+  bool IsStream(const RequestAttempt& aAttempt) const;
+  std::optional<Error> CheckContinues(const RequestAttempt& aAttempt) const;
+  boost::asio::awaitable<Outcome<void>> ForwardResponse(
+    RequestAttempt& aAttempt);
+  boost::asio::awaitable<Outcome<void>> ReadHead(RequestAttempt& aAttempt);
   boost::asio::awaitable<Outcome<std::optional<std::string>>> ReadChunk(
-    HttpCall& aCall,
-    const AttemptTarget& aTarget);
+    RequestAttempt& aAttempt);
+  boost::asio::awaitable<Outcome<void>> ReadEvents(RequestAttempt& aAttempt);
   std::optional<Error> ValidateHead(const HttpResponse& aHead,
                                     AttemptTarget& aTarget);
   void OnNotExecuted(const EndpointResponseMetadata& aFacts,
@@ -199,37 +233,29 @@
   void RecordRejection(const EndpointResponseMetadata& aFacts,
                        const Fleet::ActiveRequest& aActiveRequest);
   boost::asio::awaitable<Outcome<void>> ForwardBuffered(
-    HttpCall& aCall,
-    const AttemptTarget& aTarget);
+    RequestAttempt& aAttempt);
   boost::asio::awaitable<Outcome<void>> ForwardUnbuffered(
     HttpCall& aCall,
     std::string aBuffered);
-  boost::asio::awaitable<Outcome<void>> ForwardStream(HttpCall& aCall,
-                                                      AttemptTarget& aTarget);
-  Outcome<std::string> ParseEvents(EventSplitter& aSplitter);
+  boost::asio::awaitable<Outcome<void>> ForwardStream(RequestAttempt& aAttempt);
+  Outcome<std::string> TakeEvents(RequestAttempt& aAttempt);
   boost::asio::awaitable<Outcome<void>> WriteEvents(const HttpResponse& aHead,
                                                     std::string aEvents);
   boost::asio::awaitable<bool> EnsureStreamStarted(const HttpResponse& aHead);
   boost::asio::awaitable<Outcome<void>> SendSavedFailure();
   void AnnouncePlacement(const FleetPlacement& aPlacement) const;
-  void RecordAnswerData();
-  void RecordSound() const;
-  void RecordLostConnection(const FleetPlacement& aPlacement,
+  void RecordAnswerData(RequestAttempt& aAttempt);
+  void RecordSound(const RequestAttempt& aAttempt) const;
+  void RecordLostConnection(const RequestAttempt& aAttempt,
                             const Error& aError);
   bool MayRetry(const Error& aError);
   bool MayRetryElsewhere() const;
-  TimePoint StallDeadline() const;
-  TimePoint NextStallCheck() const;
-  bool TryAbandonStalled(const AttemptTarget& aTarget);
-  void LogStalled(const AttemptTarget& aTarget,
-                  std::string_view aDecision) const;
-  bool IsStallTimeout(const Error& aError) const;
   bool TryReserveRetry();
   void EnsureRetryDelay(Error aError);
   void RecordResponseStart(int aStatus);
   void RecordStreamChunk();
   void LogPlacement(const FleetPlacement& aPlacement) const;
-  void LogFailedAttempt(const FleetPlacement& aPlacement,
+  void LogFailedAttempt(const RequestAttempt& aAttempt,
                         const Error& aError) const;
 
   Parts parts_;
@@ -243,11 +269,14 @@
   // While it waits in the order of all hosts, and its place when last checked.
   std::unique_ptr<WaitingRoom::Ticket> waiting_;
   WaitingTurn turn_;
-  AnswerProgress progress_; // of the current attempt
+  int stalled_ = 0;        // attempts that stalled and are still open
+  AttemptPtr replacement_; // has begun in place of a stalled attempt
+  std::unique_ptr<Fleet::ReplacementPermit> replacementPermit_;
   // While endpoints were checked under which parts of its prompt may have
   // crashed.
   std::chrono::milliseconds awaitedCrashChecks_{ 0 };
-  int sends_ = 0; // attempts that sent at least part of the request
+  std::uint64_t opened_ = 0; // attempts, whether they sent something or not
+  int sends_ = 0;            // attempts that sent at least part of the request
   std::size_t failedConnections_ = 0; // endpoints that it could not be sent to
   // Whether it would be late or rejected at the endpoints in reach.
   bool lateHere_ = false;
--- a/include/gooseberrylift/internal/gooseberrylift-shared-retry-budget.h
+++ b/include/gooseberrylift/internal/gooseberrylift-shared-retry-budget.h
@@ -42,6 +42,9 @@
     /// @return whether one is reserved now
     bool TryReserve();
 
+    /// Gives a reserved retry back that is not needed.
+    void Release();
+
     /// Records that a reserved retry was sent to an endpoint.
     void OnSent();
 
--- a/include/gooseberrylift/internal/gooseberrylift-tasks.h
+++ b/include/gooseberrylift/internal/gooseberrylift-tasks.h
@@ -26,6 +26,13 @@
 void SpawnTask(const boost::asio::any_io_executor& aExecutor,
                std::function<boost::asio::awaitable<void>()> aTask);
 
+/// Runs two coroutines on the executor of the calling one until one of them
+/// ends, and cancels the other. Returns when both have ended. Their exceptions
+/// are dropped; if the calling coroutine is cancelled, so are both.
+boost::asio::awaitable<void> RunUntilOneEnds(
+  std::function<boost::asio::awaitable<void>()> aFirst,
+  std::function<boost::asio::awaitable<void>()> aSecond);
+
 /// Starts a coroutine that CancelTasks does not cancel, such as a request that
 /// releases memory at an engine. The coroutine must limit its own run time.
 void SpawnCleanup(const boost::asio::any_io_executor& aExecutor,
--- a/include/gooseberrylift/membership/gooseberrylift-relay-message.h
+++ b/include/gooseberrylift/membership/gooseberrylift-relay-message.h
@@ -26,7 +26,8 @@
   std::uint64_t generation_ = 0;
   // Since the first attempt of the caller.
   std::chrono::milliseconds waited_{ 0 };
-  // Whether the sender may send the request elsewhere if it stalls.
+  // Whether the sender may send the request elsewhere if an endpoint answers
+  // that it failed.
   bool mayMove_ = false;
   std::vector<std::string> tried_; // endpoints that failed the request
 };
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -138,6 +138,10 @@
   /// Returns this host's own load at one endpoint.
   EndpointShare OwnShare(const std::string& aEndpoint, TimePoint aNow) const;
 
+  /// Returns whether an endpoint has sent data to this host's requests there
+  /// since the given time.
+  bool HasHeard(TimePoint aSince) const;
+
   /// Returns for how long an endpoint has sent nothing while this host has
   /// requests there; zero if it has none.
   std::chrono::milliseconds SilentFor(const std::string& aEndpoint,
@@ -167,6 +171,7 @@
   {
     std::map<std::uint64_t, SentRequest> requests_;
     TimePoint lastHeard_{}; // last data received, or start of the wait
+    TimePoint lastDataAt_{};
     // Send time of the latest request that was answered; index 1 is for
     // deferred requests, 0 for all others.
     std::array<TimePoint, 2> latestStarted_{};
--- a/src/core/routing/gooseberrylift-fleet-load.cc
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -53,6 +53,7 @@
 {
   LocalLoad& own = local_[aEndpoint];
   own.lastHeard_ = aNow;
+  own.lastDataAt_ = aNow;
   const auto found = own.requests_.find(aRequest);
   if (found == own.requests_.end()) {
     return;
@@ -104,6 +105,7 @@
   const auto found = local_.find(aEndpoint);
   if (found != local_.end()) {
     found->second.lastHeard_ = aNow;
+    found->second.lastDataAt_ = aNow;
   }
 }
 
@@ -381,6 +383,13 @@
   return shares;
 }
 
+bool FleetLoad::HasHeard(TimePoint aSince) const
+{
+  return std::any_of(local_.begin(), local_.end(), [aSince](const auto& aOwn) {
+    return aOwn.second.lastDataAt_ >= aSince;
+  });
+}
+
 std::chrono::milliseconds FleetLoad::SilentFor(const std::string& aEndpoint,
                                                TimePoint aNow) const
 {
--- a/src/gateway/gooseberrylift-endpoint-client.cc
+++ b/src/gateway/gooseberrylift-endpoint-client.cc
@@ -59,6 +59,8 @@
     return call_->ReadSome();
   }
 
+  asio::awaitable<bool> WaitForData() override { return call_->WaitForData(); }
+
   void SetDeadline(TimePoint aDeadline) override
   {
     call_->SetDeadline(aDeadline);
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -11,16 +11,16 @@
 
 namespace {
 
-// Returns the load that was counted at an endpoint besides its requests.
-int CountedPressure(const std::vector<PlacementCandidate>& aCandidates,
-                    const ListedEndpoint& aEndpoint)
+PlacementCandidate FindCandidate(
+  const std::vector<PlacementCandidate>& aCandidates,
+  const ListedEndpoint& aEndpoint)
 {
   for (const PlacementCandidate& candidate : aCandidates) {
     if (candidate.endpoint_ == &aEndpoint) {
-      return candidate.load_.pressure_;
+      return candidate;
     }
   }
-  return 0;
+  return {};
 }
 
 } // namespace
@@ -97,6 +97,8 @@
       if (!choice) {
         return std::nullopt;
       }
+      const PlacementCandidate chosen =
+        FindCandidate(candidates, *choice->endpoint_);
       FleetPlacement placed{
         .endpoint_ = *choice->endpoint_,
         .reservedTokens_ = choice->reservedTokens_,
@@ -105,13 +107,15 @@
         .slowsDecoding_ = choice->slowsDecoding_,
         .deferred_ = choice->deferred_,
         .peerLoadUnknown_ = aQuery.request_.peerLoadUnknown_,
+        .lastResort_ = chosen.avoided_ || chosen.tried_,
         .load_ = aState.load_.Of(choice->endpoint_->id_, now),
         .freeEngines_ = choice->freeEngines_,
         .candidates_ = candidates.size(),
         .withheld_ = restrictions.limited_.withheld_.size(),
         .backedOff_ = restrictions.backedOff_.size(),
         .pressed_ = pressed,
-        .pressure_ = CountedPressure(candidates, *choice->endpoint_),
+        // Counted there besides its requests.
+        .pressure_ = chosen.load_.pressure_,
         .cost_ = choice->cost_,
         .helperCost_ = choice->helperCost_
       };
@@ -139,16 +143,51 @@
         !IsAllowed(aQuery.allowedZones_, endpoint.zone_)) {
       continue;
     }
-    candidates.push_back({ .endpoint_ = &endpoint,
-                           .load_ = aState.load_.Of(id, aNow),
-                           .avoided_ = aState.IsAvoided(id, aNow),
-                           .tried_ = aQuery.tried_.contains(id),
-                           .limited_ = limited.permitted_.contains(id),
-                           .cold_ = limited.cold_.contains(id) });
+    candidates.push_back(
+      { .endpoint_ = &endpoint,
+        .load_ = aState.load_.Of(id, aNow),
+        .avoided_ = aState.IsAvoided(id, aNow) ||
+                    aState.load_.SilentFor(id, aNow) > aQuery.maxSilence_,
+        .tried_ = aQuery.tried_.contains(id),
+        .limited_ = limited.permitted_.contains(id),
+        .cold_ = limited.cold_.contains(id) });
   }
   return candidates;
 }
 
+Fleet::ReplacementPermit::ReplacementPermit(Fleet& aFleet,
+                                            std::string aService,
+                                            bool aIsProbe)
+  : fleet_(aFleet)
+  , service_(std::move(aService))
+  , isProbe_(aIsProbe)
+{
+}
+
+Fleet::ReplacementPermit::~ReplacementPermit()
+{
+  if (isProbe_) {
+    fleet_.loads_.With(
+      service_, [](ServiceLoad& aState) { aState.probingSilence_ = false; });
+  }
+}
+
+std::unique_ptr<Fleet::ReplacementPermit> Fleet::TryReplace(
+  const std::string& aService,
+  milliseconds aMaxSilence)
+{
+  const TimePoint now = TimerService::Now();
+  bool isProbe = false;
+  const bool allowed = loads_.With(aService, [&](ServiceLoad& aState) {
+    isProbe = !aState.load_.HasHeard(now - aMaxSilence);
+    const bool busy = isProbe && aState.probingSilence_;
+    aState.probingSilence_ = aState.probingSilence_ || isProbe;
+    return !busy;
+  });
+  return allowed ? std::make_unique<ReplacementPermit>(*this, aService, isProbe)
+                 : nullptr;
+}
+
 bool Fleet::IsPeerLoadUnknown()
 {
   const std::lock_guard lock(peersMutex_);
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -6,7 +6,6 @@
 #include <algorithm>
 
 #include "gooseberrylift-request-errors.h"
-#include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
 
@@ -23,10 +22,6 @@
 // forwarded as they arrive.
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
 
-// Interval at which a silent endpoint is checked again after its stall timeout:
-// four times in the half of the caller's stall timeout that is then left.
-constexpr std::chrono::milliseconds kStallCheckInterval{ 250 };
-
 Error MakeStallError()
 {
   return { .code_ = ResultCode::kEndpointSilent, .ran_ = RanState::kUnknown };
@@ -34,106 +29,70 @@
 
 } // namespace
 
-// Returns when the endpoint exceeds its stall timeout if it stays silent from
-// now on.
-TimePoint RequestRun::StallDeadline() const
-{
-  return std::min(request_.deadline_,
-                  TimerService::Now() + EndpointStallTimeout(*request_.route_));
-}
-
-// Distinguishes a stall timeout, after which waiting may continue, from the
-// request's deadline.
-bool RequestRun::IsStallTimeout(const Error& aError) const
-{
-  return aError.code_ == ResultCode::kDeadlineExceeded &&
-         TimerService::Now() < request_.deadline_;
-}
-
-TimePoint RequestRun::NextStallCheck() const
-{
-  return std::min(request_.deadline_,
-                  TimerService::Now() + kStallCheckInterval);
-}
-
-// Returns whether to abandon the attempt at a stalled endpoint in favor of
-// another one. If so, charges the retry budget.
-bool RequestRun::TryAbandonStalled(const AttemptTarget& aTarget)
+bool RequestRun::IsStream(const RequestAttempt& aAttempt) const
 {
-  if (!aTarget.IsStalled()) {
-    return false;
-  }
-  const bool mayRetry = MayRetryElsewhere();
-  const bool abandons = mayRetry && TryReserveRetry();
-  LogStalled(aTarget,
-             abandons ? "replace"
-                      : (mayRetry ? "retry-denied" : "no-attempt-left"));
-  return abandons;
+  return request_.route_->kind_ == RouteKind::kStreaming &&
+         aAttempt.call_->Head().status_ == 200;
 }
 
-void RequestRun::LogStalled(const AttemptTarget& aTarget,
-                            std::string_view aDecision) const
+// Returns the error of a response that is not a stream although the caller has
+// a part of one.
+std::optional<Error> RequestRun::CheckContinues(
+  const RequestAttempt& aAttempt) const
 {
-  const EndpointActivity activity = aTarget.Activity();
-  Log(LogEvent::kAttemptStalled,
-      { { "request_id", request_.facts_.attemptId_ },
-        { "target", aTarget.Name() },
-        { "decision", aDecision },
-        { "last_event", events_.Last().value_or(0) },
-        { "silent_ms", activity.requestSilence_.count() },
-        { "silent_to_host_ms", activity.hostSilence_.count() },
-        { "silent_to_peers_ms",
-          activity.peerSilence_ ? activity.peerSilence_->count() : -1 },
-        { "overtaken", activity.overtaken_ },
-        { "backlog_ms", activity.backlog_.count() },
-        { "running", activity.running_ },
-        { "send", sends_ } });
+  if (!streamStarted_) {
+    return std::nullopt;
+  }
+  return MakeBrokenError("status " +
+                         std::to_string(aAttempt.call_->Head().status_) +
+                         " for the rest of a stream");
 }
 
 // Reads a response and forwards it to the caller.
 asio::awaitable<Outcome<void>> RequestRun::ForwardResponse(
-  HttpCall& aCall,
-  AttemptTarget& aTarget)
+  RequestAttempt& aAttempt)
 {
-  auto done = co_await ReadHead(aCall, aTarget);
+  auto done = co_await ReadHead(aAttempt);
   if (!done) {
     co_return done;
   }
-  const bool streams = request_.route_->kind_ == RouteKind::kStreaming &&
-                       aCall.Head().status_ == 200;
-  if (streams) {
-    co_return co_await ForwardStream(aCall, aTarget);
+  if (IsStream(aAttempt)) {
+    co_return co_await ForwardStream(aAttempt);
   }
-  if (streamStarted_) {
-    co_return MakeBrokenError("status " + std::to_string(aCall.Head().status_) +
-                              " for the rest of a stream");
+  if (const auto error = CheckContinues(aAttempt)) {
+    co_return *error;
   }
-  co_return co_await ForwardBuffered(aCall, aTarget);
+  co_return co_await ForwardBuffered(aAttempt);
 }
 
-asio::awaitable<Outcome<void>> RequestRun::ReadHead(HttpCall& aCall,
-                                                    AttemptTarget& aTarget)
+asio::awaitable<Outcome<void>> RequestRun::ReadHead(RequestAttempt& aAttempt)
 {
-  aCall.SetDeadline(StallDeadline());
-  auto read = co_await aCall.ReadHead();
+  if (aAttempt.headRead_) {
+    co_return boost::outcome_v2::success();
+  }
+  HttpCall& call = *aAttempt.call_;
+  call.SetDeadline(StallDeadline());
+  auto read = co_await call.ReadHead();
   while (!read && IsStallTimeout(read.error())) {
-    if (TryAbandonStalled(aTarget)) {
+    co_await OnStallTimeout(aAttempt);
+    if (replacement_) {
       co_return MakeStallError();
     }
-    aCall.SetDeadline(NextStallCheck());
-    read = co_await aCall.ReadHead();
+    read = co_await call.ReadHead();
   }
   if (!read) {
     co_return read.error();
   }
-  if (const auto rejection = ValidateHead(aCall.Head(), aTarget)) {
+  if (const auto rejection = ValidateHead(call.Head(), aAttempt.Target())) {
     co_return *rejection;
   }
   // The head of a stream may be sent while the prompt is still being read.
   const bool begins = request_.route_->kind_ != RouteKind::kStreaming;
-  aTarget.OnDataReceived(begins);
+  aAttempt.headRead_ = true;
+  aAttempt.stallLogged_ = false;
+  aAttempt.Target().OnDataReceived(begins);
   if (begins) {
-    RecordAnswerData();
+    RecordAnswerData(aAttempt);
   }
   co_return boost::outcome_v2::success();
 }
@@ -216,28 +175,28 @@
 }
 
 asio::awaitable<Outcome<std::optional<std::string>>> RequestRun::ReadChunk(
-  HttpCall& aCall,
-  const AttemptTarget& aTarget)
+  RequestAttempt& aAttempt)
 {
-  aCall.SetDeadline(StallDeadline());
-  auto chunk = co_await aCall.ReadSome();
+  HttpCall& call = *aAttempt.call_;
+  call.SetDeadline(StallDeadline());
+  auto chunk = co_await call.ReadSome();
   while (!chunk && IsStallTimeout(chunk.error())) {
-    if (TryAbandonStalled(aTarget)) {
+    co_await OnStallTimeout(aAttempt);
+    if (replacement_) {
       co_return MakeStallError();
     }
-    aCall.SetDeadline(NextStallCheck());
-    chunk = co_await aCall.ReadSome();
+    chunk = co_await call.ReadSome();
   }
   co_return chunk;
 }
 
 asio::awaitable<Outcome<void>> RequestRun::ForwardBuffered(
-  HttpCall& aCall,
-  const AttemptTarget& aTarget)
+  RequestAttempt& aAttempt)
 {
-  HttpResponse answer = parts_.dialect_.MakeCallerResponse(aCall.Head());
+  HttpCall& call = *aAttempt.call_;
+  HttpResponse answer = parts_.dialect_.MakeCallerResponse(call.Head());
   while (true) {
-    auto chunk = co_await ReadChunk(aCall, aTarget);
+    auto chunk = co_await ReadChunk(aAttempt);
     if (!chunk) {
       co_return chunk.error();
     }
@@ -246,7 +205,7 @@
     }
     answer.body_ += *chunk.value();
     if (answer.body_.size() > kMaxBufferedBytes) {
-      co_return co_await ForwardUnbuffered(aCall, std::move(answer.body_));
+      co_return co_await ForwardUnbuffered(call, std::move(answer.body_));
     }
   }
   const bool failed = answer.status_ >= 500;
@@ -291,43 +250,64 @@
   co_return MakeError(ResultCode::kCallerLeft);
 }
 
-asio::awaitable<Outcome<void>> RequestRun::ForwardStream(HttpCall& aCall,
-                                                         AttemptTarget& aTarget)
+// Reads the next part of a stream; ended_ is set if there is none.
+asio::awaitable<Outcome<void>> RequestRun::ReadEvents(RequestAttempt& aAttempt)
 {
-  EventSplitter splitter;
-  bool first = true;
+  auto chunk = co_await ReadChunk(aAttempt);
+  if (!chunk) {
+    co_return chunk.error();
+  }
+  if (!chunk.value()) {
+    aAttempt.ended_ = true;
+    co_return boost::outcome_v2::success();
+  }
+  aAttempt.Target().OnDataReceived(!aAttempt.bodyBegun_);
+  aAttempt.bodyBegun_ = true;
+  aAttempt.stallLogged_ = false;
+  RecordAnswerData(aAttempt);
+  aAttempt.splitter_.Feed(*chunk.value());
+  while (auto event = aAttempt.splitter_.Next()) {
+    aAttempt.events_.push_back(std::move(*event));
+  }
+  co_return boost::outcome_v2::success();
+}
+
+asio::awaitable<Outcome<void>> RequestRun::ForwardStream(
+  RequestAttempt& aAttempt)
+{
+  HttpCall& call = *aAttempt.call_;
   while (true) {
-    auto chunk = co_await ReadChunk(aCall, aTarget);
-    if (!chunk) {
-      co_return chunk.error();
-    }
-    if (!chunk.value()) {
-      break;
-    }
-    aTarget.OnDataReceived(first);
-    RecordAnswerData();
-    first = false;
-    splitter.Feed(*chunk.value());
-    auto events = ParseEvents(splitter);
+    auto events = TakeEvents(aAttempt);
     if (!events) {
       co_return events.error();
     }
-    auto written =
-      co_await WriteEvents(aCall.Head(), std::move(events.value()));
+    const auto written =
+      co_await WriteEvents(call.Head(), std::move(events.value()));
     if (!written) {
       co_return written.error();
     }
+    if (aAttempt.ended_) {
+      break;
+    }
+    const auto read = co_await ReadEvents(aAttempt);
+    if (!read) {
+      co_return read.error();
+    }
   }
-  if (splitter.Pending() > 0) {
+  if (aAttempt.splitter_.Pending() > 0) {
     co_return MakeBrokenError("the stream ended within an event");
   }
-  if (!aCall.HasExplicitEnd() && request_.route_->IsRepeatable() &&
-      co_await aTarget.HasExited()) {
-    co_return MakeBrokenError("the endpoint exited as the stream ended");
+  const bool mayBeCut =
+    !call.HasExplicitEnd() && request_.route_->IsRepeatable();
+  if (mayBeCut) {
+    const bool exited = co_await aAttempt.Target().HasExited();
+    if (exited) {
+      co_return MakeBrokenError("the endpoint exited as the stream ended");
+    }
   }
   // An empty stream is valid, for instance when the caller resumes a stream of
   // which it already has all events.
-  bool open = co_await EnsureStreamStarted(aCall.Head());
+  bool open = co_await EnsureStreamStarted(call.Head());
   if (open) {
     open = co_await exchange_.Finish();
   }
@@ -337,15 +317,17 @@
   co_return boost::outcome_v2::success();
 }
 
-// Returns the complete events received so far, without duplicates. Fails if an
-// event is missing.
-Outcome<std::string> RequestRun::ParseEvents(EventSplitter& aSplitter)
+// Returns the received events, without duplicates. Fails if an event is
+// missing.
+Outcome<std::string> RequestRun::TakeEvents(RequestAttempt& aAttempt)
 {
   std::string events;
-  while (auto event = aSplitter.Next()) {
-    switch (events_.Take(*event)) {
+  while (!aAttempt.events_.empty()) {
+    const StreamEvent event = std::move(aAttempt.events_.front());
+    aAttempt.events_.pop_front();
+    switch (events_.Take(event)) {
       case EventSequence::Verdict::kPass:
-        events += event->bytes_;
+        events += event.bytes_;
         break;
       case EventSequence::Verdict::kDuplicate:
         break;
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -20,9 +20,9 @@
 // within a fraction of a second which hosts can.
 constexpr std::size_t kMaxRelays = 4;
 
-// The other host reports an endpoint that stalls. It has itself failed if it
-// has reported nothing after this multiple of the endpoint's stall timeout.
-constexpr double kPeerStallFactor = 1.5;
+// What the other host relays arrives later than what an endpoint sends to this
+// one.
+constexpr double kPeerStallFactor = 1.25;
 
 // Returns whether an error is that of a send to an endpoint, rather than a
 // decision on the request, which another host would repeat.
@@ -32,14 +32,16 @@
          aCode <= ResultCode::kEndpointWithdrawn;
 }
 
-milliseconds PeerStallTimeout(const Route& aRoute)
+} // namespace
+
+// Returns the time without data from another host after which a request that
+// was relayed to it is stalled.
+milliseconds RequestRun::PeerStallTimeout() const
 {
-  return duration_cast<milliseconds>(EndpointStallTimeout(aRoute) *
+  return duration_cast<milliseconds>(EndpointStallTimeout(*request_.route_) *
                                      kPeerStallFactor);
 }
 
-} // namespace
-
 // Returns whether to wait until it is known whether the links are lost, which
 // takes one round of probes. A request that has failed would otherwise spend
 // its last attempt on an endpoint behind the same links.
@@ -87,31 +89,10 @@
   return sends_ == 0 && ChooseRelay().has_value();
 }
 
-asio::awaitable<Outcome<void>> RequestRun::RunAtPeer(PeerMember aPeer,
-                                                     Next& aNext)
-{
-  ++relays_;
-  LogRelayed(aPeer);
-  RelayClient::Target target(parts_.relays_,
-                             std::move(aPeer),
-                             request_.service_,
-                             PeerStallTimeout(*request_.route_));
-  retry_.OnRelayed();
-  const auto done = co_await SendToPeer(target);
-  const bool refusedByHost = target.OnEnded(done, relayReason_);
-  retry_.OnRelayEnded(!refusedByHost);
-  if (!done) {
-    aNext = OnRelayFailed(target, done.error(), refusedByHost);
-  }
-  co_return done;
-}
-
-asio::awaitable<Outcome<void>> RequestRun::SendToPeer(
-  RelayClient::Target& aTarget)
+asio::awaitable<Outcome<void>> RequestRun::SendToPeer(RequestAttempt& aAttempt)
 {
   const TimePoint startTime = TimerService::Now();
-  progress_ = {};
-  progress_.OnSent(startTime);
+  retry_.OnRelayed();
   RelayTerms terms;
   terms.from_ = parts_.host_;
   terms.generation_ = request_.table_->Version();
@@ -124,51 +105,48 @@
     exchange_.Request(), RemainingTime(), events_.Last());
   HttpClient::CallOptions options;
   options.connectTimeout_ = kEndpointConnectTimeout;
-  options.checkBeforeWrite_ = [this] { return CheckFirstByte(); };
+  options.checkBeforeWrite_ = [this, &aAttempt] {
+    return OnFirstByte(aAttempt);
+  };
   if (!request_.route_->IsRepeatable()) {
     options.maxIdle_ = kNonRepeatableMaxIdle;
   }
-  auto sent = co_await aTarget.Send(
+  auto sent = co_await aAttempt.relay_->Send(
     std::move(send), std::move(terms), request_.deadline_, options);
-  if (!sent && sent.error().ran_ == RanState::kNo) {
-    timeOnUnsentAttempts_ += TimerService::Now() - startTime;
-    co_return sent.error();
-  }
-  // Until the host reports otherwise, an endpoint may have the request.
-  ++sends_;
   if (!sent) {
     co_return sent.error();
   }
-  co_return co_await ForwardResponse(*sent.value(), aTarget);
+  aAttempt.call_ = std::move(sent.value());
+  co_return boost::outcome_v2::success();
 }
 
-RequestRun::Next RequestRun::OnRelayFailed(const RelayClient::Target& aTarget,
-                                           const Error& aError,
-                                           bool aRefusedByHost)
+RequestRun::Next RequestRun::OnRelayFailed(const RequestAttempt& aAttempt,
+                                           const Error& aError)
 {
-  if (const auto& reported = aTarget.Reported()) {
+  const RelayClient::Target& target = *aAttempt.relay_;
+  if (const auto& reported = target.Reported()) {
     sends_ += reported->sends_ - 1;
     tried_.insert(reported->tried_.begin(), reported->tried_.end());
   }
   Log(LogEvent::kRelayFailed,
       { { "request_id", request_.facts_.attemptId_ },
-        { "to", aTarget.Peer().host_ },
+        { "to", target.Peer().host_ },
         { "code", static_cast<int>(aError.code_) },
         { "text", aError.text_ },
         { "ran", NameOf(aError.ran_) },
-        { "refused_by_host", aRefusedByHost },
+        { "refused_by_host", aAttempt.refusedByHost_ },
         { "send", sends_ },
         { "elapsed_ms",
           duration_cast<milliseconds>(TimerService::Now() - request_.arrived_)
             .count() } });
-  if (aRefusedByHost) {
+  if (aAttempt.refusedByHost_) {
     // Says nothing about the request, so that it doesn't become its result.
-    excludedPeers_.insert(aTarget.Peer().host_);
+    Exclude(aAttempt);
     attempts_.OnRefused(MakeError(ResultCode::kLinksLost));
     return Next::kTryAgain;
   }
   attempts_.OnFailed(aError);
-  if (IsOfEndpoint(aError.code_) && MayRetry(aError)) {
+  if (replacement_ || (IsOfEndpoint(aError.code_) && MayRetry(aError))) {
     return Next::kTryAgain;
   }
   EnsureRetryDelay(aError);
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -8,6 +8,7 @@
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-route-admission.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
+#include "gooseberrylift/limits/gooseberrylift-started-response.h"
 #include "gooseberrylift/routing/gooseberrylift-priority-class.h"
 
 namespace gooseberrylift {
@@ -25,11 +26,6 @@
 // count instead, requests would fail if most endpoints had crashed at once.
 constexpr milliseconds kMaxTimeOnUnsentAttempts{ 1'000 };
 
-// Prompts with a longer prefill time are announced to the other hosts at once.
-// This is the interval between two load messages, during which the other hosts
-// would not know of the prompt.
-constexpr microseconds kMinAnnouncedPrefill{ 100'000 };
-
 // With less time than this left, no endpoint can respond in time.
 constexpr milliseconds kMinRemaining{ 10 };
 
@@ -40,6 +36,14 @@
 constexpr milliseconds kMaxCrashCheckWait{ 400 };
 constexpr milliseconds kCrashCheckPoll{ 10 };
 
+// Interval at which a request whose response has begun, or may still begin, is
+// checked for whether it can be sent again.
+constexpr milliseconds kStartedResponsePoll{ 50 };
+
+// Each attempt has its own entry in the load of its endpoints, since a stalled
+// one and its replacement may share a helper.
+constexpr int kAttemptBits = 16;
+
 // Long, because a retry of a poison request would crash more endpoints.
 constexpr milliseconds kQuarantineRetryDelay{ 600'000 };
 
@@ -53,23 +57,6 @@
   return ids;
 }
 
-EndpointOutcome OutcomeOf(const Error& aError)
-{
-  switch (aError.code_) {
-    case ResultCode::kEndpointUnreachable:
-    case ResultCode::kEndpointSilent:
-      return EndpointOutcome::kUnreachable;
-    case ResultCode::kEndpointRefused:
-    case ResultCode::kEndpointWithdrawn:
-    case ResultCode::kSuspectRequest:
-    case ResultCode::kSuspectPart:
-    case ResultCode::kCallerLeft:
-      return EndpointOutcome::kRefused;
-    default:
-      return EndpointOutcome::kFailed;
-  }
-}
-
 } // namespace
 
 RequestRun::RequestRun(Parts aParts,
@@ -91,76 +78,146 @@
                                                    request_.facts_.attemptId_);
   Next next = Next::kTryAgain;
   while (next == Next::kTryAgain) {
-    if (const auto refusal = CheckSendPreconditions()) {
-      attempts_.OnRefused(*refusal);
+    const auto opened = co_await NextAttempt();
+    if (!opened) {
       break;
     }
-    if (MustAwaitLinkState()) {
-      co_await TimerService::SleepFor(kLinkStatePoll);
-      continue;
-    }
-    if (MustAwaitCrashCheck()) {
-      co_await TimerService::SleepFor(kCrashCheckPoll);
-      continue;
+    RequestAttempt& attempt = *opened.value();
+    const auto done = co_await ForwardResponse(attempt);
+    EndAttempt(attempt, done);
+    if (done) {
+      co_return boost::outcome_v2::success();
     }
-    if (const auto peer = ChooseRelay()) {
-      LeaveWaitingRoom(false);
-      const auto done = co_await RunAtPeer(*peer, next);
-      if (done) {
-        co_return boost::outcome_v2::success();
-      }
+    next = OnAttemptFailed(attempt, done.error());
+  }
+  if (savedFailure_) {
+    co_return co_await SendSavedFailure();
+  }
+  co_return MakeFinalError();
+}
+
+asio::awaitable<Outcome<RequestRun::AttemptPtr>> RequestRun::NextAttempt()
+{
+  if (replacement_) {
+    co_return std::move(replacement_);
+  }
+  co_return co_await OpenAttempt();
+}
+
+// Sends the request to an endpoint or another host.
+asio::awaitable<Outcome<RequestRun::AttemptPtr>> RequestRun::OpenAttempt()
+{
+  while (true) {
+    Step step = DecideStep();
+    if (step.refusal_ && MayWaitFor(*step.refusal_)) {
+      co_await TimerService::SleepFor(kStartedResponsePoll);
       continue;
     }
-    if (parts_.links_.IsCutOff(request_.service_)) {
-      attempts_.OnRefused(MakeError(ResultCode::kLinksLost));
-      break;
-    }
-    auto placement = parts_.fleet_.Place(MakeQuery());
-    if (!placement) {
-      auto wait = DelayForEndpoint();
-      if (!wait) {
-        wait = DelayForMemory();
-      }
-      if (wait) {
-        co_await TimerService::SleepFor(*wait);
-        continue;
-      }
-      LeaveWaitingRoom(false);
-      if (MayRelayLate()) {
-        continue;
-      }
-      attempts_.OnRefused(MakeNoEndpointError());
-      break;
+    if (step.refusal_) {
+      attempts_.OnRefused(*step.refusal_);
+      co_return *step.refusal_;
     }
-    const HoldDecision decision = DecideHold(*placement);
-    if (decision == HoldDecision::kHold) {
-      co_await TimerService::SleepFor(HoldOptions{}.recheckInterval_);
+    if (!step.placement_ && !step.peer_) {
+      co_await TimerService::SleepFor(step.wait_);
       continue;
     }
-    LeaveWaitingRoom(decision == HoldDecision::kSend);
-    const auto refusal = DecideRefusal(*placement, decision);
-    if ((refusal || placement->deferred_) && MayRelayLate()) {
-      continue;
+    AttemptPtr attempt = MakeAttempt(std::move(step));
+    const auto sent = co_await SendAttempt(*attempt);
+    if (sent) {
+      co_return std::move(attempt);
     }
-    if (refusal) {
-      attempts_.OnRefused(*refusal);
-      break;
+    EndAttempt(*attempt, sent);
+    if (OnAttemptFailed(*attempt, sent.error()) == Next::kEnd) {
+      co_return sent.error();
     }
-    if (!parts_.fleet_.Access().TryUsePermit(placement->endpoint_)) {
-      continue;
+  }
+}
+
+RequestRun::Step RequestRun::DecideStep()
+{
+  if (const auto refusal = CheckSendPreconditions()) {
+    return { .refusal_ = refusal };
+  }
+  if (MustAwaitLinkState()) {
+    return { .wait_ = kLinkStatePoll };
+  }
+  if (MustAwaitCrashCheck()) {
+    return { .wait_ = kCrashCheckPoll };
+  }
+  if (sends_ > 0 && !TryReserveRetry()) {
+    return { .refusal_ = MakeError(ResultCode::kRetryBudgetSpent) };
+  }
+  if (auto peer = ChooseRelay()) {
+    if (!TryObtainReplacementPermit()) {
+      return { .wait_ = kStartedResponsePoll };
     }
-    LogPlacement(*placement);
-    const FleetPlacement chosen = *placement;
-    const auto done = co_await Attempt(std::move(*placement));
-    if (done) {
-      co_return boost::outcome_v2::success();
+    LeaveWaitingRoom(false);
+    return { .peer_ = std::move(peer) };
+  }
+  if (parts_.links_.IsCutOff(request_.service_)) {
+    return { .refusal_ = MakeError(ResultCode::kLinksLost) };
+  }
+  return DecidePlacement();
+}
+
+RequestRun::Step RequestRun::DecidePlacement()
+{
+  auto placement = parts_.fleet_.Place(MakeQuery());
+  if (!placement) {
+    auto wait = DelayForEndpoint();
+    if (!wait) {
+      wait = DelayForMemory();
+    }
+    if (wait) {
+      return { .wait_ = *wait };
     }
-    next = OnEndpointFailed(chosen, done.error());
+    LeaveWaitingRoom(false);
+    return MayRelayLate() ? Step{} : Step{ .refusal_ = MakeNoEndpointError() };
   }
-  if (savedFailure_) {
-    co_return co_await SendSavedFailure();
+  const HoldDecision decision = DecideHold(*placement);
+  if (decision == HoldDecision::kHold) {
+    return { .wait_ = HoldOptions{}.recheckInterval_ };
   }
-  co_return MakeFinalError();
+  LeaveWaitingRoom(decision == HoldDecision::kSend);
+  const auto refusal = DecideRefusal(*placement, decision);
+  if ((refusal || placement->deferred_) && MayRelayLate()) {
+    return {};
+  }
+  if (refusal) {
+    return { .refusal_ = refusal };
+  }
+  // The stalled attempt may as well go on as one at such an endpoint begin.
+  if (stalled_ > 0 && placement->lastResort_) {
+    return { .wait_ = kStartedResponsePoll };
+  }
+  if (!TryObtainReplacementPermit()) {
+    return { .wait_ = kStartedResponsePoll };
+  }
+  if (!parts_.fleet_.Access().TryUsePermit(placement->endpoint_)) {
+    return {};
+  }
+  LogPlacement(*placement);
+  return { .placement_ = std::move(placement) };
+}
+
+// Returns whether to wait until a refusal has passed. The caller has a part of
+// the response or still may get it from a stalled attempt; it leaves by itself
+// after its stall timeout.
+bool RequestRun::MayWaitFor(const Error& aRefusal) const
+{
+  return stalled_ > 0 && !EndsStartedResponse(aRefusal.code_) &&
+         CurrentProgress().sinceLastWrite_ <
+           CallerStallTimeout(*request_.route_);
+}
+
+// Returns whether the request may be sent if it has a stalled attempt.
+bool RequestRun::TryObtainReplacementPermit()
+{
+  if (stalled_ > 0 && !replacementPermit_) {
+    replacementPermit_ =
+      parts_.fleet_.TryReplace(request_.service_, MaxSilenceOfReplacement());
+  }
+  return stalled_ == 0 || replacementPermit_;
 }
 
 // Returns why a placed request is rejected; nothing if it is sent.
@@ -173,23 +230,6 @@
   return Admit(aPlacement);
 }
 
-RequestRun::Next RequestRun::OnEndpointFailed(const FleetPlacement& aPlacement,
-                                              const Error& aError)
-{
-  LogFailedAttempt(aPlacement, aError);
-  attempts_.OnFailed(aError);
-  RecordLostConnection(aPlacement, aError);
-  tried_.insert(aPlacement.endpoint_.id_);
-  if (aError.code_ == ResultCode::kEndpointUnreachable) {
-    ++failedConnections_;
-  }
-  if (MayRetry(aError)) {
-    return Next::kTryAgain;
-  }
-  EnsureRetryDelay(aError);
-  return Next::kEnd;
-}
-
 // Checked again before each attempt: if this host was paused in the meantime,
 // the caller may have left, the deadline may have passed and the keys may be
 // outdated.
@@ -258,13 +298,15 @@
 FleetQuery RequestRun::MakeQuery() const
 {
   FleetQuery query{
-    .id_ = request_.id_,
+    .id_ = (request_.id_ << kAttemptBits) + opened_,
     .service_ = request_.service_,
     .request_ = { .promptTokens_ = request_.facts_.promptTokens_,
                   .answerTokens_ = request_.facts_.answerTokens_,
                   .objective_ = request_.route_->objective_,
                   .maxGap_ = request_.route_->maxGap_ },
     .tried_ = tried_,
+    .maxSilence_ =
+      stalled_ > 0 ? MaxSilenceOfReplacement() : milliseconds::max(),
     .allowedZones_ = request_.allowedZones_,
     .draw_ = RandomNumber(),
     .requestDraw_ = requestDraw_
@@ -278,162 +320,6 @@
   return query;
 }
 
-HttpRequest RequestRun::MakeEndpointRequest(
-  const FleetPlacement& aPlacement,
-  const MemoryReservation* aReservation) const
-{
-  EndpointRequestMetadata send{
-    .endpointId_ = aPlacement.endpoint_.id_,
-    .team_ = request_.team_,
-    .removeCallerKey_ = request_.table_->NeedsKeys(),
-    .remaining_ = RemainingTime(),
-    .priorityClass_ = PriorityClassOf(request_.priority_, aPlacement.deferred_)
-  };
-  if (events_.Last()) {
-    send.lastEventId_ = events_.Last();
-  }
-  for (const ListedEndpoint& helper : aPlacement.helpers_) {
-    send.helpers_.push_back({ .address_ = helper.address_,
-                              .reservationId_ = aReservation == nullptr
-                                                  ? std::string()
-                                                  : aReservation->TicketId() });
-  }
-  return parts_.dialect_.MakeEndpointRequest(exchange_.Request(), send);
-}
-
-// Reserves memory at the helpers if the prompt doesn't fit into the memory of
-// one engine.
-asio::awaitable<Outcome<std::unique_ptr<MemoryReservation>>>
-RequestRun::ReserveMemory(const FleetPlacement& aPlacement)
-{
-  if (aPlacement.reservedTokens_ == 0) {
-    co_return std::unique_ptr<MemoryReservation>();
-  }
-  MemoryReservation::Parts parts{ .client_ = parts_.client_,
-                                  .dialect_ = parts_.dialect_,
-                                  .executor_ = parts_.executor_ };
-  MemoryReservation::Options options;
-  options.duration_ =
-    std::min(options.duration_,
-             parts_.board_.gatewaySettings_.Read()->gatewaySettings_.maxHold_);
-  co_return co_await MemoryReservation::Acquire(std::move(parts),
-                                                request_.facts_.attemptId_ +
-                                                  "-" + std::to_string(sends_),
-                                                aPlacement.helpers_,
-                                                aPlacement.reservedTokens_,
-                                                options);
-}
-
-asio::awaitable<Outcome<void>> RequestRun::Attempt(FleetPlacement aPlacement)
-{
-  const FleetQuery query = MakeQuery();
-  Fleet::ActiveRequest use(parts_.fleet_, query, std::move(aPlacement));
-  AnnouncePlacement(use.Placement());
-  const TimePoint startTime = TimerService::Now();
-  auto reservation = co_await ReserveMemory(use.Placement());
-  if (!reservation) {
-    // Nothing was sent. The elapsed time is bounded, which bounds the
-    // number of attempts.
-    timeOnUnsentAttempts_ += TimerService::Now() - startTime;
-    co_return reservation.error();
-  }
-  HttpRequest send =
-    MakeEndpointRequest(use.Placement(), reservation.value().get());
-  const ListedEndpoint& endpoint = use.Placement().endpoint_;
-  EndpointClient::CallOptions options;
-  options.helpers_ = use.Placement().helpers_;
-  options.requestId_ = request_.facts_.attemptId_;
-  progress_ = {};
-  options.http_.onConnected_ = [this] {
-    progress_.OnConnected(TimerService::Now());
-  };
-  options.checkRequest_ = [this] {
-    progress_.OnSent(TimerService::Now());
-    return CheckFirstByte();
-  };
-  options.http_.connectTimeout_ = kEndpointConnectTimeout;
-  if (!request_.route_->IsRepeatable()) {
-    options.http_.maxIdle_ = kNonRepeatableMaxIdle;
-  }
-  auto sent = co_await parts_.client_.Send(
-    endpoint, std::move(send), request_.deadline_, options);
-  const bool sentBytes = sent || sent.error().ran_ != RanState::kNo;
-  if (sentBytes) {
-    ++sends_;
-    retry_.OnSent();
-  } else {
-    timeOnUnsentAttempts_ += TimerService::Now() - startTime;
-  }
-  if (!sent) {
-    use.End(OutcomeOf(sent.error()));
-    co_return sent.error();
-  }
-  EndpointTarget target(parts_.client_,
-                        use,
-                        EndpointStallTimeout(*request_.route_),
-                        [this, &use](const EndpointResponseMetadata& aFacts) {
-                          OnNotExecuted(aFacts, use);
-                        });
-  const auto done = co_await ForwardResponse(*sent.value(), target);
-  if (!done && done.error().code_ == ResultCode::kEndpointSilent) {
-    parts_.links_.OnFailed(endpoint, LinkFailure::kResponse);
-  }
-  if (done && sent.value()->HasExplicitEnd() && status_ < 500) {
-    RecordSound();
-  }
-  use.End(done ? EndpointOutcome::kServed : OutcomeOf(done.error()));
-  parts_.loadExchange_.OnRequestEnded();
-  co_return done;
-}
-
-// Announces a placement to the peers, which would otherwise place their
-// requests on the same idle engines.
-void RequestRun::AnnouncePlacement(const FleetPlacement& aPlacement) const
-{
-  std::vector<ListedEndpoint> endpoints = aPlacement.helpers_;
-  endpoints.push_back(aPlacement.endpoint_);
-  parts_.loadExchange_.OnRequestPlaced(
-    endpoints, aPlacement.cost_.prefill_ > kMinAnnouncedPrefill);
-}
-
-// Reports an endpoint whose response broke off or was invalid to the detection
-// of poison requests. A silent endpoint isn't reported, because it is only slow
-// or unreachable.
-void RequestRun::RecordLostConnection(const FleetPlacement& aPlacement,
-                                      const Error& aError)
-{
-  if (aError.code_ != ResultCode::kEndpointBroken) {
-    return;
-  }
-  // Half of what is predicted: engines differ in speed.
-  const microseconds minPrefill = FindEngineProfile() != nullptr
-                                    ? aPlacement.cost_.prefill_ / 2
-                                    : microseconds(0);
-  const TimePoint now = TimerService::Now();
-  parts_.poisonRequestMonitor_.OnConnectionLost(
-    request_.features_,
-    aPlacement.endpoint_,
-    progress_.JustBegun(now, minPrefill),
-    duration_cast<milliseconds>(now - progress_.AliveAt()));
-}
-
-void RequestRun::RecordAnswerData()
-{
-  if (progress_.OnData(TimerService::Now())) {
-    RecordSound();
-  }
-}
-
-// Records that the answer has come further than that of a request that crashes
-// its endpoint.
-void RequestRun::RecordSound() const
-{
-  const TimePoint now = TimerService::Now();
-  parts_.poisonRequestMonitor_.OnAnswered(
-    request_.features_,
-    duration_cast<milliseconds>(now - progress_.begunAt_.value_or(now)));
-}
-
 // A relayed request is sent to one endpoint only: the host that relayed it
 // decides about the next attempt.
 int RequestRun::MaxAttempts() const
@@ -447,6 +333,10 @@
       aError.code_ == ResultCode::kDeadlineExceeded) {
     return false;
   }
+  const bool isStream = request_.route_->kind_ == RouteKind::kStreaming;
+  if (streamStarted_ && !isStream) {
+    return false; // the rest of a body can't be requested
+  }
   const bool notReceived = aError.ran_ == RanState::kNo;
   if (!notReceived && !request_.route_->IsRepeatable()) {
     return false;
@@ -555,27 +445,4 @@
       { "send", sends_ + 1 } });
 }
 
-void RequestRun::LogFailedAttempt(const FleetPlacement& aPlacement,
-                                  const Error& aError) const
-{
-  const TimePoint now = TimerService::Now();
-  const auto answered =
-    progress_.begunAt_
-      ? duration_cast<milliseconds>(now - *progress_.begunAt_).count()
-      : -1;
-  Log(LogEvent::kAttemptFailed,
-      { { "request_id", request_.facts_.attemptId_ },
-        { "endpoint", aPlacement.endpoint_.id_ },
-        { "code", static_cast<int>(aError.code_) },
-        { "text", aError.text_ },
-        { "fingerprint", request_.features_.content_ },
-        { "parts", request_.features_.parts_ },
-        { "answered_ms", answered },
-        { "ran", NameOf(aError.ran_) },
-        { "send", sends_ },
-        { "elapsed_ms",
-          duration_cast<milliseconds>(TimerService::Now() - request_.arrived_)
-            .count() } });
-}
-
 } // namespace gooseberrylift
--- a/src/gateway/gooseberrylift-shared-retry-budget.cc
+++ b/src/gateway/gooseberrylift-shared-retry-budget.cc
@@ -84,9 +84,16 @@
 {
   if (state_ == State::kRelayed) {
     Count();
-  } else if (state_ == State::kReserved) {
+  }
+  Release();
+}
+
+void SharedRetryBudget::Retry::Release()
+{
+  if (state_ == State::kReserved) {
     const std::lock_guard lock(budget_.mutex_);
     budget_.budget_.Release(service_);
+    state_ = State::kNone;
   }
 }
 
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -290,6 +290,21 @@
     co_return std::optional<std::string>();
   }
 
+  asio::awaitable<bool> WaitForData() override
+  {
+    const SocketDeadline guard(
+      connection_->socket_, co_await asio::this_coro::executor, deadline_);
+    const auto [code] =
+      co_await connection_->socket_.async_wait(tcp::socket::wait_read, kAwait);
+    char byte = 0;
+    boost::system::error_code peeked = code;
+    if (!code) {
+      connection_->socket_.receive(
+        asio::buffer(&byte, 1), tcp::socket::message_peek, peeked);
+    }
+    co_return !peeked;
+  }
+
 private:
   static Error MakeTransferError(boost::system::error_code aCode, bool aExpired)
   {
--- a/src/net/gooseberrylift-tasks.cc
+++ b/src/net/gooseberrylift-tasks.cc
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include <boost/asio.hpp>
+#include <boost/asio/deferred.hpp>
+#include <boost/asio/experimental/parallel_group.hpp>
 
 namespace gooseberrylift {
 
@@ -130,6 +132,18 @@
     aExecutor, std::move(aTask), TaskKind::kCancellable);
 }
 
+asio::awaitable<void> RunUntilOneEnds(
+  std::function<asio::awaitable<void>()> aFirst,
+  std::function<asio::awaitable<void>()> aSecond)
+{
+  const auto executor = co_await asio::this_coro::executor;
+  auto both = asio::experimental::make_parallel_group(
+    asio::co_spawn(executor, std::move(aFirst), asio::deferred),
+    asio::co_spawn(executor, std::move(aSecond), asio::deferred));
+  co_await both.async_wait(asio::experimental::wait_for_one(),
+                           asio::use_awaitable);
+}
+
 void SpawnCleanup(const asio::any_io_executor& aExecutor,
                   asio::awaitable<void> aTask)
 {
--- a/test/core/gooseberrylift-fleet-load-test.cc
+++ b/test/core/gooseberrylift-fleet-load-test.cc
@@ -184,3 +184,16 @@
   LONGS_EQUAL(300, share.unstarted_.count());
   LONGS_EQUAL(0, share.unstartedFor_.count());
 }
+
+// A request that was just sent does not show that its endpoint responds.
+TEST(FleetLoadTest, HearsEndpointsOnlyByTheirData)
+{
+  load_.OnSent("engine", 1, {}, now_);
+  CHECK_FALSE(load_.HasHeard(now_ - 1s));
+  load_.OnStarted("engine", 1, now_);
+  load_.OnSent("idle", 2, {}, now_ + 2s);
+  CHECK_TRUE(load_.HasHeard(now_ - 1s));
+  CHECK_FALSE(load_.HasHeard(now_ + 1s));
+  load_.OnDataReceived("engine", now_ + 2s);
+  CHECK_TRUE(load_.HasHeard(now_ + 1s));
+}
