Wait for a chance to resume a response that has begun

What callers saw: a stream whose engine crashed ended if the host could not send requests at that moment, for instance since the store had been down for some seconds.

Cause: the next attempt of a response that has begun was refused like a new request, by the same questions. A new request loses nothing, as its caller can go elsewhere; a caller with half of a stream can't.

Now such a request waits until the refusal has passed, for as long as its caller waits for the next event. Reasons that concern the request itself and stay end it as before: EndsStartedResponse has them in one place. The retry budget is waited for as well.

--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -205,7 +205,8 @@
 // after its stall timeout.
 bool RequestRun::MayWaitFor(const Error& aRefusal) const
 {
-  return stalled_ > 0 && !EndsStartedResponse(aRefusal.code_) &&
+  const bool isUnderWay = stalled_ > 0 || streamStarted_;
+  return isUnderWay && !EndsStartedResponse(aRefusal.code_) &&
          CurrentProgress().sinceLastWrite_ <
            CallerStallTimeout(*request_.route_);
 }
@@ -351,7 +352,8 @@
       timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts) {
     return false;
   }
-  return sends_ == 0 || TryReserveRetry();
+  // A response that has begun waits for the retry budget.
+  return sends_ == 0 || streamStarted_ || TryReserveRetry();
 }
 
 // Adds a retry delay to the error of a request that has not run, if it has
--- a/test/integration/gooseberrylift-stalled-stream-test.cc
+++ b/test/integration/gooseberrylift-stalled-stream-test.cc
@@ -52,6 +52,14 @@
   }
 }
 
+void AwaitUnprovenKeys(GatewayDeployment& aDeployment)
+{
+  CHECK_TRUE(WaitUntil(seconds(10), [&] {
+    const json status = aDeployment.At(0).Status();
+    return status.is_object() && !status.value("keys_proven", true);
+  }));
+}
+
 } // namespace
 
 TEST_GROUP(StalledStreamTest){};
@@ -70,15 +78,31 @@
     { .ports_ = PortsOfAll(deployment, 3), .events_ = kEvents });
   std::this_thread::sleep_for(milliseconds(300));
   deployment.Store().Handle().Signal(SIGSTOP);
-  CHECK_TRUE(WaitUntil(seconds(10), [&] {
-    const json status = deployment.At(0).Status();
-    return status.is_object() && !status.value("keys_proven", true);
-  }));
+  AwaitUnprovenKeys(deployment);
   Pause(deployment, kEngines);
   deployment.Store().Handle().Signal(SIGCONT);
   LONGS_EQUAL(0, streams.CountCut());
 }
 
+// Guards against streams that end because their engine is lost at a moment at
+// which the host may not send requests.
+TEST(StalledStreamTest, CompletesStreamsWhoseEngineIsLostWhileTheStoreIsDown)
+{
+  constexpr int kEvents = 80;
+  GatewayDeployment deployment(
+    { .engines_ = 2, .engine_ = LongStreamEngine(kEvents, kEventInterval) });
+  ApplyDocument(deployment, LongStreamDocument(deployment), 1);
+  LongStreams streams(
+    { .ports_ = PortsOfAll(deployment, 1), .count_ = 12, .events_ = kEvents });
+  std::this_thread::sleep_for(milliseconds(300));
+  deployment.Store().Handle().Signal(SIGSTOP);
+  AwaitUnprovenKeys(deployment);
+  deployment.Engine(0).Handle().Signal(SIGKILL);
+  std::this_thread::sleep_for(milliseconds(700));
+  deployment.Store().Handle().Signal(SIGCONT);
+  LONGS_EQUAL(0, streams.CountCut());
+}
+
 // Guards against streams that end because the endpoint that is to replace their
 // stalled one is full.
 TEST(StalledStreamTest, CompletesStreamsWhoseReplacementIsRejected)
