Judge by a while of data whether endpoints respond after a pause

Endpoints now count as responding once they have sent data for a quarter of a second without a long interruption.

--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -116,11 +116,8 @@
   /// Returns a permit to replace a stalled attempt. While no endpoint of the
   /// service responds to this host, the cause may be common to all of them, and
   /// only one replacement at a time finds out.
-  /// @param aMaxSilence an endpoint that sent data within this time responds
   /// @return null if another replacement is finding out
-  std::unique_ptr<ReplacementPermit> TryReplace(
-    const std::string& aService,
-    std::chrono::milliseconds aMaxSilence);
+  std::unique_ptr<ReplacementPermit> TryReplace(const std::string& aService);
 
   /// Applies a new or changed endpoint entry to the directory.
   void OnListed(const ListedEndpoint& aListed);
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -138,9 +138,10 @@
   /// Returns this host's own load at one endpoint.
   EndpointShare OwnShare(const std::string& aEndpoint, TimePoint aNow) const;
 
-  /// Returns whether an endpoint has sent data to this host's requests there
-  /// since the given time.
-  bool HasHeard(TimePoint aSince) const;
+  /// Returns whether endpoints have been sending data to this host's requests
+  /// for a while. If they all stood still and one resumes, the others mostly do
+  /// so a moment later.
+  bool AreResponding(TimePoint aNow) const;
 
   /// Returns for how long an endpoint has sent nothing while this host has
   /// requests there; zero if it has none.
@@ -171,7 +172,6 @@
   {
     std::map<std::uint64_t, SentRequest> requests_;
     TimePoint lastHeard_{}; // last data received, or start of the wait
-    TimePoint lastDataAt_{};
     // Send time of the latest request that was answered; index 1 is for
     // deferred requests, 0 for all others.
     std::array<TimePoint, 2> latestStarted_{};
@@ -217,11 +217,15 @@
                                const LocalLoad& aOwn,
                                TimePoint aNow);
 
+  void RecordData(TimePoint aNow);
+
   Options options_;
   // By endpoint. Hash maps, because each placement looks up every endpoint.
   std::unordered_map<std::string, LocalLoad> local_;
   std::unordered_map<std::string, PeerShares> shares_;
   std::map<std::string, Peer> peers_; // by host
+  TimePoint lastDataAt_{};            // from any endpoint
+  TimePoint respondingSince_{};       // without a long interruption
 };
 
 } // namespace gooseberrylift
--- a/src/core/routing/gooseberrylift-fleet-load.cc
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -9,6 +9,12 @@
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 
+// Endpoints that send nothing at all for longer have stood still.
+constexpr std::chrono::milliseconds kMaxDataGap{ 500 };
+
+// Endpoints that stood still for a common reason resume within this time.
+constexpr std::chrono::milliseconds kMinResponding{ 250 };
+
 // Returns the backlog that remains after an engine has worked on it for a
 // while.
 microseconds RemainingBacklog(microseconds aBacklog,
@@ -53,7 +59,7 @@
 {
   LocalLoad& own = local_[aEndpoint];
   own.lastHeard_ = aNow;
-  own.lastDataAt_ = aNow;
+  RecordData(aNow);
   const auto found = own.requests_.find(aRequest);
   if (found == own.requests_.end()) {
     return;
@@ -105,7 +111,7 @@
   const auto found = local_.find(aEndpoint);
   if (found != local_.end()) {
     found->second.lastHeard_ = aNow;
-    found->second.lastDataAt_ = aNow;
+    RecordData(aNow);
   }
 }
 
@@ -383,11 +389,18 @@
   return shares;
 }
 
-bool FleetLoad::HasHeard(TimePoint aSince) const
+void FleetLoad::RecordData(TimePoint aNow)
+{
+  if (aNow - lastDataAt_ > kMaxDataGap) {
+    respondingSince_ = aNow;
+  }
+  lastDataAt_ = aNow;
+}
+
+bool FleetLoad::AreResponding(TimePoint aNow) const
 {
-  return std::any_of(local_.begin(), local_.end(), [aSince](const auto& aOwn) {
-    return aOwn.second.lastDataAt_ >= aSince;
-  });
+  return aNow - lastDataAt_ <= kMaxDataGap &&
+         aNow - respondingSince_ >= kMinResponding;
 }
 
 std::chrono::milliseconds FleetLoad::SilentFor(const std::string& aEndpoint,
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -173,13 +173,12 @@
 }
 
 std::unique_ptr<Fleet::ReplacementPermit> Fleet::TryReplace(
-  const std::string& aService,
-  milliseconds aMaxSilence)
+  const std::string& aService)
 {
   const TimePoint now = TimerService::Now();
   bool isProbe = false;
   const bool allowed = loads_.With(aService, [&](ServiceLoad& aState) {
-    isProbe = !aState.load_.HasHeard(now - aMaxSilence);
+    isProbe = !aState.load_.AreResponding(now);
     const bool busy = isProbe && aState.probingSilence_;
     aState.probingSilence_ = aState.probingSilence_ || isProbe;
     return !busy;
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -215,8 +215,7 @@
 bool RequestRun::TryObtainReplacementPermit()
 {
   if (stalled_ > 0 && !replacementPermit_) {
-    replacementPermit_ =
-      parts_.fleet_.TryReplace(request_.service_, MaxSilenceOfReplacement());
+    replacementPermit_ = parts_.fleet_.TryReplace(request_.service_);
   }
   return stalled_ == 0 || replacementPermit_;
 }
--- a/test/core/gooseberrylift-fleet-load-test.cc
+++ b/test/core/gooseberrylift-fleet-load-test.cc
@@ -185,15 +185,20 @@
   LONGS_EQUAL(0, share.unstartedFor_.count());
 }
 
-// A request that was just sent does not show that its endpoint responds.
-TEST(FleetLoadTest, HearsEndpointsOnlyByTheirData)
+// A request that was just sent, or a first sign of life after a pause, does not
+// show that the endpoints respond.
+TEST(FleetLoadTest, EndpointsRespondOnceTheyHaveSentDataForAWhile)
 {
   load_.OnSent("engine", 1, {}, now_);
-  CHECK_FALSE(load_.HasHeard(now_ - 1s));
+  CHECK_FALSE(load_.AreResponding(now_));
   load_.OnStarted("engine", 1, now_);
-  load_.OnSent("idle", 2, {}, now_ + 2s);
-  CHECK_TRUE(load_.HasHeard(now_ - 1s));
-  CHECK_FALSE(load_.HasHeard(now_ + 1s));
-  load_.OnDataReceived("engine", now_ + 2s);
-  CHECK_TRUE(load_.HasHeard(now_ + 1s));
+  CHECK_FALSE(load_.AreResponding(now_));
+  now_ += 300ms;
+  load_.OnDataReceived("engine", now_);
+  CHECK_TRUE(load_.AreResponding(now_));
+  now_ += 1s;
+  CHECK_FALSE(load_.AreResponding(now_));
+  load_.OnDataReceived("engine", now_);
+  CHECK_FALSE(load_.AreResponding(now_ + 100ms));
+  CHECK_TRUE(load_.AreResponding(now_ + 300ms));
 }
--- a/test/integration/gooseberrylift-stalled-stream-test.cc
+++ b/test/integration/gooseberrylift-stalled-stream-test.cc
@@ -7,6 +7,8 @@
 #include "harness-links.h"
 
 #include <csignal>
+#include <iostream>
+#include <sstream>
 
 #include <CppUTest/TestHarness.h>
 
@@ -52,6 +54,17 @@
   }
 }
 
+// Prints the lines of a host that show why it sent requests again.
+void PrintRetries(Host& aHost)
+{
+  std::istringstream lines(aHost.Handle().Output());
+  for (std::string line; std::getline(lines, line);) {
+    if (line.find("attempt-") != std::string::npos) {
+      std::cout << line << std::endl;
+    }
+  }
+}
+
 void AwaitUnprovenKeys(GatewayDeployment& aDeployment)
 {
   CHECK_TRUE(WaitUntil(seconds(10), [&] {
@@ -170,6 +183,9 @@
     arrivals +=
       static_cast<int>(deployment.Engine(engine).Stats().at("arrivals").size());
   }
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    PrintRetries(deployment.At(host));
+  }
   // Each host may find out by one stream whether an idle engine responds.
   CHECK_TRUE(arrivals <= kStreams + static_cast<int>(kHosts));
 }
