Reserve a retry and a permit only while a replacement can be sent

Each stalled stream that waited for its turn held a reserved retry, which others of the host then lacked, and looked for an endpoint at each check. It now asks for the permit first, and gives both back while it waits.

--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -169,6 +169,7 @@
   bool IsStallTimeout(const Error& aError) const;
   std::chrono::milliseconds MaxSilenceOfReplacement() const;
   bool TryObtainReplacementPermit();
+  void ReleaseReplacement();
   boost::asio::awaitable<void> OnStallTimeout(RequestAttempt& aAttempt);
   boost::asio::awaitable<void> AwaitOrReplace(RequestAttempt& aStalled);
   void Exclude(const RequestAttempt& aAttempt);
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -38,7 +38,7 @@
 
 // Interval at which a request whose response has begun, or may still begin, is
 // checked for whether it can be sent again.
-constexpr milliseconds kStartedResponsePoll{ 50 };
+constexpr milliseconds kStartedResponsePoll{ 100 };
 
 // Each attempt has its own entry in the load of its endpoints, since a stalled
 // one and its replacement may share a helper.
@@ -110,14 +110,14 @@
   while (true) {
     Step step = DecideStep();
     if (step.refusal_ && MayWaitFor(*step.refusal_)) {
-      co_await TimerService::SleepFor(kStartedResponsePoll);
-      continue;
+      step = { .wait_ = kStartedResponsePoll };
     }
     if (step.refusal_) {
       attempts_.OnRefused(*step.refusal_);
       co_return *step.refusal_;
     }
     if (!step.placement_ && !step.peer_) {
+      ReleaseReplacement();
       co_await TimerService::SleepFor(step.wait_);
       continue;
     }
@@ -144,13 +144,13 @@
   if (MustAwaitCrashCheck()) {
     return { .wait_ = kCrashCheckPoll };
   }
+  if (stalled_ > 0 && !TryObtainReplacementPermit()) {
+    return { .wait_ = kStartedResponsePoll };
+  }
   if (sends_ > 0 && !TryReserveRetry()) {
     return { .refusal_ = MakeError(ResultCode::kRetryBudgetSpent) };
   }
   if (auto peer = ChooseRelay()) {
-    if (!TryObtainReplacementPermit()) {
-      return { .wait_ = kStartedResponsePoll };
-    }
     LeaveWaitingRoom(false);
     return { .peer_ = std::move(peer) };
   }
@@ -190,9 +190,6 @@
   if (stalled_ > 0 && placement->lastResort_) {
     return { .wait_ = kStartedResponsePoll };
   }
-  if (!TryObtainReplacementPermit()) {
-    return { .wait_ = kStartedResponsePoll };
-  }
   if (!parts_.fleet_.Access().TryUsePermit(placement->endpoint_)) {
     return {};
   }
@@ -211,13 +208,23 @@
            CallerStallTimeout(*request_.route_);
 }
 
-// Returns whether the request may be sent if it has a stalled attempt.
+// Returns whether a stalled attempt may be replaced now.
 bool RequestRun::TryObtainReplacementPermit()
 {
-  if (stalled_ > 0 && !replacementPermit_) {
+  if (!replacementPermit_) {
     replacementPermit_ = parts_.fleet_.TryReplace(request_.service_);
   }
-  return stalled_ == 0 || replacementPermit_;
+  return replacementPermit_ != nullptr;
+}
+
+// Lets other requests use what is reserved for the replacement of a stalled
+// attempt.
+void RequestRun::ReleaseReplacement()
+{
+  if (stalled_ > 0) {
+    replacementPermit_.reset();
+    retry_.Release();
+  }
 }
 
 // Returns why a placed request is rejected; nothing if it is sent.
