--- a/include/gooseberrylift/internal/gooseberrylift-service-loads.h
+++ b/include/gooseberrylift/internal/gooseberrylift-service-loads.h
@@ -27,8 +27,8 @@
   OutlierDetector outlierDetector_{ OutlierDetector::Options{} };
   EndpointPressure pressure_{ EndpointPressure::Options{} };
   bool hasTraffic_ = false; // a request of this host has ended
-  // A stalled attempt is being replaced although no endpoint responds.
-  bool probingSilence_ = false;
+  // When the next stalled attempt may be replaced while no endpoint responds.
+  TimePoint nextSilenceProbe_{};
   // Of a request to a plain service; assumed until the first answer arrives.
   std::chrono::microseconds typicalDuration_{ 20'000 };
 
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -11,6 +11,10 @@
 
 namespace {
 
+// After an endpoint has responded to a replacement, the others mostly resume
+// within this time.
+constexpr milliseconds kSilenceProbeInterval{ 250 };
+
 PlacementCandidate FindCandidate(
   const std::vector<PlacementCandidate>& aCandidates,
   const ListedEndpoint& aEndpoint)
@@ -167,8 +171,10 @@
 Fleet::ReplacementPermit::~ReplacementPermit()
 {
   if (isProbe_) {
-    fleet_.loads_.With(
-      service_, [](ServiceLoad& aState) { aState.probingSilence_ = false; });
+    const TimePoint now = TimerService::Now();
+    fleet_.loads_.With(service_, [now](ServiceLoad& aState) {
+      aState.nextSilenceProbe_ = now + kSilenceProbeInterval;
+    });
   }
 }
 
@@ -179,9 +185,13 @@
   bool isProbe = false;
   const bool allowed = loads_.With(aService, [&](ServiceLoad& aState) {
     isProbe = !aState.load_.AreResponding(now);
-    const bool busy = isProbe && aState.probingSilence_;
-    aState.probingSilence_ = aState.probingSilence_ || isProbe;
-    return !busy;
+    if (isProbe && now < aState.nextSilenceProbe_) {
+      return false;
+    }
+    if (isProbe) {
+      aState.nextSilenceProbe_ = TimePoint::max();
+    }
+    return true;
   });
   return allowed ? std::make_unique<ReplacementPermit>(*this, aService, isProbe)
                  : nullptr;
