Read a stalled attempt on, and pace replacements in rounds

A stall is now reported to the link monitor when it begins. The stalled attempt is read, not only watched, until it has data, fails or answers with an error, and is compared with its replacement by the same checks; if it fails before the replacement was sent, the failure is handled as any other. Rounds of one, two, four replacements take the place of a permit that one request could hold. A host that relays a request again says so, and the other one doesn't admit it anew. Refused connections don't end a response that has begun while its caller waits. A replacement that isn't needed is no failure in logs, link states and outlier records; denials of the budget are counted once a stall.

--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -5,7 +5,6 @@
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_FLEET_H_
 
 #include <functional>
-#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -98,26 +97,9 @@
   /// @return nothing when no endpoint can take the request
   std::optional<FleetPlacement> Place(FleetQuery aQuery);
 
-  // Allows one attempt in place of a stalled one, until it is destroyed.
-  class ReplacementPermit
-  {
-  public:
-    ReplacementPermit(Fleet& aFleet, std::string aService, bool aIsProbe);
-    ~ReplacementPermit();
-    ReplacementPermit(const ReplacementPermit&) = delete;
-    ReplacementPermit& operator=(const ReplacementPermit&) = delete;
-
-  private:
-    Fleet& fleet_;
-    std::string service_;
-    bool isProbe_;
-  };
-
-  /// Returns a permit to replace a stalled attempt. While no endpoint of the
-  /// service responds to this host, the cause may be common to all of them, and
-  /// only one replacement at a time finds out.
-  /// @return null if another replacement is finding out
-  std::unique_ptr<ReplacementPermit> TryReplace(const std::string& aService);
+  /// Returns whether a stalled attempt at an endpoint of a service may be
+  /// replaced now; see ReplacementPacer.
+  bool TryReplace(const std::string& aService);
 
   /// Applies a new or changed endpoint entry to the directory.
   void OnListed(const ListedEndpoint& aListed);
--- a/include/gooseberrylift/internal/gooseberrylift-http-client.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-client.h
@@ -40,10 +40,6 @@
   virtual boost::asio::awaitable<Outcome<std::optional<std::string>>>
   ReadSome() = 0;
 
-  /// Waits until more of the response can be read, without reading it.
-  /// @return false if the connection was lost or the deadline passed first
-  virtual boost::asio::awaitable<bool> WaitForData() = 0;
-
   /// Changes the deadline of later reads.
   virtual void SetDeadline(TimePoint aDeadline) = 0;
 
--- a/include/gooseberrylift/internal/gooseberrylift-request-attempt.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-attempt.h
@@ -5,6 +5,8 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "gooseberrylift/internal/gooseberrylift-attempt-target.h"
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
@@ -27,9 +29,6 @@
     return relay_ ? static_cast<AttemptTarget&>(*relay_) : *endpoint_;
   }
 
-  // Whether data for the caller has been received.
-  bool HasBegun() const { return headRead_ && (!events_.empty() || ended_); }
-
   // Of an attempt at an endpoint.
   std::unique_ptr<Fleet::ActiveRequest> active_;
   std::unique_ptr<MemoryReservation> reservation_;
@@ -42,11 +41,15 @@
   std::unique_ptr<HttpCall> call_; // null until the request was sent
   AnswerProgress progress_;
   EventSplitter splitter_;
-  std::deque<StreamEvent> events_; // received and not forwarded yet
+  std::deque<StreamEvent> events_; // of a stream, not forwarded yet
+  std::string body_;               // of other responses, not forwarded yet
+  std::size_t parts_ = 0;          // of the response, the head included
   bool headRead_ = false;
   bool bodyBegun_ = false;
-  bool ended_ = false;       // the body was received to its end
-  bool stallLogged_ = false; // since data was last received
+  bool ended_ = false;           // the body was received to its end
+  bool isStalled_ = false;       // since the last part
+  bool isBeingReplaced_ = false; // another attempt is prepared meanwhile
+  std::optional<Error> failure_; // while it was being replaced
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -144,12 +144,19 @@
     std::optional<Error> refusal_{};
   };
 
+  // Responses up to this size are buffered, so that the request can still be
+  // retried at another endpoint if the response breaks off. Larger ones are
+  // forwarded as they arrive.
+  static constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
+
   struct Replacement;
   using AttemptPtr = std::unique_ptr<RequestAttempt>;
 
   Step DecideStep();
   Step DecidePlacement();
   bool MayWaitFor(const Error& aRefusal) const;
+  bool HasCallerPatience() const;
+  bool IsAdmitted() const;
   boost::asio::awaitable<Outcome<AttemptPtr>> NextAttempt();
   boost::asio::awaitable<Outcome<AttemptPtr>> OpenAttempt();
   AttemptPtr MakeAttempt(Step aStep);
@@ -159,7 +166,7 @@
   boost::asio::awaitable<Outcome<void>> SendToPeer(RequestAttempt& aAttempt);
   std::optional<Error> OnFirstByte(RequestAttempt& aAttempt);
   void EndAttempt(RequestAttempt& aAttempt, const Outcome<void>& aDone);
-  Next OnAttemptFailed(const RequestAttempt& aAttempt, const Error& aError);
+  Next OnAttemptFailed(RequestAttempt& aAttempt, const Error& aError);
   Next OnEndpointFailed(const RequestAttempt& aAttempt, const Error& aError);
   Next OnRelayFailed(const RequestAttempt& aAttempt, const Error& aError);
 
@@ -168,16 +175,17 @@
   TimePoint NextStallCheck() const;
   bool IsStallTimeout(const Error& aError) const;
   std::chrono::milliseconds MaxSilenceOfReplacement() const;
-  bool TryObtainReplacementPermit();
-  void ReleaseReplacement();
   boost::asio::awaitable<void> OnStallTimeout(RequestAttempt& aAttempt);
   boost::asio::awaitable<void> AwaitOrReplace(RequestAttempt& aStalled);
   void Exclude(const RequestAttempt& aAttempt);
   boost::asio::awaitable<void> AwaitStalled(RequestAttempt& aStalled,
                                             const Replacement& aReplacement);
   boost::asio::awaitable<void> PrepareReplacement(Replacement& aReplacement);
-  boost::asio::awaitable<Outcome<void>> AwaitBegin(RequestAttempt& aAttempt);
-  void LogStalled(RequestAttempt& aAttempt, std::string_view aDecision) const;
+  boost::asio::awaitable<Outcome<void>> AwaitData(RequestAttempt& aAttempt);
+  std::optional<Error> CheckData(const RequestAttempt& aAttempt);
+  std::optional<Error> CheckBody(const RequestAttempt& aAttempt);
+  void RecordStalled(const RequestAttempt& aAttempt,
+                     std::string_view aDecision);
 
   bool MustAwaitLinkState() const;
   bool MustAwaitCrashCheck();
@@ -223,10 +231,10 @@
   std::optional<Error> CheckContinues(const RequestAttempt& aAttempt) const;
   boost::asio::awaitable<Outcome<void>> ForwardResponse(
     RequestAttempt& aAttempt);
+  boost::asio::awaitable<Outcome<void>> Read(RequestAttempt& aAttempt);
+  boost::asio::awaitable<Outcome<void>> ReadPart(RequestAttempt& aAttempt);
   boost::asio::awaitable<Outcome<void>> ReadHead(RequestAttempt& aAttempt);
-  boost::asio::awaitable<Outcome<std::optional<std::string>>> ReadChunk(
-    RequestAttempt& aAttempt);
-  boost::asio::awaitable<Outcome<void>> ReadEvents(RequestAttempt& aAttempt);
+  void OnStreamData(RequestAttempt& aAttempt, const std::string& aData);
   std::optional<Error> ValidateHead(const HttpResponse& aHead,
                                     AttemptTarget& aTarget);
   void OnNotExecuted(const EndpointResponseMetadata& aFacts,
@@ -272,7 +280,6 @@
   WaitingTurn turn_;
   int stalled_ = 0;        // attempts that stalled and are still open
   AttemptPtr replacement_; // has begun in place of a stalled attempt
-  std::unique_ptr<Fleet::ReplacementPermit> replacementPermit_;
   // While endpoints were checked under which parts of its prompt may have
   // crashed.
   std::chrono::milliseconds awaitedCrashChecks_{ 0 };
--- a/include/gooseberrylift/internal/gooseberrylift-service-loads.h
+++ b/include/gooseberrylift/internal/gooseberrylift-service-loads.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "gooseberrylift/limits/gooseberrylift-replacement-pacer.h"
 #include "gooseberrylift/membership/gooseberrylift-load-message.h"
 #include "gooseberrylift/routing/gooseberrylift-endpoint-directory.h"
 #include "gooseberrylift/routing/gooseberrylift-endpoint-pressure.h"
@@ -26,9 +27,8 @@
   FleetLoad load_{ FleetLoad::Options{} };
   OutlierDetector outlierDetector_{ OutlierDetector::Options{} };
   EndpointPressure pressure_{ EndpointPressure::Options{} };
-  bool hasTraffic_ = false; // a request of this host has ended
-  // When the next stalled attempt may be replaced while no endpoint responds.
-  TimePoint nextSilenceProbe_{};
+  bool hasTraffic_ = false;       // a request of this host has ended
+  ReplacementPacer replacements_; // of stalled attempts
   // Of a request to a plain service; assumed until the first answer arrives.
   std::chrono::microseconds typicalDuration_{ 20'000 };
 
--- a/include/gooseberrylift/internal/gooseberrylift-shared-retry-budget.h
+++ b/include/gooseberrylift/internal/gooseberrylift-shared-retry-budget.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
@@ -38,7 +39,8 @@
     Retry(const Retry&) = delete;
     Retry& operator=(const Retry&) = delete;
 
-    /// Reserves a retry unless one is reserved.
+    /// Reserves a retry unless one is reserved. Only the first of consecutive
+    /// denials is logged and counted.
     /// @return whether one is reserved now
     bool TryReserve();
 
@@ -70,10 +72,14 @@
     std::string service_;
     std::string requestId_;
     State state_ = State::kNone;
+    bool isDenied_ = false;
   };
 
 private:
-  bool TryReserve(const std::string& aService, const std::string& aRequestId);
+  std::optional<RetryBudgetState> TryReserve(const std::string& aService);
+  void RecordDenied(const std::string& aService,
+                    const std::string& aRequestId,
+                    const RetryBudgetState& aState);
 
   Metrics& metrics_;
   const double startingCredit_;
--- a/include/gooseberrylift/internal/gooseberrylift-tasks.h
+++ b/include/gooseberrylift/internal/gooseberrylift-tasks.h
@@ -33,6 +33,10 @@
   std::function<boost::asio::awaitable<void>()> aFirst,
   std::function<boost::asio::awaitable<void>()> aSecond);
 
+/// Throws operation_aborted if the calling coroutine was cancelled during an
+/// operation that returned an error instead.
+boost::asio::awaitable<void> ThrowIfCancelled();
+
 /// Starts a coroutine that CancelTasks does not cancel, such as a request that
 /// releases memory at an engine. The coroutine must limit its own run time.
 void SpawnCleanup(const boost::asio::any_io_executor& aExecutor,
--- a/include/gooseberrylift/membership/gooseberrylift-relay-message.h
+++ b/include/gooseberrylift/membership/gooseberrylift-relay-message.h
@@ -29,6 +29,9 @@
   // Whether the sender may send the request elsewhere if an endpoint answers
   // that it failed.
   bool mayMove_ = false;
+  // Whether the sender has admitted the request and sent it before, so that it
+  // isn't admitted again.
+  bool admitted_ = false;
   std::vector<std::string> tried_; // endpoints that failed the request
 };
 
--- a/src/core/membership/gooseberrylift-relay-message.cc
+++ b/src/core/membership/gooseberrylift-relay-message.cc
@@ -53,6 +53,7 @@
            { "generation", aTerms.generation_ },
            { "waited_ms", aTerms.waited_.count() },
            { "may_move", aTerms.mayMove_ },
+           { "admitted", aTerms.admitted_ },
            { "tried", aTerms.tried_ } };
 }
 
@@ -63,6 +64,7 @@
                        .generation_ = aDocument.at("generation"),
                        .waited_ = BoundedDuration(aDocument.at("waited_ms")),
                        .mayMove_ = aDocument.at("may_move"),
+                       .admitted_ = aDocument.value("admitted", false),
                        .tried_ = aDocument.at("tried") };
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/gateway/gooseberrylift-endpoint-client.cc
+++ b/src/gateway/gooseberrylift-endpoint-client.cc
@@ -59,8 +59,6 @@
     return call_->ReadSome();
   }
 
-  asio::awaitable<bool> WaitForData() override { return call_->WaitForData(); }
-
   void SetDeadline(TimePoint aDeadline) override
   {
     call_->SetDeadline(aDeadline);
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -11,10 +11,6 @@
 
 namespace {
 
-// After an endpoint has responded to a replacement, the others mostly resume
-// within this time.
-constexpr milliseconds kSilenceProbeInterval{ 250 };
-
 PlacementCandidate FindCandidate(
   const std::vector<PlacementCandidate>& aCandidates,
   const ListedEndpoint& aEndpoint)
@@ -159,42 +155,13 @@
   return candidates;
 }
 
-Fleet::ReplacementPermit::ReplacementPermit(Fleet& aFleet,
-                                            std::string aService,
-                                            bool aIsProbe)
-  : fleet_(aFleet)
-  , service_(std::move(aService))
-  , isProbe_(aIsProbe)
-{
-}
-
-Fleet::ReplacementPermit::~ReplacementPermit()
-{
-  if (isProbe_) {
-    const TimePoint now = TimerService::Now();
-    fleet_.loads_.With(service_, [now](ServiceLoad& aState) {
-      aState.nextSilenceProbe_ = now + kSilenceProbeInterval;
-    });
-  }
-}
-
-std::unique_ptr<Fleet::ReplacementPermit> Fleet::TryReplace(
-  const std::string& aService)
+bool Fleet::TryReplace(const std::string& aService)
 {
   const TimePoint now = TimerService::Now();
-  bool isProbe = false;
-  const bool allowed = loads_.With(aService, [&](ServiceLoad& aState) {
-    isProbe = !aState.load_.AreResponding(now);
-    if (isProbe && now < aState.nextSilenceProbe_) {
-      return false;
-    }
-    if (isProbe) {
-      aState.nextSilenceProbe_ = TimePoint::max();
-    }
-    return true;
+  return loads_.With(aService, [now](ServiceLoad& aState) {
+    return aState.replacements_.TryReplace(aState.load_.AreResponding(now),
+                                           now);
   });
-  return allowed ? std::make_unique<ReplacementPermit>(*this, aService, isProbe)
-                 : nullptr;
 }
 
 bool Fleet::IsPeerLoadUnknown()
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -17,11 +17,6 @@
 
 namespace {
 
-// Responses up to this size are buffered, so that the request can still be
-// retried at another endpoint if the response breaks off. Larger ones are
-// forwarded as they arrive.
-constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
-
 Error MakeStallError()
 {
   return { .code_ = ResultCode::kEndpointSilent, .ran_ = RanState::kUnknown };
@@ -52,9 +47,11 @@
 asio::awaitable<Outcome<void>> RequestRun::ForwardResponse(
   RequestAttempt& aAttempt)
 {
-  auto done = co_await ReadHead(aAttempt);
-  if (!done) {
-    co_return done;
+  while (!aAttempt.headRead_) {
+    const auto read = co_await Read(aAttempt);
+    if (!read) {
+      co_return read;
+    }
   }
   if (IsStream(aAttempt)) {
     co_return co_await ForwardStream(aAttempt);
@@ -65,21 +62,56 @@
   co_return co_await ForwardBuffered(aAttempt);
 }
 
-asio::awaitable<Outcome<void>> RequestRun::ReadHead(RequestAttempt& aAttempt)
+// Reads the next part of a response. If it stalls, it is replaced or goes on.
+asio::awaitable<Outcome<void>> RequestRun::Read(RequestAttempt& aAttempt)
 {
-  if (aAttempt.headRead_) {
-    co_return boost::outcome_v2::success();
-  }
-  HttpCall& call = *aAttempt.call_;
-  call.SetDeadline(StallDeadline());
-  auto read = co_await call.ReadHead();
+  aAttempt.call_->SetDeadline(aAttempt.isBeingReplaced_ ? request_.deadline_
+                                                        : StallDeadline());
+  const std::size_t partsBefore = aAttempt.parts_;
+  auto read = co_await ReadPart(aAttempt);
   while (!read && IsStallTimeout(read.error())) {
     co_await OnStallTimeout(aAttempt);
     if (replacement_) {
       co_return MakeStallError();
     }
-    read = co_await call.ReadHead();
+    if (aAttempt.failure_) {
+      co_return *aAttempt.failure_;
+    }
+    if (aAttempt.parts_ > partsBefore) {
+      co_return boost::outcome_v2::success();
+    }
+    read = co_await ReadPart(aAttempt);
   }
+  co_return read;
+}
+
+asio::awaitable<Outcome<void>> RequestRun::ReadPart(RequestAttempt& aAttempt)
+{
+  if (!aAttempt.headRead_) {
+    co_return co_await ReadHead(aAttempt);
+  }
+  auto chunk = co_await aAttempt.call_->ReadSome();
+  if (!chunk) {
+    co_return chunk.error();
+  }
+  ++aAttempt.parts_;
+  aAttempt.isStalled_ = false;
+  if (!chunk.value()) {
+    aAttempt.ended_ = true;
+    co_return boost::outcome_v2::success();
+  }
+  if (IsStream(aAttempt)) {
+    OnStreamData(aAttempt, *chunk.value());
+  } else {
+    aAttempt.body_ += *chunk.value();
+  }
+  co_return boost::outcome_v2::success();
+}
+
+asio::awaitable<Outcome<void>> RequestRun::ReadHead(RequestAttempt& aAttempt)
+{
+  HttpCall& call = *aAttempt.call_;
+  const auto read = co_await call.ReadHead();
   if (!read) {
     co_return read.error();
   }
@@ -88,8 +120,9 @@
   }
   // The head of a stream may be sent while the prompt is still being read.
   const bool begins = request_.route_->kind_ != RouteKind::kStreaming;
+  ++aAttempt.parts_;
+  aAttempt.isStalled_ = false;
   aAttempt.headRead_ = true;
-  aAttempt.stallLogged_ = false;
   aAttempt.Target().OnDataReceived(begins);
   if (begins) {
     RecordAnswerData(aAttempt);
@@ -97,6 +130,18 @@
   co_return boost::outcome_v2::success();
 }
 
+void RequestRun::OnStreamData(RequestAttempt& aAttempt,
+                              const std::string& aData)
+{
+  aAttempt.Target().OnDataReceived(!aAttempt.bodyBegun_);
+  aAttempt.bodyBegun_ = true;
+  RecordAnswerData(aAttempt);
+  aAttempt.splitter_.Feed(aData);
+  while (auto event = aAttempt.splitter_.Next()) {
+    aAttempt.events_.push_back(std::move(*event));
+  }
+}
+
 // Checks the head of a response before its content is trusted.
 std::optional<Error> RequestRun::ValidateHead(const HttpResponse& aHead,
                                               AttemptTarget& aTarget)
@@ -174,40 +219,21 @@
   }
 }
 
-asio::awaitable<Outcome<std::optional<std::string>>> RequestRun::ReadChunk(
-  RequestAttempt& aAttempt)
-{
-  HttpCall& call = *aAttempt.call_;
-  call.SetDeadline(StallDeadline());
-  auto chunk = co_await call.ReadSome();
-  while (!chunk && IsStallTimeout(chunk.error())) {
-    co_await OnStallTimeout(aAttempt);
-    if (replacement_) {
-      co_return MakeStallError();
-    }
-    chunk = co_await call.ReadSome();
-  }
-  co_return chunk;
-}
-
 asio::awaitable<Outcome<void>> RequestRun::ForwardBuffered(
   RequestAttempt& aAttempt)
 {
   HttpCall& call = *aAttempt.call_;
-  HttpResponse answer = parts_.dialect_.MakeCallerResponse(call.Head());
-  while (true) {
-    auto chunk = co_await ReadChunk(aAttempt);
-    if (!chunk) {
-      co_return chunk.error();
+  while (!aAttempt.ended_) {
+    if (aAttempt.body_.size() > kMaxBufferedBytes) {
+      co_return co_await ForwardUnbuffered(call, std::move(aAttempt.body_));
     }
-    if (!chunk.value()) {
-      break;
-    }
-    answer.body_ += *chunk.value();
-    if (answer.body_.size() > kMaxBufferedBytes) {
-      co_return co_await ForwardUnbuffered(call, std::move(answer.body_));
+    const auto read = co_await Read(aAttempt);
+    if (!read) {
+      co_return read;
     }
   }
+  HttpResponse answer = parts_.dialect_.MakeCallerResponse(call.Head());
+  answer.body_ = std::move(aAttempt.body_);
   const bool failed = answer.status_ >= 500;
   if (failed && MayRetryElsewhere() && TryReserveRetry()) {
     const std::string text = "status " + std::to_string(answer.status_);
@@ -250,28 +276,6 @@
   co_return MakeError(ResultCode::kCallerLeft);
 }
 
-// Reads the next part of a stream; ended_ is set if there is none.
-asio::awaitable<Outcome<void>> RequestRun::ReadEvents(RequestAttempt& aAttempt)
-{
-  auto chunk = co_await ReadChunk(aAttempt);
-  if (!chunk) {
-    co_return chunk.error();
-  }
-  if (!chunk.value()) {
-    aAttempt.ended_ = true;
-    co_return boost::outcome_v2::success();
-  }
-  aAttempt.Target().OnDataReceived(!aAttempt.bodyBegun_);
-  aAttempt.bodyBegun_ = true;
-  aAttempt.stallLogged_ = false;
-  RecordAnswerData(aAttempt);
-  aAttempt.splitter_.Feed(*chunk.value());
-  while (auto event = aAttempt.splitter_.Next()) {
-    aAttempt.events_.push_back(std::move(*event));
-  }
-  co_return boost::outcome_v2::success();
-}
-
 asio::awaitable<Outcome<void>> RequestRun::ForwardStream(
   RequestAttempt& aAttempt)
 {
@@ -289,9 +293,9 @@
     if (aAttempt.ended_) {
       break;
     }
-    const auto read = co_await ReadEvents(aAttempt);
+    const auto read = co_await Read(aAttempt);
     if (!read) {
-      co_return read.error();
+      co_return read;
     }
   }
   if (aAttempt.splitter_.Pending() > 0) {
--- a/src/gateway/gooseberrylift-request-attempt.cc
+++ b/src/gateway/gooseberrylift-request-attempt.cc
@@ -4,6 +4,7 @@
 
 #include "gooseberrylift-connect-timeouts.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
 #include "gooseberrylift/routing/gooseberrylift-priority-class.h"
@@ -78,6 +79,9 @@
   } else {
     sent = co_await SendToEndpoint(aAttempt);
   }
+  if (!sent) {
+    co_await ThrowIfCancelled();
+  }
   if (!sent && sent.error().ran_ == RanState::kNo) {
     // The elapsed time is bounded, which bounds the number of attempts.
     timeOnUnsentAttempts_ += TimerService::Now() - startTime;
@@ -142,10 +146,6 @@
     return;
   }
   Fleet::ActiveRequest& active = *aAttempt.active_;
-  if (!aDone && aDone.error().code_ == ResultCode::kEndpointSilent) {
-    parts_.links_.OnFailed(active.Placement().endpoint_,
-                           LinkFailure::kResponse);
-  }
   if (aDone && aAttempt.call_->HasExplicitEnd() && status_ < 500) {
     RecordSound(aAttempt);
   }
@@ -252,9 +252,11 @@
                                                 options);
 }
 
-RequestRun::Next RequestRun::OnAttemptFailed(const RequestAttempt& aAttempt,
+// Ends a failed attempt and returns what follows.
+RequestRun::Next RequestRun::OnAttemptFailed(RequestAttempt& aAttempt,
                                              const Error& aError)
 {
+  EndAttempt(aAttempt, aError);
   return aAttempt.relay_ ? OnRelayFailed(aAttempt, aError)
                          : OnEndpointFailed(aAttempt, aError);
 }
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -7,6 +7,7 @@
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
+#include "gooseberrylift/limits/gooseberrylift-started-response.h"
 
 namespace gooseberrylift {
 
@@ -100,6 +101,7 @@
     duration_cast<milliseconds>(startTime - request_.firstArrived_);
   terms.mayMove_ =
     request_.route_->IsRepeatable() && sends_ + 1 < MaxAttempts();
+  terms.admitted_ = IsAdmitted();
   terms.tried_ = Tried();
   HttpRequest send = parts_.dialect_.MakeRelayRequest(
     exchange_.Request(), RemainingTime(), events_.Last());
@@ -146,7 +148,10 @@
     return Next::kTryAgain;
   }
   attempts_.OnFailed(aError);
-  if (replacement_ || (IsOfEndpoint(aError.code_) && MayRetry(aError))) {
+  const bool mayPass = streamStarted_ && aError.ran_ == RanState::kNo &&
+                       !EndsStartedResponse(aError.code_);
+  if (replacement_ || mayPass ||
+      (IsOfEndpoint(aError.code_) && MayRetry(aError))) {
     return Next::kTryAgain;
   }
   EnsureRetryDelay(aError);
--- a/src/gateway/gooseberrylift-request-replacement.cc
+++ b/src/gateway/gooseberrylift-request-replacement.cc
@@ -4,6 +4,7 @@
 
 #include "gooseberrylift/internal/gooseberrylift-request-run.h"
 
+#include "gooseberrylift-request-errors.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -41,10 +42,10 @@
 
 } // namespace
 
-// Whether the other attempt can't begin any more.
+// How far the attempt that may replace a stalled one has come.
 struct RequestRun::Replacement
 {
-  bool givenUp_ = false;
+  bool isSent_ = false;
 };
 
 // Returns when an endpoint exceeds its stall timeout if it stays silent from
@@ -73,7 +74,7 @@
 // the stalled one.
 milliseconds RequestRun::MaxSilenceOfReplacement() const
 {
-  return EndpointStallTimeout(*request_.route_) / 2;
+  return EndpointStallTimeout(*request_.route_) / 4;
 }
 
 // Handles a stall timeout of an attempt. Returns once reading may continue;
@@ -85,8 +86,12 @@
     co_return;
   }
   // The host that relayed a request has the other attempts.
-  const bool mayReplace = !request_.relay_ && MayRetryElsewhere();
-  LogStalled(aAttempt, mayReplace ? "replace" : "no-attempt-left");
+  const bool mayReplace =
+    !request_.relay_ && !aAttempt.isBeingReplaced_ && MayRetryElsewhere();
+  if (!aAttempt.isStalled_) {
+    RecordStalled(aAttempt, mayReplace ? "replace" : "no-attempt-left");
+  }
+  aAttempt.isStalled_ = true;
   if (mayReplace) {
     co_await AwaitOrReplace(aAttempt);
   }
@@ -99,9 +104,10 @@
   retry_.OnRelayEnded(true);
   Exclude(aStalled);
   Replacement replacement;
+  aStalled.isBeingReplaced_ = true;
   co_await RunUntilOneEnds([&] { return AwaitStalled(aStalled, replacement); },
                            [&] { return PrepareReplacement(replacement); });
-  replacementPermit_.reset();
+  aStalled.isBeingReplaced_ = false;
   if (!replacement_) {
     retry_.OnRelayEnded(true);
     retry_.Release();
@@ -118,17 +124,18 @@
   }
 }
 
-// Returns when the stalled attempt goes on, or has failed and can't be
-// replaced.
+// Returns when the stalled attempt goes on, or has failed and no replacement
+// was sent yet.
 asio::awaitable<void> RequestRun::AwaitStalled(RequestAttempt& aStalled,
                                                const Replacement& aReplacement)
 {
-  aStalled.call_->SetDeadline(request_.deadline_);
-  const bool goesOn = co_await aStalled.call_->WaitForData();
-  if (goesOn) {
+  const auto begun = co_await AwaitData(aStalled);
+  if (begun || replacement_) {
     co_return;
   }
-  while (!aReplacement.givenUp_) {
+  co_await ThrowIfCancelled();
+  aStalled.failure_ = begun.error();
+  while (aReplacement.isSent_) {
     co_await TimerService::SleepFor(kReplacementPoll);
   }
 }
@@ -137,58 +144,90 @@
 asio::awaitable<void> RequestRun::PrepareReplacement(Replacement& aReplacement)
 {
   Next next = Next::kTryAgain;
-  while (next == Next::kTryAgain) {
+  while (next == Next::kTryAgain && !replacement_) {
     auto opened = co_await OpenAttempt();
     if (!opened) {
       break;
     }
-    const std::unique_ptr<RequestAttempt>& attempt = opened.value();
-    const auto begun = co_await AwaitBegin(*attempt);
+    RequestAttempt& attempt = *opened.value();
+    aReplacement.isSent_ = true;
+    const auto begun = co_await AwaitData(attempt);
     if (begun) {
       replacement_ = std::move(opened.value());
       co_return;
     }
-    EndAttempt(*attempt, begun);
-    next = OnAttemptFailed(*attempt, begun.error());
-    if (replacement_) {
-      co_return;
-    }
-    replacementPermit_.reset();
+    co_await ThrowIfCancelled();
+    aReplacement.isSent_ = false;
+    next = OnAttemptFailed(attempt, begun.error());
+  }
+  if (!replacement_) {
+    co_await TimerService::SleepUntil(request_.deadline_);
   }
-  aReplacement.givenUp_ = true;
-  replacementPermit_.reset();
-  co_await TimerService::SleepUntil(request_.deadline_);
 }
 
-// Reads a response until a part of it could be forwarded.
-asio::awaitable<Outcome<void>> RequestRun::AwaitBegin(RequestAttempt& aAttempt)
+// Reads a response until a part of it can be forwarded.
+asio::awaitable<Outcome<void>> RequestRun::AwaitData(RequestAttempt& aAttempt)
 {
-  auto read = co_await ReadHead(aAttempt);
-  if (!read) {
-    co_return read;
-  }
-  if (!IsStream(aAttempt)) {
-    if (const auto error = CheckContinues(aAttempt)) {
-      co_return *error;
-    }
-    co_return boost::outcome_v2::success();
-  }
-  while (!aAttempt.HasBegun()) {
-    read = co_await ReadEvents(aAttempt);
+  bool isWhole = false;
+  while (!isWhole) {
+    const auto read = co_await Read(aAttempt);
     if (!read) {
       co_return read;
     }
+    isWhole = aAttempt.ended_ || !aAttempt.events_.empty() ||
+              aAttempt.body_.size() > kMaxBufferedBytes;
+  }
+  if (const auto error = CheckData(aAttempt)) {
+    co_return *error;
   }
   co_return boost::outcome_v2::success();
 }
 
-void RequestRun::LogStalled(RequestAttempt& aAttempt,
-                            std::string_view aDecision) const
+// Returns why the response is not preferred to that of another attempt; nothing
+// if it is.
+std::optional<Error> RequestRun::CheckData(const RequestAttempt& aAttempt)
+{
+  const HttpCall& call = *aAttempt.call_;
+  if (!IsStream(aAttempt)) {
+    return CheckBody(aAttempt);
+  }
+  if (aAttempt.events_.empty()) {
+    const bool isWhole =
+      call.HasExplicitEnd() && aAttempt.splitter_.Pending() == 0;
+    return isWhole ? std::nullopt
+                   : std::optional(MakeBrokenError("the stream broke off"));
+  }
+  EventSequence next = events_;
+  if (next.Take(aAttempt.events_.front()) == EventSequence::Verdict::kGap) {
+    return MakeBrokenError("an event of the stream is missing");
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> RequestRun::CheckBody(const RequestAttempt& aAttempt)
+{
+  if (auto error = CheckContinues(aAttempt)) {
+    return error;
+  }
+  const int status = aAttempt.call_->Head().status_;
+  if (status < 500) {
+    return std::nullopt;
+  }
+  savedFailure_ = parts_.dialect_.MakeCallerResponse(aAttempt.call_->Head());
+  savedFailure_->body_ = aAttempt.body_;
+  return Error{ .code_ = ResultCode::kEndpointFailed,
+                .text_ = "status " + std::to_string(status),
+                .ran_ = RanState::kYes };
+}
+
+void RequestRun::RecordStalled(const RequestAttempt& aAttempt,
+                               std::string_view aDecision)
 {
-  if (aAttempt.stallLogged_) {
-    return;
+  if (aAttempt.active_) {
+    // The link may be what is silent; probes tell.
+    parts_.links_.OnFailed(aAttempt.active_->Placement().endpoint_,
+                           LinkFailure::kResponse);
   }
-  aAttempt.stallLogged_ = true;
   const AttemptTarget& target = aAttempt.Target();
   const EndpointActivity activity = target.Activity();
   Log(LogEvent::kAttemptStalled,
--- a/src/gateway/gooseberrylift-request-return.cc
+++ b/src/gateway/gooseberrylift-request-return.cc
@@ -38,7 +38,7 @@
 Error RequestRun::MakeFinalError()
 {
   Error error = attempts_.FinalError();
-  if (!MayBeServedLater(error)) {
+  if (streamStarted_ || !MayBeServedLater(error)) {
     return error;
   }
   error.retryAfter_ = error.retryAfter_.value_or(RandomRetryDelay());
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -84,8 +84,8 @@
     }
     RequestAttempt& attempt = *opened.value();
     const auto done = co_await ForwardResponse(attempt);
-    EndAttempt(attempt, done);
     if (done) {
+      EndAttempt(attempt, done);
       co_return boost::outcome_v2::success();
     }
     next = OnAttemptFailed(attempt, done.error());
@@ -117,7 +117,9 @@
       co_return *step.refusal_;
     }
     if (!step.placement_ && !step.peer_) {
-      ReleaseReplacement();
+      if (stalled_ > 0) {
+        retry_.Release(); // others may need it meanwhile
+      }
       co_await TimerService::SleepFor(step.wait_);
       continue;
     }
@@ -126,10 +128,12 @@
     if (sent) {
       co_return std::move(attempt);
     }
-    EndAttempt(*attempt, sent);
     if (OnAttemptFailed(*attempt, sent.error()) == Next::kEnd) {
       co_return sent.error();
     }
+    if (streamStarted_) {
+      co_await TimerService::SleepFor(kStartedResponsePoll);
+    }
   }
 }
 
@@ -144,7 +148,7 @@
   if (MustAwaitCrashCheck()) {
     return { .wait_ = kCrashCheckPoll };
   }
-  if (stalled_ > 0 && !TryObtainReplacementPermit()) {
+  if (stalled_ > 0 && !parts_.fleet_.TryReplace(request_.service_)) {
     return { .wait_ = kStartedResponsePoll };
   }
   if (sends_ > 0 && !TryReserveRetry()) {
@@ -204,27 +208,21 @@
 {
   const bool isUnderWay = stalled_ > 0 || streamStarted_;
   return isUnderWay && !EndsStartedResponse(aRefusal.code_) &&
-         CurrentProgress().sinceLastWrite_ <
-           CallerStallTimeout(*request_.route_);
+         HasCallerPatience();
 }
 
-// Returns whether a stalled attempt may be replaced now.
-bool RequestRun::TryObtainReplacementPermit()
+// Returns whether the caller still waits for the next event.
+bool RequestRun::HasCallerPatience() const
 {
-  if (!replacementPermit_) {
-    replacementPermit_ = parts_.fleet_.TryReplace(request_.service_);
-  }
-  return replacementPermit_ != nullptr;
+  return CurrentProgress().sinceLastWrite_ <
+         CallerStallTimeout(*request_.route_);
 }
 
-// Lets other requests use what is reserved for the replacement of a stalled
-// attempt.
-void RequestRun::ReleaseReplacement()
+// Returns whether this host, or the one that relayed the request, has sent it
+// before.
+bool RequestRun::IsAdmitted() const
 {
-  if (stalled_ > 0) {
-    replacementPermit_.reset();
-    retry_.Release();
-  }
+  return sends_ > 0 || (request_.relay_ && request_.relay_->admitted_);
 }
 
 // Returns why a placed request is rejected; nothing if it is sent.
@@ -351,11 +349,13 @@
   if (request_.relay_ && failedConnections_ >= kMaxFailedConnections) {
     return false; // the host that relayed it may choose another one
   }
+  const bool mayWait = streamStarted_ && HasCallerPatience();
   const bool noneLeft = aError.code_ == ResultCode::kEndpointUnreachable &&
                         !parts_.fleet_.Access().HasUntried(
                           request_.service_, tried_, request_.allowedZones_);
-  if (sends_ >= MaxAttempts() || noneLeft ||
-      timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts) {
+  const bool isFutile =
+    noneLeft || timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts;
+  if (sends_ >= MaxAttempts() || (isFutile && !mayWait)) {
     return false;
   }
   // A response that has begun waits for the retry budget.
--- a/src/gateway/gooseberrylift-request-waiting.cc
+++ b/src/gateway/gooseberrylift-request-waiting.cc
@@ -49,7 +49,7 @@
 HoldDecision RequestRun::DecideHold(const FleetPlacement& aPlacement)
 {
   const EngineProfile* profile = FindEngineProfile();
-  if (!aPlacement.slowsDecoding_ || sends_ > 0 || profile == nullptr) {
+  if (!aPlacement.slowsDecoding_ || IsAdmitted() || profile == nullptr) {
     return HoldDecision::kSend;
   }
   HoldInput input = MakeHoldInput(*profile, aPlacement.wait_);
@@ -140,7 +140,7 @@
 std::optional<milliseconds> RequestRun::DelayForMemory()
 {
   const EngineProfile* profile = FindEngineProfile();
-  if (sends_ > 0 || profile == nullptr) {
+  if (IsAdmitted() || profile == nullptr) {
     return std::nullopt;
   }
   const std::uint64_t needed =
@@ -210,8 +210,8 @@
 
 std::optional<Error> RequestRun::Admit(const FleetPlacement& aPlacement) const
 {
-  if (sends_ > 0) {
-    return std::nullopt; // its first attempt was admitted
+  if (IsAdmitted()) {
+    return std::nullopt;
   }
   const TimePoint now = TimerService::Now();
   const AdmissionInput input{
--- a/src/gateway/gooseberrylift-shared-retry-budget.cc
+++ b/src/gateway/gooseberrylift-shared-retry-budget.cc
@@ -45,30 +45,32 @@
   budget_.OnRequest(aService, aNow);
 }
 
-bool SharedRetryBudget::TryReserve(const std::string& aService,
-                                   const std::string& aRequestId)
+// Returns what the budget stands at if it does not allow a retry.
+std::optional<RetryBudgetState> SharedRetryBudget::TryReserve(
+  const std::string& aService)
 {
   const TimePoint now = TimerService::Now();
-  RetryBudgetState state;
-  {
-    const std::lock_guard lock(mutex_);
-    if (budget_.TryReserve(aService, now)) {
-      metrics_.Count("gooseberrylift_retries_total", "allowed=\"yes\"");
-      return true;
-    }
-    state = budget_.StateOf(aService, now);
+  const std::lock_guard lock(mutex_);
+  if (budget_.TryReserve(aService, now)) {
+    return std::nullopt;
   }
+  return budget_.StateOf(aService, now);
+}
+
+void SharedRetryBudget::RecordDenied(const std::string& aService,
+                                     const std::string& aRequestId,
+                                     const RetryBudgetState& aState)
+{
   metrics_.Count("gooseberrylift_retries_total", "allowed=\"no\"");
   Log(LogEvent::kRetryDenied,
       { { "request_id", aRequestId },
         { "service", aService },
-        { "requests", state.requests_ },
-        { "retries", state.retries_ },
-        { "reserved", state.reserved_ },
-        { "limit", state.limit_ },
-        { "hosts", state.hosts_ },
-        { "running_ms", state.age_.count() } });
-  return false;
+        { "requests", aState.requests_ },
+        { "retries", aState.retries_ },
+        { "reserved", aState.reserved_ },
+        { "limit", aState.limit_ },
+        { "hosts", aState.hosts_ },
+        { "running_ms", aState.age_.count() } });
 }
 
 SharedRetryBudget::Retry::Retry(SharedRetryBudget& aBudget,
@@ -99,10 +101,19 @@
 
 bool SharedRetryBudget::Retry::TryReserve()
 {
-  if (state_ == State::kNone && budget_.TryReserve(service_, requestId_)) {
-    state_ = State::kReserved;
+  if (state_ != State::kNone) {
+    return state_ == State::kReserved;
+  }
+  if (const auto denied = budget_.TryReserve(service_)) {
+    if (!isDenied_) {
+      budget_.RecordDenied(service_, requestId_, *denied);
+    }
+    isDenied_ = true;
+    return false;
   }
-  return state_ == State::kReserved;
+  isDenied_ = false;
+  state_ = State::kReserved;
+  return true;
 }
 
 void SharedRetryBudget::Retry::OnSent()
@@ -133,6 +144,7 @@
 
 void SharedRetryBudget::Retry::Count()
 {
+  budget_.metrics_.Count("gooseberrylift_retries_total", "allowed=\"yes\"");
   const std::lock_guard lock(budget_.mutex_);
   budget_.budget_.OnSent(service_, TimerService::Now());
   state_ = State::kNone;
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -138,7 +138,7 @@
       aConnection.socket_, co_await asio::this_coro::executor, aDeadline);
     const auto [code] =
       co_await aConnection.socket_.async_connect(aEndpoint, kAwait);
-    co_return code;
+    co_return guard.Expired() ? asio::error::timed_out : code;
   }
 
   asio::awaitable<Outcome<std::unique_ptr<Connection>>> Connect(
@@ -156,6 +156,9 @@
       std::min(aDeadline, TimerService::Now() + aTimeout);
     const boost::system::error_code code =
       co_await Open(*connection, endpoint.value(), connectDeadline);
+    if (code == asio::error::operation_aborted) {
+      co_return Error{ .code_ = ResultCode::kCallerLeft };
+    }
     if (code) {
       co_return Error{ .code_ = ResultCode::kEndpointUnreachable,
                        .text_ = aAddress + ": " + code.message() };
@@ -290,21 +293,6 @@
     co_return std::optional<std::string>();
   }
 
-  asio::awaitable<bool> WaitForData() override
-  {
-    const SocketDeadline guard(
-      connection_->socket_, co_await asio::this_coro::executor, deadline_);
-    const auto [code] =
-      co_await connection_->socket_.async_wait(tcp::socket::wait_read, kAwait);
-    char byte = 0;
-    boost::system::error_code peeked = code;
-    if (!code) {
-      connection_->socket_.receive(
-        asio::buffer(&byte, 1), tcp::socket::message_peek, peeked);
-    }
-    co_return !peeked;
-  }
-
 private:
   static Error MakeTransferError(boost::system::error_code aCode, bool aExpired)
   {
--- a/src/net/gooseberrylift-tasks.cc
+++ b/src/net/gooseberrylift-tasks.cc
@@ -144,6 +144,14 @@
                            asio::use_awaitable);
 }
 
+asio::awaitable<void> ThrowIfCancelled()
+{
+  const auto state = co_await asio::this_coro::cancellation_state;
+  if (state.cancelled() != asio::cancellation_type::none) {
+    throw boost::system::system_error(asio::error::operation_aborted);
+  }
+}
+
 void SpawnCleanup(const asio::any_io_executor& aExecutor,
                   asio::awaitable<void> aTask)
 {
