--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -184,6 +184,7 @@
     const SocketDeadline guard = WriteGuard();
     const auto [code, size] =
       co_await http::async_write_header(socket_, serializer, kAwait);
+    RecordWriteTimeout(guard);
     co_return !code;
   }
 
@@ -206,6 +207,7 @@
     const SocketDeadline guard = WriteGuard();
     const auto [code, size] =
       co_await asio::async_write(socket_, http::make_chunk_last(), kAwait);
+    RecordWriteTimeout(guard);
     reusable_ = !code && streamKeepAlive_;
     co_return !code;
   }
