Use a host or an engine again that was silent and has gone on

A stalled attempt that went on left its host among those that refused the request, so that nothing was left to go to if it was lost later: 4 to 7 of 12 streams cut. Data that another host relays now counts as a sign that endpoints respond.

--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -178,6 +178,7 @@
   boost::asio::awaitable<void> OnStallTimeout(RequestAttempt& aAttempt);
   boost::asio::awaitable<void> AwaitOrReplace(RequestAttempt& aStalled);
   void Exclude(const RequestAttempt& aAttempt);
+  void Include(const RequestAttempt& aAttempt);
   boost::asio::awaitable<void> AwaitStalled(RequestAttempt& aStalled,
                                             const Replacement& aReplacement);
   boost::asio::awaitable<void> PrepareReplacement(Replacement& aReplacement);
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -138,6 +138,9 @@
   /// Returns this host's own load at one endpoint.
   EndpointShare OwnShare(const std::string& aEndpoint, TimePoint aNow) const;
 
+  /// Records that an endpoint sent data, also if another host relayed it.
+  void RecordData(TimePoint aNow);
+
   /// Returns whether endpoints have been sending data to this host's requests
   /// for a while. If they all stood still and one resumes, the others mostly do
   /// so a moment later.
@@ -217,8 +220,6 @@
                                const LocalLoad& aOwn,
                                TimePoint aNow);
 
-  void RecordData(TimePoint aNow);
-
   Options options_;
   // By endpoint. Hash maps, because each placement looks up every endpoint.
   std::unordered_map<std::string, LocalLoad> local_;
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -135,6 +135,11 @@
 {
   aAttempt.Target().OnDataReceived(!aAttempt.bodyBegun_);
   aAttempt.bodyBegun_ = true;
+  if (aAttempt.relay_) {
+    parts_.fleet_.Loads().With(request_.service_, [](ServiceLoad& aLoad) {
+      aLoad.load_.RecordData(TimerService::Now());
+    });
+  }
   RecordAnswerData(aAttempt);
   aAttempt.splitter_.Feed(aData);
   while (auto event = aAttempt.splitter_.Next()) {
--- a/src/gateway/gooseberrylift-request-replacement.cc
+++ b/src/gateway/gooseberrylift-request-replacement.cc
@@ -111,6 +111,9 @@
   if (!replacement_) {
     retry_.OnRelayEnded(true);
     retry_.Release();
+    if (!aStalled.failure_) {
+      Include(aStalled); // it has gone on
+    }
   }
   aStalled.call_->SetDeadline(StallDeadline());
 }
@@ -124,6 +127,15 @@
   }
 }
 
+void RequestRun::Include(const RequestAttempt& aAttempt)
+{
+  if (aAttempt.relay_) {
+    excludedPeers_.erase(aAttempt.relay_->Peer().host_);
+  } else {
+    tried_.erase(aAttempt.active_->Placement().endpoint_.id_);
+  }
+}
+
 // Returns when the stalled attempt goes on, or has failed and no replacement
 // was sent yet.
 asio::awaitable<void> RequestRun::AwaitStalled(RequestAttempt& aStalled,
