Log why a begun response of the own interface ended

Event 1305 and gooseberrylift_responses_truncated_total were written for routed requests only. A stream of the own interface that ended in the middle left event 1301, which shares its rate limit with every rejected request and says neither how much the caller has nor how many engines failed.

Both now cover the own interface, with the next token, the engines that were sent the request and those that failed. The progress of a generation outlives its coroutine for this, so that an aborted exchange is reported too; it replaces GenerationResult. The stream test prints these lines and the failed attempts of the streams that it lost.

--- a/include/gooseberrylift/internal/gooseberrylift-caller-api.h
+++ b/include/gooseberrylift/internal/gooseberrylift-caller-api.h
@@ -31,7 +31,8 @@
   TimePoint arrived_;
   Configuration::Ptr configuration_;
   const TeamConfig* team_ = nullptr;
-  BurnObservation* burn_ = nullptr; // outlives the request
+  BurnObservation* burn_ = nullptr;        // outlives the request
+  GenerationProgress* progress_ = nullptr; // outlives the request
 };
 
 // Answers every request exactly once: with a complete response, a stream, or an
@@ -77,6 +78,9 @@
     ServiceCall aCall,
     std::string aKey);
   void RecordBurn(const RequestContext& aRequest, ResultCode aCode);
+  void RecordTruncation(const RequestContext& aRequest,
+                        const Error& aError,
+                        AbortReason aReason);
   boost::asio::awaitable<void> SendFailure(HttpExchange& aExchange,
                                            const RequestContext& aRequest,
                                            Error aError);
--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -56,11 +57,15 @@
   virtual boost::asio::awaitable<bool> Flush() { co_return true; }
 };
 
-struct GenerationResult
+// State of a generation across its attempts. It outlives the generation, so
+// that its owner can report why a response that has begun ended.
+struct GenerationProgress
 {
-  std::uint64_t tokens_ = 0;
-  int attempts_ = 0;
-  std::chrono::microseconds firstToken_{ 0 };
+  std::uint64_t next_ = 0; // index of the next token for the caller
+  bool callerLeft_ = false;
+  int attempts_ = 0;        // engines that the request was sent to
+  int startedAttempts_ = 0; // of these, ended by failure after a possible start
+  std::set<std::string> failed_; // engines of failed attempts
 };
 
 // Keeps no state between generations. Thread-safe.
@@ -83,25 +88,26 @@
               Options aOptions);
 
   /// Runs a generation to its end marker.
-  /// @return its statistics, or the error of the last attempt
-  boost::asio::awaitable<Outcome<GenerationResult>> Run(Generation aGeneration,
-                                                        TokenSink& aSink);
+  /// @param aProgress kept up to date, also when the coroutine is cancelled
+  /// @return the last error if the generation ended before its end marker
+  boost::asio::awaitable<Outcome<void>> Run(Generation aGeneration,
+                                            TokenSink& aSink,
+                                            GenerationProgress& aProgress);
 
 private:
-  struct Progress;
   boost::asio::awaitable<Outcome<void>> Attempt(const Generation& aGeneration,
-                                                Progress& aProgress,
+                                                GenerationProgress& aProgress,
                                                 Placement& aPlacement,
                                                 TokenSink& aSink);
   boost::asio::awaitable<Outcome<void>> ReadStream(
     const Generation& aGeneration,
-    Progress& aProgress,
+    GenerationProgress& aProgress,
     Placement& aPlacement,
     HttpCall& aCall,
     TokenSink& aSink);
   boost::asio::awaitable<Outcome<void>> HandleToken(
     const Generation& aGeneration,
-    Progress& aProgress,
+    GenerationProgress& aProgress,
     Placement& aPlacement,
     const std::string& aData,
     TokenSink& aSink);
--- a/src/front/gooseberrylift-caller-api.cc
+++ b/src/front/gooseberrylift-caller-api.cc
@@ -264,11 +264,13 @@
 asio::awaitable<void> CallerApi::Handle(HttpExchange& aExchange)
 {
   BurnObservation burn;
+  GenerationProgress progress;
   RequestContext request{ .id_ = MakeRequestId(),
                           .arrived_ = TimerService::Now(),
                           .configuration_ =
                             parts_.board_.configuration_.Read()->configuration_,
-                          .burn_ = &burn };
+                          .burn_ = &burn,
+                          .progress_ = &progress };
   Error error;
   try {
     const auto done = co_await Dispatch(aExchange, request);
@@ -374,7 +376,8 @@
   aExchange.SetDeadline(generation.info_.deadline_);
   if (model.stream_) {
     StreamSink sink(aExchange, aRequest);
-    const auto done = co_await parts_.models_.Run(std::move(generation), sink);
+    const auto done = co_await parts_.models_.Run(
+      std::move(generation), sink, *aRequest.progress_);
     if (!done) {
       co_return done.error();
     }
@@ -382,16 +385,18 @@
     co_return boost::outcome_v2::success();
   }
   BufferingSink sink(aRequest);
-  const auto done = co_await parts_.models_.Run(std::move(generation), sink);
+  const auto done = co_await parts_.models_.Run(
+    std::move(generation), sink, *aRequest.progress_);
   if (!done) {
     co_return done.error();
   }
-  HttpResponse response = JsonResponse(200,
-                                       MakeModelResponse(model,
-                                                         aRequest.id_,
-                                                         sink.text_,
-                                                         sink.finishReason_,
-                                                         done.value().tokens_));
+  HttpResponse response =
+    JsonResponse(200,
+                 MakeModelResponse(model,
+                                   aRequest.id_,
+                                   sink.text_,
+                                   sink.finishReason_,
+                                   aRequest.progress_->next_));
   response.fields_.push_back({ "X-Request-Id", aRequest.id_ });
   co_await aExchange.Send(std::move(response));
   co_return boost::outcome_v2::success();
@@ -461,6 +466,30 @@
   }
 }
 
+void CallerApi::RecordTruncation(const RequestContext& aRequest,
+                                 const Error& aError,
+                                 AbortReason aReason)
+{
+  const int code = static_cast<int>(aError.code_);
+  const GenerationProgress& progress = *aRequest.progress_;
+  parts_.metrics_.Count("gooseberrylift_responses_truncated_total",
+                        "code=\"" + std::to_string(code) + "\",reason=\"" +
+                          std::string(NameOf(aReason)) + "\"");
+  Log(LogEvent::kResponseTruncated,
+      { { "request_id", aRequest.id_ },
+        { "code", code },
+        { "text", aError.text_ },
+        { "reason", std::string(NameOf(aReason)) },
+        { "next_token", progress.next_ },
+        { "sends", progress.attempts_ },
+        { "sends_started", progress.startedAttempts_ },
+        { "endpoints_failed", progress.failed_ },
+        { "elapsed_ms",
+          std::chrono::duration_cast<milliseconds>(TimerService::Now() -
+                                                   aRequest.arrived_)
+            .count() } });
+}
+
 asio::awaitable<void> CallerApi::SendFailure(HttpExchange& aExchange,
                                              const RequestContext& aRequest,
                                              Error aError)
@@ -476,6 +505,9 @@
         { "code", code },
         { "text", aError.text_ },
         { "ran", NameOf(aError.ran_) } });
+  if (aExchange.ResponseStarted()) {
+    RecordTruncation(aRequest, aError, aExchange.Reason());
+  }
   // A caller that has stopped reading would block another write too. A caller
   // that closed only its sending half still reads, and gets the error.
   if (aExchange.Reason() == AbortReason::kCallerStalled) {
--- a/src/runtime/gooseberrylift-job-runner.cc
+++ b/src/runtime/gooseberrylift-job-runner.cc
@@ -342,15 +342,13 @@
     .arrived_ = now,
   };
   JobSink sink(aClaim->lost_);
-  const auto done = co_await models_.Run(std::move(generation), sink);
+  GenerationProgress progress;
+  const auto done = co_await models_.Run(std::move(generation), sink, progress);
   if (!done) {
     co_return done.error();
   }
-  co_return MakeModelResponse(model,
-                              aClaim->job_.id_,
-                              sink.text_,
-                              sink.finishReason_,
-                              done.value().tokens_);
+  co_return MakeModelResponse(
+    model, aClaim->job_.id_, sink.text_, sink.finishReason_, progress.next_);
 }
 
 // Stores the result. While the store is unreachable, the result is kept in
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -152,14 +152,6 @@
 
 } // namespace
 
-// State of a generation across its attempts.
-struct ModelRunner::Progress
-{
-  std::uint64_t next_ = 0; // index of the next token for the caller
-  bool callerLeft_ = false;
-  std::chrono::microseconds firstToken_{ 0 };
-};
-
 ModelRunner::ModelRunner(HttpClient& aClient,
                          asio::any_io_executor aExecutor,
                          PoolBroker& aBroker,
@@ -175,26 +167,24 @@
 {
 }
 
-asio::awaitable<Outcome<GenerationResult>> ModelRunner::Run(
-  Generation aGeneration,
-  TokenSink& aSink)
+asio::awaitable<Outcome<void>> ModelRunner::Run(Generation aGeneration,
+                                                TokenSink& aSink,
+                                                GenerationProgress& aProgress)
 {
-  Progress progress;
   AttemptErrors attempts;
   // Only engines that accepted the request count towards maxAttempts_. An
   // unreachable engine costs little time, and after a crash several of them can
   // stay in the list until polls detect it. If they counted, a stream that lost
   // its engine and then tried two dead ones would fail although live engines
   // are left.
-  int startedAttempts = 0;
-  for (int attempt = 1; startedAttempts < options_.maxAttempts_ &&
+  for (int attempt = 1; aProgress.startedAttempts_ < options_.maxAttempts_ &&
                         attempt <= options_.maxEngines_;
        ++attempt) {
     auto placement =
       co_await broker_.Acquire(aGeneration.pool_, aGeneration.info_);
     const bool noneLeft =
       !placement && placement.error().code_ == ResultCode::kNoEndpoint;
-    if (noneLeft && progress.next_ > 0) {
+    if (noneLeft && aProgress.next_ > 0) {
       // Replacement engines appear with the next host list, so a stream that
       // has begun waits for them. Clearing the exclusions allows a retry on an
       // engine that only closed the stream.
@@ -207,26 +197,26 @@
       break;
     }
     const std::string name = placement.value().Endpoint().name_;
+    ++aProgress.attempts_;
     const auto done =
-      co_await Attempt(aGeneration, progress, placement.value(), aSink);
+      co_await Attempt(aGeneration, aProgress, placement.value(), aSink);
     if (done) {
       placement.value().Finish({ .succeeded_ = true });
-      co_return GenerationResult{ .tokens_ = progress.next_,
-                                  .attempts_ = attempt,
-                                  .firstToken_ = progress.firstToken_ };
+      co_return boost::outcome_v2::success();
     }
     const Error& failure = done.error();
     attempts.OnFailed(failure);
     placement.value().Finish(
       { .endpointAtFault_ = IsEndpointFault(failure.code_),
         .backoff_ = failure.retryAfter_.value_or(0ms) });
-    if (progress.callerLeft_ ||
+    if (aProgress.callerLeft_ ||
         failure.code_ == ResultCode::kDeadlineExceeded ||
         failure.code_ == ResultCode::kCallerLeft) {
       break;
     }
     const bool notExecuted = failure.ran_ == RanState::kNo;
-    startedAttempts += notExecuted ? 0 : 1;
+    aProgress.startedAttempts_ += notExecuted ? 0 : 1;
+    aProgress.failed_.insert(name);
     if (failure.code_ == ResultCode::kEndpointUnreachable) {
       tracker_.ReportFailure(name);
     }
@@ -237,14 +227,14 @@
     // rejecting it would make the caller send the whole request again, which
     // costs more than the remainder.
     aGeneration.info_.exemptFromRetryBudget_ =
-      progress.next_ > 0 || notExecuted;
+      aProgress.next_ > 0 || notExecuted;
   }
   co_return attempts.FinalError();
 }
 
 asio::awaitable<Outcome<void>> ModelRunner::Attempt(
   const Generation& aGeneration,
-  Progress& aProgress,
+  GenerationProgress& aProgress,
   Placement& aPlacement,
   TokenSink& aSink)
 {
@@ -283,7 +273,7 @@
 
 asio::awaitable<Outcome<void>> ModelRunner::ReadStream(
   const Generation& aGeneration,
-  Progress& aProgress,
+  GenerationProgress& aProgress,
   Placement& aPlacement,
   HttpCall& aCall,
   TokenSink& aSink)
@@ -332,7 +322,7 @@
 
 asio::awaitable<Outcome<void>> ModelRunner::HandleToken(
   const Generation& aGeneration,
-  Progress& aProgress,
+  GenerationProgress& aProgress,
   Placement& aPlacement,
   const std::string& aData,
   TokenSink& aSink)
@@ -362,12 +352,10 @@
   }
   if (aProgress.next_++ == 0) {
     aPlacement.FirstToken();
-    aProgress.firstToken_ =
-      std::chrono::duration_cast<std::chrono::microseconds>(
-        TimerService::Now() - aGeneration.arrived_);
-    metrics_.RecordFirstToken(aGeneration.info_.service_,
-                              aGeneration.info_.promptTokens_,
-                              aProgress.firstToken_);
+    const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(
+      TimerService::Now() - aGeneration.arrived_);
+    metrics_.RecordFirstToken(
+      aGeneration.info_.service_, aGeneration.info_.promptTokens_, elapsed);
   }
   const json& choice = event.at("choices").at(0);
   const json reason = choice.value("finish_reason", json());
--- a/test/integration/gooseberrylift-stream-test.cc
+++ b/test/integration/gooseberrylift-stream-test.cc
@@ -162,7 +162,9 @@
   for (std::size_t host = 0; host < 2 && counts.wrong_ > 0; ++host) {
     std::istringstream lines(deployment.At(host).Handle().Output());
     for (std::string line; std::getline(lines, line);) {
-      if (line.find("request-failed") != std::string::npos) {
+      if (line.find("request-failed") != std::string::npos ||
+          line.find("attempt-failed") != std::string::npos ||
+          line.find("response-truncated") != std::string::npos) {
         std::cout << line << std::endl;
       }
     }
