Continue a begun stream whose engines crash one after the other

What callers saw: a stream ended with "partial message" (code 127) although other engines were live and its deadline was seconds away; also when no engine was listed for more than about two seconds after its own had crashed.

Cause: a request was started three times in all, whatever its attempts had delivered, and each wait for an engine counted as one of ten attempts.

AttemptLimit now separates a request that may crash its engines from a stream that shared them with the cause. Three failures in a row at the same token end the request as before, so one that crashes engines at its prompt or at one later token gets no more engines than it did. Failures at different tokens are allowed ten times a minute, so a request that crashes each engine after a few tokens is limited as well. Waits and engines that did not run the request end only a request that has not begun.

--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -13,6 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-attempt-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-pool-broker.h"
@@ -74,8 +75,9 @@
 public:
   struct Options
   {
-    int maxAttempts_ = 3; // engines that accepted the request
-    int maxEngines_ = 10; // all engines tried, including those that did not
+    AttemptLimit::Options attempts_; // that may have been executed
+    // All engines tried for a stream that has not begun.
+    int maxEngines_ = 10;
     // For a stream that has begun.
     std::chrono::milliseconds noEndpointRetryInterval_{ 250 };
   };
--- /dev/null
+++ b/test/integration/gooseberrylift-begun-stream-test.cc
@@ -0,0 +1,128 @@
+// Tests of streams of the own interface that have begun and lose their engines.
+
+#include "harness.h"
+
+#include <csignal>
+#include <set>
+#include <thread>
+
+#include "../../fakes/gooseberrylift-fake-tokens.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kPrompt = "a stream that loses its engine";
+
+// Sends a stream in a thread of its own.
+class RunningStream
+{
+public:
+  RunningStream(std::uint16_t aPort, int aTokens, std::string aDeadlineMs)
+    : tokens_(aTokens)
+    , thread_([this, aPort, deadline = std::move(aDeadlineMs)] {
+      HttpRequest request = ChatRequest(kPrompt, tokens_, true);
+      request.fields_.push_back({ "X-Deadline-Ms", deadline });
+      const auto response = Send(aPort, std::move(request), 60s);
+      body_ = response ? response.value().body_ : response.error().text_;
+    })
+  {
+  }
+
+  ~RunningStream()
+  {
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+  RunningStream(const RunningStream&) = delete;
+  RunningStream& operator=(const RunningStream&) = delete;
+
+  // Checks that the caller got each token once, in order, and the end marker.
+  void CheckWhole()
+  {
+    thread_.join();
+    bool whole = false;
+    const std::string text = StreamText(body_, &whole);
+    const std::string end =
+      body_.substr(body_.size() - std::min<std::size_t>(body_.size(), 300));
+    CHECK_TRUE_TEXT(whole, end.c_str());
+    STRCMP_EQUAL(fakes::ReferenceAnswer(kPrompt, tokens_).c_str(),
+                 text.c_str());
+  }
+
+private:
+  int tokens_;
+  std::string body_;
+  std::thread thread_;
+};
+
+} // namespace
+
+TEST_GROUP(BegunStreamTest)
+{
+  std::set<std::size_t> killed_;
+
+  // Finds the engine that runs the only stream and lets it send some tokens.
+  std::size_t RunningEngine(Deployment & aDeployment, std::size_t aEngines)
+  {
+    std::size_t running = aEngines;
+    const bool found = WaitUntil(10s, [&] {
+      for (std::size_t engine = 0; engine < aEngines; ++engine) {
+        if (!killed_.contains(engine) &&
+            aDeployment.Engine(engine).Stats().at("running") > 0) {
+          running = engine;
+        }
+      }
+      return running < aEngines;
+    });
+    CHECK_TRUE(found);
+    std::this_thread::sleep_for(150ms);
+    return running;
+  }
+
+  void KillRunningEngine(Deployment & aDeployment, std::size_t aEngines)
+  {
+    const std::size_t engine = RunningEngine(aDeployment, aEngines);
+    aDeployment.Engine(engine).Handle().Signal(SIGKILL);
+    killed_.insert(engine);
+  }
+};
+
+// Guards against a stream that ends because its third engine crashed.
+TEST(BegunStreamTest, CompletesAStreamWhoseEnginesCrashOneAfterTheOther)
+{
+  constexpr std::size_t kEngines = 7;
+  Deployment deployment(
+    { .engines_ = kEngines, .engine_ = { { "decode_us", 20'000 } } });
+  RunningStream stream(deployment.At(0).Port(), 100, "20000");
+  for (std::size_t kill = 1; kill < kEngines; ++kill) {
+    KillRunningEngine(deployment, kEngines);
+  }
+  stream.CheckWhole();
+}
+
+// Guards against a limit of the time for which a stream waits for an engine.
+TEST(BegunStreamTest, CompletesAStreamWhoseNextEngineIsListedLate)
+{
+  const json settings = { { "name", "late" }, { "decode_us", 20'000 } };
+  Deployment deployment(
+    { .engines_ = 1, .engine_ = { { "decode_us", 20'000 } } });
+  RunningStream stream(deployment.At(0).Port(), 100, "20000");
+  KillRunningEngine(deployment, 1);
+  std::this_thread::sleep_for(4s);
+  Fake late("engine", settings);
+  json hosts = deployment.HostList();
+  hosts.push_back({ { "name", "late" },
+                    { "address", late.Address() },
+                    { "pool", "llm" },
+                    { "zone", "zone-a" },
+                    { "kind", "engine" },
+                    { "incarnation", 1 } });
+  deployment.List().Control({ { "hosts", hosts } });
+  stream.CheckWhole();
+}
