Wait for the next engine of a begun stream up to its deadline

What callers saw: a stream whose engine crashed ended although an engine that could have run the rest was live or about to be listed.

Cause: the next placement of a stream that has begun was judged like that of a new request. Only "no endpoint" was waited for. A new request loses nothing by an early refusal, as its caller can go elsewhere; a caller with half of a stream can't.

Such a request now asks for a place for a second at a time (RequestInfo::placeBy_), is not refused by predictions, and asks again after each refusal that EndsStartedResponse doesn't name. The limits of its team and the retry budget were not charged to it before either. A request that has not begun is judged as before.

--- a/include/gooseberrylift/gooseberrylift-scheduler-types.h
+++ b/include/gooseberrylift/gooseberrylift-scheduler-types.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
   // A retry that is not charged to the retry budget, because the previous
   // endpoint did no work or the caller already has part of the response.
   bool exemptFromRetryBudget_ = false;
+  // Until when to wait for a place; set for a response that has begun. It is
+  // not refused by predictions, since its caller can't go elsewhere.
+  std::optional<TimePoint> placeBy_{};
 
   /// Returns whether this is the first attempt. A stream that waits for another
   /// engine clears excluded_, so an empty list alone is not sufficient.
--- a/include/gooseberrylift/gooseberrylift-scheduler.h
+++ b/include/gooseberrylift/gooseberrylift-scheduler.h
@@ -120,6 +120,7 @@
   std::chrono::microseconds PredictWait(const RequestInfo& aInfo);
   bool Admit(const WaitingRequest& aRequest, TimePoint aNow);
   void Dequeue(Lane& aLane, std::uint64_t aId, bool aServed, TimePoint aNow);
+  ResultCode ExpiryCode(const RequestInfo& aInfo) const;
   bool FitsMemory(const RequestInfo& aInfo) const;
   bool HasCandidate(const RequestInfo& aInfo) const;
   bool HasPreferredCandidate(const RequestInfo& aInfo, TimePoint aNow) const;
--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -78,8 +78,10 @@
     AttemptLimit::Options attempts_; // that may have been executed
     // All engines tried for a stream that has not begun.
     int maxEngines_ = 10;
-    // For a stream that has begun.
-    std::chrono::milliseconds noEndpointRetryInterval_{ 250 };
+    // For a stream that has begun: how long one request for an engine waits,
+    // and how long after a refusal the next one is made.
+    std::chrono::milliseconds placementTimeout_{ 1000 };
+    std::chrono::milliseconds placementRetryInterval_{ 250 };
   };
 
   ModelRunner(HttpClient& aClient,
@@ -97,6 +99,9 @@
                                             GenerationProgress& aProgress);
 
 private:
+  boost::asio::awaitable<Outcome<Placement>> AcquireEngine(
+    Generation& aGeneration,
+    const GenerationProgress& aProgress);
   boost::asio::awaitable<Outcome<void>> Attempt(const Generation& aGeneration,
                                                 GenerationProgress& aProgress,
                                                 Placement& aPlacement,
--- a/src/core/gooseberrylift-scheduler.cc
+++ b/src/core/gooseberrylift-scheduler.cc
@@ -114,11 +114,12 @@
   }
   WaitingRequest request{ .info_ = aInfo,
                           .cost_ = CostOf(aInfo),
-                          .latestStart_ = aInfo.deadline_,
+                          .latestStart_ =
+                            aInfo.placeBy_.value_or(aInfo.deadline_),
                           .arrived_ = aNow };
   laneSplit_.OnRequest(
     laneSplit_.IsLong(aInfo.promptTokens_), request.cost_, aNow);
-  if (IsAdaptive()) {
+  if (IsAdaptive() && !aInfo.placeBy_) {
     request.latestStart_ -=
       request.cost_ + cost_.Decode(aInfo.maxTokens_) +
       LaneOf(aInfo).AdmissionFor(aInfo.class_).EngineWait();
@@ -207,8 +208,7 @@
       const std::uint64_t id = request->info_.id_;
       const microseconds wait = PredictWait(request->info_);
       Refuse(id,
-             IsAdaptive() ? ResultCode::kDeadlineUnreachable
-                          : ResultCode::kDeadlineExceeded,
+             ExpiryCode(request->info_),
              "the deadline became unreachable while the request waited",
              lane.AdmissionFor(request->info_.class_).RetryAfter(wait));
       Dequeue(lane, id, false, aNow);
@@ -294,6 +294,15 @@
   drain.OnWaiting(aLane.queue_->QueuedTeamCost(info).count() > 0, aNow);
 }
 
+ResultCode Scheduler::ExpiryCode(const RequestInfo& aInfo) const
+{
+  if (aInfo.placeBy_) {
+    return ResultCode::kQueueFull;
+  }
+  return IsAdaptive() ? ResultCode::kDeadlineUnreachable
+                      : ResultCode::kDeadlineExceeded;
+}
+
 bool Scheduler::FitsMemory(const RequestInfo& aInfo) const
 {
   return largestKvCapacity_ == 0 ||
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -6,6 +6,7 @@
 #include "gooseberrylift/gooseberrylift-sse.h"
 #include "gooseberrylift/internal/gooseberrylift-failed-attempt.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
+#include "gooseberrylift/limits/gooseberrylift-started-response.h"
 
 namespace gooseberrylift {
 
@@ -180,18 +181,7 @@
   AttemptLimit limit(options_.attempts_);
   while (limit.AllowsAttempt(TimerService::Now()) &&
          (aProgress.next_ > 0 || aProgress.attempts_ < options_.maxEngines_)) {
-    auto placement =
-      co_await broker_.Acquire(aGeneration.pool_, aGeneration.info_);
-    const bool noneLeft =
-      !placement && placement.error().code_ == ResultCode::kNoEndpoint;
-    if (noneLeft && aProgress.next_ > 0) {
-      // Replacement engines appear with the next host list, so a stream that
-      // has begun waits for them. Clearing the exclusions allows a retry on an
-      // engine that only closed the stream.
-      aGeneration.info_.excluded_.clear();
-      co_await TimerService::SleepFor(options_.noEndpointRetryInterval_);
-      continue;
-    }
+    auto placement = co_await AcquireEngine(aGeneration, aProgress);
     if (!placement) {
       attempts.OnRefused(placement.error());
       break;
@@ -235,6 +225,27 @@
   co_return attempts.FinalError();
 }
 
+// A response that has begun waits until the deadline, as its caller can't send
+// the rest of it elsewhere.
+asio::awaitable<Outcome<Placement>> ModelRunner::AcquireEngine(
+  Generation& aGeneration,
+  const GenerationProgress& aProgress)
+{
+  RequestInfo& info = aGeneration.info_;
+  while (aProgress.next_ > 0) {
+    info.placeBy_ = std::min(info.deadline_,
+                             TimerService::Now() + options_.placementTimeout_);
+    auto placement = co_await broker_.Acquire(aGeneration.pool_, info);
+    if (placement || EndsStartedResponse(placement.error().code_)) {
+      co_return placement;
+    }
+    // Allows a retry on an engine that only closed the stream.
+    info.excluded_.clear();
+    co_await TimerService::SleepFor(options_.placementRetryInterval_);
+  }
+  co_return co_await broker_.Acquire(aGeneration.pool_, info);
+}
+
 asio::awaitable<Outcome<void>> ModelRunner::Attempt(
   const Generation& aGeneration,
   GenerationProgress& aProgress,
--- a/test/core/gooseberrylift-scheduler-test.cc
+++ b/test/core/gooseberrylift-scheduler-test.cc
@@ -225,3 +225,54 @@
   scheduler.OnRequest(Request(1000), now_);
   STRCMP_EQUAL("engine-0", scheduler.TakeActions().at(0).endpoint_.c_str());
 }
+
+// Guards against the end of a stream whose whole generation, though not its
+// remainder, takes longer than the time left.
+TEST(SchedulerTest, PlacesABegunStreamWhateverItsPredictedDuration)
+{
+  Scheduler scheduler({});
+  scheduler.SetEndpoints(Engines(2), now_);
+  RequestInfo request = Request(1000);
+  request.maxTokens_ = 100'000;
+  scheduler.OnRequest(request, now_);
+  CHECK(scheduler.TakeActions().at(0).refusal_.code_ ==
+        ResultCode::kDeadlineUnreachable);
+  request.id_ = ++id_;
+  request.exemptFromRetryBudget_ = true;
+  request.placeBy_ = now_ + seconds(1);
+  scheduler.OnRequest(request, now_);
+  const auto actions = scheduler.TakeActions();
+  LONGS_EQUAL(1, actions.size());
+  CHECK_FALSE(actions[0].endpoint_.empty());
+}
+
+// Guards against a stream that waits longer than asked for, behind a full
+// endpoint, or that is refused while one becomes free.
+TEST(SchedulerTest, QueuesABegunStreamUntilItsOwnLimit)
+{
+  Scheduler scheduler({ .maxConcurrency_ = 1 });
+  scheduler.SetEndpoints(Engines(1), now_);
+  const RequestInfo running = Request(1000);
+  scheduler.OnRequest(running, now_);
+  (void)scheduler.TakeActions();
+  RequestInfo begun = Request(1000);
+  begun.exemptFromRetryBudget_ = true;
+  begun.placeBy_ = now_ + seconds(1);
+  RequestInfo later = begun;
+  later.id_ = ++id_;
+  later.placeBy_ = now_ + seconds(2);
+  scheduler.OnRequest(begun, now_);
+  scheduler.OnRequest(later, now_);
+  CHECK_TRUE(scheduler.TakeActions().empty());
+  scheduler.OnTick(now_ + seconds(1));
+  const auto expired = scheduler.TakeActions();
+  LONGS_EQUAL(1, expired.size());
+  LONGS_EQUAL(begun.id_, expired[0].id_);
+  CHECK(expired[0].refusal_.code_ == ResultCode::kQueueFull);
+  scheduler.OnFinished(
+    running.id_, { .succeeded_ = true }, now_ + milliseconds(1500));
+  const auto placed = scheduler.TakeActions();
+  LONGS_EQUAL(1, placed.size());
+  LONGS_EQUAL(later.id_, placed[0].id_);
+  CHECK_FALSE(placed[0].endpoint_.empty());
+}
--- a/test/integration/gooseberrylift-begun-stream-test.cc
+++ b/test/integration/gooseberrylift-begun-stream-test.cc
@@ -22,12 +22,13 @@
 class RunningStream
 {
 public:
-  RunningStream(std::uint16_t aPort, int aTokens, std::string aDeadlineMs)
-    : tokens_(aTokens)
-    , thread_([this, aPort, deadline = std::move(aDeadlineMs)] {
+  RunningStream(Host& aHost, int aTokens, std::string aDeadlineMs)
+    : host_(aHost)
+    , tokens_(aTokens)
+    , thread_([this, deadline = std::move(aDeadlineMs)] {
       HttpRequest request = ChatRequest(kPrompt, tokens_, true);
       request.fields_.push_back({ "X-Deadline-Ms", deadline });
-      const auto response = Send(aPort, std::move(request), 60s);
+      const auto response = Send(host_.Port(), std::move(request), 60s);
       body_ = response ? response.value().body_ : response.error().text_;
     })
   {
@@ -48,19 +49,36 @@
     thread_.join();
     bool whole = false;
     const std::string text = StreamText(body_, &whole);
-    const std::string end =
-      body_.substr(body_.size() - std::min<std::size_t>(body_.size(), 300));
-    CHECK_TRUE_TEXT(whole, end.c_str());
+    const std::string line =
+      whole ? "" : host_.Handle().WaitForLine("response-truncated", 1s);
+    CHECK_TRUE_TEXT(whole, line.c_str());
     STRCMP_EQUAL(fakes::ReferenceAnswer(kPrompt, tokens_).c_str(),
                  text.c_str());
   }
 
 private:
+  Host& host_;
   int tokens_;
   std::string body_;
   std::thread thread_;
 };
 
+// Starts another engine and adds it to the host list.
+std::unique_ptr<Fake> AddEngine(Deployment& aDeployment)
+{
+  const json settings = { { "name", "late" }, { "decode_us", 20'000 } };
+  auto engine = std::make_unique<Fake>("engine", settings);
+  json hosts = aDeployment.HostList();
+  hosts.push_back({ { "name", "late" },
+                    { "address", engine->Address() },
+                    { "pool", "llm" },
+                    { "zone", "zone-a" },
+                    { "kind", "engine" },
+                    { "incarnation", 1 } });
+  aDeployment.List().Control({ { "hosts", hosts } });
+  return engine;
+}
+
 } // namespace
 
 TEST_GROUP(BegunStreamTest)
@@ -99,7 +117,7 @@
   constexpr std::size_t kEngines = 7;
   Deployment deployment(
     { .engines_ = kEngines, .engine_ = { { "decode_us", 20'000 } } });
-  RunningStream stream(deployment.At(0).Port(), 100, "20000");
+  RunningStream stream(deployment.At(0), 100, "20000");
   for (std::size_t kill = 1; kill < kEngines; ++kill) {
     KillRunningEngine(deployment, kEngines);
   }
@@ -109,20 +127,42 @@
 // Guards against a limit of the time for which a stream waits for an engine.
 TEST(BegunStreamTest, CompletesAStreamWhoseNextEngineIsListedLate)
 {
-  const json settings = { { "name", "late" }, { "decode_us", 20'000 } };
   Deployment deployment(
     { .engines_ = 1, .engine_ = { { "decode_us", 20'000 } } });
-  RunningStream stream(deployment.At(0).Port(), 100, "20000");
+  RunningStream stream(deployment.At(0), 100, "20000");
   KillRunningEngine(deployment, 1);
   std::this_thread::sleep_for(4s);
-  Fake late("engine", settings);
-  json hosts = deployment.HostList();
-  hosts.push_back({ { "name", "late" },
-                    { "address", late.Address() },
-                    { "pool", "llm" },
-                    { "zone", "zone-a" },
-                    { "kind", "engine" },
-                    { "incarnation", 1 } });
-  deployment.List().Control({ { "hosts", hosts } });
+  const std::unique_ptr<Fake> late = AddEngine(deployment);
+  stream.CheckWhole();
+}
+
+// Guards against a resumption judged by the time that the whole answer needs.
+TEST(BegunStreamTest, CompletesAStreamWhoseRemainderFitsItsDeadline)
+{
+  Deployment deployment(
+    { .engines_ = 2, .engine_ = { { "decode_us", 15'000 } } });
+  RunningStream stream(deployment.At(0), 150, "4000");
+  (void)RunningEngine(deployment, 2);
+  std::this_thread::sleep_for(1200ms);
+  KillRunningEngine(deployment, 2);
+  stream.CheckWhole();
+}
+
+// Guards against a stream that ends because the engines left ask for a backoff.
+TEST(BegunStreamTest, CompletesAStreamWhileOtherEnginesAskForABackoff)
+{
+  constexpr std::size_t kEngines = 3;
+  Deployment deployment(
+    { .engines_ = kEngines, .engine_ = { { "decode_us", 20'000 } } });
+  RunningStream stream(deployment.At(0), 100, "20000");
+  const std::size_t running = RunningEngine(deployment, kEngines);
+  for (std::size_t engine = 0; engine < kEngines; ++engine) {
+    if (engine != running) {
+      deployment.Engine(engine).Control({ { "retry_after", "60" } });
+    }
+  }
+  deployment.Engine(running).Handle().Signal(SIGKILL);
+  std::this_thread::sleep_for(2s);
+  const std::unique_ptr<Fake> late = AddEngine(deployment);
   stream.CheckWhole();
 }
