Keep a silent engine's stream open until another engine has a place

After a pause of all engines a stream was prefilled anew elsewhere.

Cause: a time-out ended the call before another engine was asked for, and counted as a failure of the attempt even if it was the last one allowed.

After a time-out, a stream that has begun first asks for a place at another engine. The call is given up only when it gets one and AttemptLimit allows another attempt; otherwise it is read further and the question repeated. A request that silences engines is still started at three of them per token. Only one call is open at a time: the replacement may be silent as well, and then costs its own time-out. These questions are not counted by the lane split, since one stream may ask often.

--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -99,16 +100,32 @@
                                             GenerationProgress& aProgress);
 
 private:
+  // What the attempts of one generation share.
+  struct Attempts
+  {
+    AttemptLimit limit_;
+    std::optional<Placement> replacement_; // of the current attempt, if silent
+  };
+
   boost::asio::awaitable<Outcome<Placement>> AcquireEngine(
     Generation& aGeneration,
-    const GenerationProgress& aProgress);
+    const GenerationProgress& aProgress,
+    Attempts& aAttempts);
+  boost::asio::awaitable<bool> KeepsWaiting(const Error& aError,
+                                            const Generation& aGeneration,
+                                            const GenerationProgress& aProgress,
+                                            Attempts& aAttempts,
+                                            const std::string& aEngine,
+                                            HttpCall& aCall);
   boost::asio::awaitable<Outcome<void>> Attempt(const Generation& aGeneration,
                                                 GenerationProgress& aProgress,
+                                                Attempts& aAttempts,
                                                 Placement& aPlacement,
                                                 TokenSink& aSink);
   boost::asio::awaitable<Outcome<void>> ReadStream(
     const Generation& aGeneration,
     GenerationProgress& aProgress,
+    Attempts& aAttempts,
     Placement& aPlacement,
     HttpCall& aCall,
     TokenSink& aSink);
--- a/src/core/gooseberrylift-scheduler.cc
+++ b/src/core/gooseberrylift-scheduler.cc
@@ -117,8 +117,11 @@
                           .latestStart_ =
                             aInfo.placeBy_.value_or(aInfo.deadline_),
                           .arrived_ = aNow };
-  laneSplit_.OnRequest(
-    laneSplit_.IsLong(aInfo.promptTokens_), request.cost_, aNow);
+  // A response that has begun was counted before, and may ask often.
+  if (!aInfo.placeBy_) {
+    laneSplit_.OnRequest(
+      laneSplit_.IsLong(aInfo.promptTokens_), request.cost_, aNow);
+  }
   if (IsAdaptive() && !aInfo.placeBy_) {
     request.latestStart_ -=
       request.cost_ + cost_.Decode(aInfo.maxTokens_) +
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -172,30 +172,31 @@
                                                 TokenSink& aSink,
                                                 GenerationProgress& aProgress)
 {
-  AttemptErrors attempts;
+  AttemptErrors errors;
   // Only engines that may have run the request count towards the limit. An
   // unreachable engine costs little time, and after a crash several of them can
   // stay in the list until polls detect it. If they counted, a stream that lost
   // its engine and then tried two dead ones would fail although live engines
   // are left.
-  AttemptLimit limit(options_.attempts_);
-  while (limit.AllowsAttempt(TimerService::Now()) &&
+  Attempts attempts{ .limit_ = AttemptLimit(options_.attempts_),
+                     .replacement_ = {} };
+  while (attempts.limit_.AllowsAttempt(TimerService::Now()) &&
          (aProgress.next_ > 0 || aProgress.attempts_ < options_.maxEngines_)) {
-    auto placement = co_await AcquireEngine(aGeneration, aProgress);
+    auto placement = co_await AcquireEngine(aGeneration, aProgress, attempts);
     if (!placement) {
-      attempts.OnRefused(placement.error());
+      errors.OnRefused(placement.error());
       break;
     }
     const std::string name = placement.value().Endpoint().name_;
     ++aProgress.attempts_;
-    const auto done =
-      co_await Attempt(aGeneration, aProgress, placement.value(), aSink);
+    const auto done = co_await Attempt(
+      aGeneration, aProgress, attempts, placement.value(), aSink);
     if (done) {
       placement.value().Finish({ .succeeded_ = true });
       co_return boost::outcome_v2::success();
     }
     const Error& failure = done.error();
-    attempts.OnFailed(failure);
+    errors.OnFailed(failure);
     placement.value().Finish(
       { .endpointAtFault_ = IsEndpointFault(failure.code_),
         .backoff_ = failure.retryAfter_.value_or(0ms) });
@@ -207,7 +208,7 @@
     const bool notExecuted = failure.ran_ == RanState::kNo;
     if (!notExecuted) {
       ++aProgress.startedAttempts_;
-      limit.OnFailed(aProgress.next_, TimerService::Now());
+      attempts.limit_.OnFailed(aProgress.next_, TimerService::Now());
     }
     aProgress.failed_.insert(name);
     if (failure.code_ == ResultCode::kEndpointUnreachable) {
@@ -222,15 +223,21 @@
     aGeneration.info_.exemptFromRetryBudget_ =
       aProgress.next_ > 0 || notExecuted;
   }
-  co_return attempts.FinalError();
+  co_return errors.FinalError();
 }
 
 // A response that has begun waits until the deadline, as its caller can't send
 // the rest of it elsewhere.
 asio::awaitable<Outcome<Placement>> ModelRunner::AcquireEngine(
   Generation& aGeneration,
-  const GenerationProgress& aProgress)
+  const GenerationProgress& aProgress,
+  Attempts& aAttempts)
 {
+  if (aAttempts.replacement_) {
+    Placement replacement = std::move(*aAttempts.replacement_);
+    aAttempts.replacement_.reset();
+    co_return std::move(replacement);
+  }
   RequestInfo& info = aGeneration.info_;
   while (aProgress.next_ > 0) {
     info.placeBy_ = std::min(info.deadline_,
@@ -246,9 +253,45 @@
   co_return co_await broker_.Acquire(aGeneration.pool_, info);
 }
 
+// Returns whether a call that timed out is read further. The call of a stream
+// that has begun is given up only once another engine has a place for it, and
+// only if another attempt is allowed.
+asio::awaitable<bool> ModelRunner::KeepsWaiting(
+  const Error& aError,
+  const Generation& aGeneration,
+  const GenerationProgress& aProgress,
+  Attempts& aAttempts,
+  const std::string& aEngine,
+  HttpCall& aCall)
+{
+  const TimePoint now = TimerService::Now();
+  RequestInfo info = aGeneration.info_;
+  if (aError.code_ != ResultCode::kDeadlineExceeded || now >= info.deadline_ ||
+      aProgress.next_ == 0) {
+    co_return false;
+  }
+  AttemptLimit limit = aAttempts.limit_;
+  limit.OnFailed(aProgress.next_, now);
+  if (limit.AllowsAttempt(now)) {
+    info.excluded_.push_back(aEngine);
+    info.exemptFromRetryBudget_ = true;
+    info.placeBy_ =
+      std::min(info.deadline_, now + options_.placementRetryInterval_);
+    auto placement = co_await broker_.Acquire(aGeneration.pool_, info);
+    if (placement) {
+      aAttempts.replacement_.emplace(std::move(placement.value()));
+      co_return false;
+    }
+  }
+  aCall.SetDeadline(std::min(
+    info.deadline_, TimerService::Now() + options_.placementRetryInterval_));
+  co_return true;
+}
+
 asio::awaitable<Outcome<void>> ModelRunner::Attempt(
   const Generation& aGeneration,
   GenerationProgress& aProgress,
+  Attempts& aAttempts,
   Placement& aPlacement,
   TokenSink& aSink)
 {
@@ -257,7 +300,7 @@
   const HttpClient::CallOptions options;
   const TimePoint deadline = aGeneration.info_.deadline_;
   const TimePoint firstTokenBy = aPlacement.FirstTokenBy(deadline);
-  auto call = co_await client_.Start(
+  auto call = co_await client_.Send(
     address,
     EngineRequest(aGeneration, aProgress.next_, aPlacement.Priority()),
     firstTokenBy,
@@ -265,6 +308,21 @@
   if (!call) {
     co_return ErrorForStall(call.error(), deadline);
   }
+  while (true) {
+    const auto received = co_await call.value()->ReadHead();
+    if (received) {
+      break;
+    }
+    const bool waits = co_await KeepsWaiting(received.error(),
+                                             aGeneration,
+                                             aProgress,
+                                             aAttempts,
+                                             aPlacement.Endpoint().name_,
+                                             *call.value());
+    if (!waits) {
+      co_return ErrorForStall(received.error(), deadline);
+    }
+  }
   const HttpResponse& head = call.value()->Head();
   if (head.Field("X-Endpoint-State") == "leaving" &&
       IsResponseTo(head, aGeneration.requestId_)) {
@@ -277,7 +335,7 @@
     co_return std::move(*fault);
   }
   const auto read = co_await ReadStream(
-    aGeneration, aProgress, aPlacement, *call.value(), aSink);
+    aGeneration, aProgress, aAttempts, aPlacement, *call.value(), aSink);
   if (read) {
     cancel.Disarm();
     co_return read;
@@ -288,6 +346,7 @@
 asio::awaitable<Outcome<void>> ModelRunner::ReadStream(
   const Generation& aGeneration,
   GenerationProgress& aProgress,
+  Attempts& aAttempts,
   Placement& aPlacement,
   HttpCall& aCall,
   TokenSink& aSink)
@@ -296,10 +355,6 @@
   bool ended = false;
   const std::uint64_t first = aProgress.next_;
   while (true) {
-    if (aProgress.next_ > first) {
-      aCall.SetDeadline(std::min(aGeneration.info_.deadline_,
-                                 TimerService::Now() + kTokenTimeout));
-    }
     auto chunk = co_await aCall.ReadSome();
     // Bytes after the end marker are drained so that the connection can be
     // reused. An error there does not affect the response, which is complete.
@@ -307,6 +362,15 @@
       co_return boost::outcome_v2::success();
     }
     if (!chunk) {
+      const bool waits = co_await KeepsWaiting(chunk.error(),
+                                               aGeneration,
+                                               aProgress,
+                                               aAttempts,
+                                               aPlacement.Endpoint().name_,
+                                               aCall);
+      if (waits) {
+        continue;
+      }
       co_return chunk.error();
     }
     if (!chunk.value()) {
@@ -331,6 +395,10 @@
       co_return Error{ .code_ = ResultCode::kCallerLeft,
                        .ran_ = RanState::kYes };
     }
+    if (aProgress.next_ > first) {
+      aCall.SetDeadline(std::min(aGeneration.info_.deadline_,
+                                 TimerService::Now() + kTokenTimeout));
+    }
   }
 }
 
--- a/test/integration/gooseberrylift-begun-stream-test.cc
+++ b/test/integration/gooseberrylift-begun-stream-test.cc
@@ -166,3 +166,54 @@
   const std::unique_ptr<Fake> late = AddEngine(deployment);
   stream.CheckWhole();
 }
+
+// Guards against a stream that ends because no engine sends a token for longer
+// than a silent engine is waited for.
+TEST(BegunStreamTest, CompletesAStreamWhileAllEnginesStandStill)
+{
+  constexpr std::size_t kEngines = 3;
+  Deployment deployment(
+    { .engines_ = kEngines, .engine_ = { { "decode_us", 20'000 } } });
+  RunningStream stream(deployment.At(0), 100, "40000");
+  (void)RunningEngine(deployment, kEngines);
+  for (std::size_t engine = 0; engine < kEngines; ++engine) {
+    deployment.Engine(engine).Handle().Signal(SIGSTOP);
+  }
+  std::this_thread::sleep_for(12s);
+  for (std::size_t engine = 0; engine < kEngines; ++engine) {
+    deployment.Engine(engine).Handle().Signal(SIGCONT);
+  }
+  stream.CheckWhole();
+  int started = 0;
+  for (std::size_t engine = 0; engine < kEngines; ++engine) {
+    started += deployment.Engine(engine).Stats().at("started").get<int>();
+  }
+  LONGS_EQUAL(1, started);
+}
+
+// Guards against a stream that ends because several engines in a row are
+// silent.
+TEST(BegunStreamTest, CompletesAStreamWhoseNextEnginesAreSilent)
+{
+  constexpr std::size_t kEngines = 4;
+  Deployment deployment(
+    { .engines_ = kEngines, .engine_ = { { "decode_us", 20'000 } } });
+  for (int request = 0; request < 25; ++request) {
+    (void)Send(deployment.At(0).Port(), ChatRequest("warm-up", 1, false));
+  }
+  RunningStream stream(deployment.At(0), 100, "40000");
+  const std::size_t running = RunningEngine(deployment, kEngines);
+  for (std::size_t engine = 0; engine < kEngines; ++engine) {
+    if (engine != running) {
+      deployment.Engine(engine).Control({ { "hang", true } });
+    }
+  }
+  deployment.Engine(running).Handle().Signal(SIGKILL);
+  std::this_thread::sleep_for(6s);
+  for (std::size_t engine = 0; engine < kEngines; ++engine) {
+    if (engine != running) {
+      deployment.Engine(engine).Control({ { "hang", false } });
+    }
+  }
+  stream.CheckWhole();
+}
