--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -7,11 +7,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-attempt-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-pool-broker.h"
@@ -56,11 +59,15 @@
   virtual boost::asio::awaitable<bool> Flush() { co_return true; }
 };
 
-struct GenerationResult
+// State of a generation across its attempts. It outlives the generation, so
+// that its owner can report why a response that has begun ended.
+struct GenerationProgress
 {
-  std::uint64_t tokens_ = 0;
-  int attempts_ = 0;
-  std::chrono::microseconds firstToken_{ 0 };
+  std::uint64_t next_ = 0; // index of the next token for the caller
+  bool callerLeft_ = false;
+  int attempts_ = 0;        // engines that the request was sent to
+  int startedAttempts_ = 0; // of these, ended by failure after a possible start
+  std::set<std::string> failed_; // engines of failed attempts
 };
 
 // Keeps no state between generations. Thread-safe.
@@ -69,10 +76,13 @@
 public:
   struct Options
   {
-    int maxAttempts_ = 3; // engines that accepted the request
-    int maxEngines_ = 10; // all engines tried, including those that did not
-    // For a stream that has begun.
-    std::chrono::milliseconds noEndpointRetryInterval_{ 250 };
+    AttemptLimit::Options attempts_; // that may have been executed
+    // All engines tried for a stream that has not begun.
+    int maxEngines_ = 10;
+    // For a stream that has begun: how long one request for an engine waits,
+    // and how long after a refusal the next one is made.
+    std::chrono::milliseconds placementTimeout_{ 1000 };
+    std::chrono::milliseconds placementRetryInterval_{ 250 };
   };
 
   ModelRunner(HttpClient& aClient,
@@ -83,25 +93,45 @@
               Options aOptions);
 
   /// Runs a generation to its end marker.
-  /// @return its statistics, or the error of the last attempt
-  boost::asio::awaitable<Outcome<GenerationResult>> Run(Generation aGeneration,
-                                                        TokenSink& aSink);
+  /// @param aProgress kept up to date, also when the coroutine is cancelled
+  /// @return the last error if the generation ended before its end marker
+  boost::asio::awaitable<Outcome<void>> Run(Generation aGeneration,
+                                            TokenSink& aSink,
+                                            GenerationProgress& aProgress);
 
 private:
-  struct Progress;
+  // What the attempts of one generation share.
+  struct Attempts
+  {
+    AttemptLimit limit_;
+    std::optional<Placement> replacement_; // of the current attempt, if silent
+  };
+
+  boost::asio::awaitable<Outcome<Placement>> AcquireEngine(
+    Generation& aGeneration,
+    const GenerationProgress& aProgress,
+    Attempts& aAttempts);
+  boost::asio::awaitable<bool> KeepsWaiting(const Error& aError,
+                                            const Generation& aGeneration,
+                                            const GenerationProgress& aProgress,
+                                            Attempts& aAttempts,
+                                            const std::string& aEngine,
+                                            HttpCall& aCall);
   boost::asio::awaitable<Outcome<void>> Attempt(const Generation& aGeneration,
-                                                Progress& aProgress,
+                                                GenerationProgress& aProgress,
+                                                Attempts& aAttempts,
                                                 Placement& aPlacement,
                                                 TokenSink& aSink);
   boost::asio::awaitable<Outcome<void>> ReadStream(
     const Generation& aGeneration,
-    Progress& aProgress,
+    GenerationProgress& aProgress,
+    Attempts& aAttempts,
     Placement& aPlacement,
     HttpCall& aCall,
     TokenSink& aSink);
   boost::asio::awaitable<Outcome<void>> HandleToken(
     const Generation& aGeneration,
-    Progress& aProgress,
+    GenerationProgress& aProgress,
     Placement& aPlacement,
     const std::string& aData,
     TokenSink& aSink);
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -6,6 +6,7 @@
 #include "gooseberrylift/gooseberrylift-sse.h"
 #include "gooseberrylift/internal/gooseberrylift-failed-attempt.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
+#include "gooseberrylift/limits/gooseberrylift-started-response.h"
 
 namespace gooseberrylift {
 
@@ -152,14 +153,6 @@
 
 } // namespace
 
-// State of a generation across its attempts.
-struct ModelRunner::Progress
-{
-  std::uint64_t next_ = 0; // index of the next token for the caller
-  bool callerLeft_ = false;
-  std::chrono::microseconds firstToken_{ 0 };
-};
-
 ModelRunner::ModelRunner(HttpClient& aClient,
                          asio::any_io_executor aExecutor,
                          PoolBroker& aBroker,
@@ -175,58 +168,49 @@
 {
 }
 
-asio::awaitable<Outcome<GenerationResult>> ModelRunner::Run(
-  Generation aGeneration,
-  TokenSink& aSink)
+asio::awaitable<Outcome<void>> ModelRunner::Run(Generation aGeneration,
+                                                TokenSink& aSink,
+                                                GenerationProgress& aProgress)
 {
-  Progress progress;
-  AttemptErrors attempts;
-  // Only engines that accepted the request count towards maxAttempts_. An
+  AttemptErrors errors;
+  // Only engines that may have run the request count towards the limit. An
   // unreachable engine costs little time, and after a crash several of them can
   // stay in the list until polls detect it. If they counted, a stream that lost
   // its engine and then tried two dead ones would fail although live engines
   // are left.
-  int startedAttempts = 0;
-  for (int attempt = 1; startedAttempts < options_.maxAttempts_ &&
-                        attempt <= options_.maxEngines_;
-       ++attempt) {
-    auto placement =
-      co_await broker_.Acquire(aGeneration.pool_, aGeneration.info_);
-    const bool noneLeft =
-      !placement && placement.error().code_ == ResultCode::kNoEndpoint;
-    if (noneLeft && progress.next_ > 0) {
-      // Replacement engines appear with the next host list, so a stream that
-      // has begun waits for them. Clearing the exclusions allows a retry on an
-      // engine that only closed the stream.
-      aGeneration.info_.excluded_.clear();
-      co_await TimerService::SleepFor(options_.noEndpointRetryInterval_);
-      continue;
-    }
+  Attempts attempts{ .limit_ = AttemptLimit(options_.attempts_),
+                     .replacement_ = {} };
+  while (attempts.limit_.AllowsAttempt(TimerService::Now()) &&
+         (aProgress.next_ > 0 || aProgress.attempts_ < options_.maxEngines_)) {
+    auto placement = co_await AcquireEngine(aGeneration, aProgress, attempts);
     if (!placement) {
-      attempts.OnRefused(placement.error());
+      errors.OnRefused(placement.error());
       break;
     }
     const std::string name = placement.value().Endpoint().name_;
-    const auto done =
-      co_await Attempt(aGeneration, progress, placement.value(), aSink);
+    ++aProgress.attempts_;
+    const auto done = co_await Attempt(
+      aGeneration, aProgress, attempts, placement.value(), aSink);
     if (done) {
       placement.value().Finish({ .succeeded_ = true });
-      co_return GenerationResult{ .tokens_ = progress.next_,
-                                  .attempts_ = attempt,
-                                  .firstToken_ = progress.firstToken_ };
+      co_return boost::outcome_v2::success();
     }
     const Error& failure = done.error();
-    attempts.OnFailed(failure);
+    errors.OnFailed(failure);
     placement.value().Finish(
       { .endpointAtFault_ = IsEndpointFault(failure.code_),
         .backoff_ = failure.retryAfter_.value_or(0ms) });
-    if (progress.callerLeft_ ||
+    if (aProgress.callerLeft_ ||
         failure.code_ == ResultCode::kDeadlineExceeded ||
         failure.code_ == ResultCode::kCallerLeft) {
       break;
     }
     const bool notExecuted = failure.ran_ == RanState::kNo;
-    startedAttempts += notExecuted ? 0 : 1;
+    if (!notExecuted) {
+      ++aProgress.startedAttempts_;
+      attempts.limit_.OnFailed(aProgress.next_, TimerService::Now());
+    }
+    aProgress.failed_.insert(name);
     if (failure.code_ == ResultCode::kEndpointUnreachable) {
       tracker_.ReportFailure(name);
     }
@@ -237,14 +221,77 @@
     // rejecting it would make the caller send the whole request again, which
     // costs more than the remainder.
     aGeneration.info_.exemptFromRetryBudget_ =
-      progress.next_ > 0 || notExecuted;
+      aProgress.next_ > 0 || notExecuted;
+  }
+  co_return errors.FinalError();
+}
+
+// A response that has begun waits until the deadline, as its caller can't send
+// the rest of it elsewhere.
+asio::awaitable<Outcome<Placement>> ModelRunner::AcquireEngine(
+  Generation& aGeneration,
+  const GenerationProgress& aProgress,
+  Attempts& aAttempts)
+{
+  if (aAttempts.replacement_) {
+    Placement replacement = std::move(*aAttempts.replacement_);
+    aAttempts.replacement_.reset();
+    co_return std::move(replacement);
+  }
+  RequestInfo& info = aGeneration.info_;
+  while (aProgress.next_ > 0) {
+    info.placeBy_ = std::min(info.deadline_,
+                             TimerService::Now() + options_.placementTimeout_);
+    auto placement = co_await broker_.Acquire(aGeneration.pool_, info);
+    if (placement || EndsStartedResponse(placement.error().code_)) {
+      co_return placement;
+    }
+    // Allows a retry on an engine that only closed the stream.
+    info.excluded_.clear();
+    co_await TimerService::SleepFor(options_.placementRetryInterval_);
+  }
+  co_return co_await broker_.Acquire(aGeneration.pool_, info);
+}
+
+// Returns whether a call that timed out is read further. The call of a stream
+// that has begun is given up only once another engine has a place for it, and
+// only if another attempt is allowed.
+asio::awaitable<bool> ModelRunner::KeepsWaiting(
+  const Error& aError,
+  const Generation& aGeneration,
+  const GenerationProgress& aProgress,
+  Attempts& aAttempts,
+  const std::string& aEngine,
+  HttpCall& aCall)
+{
+  const TimePoint now = TimerService::Now();
+  RequestInfo info = aGeneration.info_;
+  if (aError.code_ != ResultCode::kDeadlineExceeded || now >= info.deadline_ ||
+      aProgress.next_ == 0) {
+    co_return false;
+  }
+  AttemptLimit limit = aAttempts.limit_;
+  limit.OnFailed(aProgress.next_, now);
+  if (limit.AllowsAttempt(now)) {
+    info.excluded_.push_back(aEngine);
+    info.exemptFromRetryBudget_ = true;
+    info.placeBy_ =
+      std::min(info.deadline_, now + options_.placementRetryInterval_);
+    auto placement = co_await broker_.Acquire(aGeneration.pool_, info);
+    if (placement) {
+      aAttempts.replacement_.emplace(std::move(placement.value()));
+      co_return false;
+    }
   }
-  co_return attempts.FinalError();
+  aCall.SetDeadline(std::min(
+    info.deadline_, TimerService::Now() + options_.placementRetryInterval_));
+  co_return true;
 }
 
 asio::awaitable<Outcome<void>> ModelRunner::Attempt(
   const Generation& aGeneration,
-  Progress& aProgress,
+  GenerationProgress& aProgress,
+  Attempts& aAttempts,
   Placement& aPlacement,
   TokenSink& aSink)
 {
@@ -253,7 +300,7 @@
   const HttpClient::CallOptions options;
   const TimePoint deadline = aGeneration.info_.deadline_;
   const TimePoint firstTokenBy = aPlacement.FirstTokenBy(deadline);
-  auto call = co_await client_.Start(
+  auto call = co_await client_.Send(
     address,
     EngineRequest(aGeneration, aProgress.next_, aPlacement.Priority()),
     firstTokenBy,
@@ -261,6 +308,21 @@
   if (!call) {
     co_return ErrorForStall(call.error(), deadline);
   }
+  while (true) {
+    const auto received = co_await call.value()->ReadHead();
+    if (received) {
+      break;
+    }
+    const bool waits = co_await KeepsWaiting(received.error(),
+                                             aGeneration,
+                                             aProgress,
+                                             aAttempts,
+                                             aPlacement.Endpoint().name_,
+                                             *call.value());
+    if (!waits) {
+      co_return ErrorForStall(received.error(), deadline);
+    }
+  }
   const HttpResponse& head = call.value()->Head();
   if (head.Field("X-Endpoint-State") == "leaving" &&
       IsResponseTo(head, aGeneration.requestId_)) {
@@ -273,7 +335,7 @@
     co_return std::move(*fault);
   }
   const auto read = co_await ReadStream(
-    aGeneration, aProgress, aPlacement, *call.value(), aSink);
+    aGeneration, aProgress, aAttempts, aPlacement, *call.value(), aSink);
   if (read) {
     cancel.Disarm();
     co_return read;
@@ -283,7 +345,8 @@
 
 asio::awaitable<Outcome<void>> ModelRunner::ReadStream(
   const Generation& aGeneration,
-  Progress& aProgress,
+  GenerationProgress& aProgress,
+  Attempts& aAttempts,
   Placement& aPlacement,
   HttpCall& aCall,
   TokenSink& aSink)
@@ -292,10 +355,6 @@
   bool ended = false;
   const std::uint64_t first = aProgress.next_;
   while (true) {
-    if (aProgress.next_ > first) {
-      aCall.SetDeadline(std::min(aGeneration.info_.deadline_,
-                                 TimerService::Now() + kTokenTimeout));
-    }
     auto chunk = co_await aCall.ReadSome();
     // Bytes after the end marker are drained so that the connection can be
     // reused. An error there does not affect the response, which is complete.
@@ -303,6 +362,15 @@
       co_return boost::outcome_v2::success();
     }
     if (!chunk) {
+      const bool waits = co_await KeepsWaiting(chunk.error(),
+                                               aGeneration,
+                                               aProgress,
+                                               aAttempts,
+                                               aPlacement.Endpoint().name_,
+                                               aCall);
+      if (waits) {
+        continue;
+      }
       co_return chunk.error();
     }
     if (!chunk.value()) {
@@ -327,12 +395,16 @@
       co_return Error{ .code_ = ResultCode::kCallerLeft,
                        .ran_ = RanState::kYes };
     }
+    if (aProgress.next_ > first) {
+      aCall.SetDeadline(std::min(aGeneration.info_.deadline_,
+                                 TimerService::Now() + kTokenTimeout));
+    }
   }
 }
 
 asio::awaitable<Outcome<void>> ModelRunner::HandleToken(
   const Generation& aGeneration,
-  Progress& aProgress,
+  GenerationProgress& aProgress,
   Placement& aPlacement,
   const std::string& aData,
   TokenSink& aSink)
@@ -362,12 +434,10 @@
   }
   if (aProgress.next_++ == 0) {
     aPlacement.FirstToken();
-    aProgress.firstToken_ =
-      std::chrono::duration_cast<std::chrono::microseconds>(
-        TimerService::Now() - aGeneration.arrived_);
-    metrics_.RecordFirstToken(aGeneration.info_.service_,
-                              aGeneration.info_.promptTokens_,
-                              aProgress.firstToken_);
+    const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(
+      TimerService::Now() - aGeneration.arrived_);
+    metrics_.RecordFirstToken(
+      aGeneration.info_.service_, aGeneration.info_.promptTokens_, elapsed);
   }
   const json& choice = event.at("choices").at(0);
   const json reason = choice.value("finish_reason", json());
