--- a/test/integration/harness-gateway.cc
+++ b/test/integration/harness-gateway.cc
@@ -20,6 +20,16 @@
            { "maxAttempts", 2 } };
 }
 
+json EndpointEntry(const std::string& aAddress,
+                   const std::string& aService,
+                   const std::string& aState,
+                   const std::string& aZone)
+{
+  return { { "service", aService }, { "address", aAddress }, { "zone", aZone },
+           { "version", "v1" },     { "slots", 16 },         { "sequence", 1 },
+           { "state", aState } };
+}
+
 json DefaultDocument()
 {
   json stream = RouteOf("stream", "streaming", "engines");
@@ -139,10 +149,7 @@
                              const std::string& aZone)
 {
   const std::string key = std::string(names::kEndpointsKind) + "/" + aId;
-  json entry = { { "service", aService }, { "address", aFake.Address() },
-                 { "zone", aZone },       { "version", "v1" },
-                 { "slots", 16 },         { "sequence", 1 },
-                 { "state", aState } };
+  json entry = EndpointEntry(aFake.Address(), aService, aState, aZone);
   store_->Control({ { "put", { { key, entry } } } });
   if (linkStore_) {
     entry["address"] = links_.back()->Address();
@@ -150,6 +157,20 @@
   }
 }
 
+void GatewayDeployment::SetEngineState(std::size_t aIndex,
+                                       const std::string& aState)
+{
+  const std::string key =
+    std::string(names::kEndpointsKind) + "/engines-" + std::to_string(aIndex);
+  json entry =
+    EndpointEntry(Engine(aIndex).Address(), "engines", aState, "zone-a");
+  store_->Control({ { "put", { { key, entry } } } });
+  if (linkStore_) {
+    entry["address"] = Link(aIndex).Address();
+    linkStore_->Control({ { "put", { { key, entry } } } });
+  }
+}
+
 void GatewayDeployment::Put(const std::string& aKey, const json& aSpec)
 {
   Write({ { "put", { { aKey, aSpec } } } });
--- a/test/integration/harness-gateway.h
+++ b/test/integration/harness-gateway.h
@@ -33,6 +33,7 @@
   explicit GatewayDeployment(Options aOptions);
 
   Fake& Store() { return *store_; }
+  Fake& LinkStore() { return *linkStore_; } // of the linked hosts
   Fake& Engine(std::size_t aIndex) { return *engines_.at(aIndex); }
   Fake& Board(std::size_t aIndex) { return *boards_.at(aIndex); }
   Host& At(std::size_t aIndex) { return *hosts_.at(aIndex); }
@@ -57,6 +58,9 @@
             const std::string& aState = "ready",
             const std::string& aZone = "zone-a");
 
+  /// Changes the state of an engine in the store.
+  void SetEngineState(std::size_t aIndex, const std::string& aState);
+
   /// Writes an object to the store.
   /// @param aKey KIND/NAME
   void Put(const std::string& aKey, const json& aSpec);
--- a/test/integration/harness-streams.cc
+++ b/test/integration/harness-streams.cc
@@ -14,14 +14,8 @@
 
 bool IsWhole(const Outcome<HttpResponse>& aResponse, int aEvents)
 {
-  if (!aResponse || aResponse.value().status_ != 200) {
-    return false;
-  }
-  std::string expected;
-  for (int event = 1; event <= aEvents; ++event) {
-    expected += "id: " + std::to_string(event) + "\ndata: piece\n\n";
-  }
-  return aResponse.value().body_ == expected;
+  return aResponse && aResponse.value().status_ == 200 &&
+         aResponse.value().body_ == LongStreamBody(aEvents);
 }
 
 } // namespace
@@ -79,6 +73,15 @@
   return document;
 }
 
+std::string LongStreamBody(int aEvents)
+{
+  std::string body;
+  for (int event = 1; event <= aEvents; ++event) {
+    body += "id: " + std::to_string(event) + "\ndata: piece\n\n";
+  }
+  return body;
+}
+
 json LongStreamEngine(int aEvents, milliseconds aInterval)
 {
   return { { "events", aEvents }, { "event_ms", aInterval.count() } };
--- a/test/integration/harness-streams.h
+++ b/test/integration/harness-streams.h
@@ -53,6 +53,9 @@
 /// than the streams.
 json LongStreamDocument(const GatewayDeployment& aDeployment);
 
+/// Returns the body of a whole stream.
+std::string LongStreamBody(int aEvents);
+
 /// Returns settings of engines whose streams last for a while.
 json LongStreamEngine(int aEvents, std::chrono::milliseconds aInterval);
 
