--- a/test/soak/soak-schedule.h
+++ b/test/soak/soak-schedule.h
@@ -30,8 +30,6 @@
   std::size_t first_ = 0;
   std::size_t count_ = 1;
   std::chrono::milliseconds length_{ 0 }; // of a pause or drain
-
-  bool IsPause() const { return target_ <= SoakTarget::kMachine; }
 };
 
 struct SoakSize
