--- a/test/soak/gooseberrylift-pause-soak-test.cc
+++ b/test/soak/gooseberrylift-pause-soak-test.cc
@@ -1,6 +1,9 @@
 // Plays seeded random pauses beside configuration changes, planned stops and
 // drains while callers read streams. SOAK_SEED is the first seed, SOAK_SEEDS
 // the number of seeds.
+//
+// A run in the background needs a session of its own (setsid): the kernel sends
+// SIGHUP to a process group with stopped processes when its shell exits.
 
 #include "soak-callers.h"
 #include "soak-schedule.h"
