Send one replacement at most to an endpoint that has not responded yet

An idle endpoint shows nothing until its first data, so a replacement now avoids one that another request of this host waits for, and one that has been silent for a quarter of a second.

--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -33,9 +33,9 @@
   ServiceGaps gaps_;
   PlacementRequest request_;
   std::set<std::string> tried_; // endpoints that failed this request
-  // An endpoint that has sent nothing to this host's requests for longer is
-  // avoided.
-  std::chrono::milliseconds maxSilence_ = std::chrono::milliseconds::max();
+  // Whether an endpoint that leaves this host's requests without response is
+  // avoided at once.
+  bool mustRespond_ = false;
   AllowedZones allowedZones_;
   std::uint64_t draw_ = 0;        // random, for shuffling and tie-breaking
   std::uint64_t requestDraw_ = 0; // random, the same for each placement of it
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -174,7 +174,6 @@
   TimePoint StallDeadline() const;
   TimePoint NextStallCheck() const;
   bool IsStallTimeout(const Error& aError) const;
-  std::chrono::milliseconds MaxSilenceOfReplacement() const;
   boost::asio::awaitable<void> OnStallTimeout(RequestAttempt& aAttempt);
   boost::asio::awaitable<void> AwaitOrReplace(RequestAttempt& aStalled);
   void Exclude(const RequestAttempt& aAttempt);
--- a/include/gooseberrylift/internal/gooseberrylift-service-loads.h
+++ b/include/gooseberrylift/internal/gooseberrylift-service-loads.h
@@ -36,6 +36,10 @@
   /// requests for longer than any engine pass takes.
   bool IsAvoided(const std::string& aEndpoint, TimePoint aNow) const;
 
+  /// Returns whether an endpoint leaves this host's requests without response,
+  /// for a short time already.
+  bool MayHang(const std::string& aEndpoint, TimePoint aNow) const;
+
   /// Records how a request ended at an endpoint.
   void OnOutcome(const std::string& aEndpoint,
                  EndpointOutcome aOutcome,
--- a/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-load.h
@@ -138,6 +138,10 @@
   /// Returns this host's own load at one endpoint.
   EndpointShare OwnShare(const std::string& aEndpoint, TimePoint aNow) const;
 
+  /// Returns whether this host waits for the first response of an endpoint that
+  /// was idle, so that it may hang.
+  bool IsUnproven(const std::string& aEndpoint) const;
+
   /// Records that an endpoint sent data, also if another host relayed it.
   void RecordData(TimePoint aNow);
 
@@ -175,6 +179,7 @@
   {
     std::map<std::uint64_t, SentRequest> requests_;
     TimePoint lastHeard_{}; // last data received, or start of the wait
+    bool hasResponded_ = false;
     // Send time of the latest request that was answered; index 1 is for
     // deferred requests, 0 for all others.
     std::array<TimePoint, 2> latestStarted_{};
--- a/src/core/limits/gooseberrylift-replacement-pacer.cc
+++ b/src/core/limits/gooseberrylift-replacement-pacer.cc
@@ -5,23 +5,17 @@
 bool ReplacementPacer::TryReplace(bool aResponding, TimePoint aNow)
 {
   if (aResponding) {
-    allowed_ = 0;
+    isSilent_ = false;
     return true;
   }
-  const auto elapsed = aNow - roundStart_;
-  if (allowed_ == 0 || elapsed >= kForgetAfter) {
-    allowed_ = 1;
-    used_ = 0;
-    roundStart_ = aNow + kFirstDelay;
-  } else if (elapsed >= kRound) {
-    allowed_ *= 2;
-    used_ = 0;
-    roundStart_ = aNow;
+  if (!isSilent_ || aNow - next_ >= kForgetAfter) {
+    isSilent_ = true;
+    next_ = aNow + kFirstDelay;
   }
-  if (aNow < roundStart_ || used_ >= allowed_) {
+  if (aNow < next_) {
     return false;
   }
-  ++used_;
+  next_ = aNow + kInterval;
   return true;
 }
 
--- a/src/core/routing/gooseberrylift-fleet-load.cc
+++ b/src/core/routing/gooseberrylift-fleet-load.cc
@@ -59,6 +59,7 @@
 {
   LocalLoad& own = local_[aEndpoint];
   own.lastHeard_ = aNow;
+  own.hasResponded_ = true;
   RecordData(aNow);
   const auto found = own.requests_.find(aRequest);
   if (found == own.requests_.end()) {
@@ -111,6 +112,7 @@
   const auto found = local_.find(aEndpoint);
   if (found != local_.end()) {
     found->second.lastHeard_ = aNow;
+    found->second.hasResponded_ = true;
     RecordData(aNow);
   }
 }
@@ -389,6 +391,12 @@
   return shares;
 }
 
+bool FleetLoad::IsUnproven(const std::string& aEndpoint) const
+{
+  const auto own = local_.find(aEndpoint);
+  return own != local_.end() && !own->second.hasResponded_;
+}
+
 void FleetLoad::RecordData(TimePoint aNow)
 {
   if (aNow - lastDataAt_ > kMaxDataGap) {
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -147,7 +147,7 @@
       { .endpoint_ = &endpoint,
         .load_ = aState.load_.Of(id, aNow),
         .avoided_ = aState.IsAvoided(id, aNow) ||
-                    aState.load_.SilentFor(id, aNow) > aQuery.maxSilence_,
+                    (aQuery.mustRespond_ && aState.MayHang(id, aNow)),
         .tried_ = aQuery.tried_.contains(id),
         .limited_ = limited.permitted_.contains(id),
         .cold_ = limited.cold_.contains(id) });
--- a/src/gateway/gooseberrylift-request-replacement.cc
+++ b/src/gateway/gooseberrylift-request-replacement.cc
@@ -70,13 +70,6 @@
          TimerService::Now() < request_.deadline_;
 }
 
-// An endpoint that sent data within this time is not affected by what silences
-// the stalled one.
-milliseconds RequestRun::MaxSilenceOfReplacement() const
-{
-  return EndpointStallTimeout(*request_.route_) / 4;
-}
-
 // Handles a stall timeout of an attempt. Returns once reading may continue;
 // replacement_ is set if another attempt has begun instead.
 asio::awaitable<void> RequestRun::OnStallTimeout(RequestAttempt& aAttempt)
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -310,8 +310,7 @@
                   .objective_ = request_.route_->objective_,
                   .maxGap_ = request_.route_->maxGap_ },
     .tried_ = tried_,
-    .maxSilence_ =
-      stalled_ > 0 ? MaxSilenceOfReplacement() : milliseconds::max(),
+    .mustRespond_ = stalled_ > 0,
     .allowedZones_ = request_.allowedZones_,
     .draw_ = RandomNumber(),
     .requestDraw_ = requestDraw_
--- a/src/gateway/gooseberrylift-service-loads.cc
+++ b/src/gateway/gooseberrylift-service-loads.cc
@@ -56,6 +56,12 @@
          load_.SilentFor(aEndpoint, aNow) > kMaxSilence;
 }
 
+bool ServiceLoad::MayHang(const std::string& aEndpoint, TimePoint aNow) const
+{
+  return load_.IsUnproven(aEndpoint) ||
+         load_.SilentFor(aEndpoint, aNow) > ReplacementPacer::kMaxSilence;
+}
+
 void ServiceLoad::OnOutcome(const std::string& aEndpoint,
                             EndpointOutcome aOutcome,
                             microseconds aDuration,
--- a/test/core/gooseberrylift-fleet-load-test.cc
+++ b/test/core/gooseberrylift-fleet-load-test.cc
@@ -202,3 +202,12 @@
   CHECK_FALSE(load_.AreResponding(now_ + 100ms));
   CHECK_TRUE(load_.AreResponding(now_ + 300ms));
 }
+
+TEST(FleetLoadTest, AnIdleEndpointIsUnprovenUntilItsFirstData)
+{
+  CHECK_FALSE(load_.IsUnproven("engine"));
+  load_.OnSent("engine", 1, {}, now_);
+  CHECK_TRUE(load_.IsUnproven("engine"));
+  load_.OnDataReceived("engine", now_);
+  CHECK_FALSE(load_.IsUnproven("engine"));
+}
