Give operations a moment after a pause of the process before they time out

What was seen: hosts that stand still together with their endpoints find all of their timers due when they go on, before the endpoints have sent anything: stalls, needless retries and failed connections.

Cause: a timer that fires late says nothing about the peer.

SocketDeadline, which every read, connection and probe uses, extends a deadline once by 0.2 s if its timer fired more than 0.2 s late.

KeepsAttemptsWhenItsHostStandsStillAsWell fails 2 of 2 without, passes 2 of 2 with it.

--- a/include/gooseberrylift/internal/gooseberrylift-socket-deadline.h
+++ b/include/gooseberrylift/internal/gooseberrylift-socket-deadline.h
@@ -10,11 +10,14 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "gooseberrylift/gooseberrylift-endpoint.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
 
 // Cancels the pending operations of a socket at a deadline, unless it is
-// destroyed first. Must be created and destroyed on the socket's strand.
+// destroyed first. If this process did not run at the deadline, the operations
+// get a short time to complete, since the peer was not the one that was late.
+// Must be created and destroyed on the socket's strand.
 class SocketDeadline
 {
 public:
@@ -23,16 +26,7 @@
                  TimePoint aDeadline)
     : state_(std::make_shared<State>(aSocket, aStrand))
   {
-    state_->timer_.expires_at(aDeadline);
-    state_->timer_.async_wait(
-      [state = state_](const boost::system::error_code& aCode) {
-        if (aCode || state->socket_ == nullptr) {
-          return;
-        }
-        state->expired_ = true;
-        boost::system::error_code ignored;
-        state->socket_->cancel(ignored);
-      });
+    state_->Start(aDeadline);
   }
 
   ~SocketDeadline()
@@ -47,7 +41,12 @@
   bool Expired() const { return state_->expired_; }
 
 private:
-  struct State
+  // A timer that is later than this shows that the process did not run.
+  static constexpr std::chrono::milliseconds kMaxTimerDelay{ 200 };
+  // Peers that stood still for the same reason resume within this time.
+  static constexpr std::chrono::milliseconds kGraceAfterPause{ 200 };
+
+  struct State : std::enable_shared_from_this<State>
   {
     State(boost::asio::ip::tcp::socket& aSocket,
           const boost::asio::any_io_executor& aStrand)
@@ -55,8 +54,34 @@
       , socket_(&aSocket)
     {
     }
+
+    void Start(TimePoint aDeadline)
+    {
+      timer_.expires_at(aDeadline);
+      timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& aCode) {
+          if (!aCode && self->socket_ != nullptr) {
+            self->OnExpired();
+          }
+        });
+    }
+
+    void OnExpired()
+    {
+      const TimePoint now = TimerService::Now();
+      if (!extended_ && now - timer_.expiry() > kMaxTimerDelay) {
+        extended_ = true;
+        Start(now + kGraceAfterPause);
+        return;
+      }
+      expired_ = true;
+      boost::system::error_code ignored;
+      socket_->cancel(ignored);
+    }
+
     boost::asio::steady_timer timer_;
     boost::asio::ip::tcp::socket* socket_;
+    bool extended_ = false;
     bool expired_ = false;
   };
 
--- a/test/integration/gooseberrylift-stalled-stream-test.cc
+++ b/test/integration/gooseberrylift-stalled-stream-test.cc
@@ -30,6 +30,15 @@
   SignalEngines(aDeployment, aEngines, SIGCONT);
 }
 
+void SignalHosts(GatewayDeployment& aDeployment,
+                 std::size_t aHosts,
+                 int aSignal)
+{
+  for (std::size_t host = 0; host < aHosts; ++host) {
+    aDeployment.At(host).Handle().Signal(aSignal);
+  }
+}
+
 std::vector<std::uint16_t> PortsOfAll(GatewayDeployment& aDeployment,
                                       std::size_t aHosts)
 {
@@ -190,6 +199,35 @@
   CHECK_TRUE(arrivals <= kStreams + static_cast<int>(kHosts));
 }
 
+// Guards against stalls that are the host's own pause, after which all of its
+// timers are due.
+TEST(StalledStreamTest, KeepsAttemptsWhenItsHostStandsStillAsWell)
+{
+  constexpr int kEvents = 30;
+  constexpr std::size_t kHosts = 3;
+  constexpr milliseconds kLaterStart{ 100 };
+  GatewayDeployment deployment(
+    { .hosts_ = kHosts,
+      .engines_ = kEngines,
+      .engine_ = LongStreamEngine(kEvents, kEventInterval) });
+  ApplyDocument(deployment, LongStreamDocument(deployment), kHosts);
+  LongStreams streams(
+    { .ports_ = PortsOfAll(deployment, kHosts), .events_ = kEvents });
+  std::this_thread::sleep_for(milliseconds(500));
+  SignalHosts(deployment, kHosts, SIGSTOP);
+  SignalEngines(deployment, kEngines, SIGSTOP);
+  std::this_thread::sleep_for(kPause);
+  SignalHosts(deployment, kHosts, SIGCONT);
+  std::this_thread::sleep_for(kLaterStart);
+  SignalEngines(deployment, kEngines, SIGCONT);
+  LONGS_EQUAL(0, streams.CountCut());
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    const std::string output = deployment.At(host).Handle().Output();
+    STRCMP_CONTAINS("\"event\":1006", output.c_str());
+    CHECK_TRUE(output.find("\"event\":1306") == std::string::npos);
+  }
+}
+
 // Guards against streams that wait for an engine that hangs for good.
 TEST(StalledStreamTest, MovesStreamsFromAnEngineThatStopsForGood)
 {
