--- a/src/gateway/gooseberrylift-request-replacement.cc
+++ b/src/gateway/gooseberrylift-request-replacement.cc
@@ -173,13 +173,13 @@
 // Reads a response until a part of it can be forwarded.
 asio::awaitable<Outcome<void>> RequestRun::AwaitData(RequestAttempt& aAttempt)
 {
-  bool isWhole = false;
-  while (!isWhole) {
+  bool isReady = false;
+  while (!isReady) {
     const auto read = co_await Read(aAttempt);
     if (!read) {
       co_return read;
     }
-    isWhole = aAttempt.ended_ || !aAttempt.events_.empty() ||
+    isReady = aAttempt.ended_ || !aAttempt.events_.empty() ||
               aAttempt.body_.size() > kMaxBufferedBytes;
   }
   if (const auto error = CheckData(aAttempt)) {
