--- a/src/gateway/gooseberrylift-request-attempt.cc
+++ b/src/gateway/gooseberrylift-request-attempt.cc
@@ -126,7 +126,7 @@
 std::optional<Error> RequestRun::OnFirstByte(RequestAttempt& aAttempt)
 {
   aAttempt.progress_.OnSent(TimerService::Now());
-  if (const auto refusal = CheckFirstByte()) {
+  if (auto refusal = CheckFirstByte()) {
     return refusal;
   }
   ++sends_;
