Drop two includes that the split of the request run left unused

Sending an attempt moved to its own file, which includes both. The program builds, the linter passes on the file, and gooseberrylift-gateway-test passes.

--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -2,14 +2,12 @@
 
 #include <algorithm>
 
-#include "gooseberrylift-connect-timeouts.h"
 #include "gooseberrylift-request-errors.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-route-admission.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
 #include "gooseberrylift/limits/gooseberrylift-started-response.h"
-#include "gooseberrylift/routing/gooseberrylift-priority-class.h"
 
 namespace gooseberrylift {
 
