Keep the output of test processes where TEST_LOGS names a directory

With TEST_LOGS=DIR each process of a test writes its output to DIR/PID.log when it ends; nothing changes without it.

--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -1,6 +1,9 @@
 #include "harness.h"
 
 #include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <mutex>
 #include <thread>
 
@@ -19,6 +22,24 @@
 namespace bp = boost::process;
 using std::chrono::milliseconds;
 
+namespace {
+
+// Writes the output of a process into the directory named by the variable
+// TEST_LOGS, if it is set.
+void KeepOutput(int aPid, const std::string& aOutput)
+{
+  const char* directory = std::getenv("TEST_LOGS");
+  if (directory == nullptr) {
+    return;
+  }
+  std::filesystem::create_directories(directory);
+  std::ofstream file(std::filesystem::path(directory) /
+                     (std::to_string(aPid) + ".log"));
+  file << aOutput;
+}
+
+} // namespace
+
 class Process::Impl
 {
 public:
@@ -74,6 +95,7 @@
   if (impl_->reader_.joinable()) {
     impl_->reader_.join();
   }
+  KeepOutput(Pid(), Output());
 }
 
 std::string Process::WaitForLine(const std::string& aText, milliseconds aLimit)
