Count the endpoints of a request instead of its attempts

Cause: a route limits how many endpoints may run a request, but the host counted attempts.

UsedEndpoints counts endpoints. One that has not failed the request may receive it again when no further endpoint may; a host names the endpoint in its response to a relayed request, and is told which ones are allowed. An endpoint out of reach is avoided only by the host that does not reach it. A silent host is asked again if no other one can take the request.

--- a/include/gooseberrylift/internal/gooseberrylift-fleet.h
+++ b/include/gooseberrylift/internal/gooseberrylift-fleet.h
@@ -33,6 +33,8 @@
   ServiceGaps gaps_;
   PlacementRequest request_;
   std::set<std::string> tried_; // endpoints that failed this request
+  // Endpoints and helpers that may be chosen; nothing if all may.
+  std::optional<std::set<std::string>> only_{};
   // Whether an endpoint that leaves this host's requests without response is
   // avoided at once.
   bool mustRespond_ = false;
--- a/include/gooseberrylift/internal/gooseberrylift-peer-rpc.h
+++ b/include/gooseberrylift/internal/gooseberrylift-peer-rpc.h
@@ -113,6 +113,16 @@
     const std::string& aNonce,
     const HttpResponse& aResponse) const;
 
+  /// Sets which endpoint the response to a relayed request is from. It replaces
+  /// what the endpoint itself sent in that field.
+  /// @param aEndpoint empty to only remove the field
+  static void SetResponder(const std::string& aEndpoint,
+                           HttpResponse& aResponse);
+
+  /// Returns the endpoint that the response to a relayed request is from; empty
+  /// if the peer doesn't name it.
+  static std::string ResponderOf(const HttpResponse& aResponse);
+
   /// Returns the total size of the bodies sent and received so far.
   std::uint64_t ByteCount() const { return byteCount_; }
 
--- a/include/gooseberrylift/internal/gooseberrylift-request-attempt.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-attempt.h
@@ -29,6 +29,12 @@
     return relay_ ? static_cast<AttemptTarget&>(*relay_) : *endpoint_;
   }
 
+  /// Returns the ID of its endpoint; empty while another host has not named it.
+  const std::string& EndpointId() const
+  {
+    return relay_ ? relayedTo_ : active_->Placement().endpoint_.id_;
+  }
+
   // Of an attempt at an endpoint.
   std::unique_ptr<Fleet::ActiveRequest> active_;
   std::unique_ptr<MemoryReservation> reservation_;
@@ -36,6 +42,7 @@
   // Of an attempt through another host, and why that was chosen.
   std::unique_ptr<RelayClient::Target> relay_;
   RelayReason relayReason_ = RelayReason::kNone;
+  std::string relayedTo_;      // the endpoint that the other host names
   bool refusedByHost_ = false; // the other host did not take the request
 
   std::unique_ptr<HttpCall> call_; // null until the request was sent
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -27,6 +27,7 @@
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 #include "gooseberrylift/limits/gooseberrylift-long-prompt-hold.h"
 #include "gooseberrylift/limits/gooseberrylift-request-features.h"
+#include "gooseberrylift/limits/gooseberrylift-used-endpoints.h"
 
 namespace gooseberrylift {
 
@@ -192,10 +193,16 @@
   std::optional<Error> CheckFirstByte() const;
   std::optional<Error> CheckQuarantine() const;
   std::optional<PeerMember> ChooseRelay();
+  std::optional<PeerMember> ChoosePeer() const;
   bool MayRelayLate();
   std::chrono::milliseconds PeerStallTimeout() const;
   void LogRelayed(const PeerMember& aPeer) const;
   int MaxAttempts() const;
+  std::set<std::string> FailedEndpoints() const;
+  std::optional<std::set<std::string>> AllowedNext() const;
+  bool HasAttemptLeft() const;
+  bool MayReachAny(const std::set<std::string>& aFailed) const;
+  bool IsAnyUntried() const;
   std::optional<Error> CheckSendPreconditions() const;
   std::optional<Error> Admit(const FleetPlacement& aPlacement) const;
   std::optional<Error> DecideRefusal(const FleetPlacement& aPlacement,
@@ -244,13 +251,16 @@
   boost::asio::awaitable<Outcome<void>> ForwardBuffered(
     RequestAttempt& aAttempt);
   boost::asio::awaitable<Outcome<void>> ForwardUnbuffered(
-    HttpCall& aCall,
-    std::string aBuffered);
+    RequestAttempt& aAttempt);
   boost::asio::awaitable<Outcome<void>> ForwardStream(RequestAttempt& aAttempt);
   Outcome<std::string> TakeEvents(RequestAttempt& aAttempt);
-  boost::asio::awaitable<Outcome<void>> WriteEvents(const HttpResponse& aHead,
-                                                    std::string aEvents);
-  boost::asio::awaitable<bool> EnsureStreamStarted(const HttpResponse& aHead);
+  boost::asio::awaitable<Outcome<void>> WriteEvents(
+    const RequestAttempt& aAttempt,
+    std::string aEvents);
+  boost::asio::awaitable<bool> EnsureStreamStarted(
+    const RequestAttempt& aAttempt);
+  HttpResponse MakeHead(const RequestAttempt& aAttempt) const;
+  void IdentifyResponder(RequestAttempt& aAttempt);
   boost::asio::awaitable<Outcome<void>> SendSavedFailure();
   void AnnouncePlacement(const FleetPlacement& aPlacement) const;
   void RecordAnswerData(RequestAttempt& aAttempt);
@@ -258,7 +268,7 @@
   void RecordLostConnection(const RequestAttempt& aAttempt,
                             const Error& aError);
   bool MayRetry(const Error& aError);
-  bool MayRetryElsewhere() const;
+  bool MayRetryElsewhere(const RequestAttempt& aAttempt) const;
   bool TryReserveRetry();
   void EnsureRetryDelay(Error aError);
   void RecordResponseStart(int aStatus);
@@ -273,8 +283,10 @@
   SharedRetryBudget::Retry retry_; // its next attempt, unless that is its first
   AttemptErrors attempts_;
   EventSequence events_;
-  std::uint64_t requestDraw_; // random
-  std::set<std::string> tried_;
+  std::uint64_t requestDraw_;       // random
+  std::set<std::string> tried_;     // endpoints that are avoided
+  std::set<std::string> unreached_; // of these, those only out of reach
+  UsedEndpoints used_;
   // While it waits in the order of all hosts, and its place when last checked.
   std::unique_ptr<WaitingRoom::Ticket> waiting_;
   WaitingTurn turn_;
@@ -290,6 +302,7 @@
   bool lateHere_ = false;
   std::size_t relays_ = 0;              // hosts that it was relayed to
   std::set<std::string> excludedPeers_; // of these, those that refused it
+  std::set<std::string> silentPeers_;   // and those that stalled
   RelayReason relayReason_ = RelayReason::kNone; // of the last decision
   // Total time of the attempts that sent nothing, such as failed connections.
   TimePoint::duration timeOnUnsentAttempts_{ 0 };
--- a/include/gooseberrylift/membership/gooseberrylift-relay-message.h
+++ b/include/gooseberrylift/membership/gooseberrylift-relay-message.h
@@ -33,6 +33,8 @@
   // isn't admitted again.
   bool admitted_ = false;
   std::vector<std::string> tried_; // endpoints that failed the request
+  // Endpoints that it may be sent to; empty if all may receive it.
+  std::vector<std::string> only_;
 };
 
 // Replaces the response if the receiving host has none of an endpoint.
--- a/src/clients/gooseberrylift-peer-rpc.cc
+++ b/src/clients/gooseberrylift-peer-rpc.cc
@@ -21,6 +21,7 @@
 constexpr const char* kSignatureField = "X-Peer-Signature";
 constexpr const char* kRelayField = "X-Peer-Relay";
 constexpr const char* kOutcomeField = "X-Peer-Outcome";
+constexpr const char* kResponderField = "X-Peer-Responder";
 
 std::string Hmac(const std::string& aKey, const std::string& aBody)
 {
@@ -284,6 +285,22 @@
   return envelope.at("p");
 }
 
+void PeerRpc::SetResponder(const std::string& aEndpoint,
+                           HttpResponse& aResponse)
+{
+  std::erase_if(aResponse.fields_, [](const HttpField& aField) {
+    return !FindField({ aField }, kResponderField).empty();
+  });
+  if (!aEndpoint.empty()) {
+    aResponse.fields_.push_back({ kResponderField, aEndpoint });
+  }
+}
+
+std::string PeerRpc::ResponderOf(const HttpResponse& aResponse)
+{
+  return std::string(aResponse.Field(kResponderField));
+}
+
 std::string PeerRpc::Sign(const std::string& aBody) const
 {
   return options_.keys_.empty() ? "" : Hmac(options_.keys_.front(), aBody);
--- /dev/null
+++ b/src/core/limits/gooseberrylift-used-endpoints.cc
@@ -0,0 +1,40 @@
+#include "gooseberrylift/limits/gooseberrylift-used-endpoints.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace gooseberrylift {
+
+void UsedEndpoints::OnSent(const std::string& aEndpoint,
+                           const std::set<std::string>& aFailed)
+{
+  const bool isNew = known_.insert(aEndpoint).second;
+  if (isNew || aFailed.contains(aEndpoint)) {
+    ++count_;
+  }
+}
+
+void UsedEndpoints::OnIdentified(const std::string& aEndpoint,
+                                 const std::set<std::string>& aFailed)
+{
+  --count_;
+  OnSent(aEndpoint, aFailed);
+}
+
+std::optional<std::set<std::string>> UsedEndpoints::AllowedNext(
+  int aMax,
+  const std::set<std::string>& aFailed) const
+{
+  if (count_ < aMax) {
+    return std::nullopt;
+  }
+  std::set<std::string> allowed;
+  std::set_difference(known_.begin(),
+                      known_.end(),
+                      aFailed.begin(),
+                      aFailed.end(),
+                      std::inserter(allowed, allowed.end()));
+  return allowed;
+}
+
+} // namespace gooseberrylift
--- a/src/core/membership/gooseberrylift-relay-message.cc
+++ b/src/core/membership/gooseberrylift-relay-message.cc
@@ -54,7 +54,8 @@
            { "waited_ms", aTerms.waited_.count() },
            { "may_move", aTerms.mayMove_ },
            { "admitted", aTerms.admitted_ },
-           { "tried", aTerms.tried_ } };
+           { "tried", aTerms.tried_ },
+           { "only", aTerms.only_ } };
 }
 
 std::optional<RelayTerms> RelayTermsFromJson(const json& aDocument)
@@ -65,7 +66,9 @@
                        .waited_ = BoundedDuration(aDocument.at("waited_ms")),
                        .mayMove_ = aDocument.at("may_move"),
                        .admitted_ = aDocument.value("admitted", false),
-                       .tried_ = aDocument.at("tried") };
+                       .tried_ = aDocument.at("tried"),
+                       .only_ =
+                         aDocument.value("only", std::vector<std::string>{}) };
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/src/gateway/gooseberrylift-fleet.cc
+++ b/src/gateway/gooseberrylift-fleet.cc
@@ -140,6 +140,7 @@
     const std::string& id = endpoint.id_;
     if (limited.withheld_.contains(id) ||
         aRestrictions.backedOff_.contains(id) ||
+        (aQuery.only_ && !aQuery.only_->contains(id)) ||
         !IsAllowed(aQuery.allowedZones_, endpoint.zone_)) {
       continue;
     }
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "gooseberrylift-request-errors.h"
+#include "gooseberrylift/internal/gooseberrylift-peer-rpc.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
 
@@ -118,6 +119,7 @@
   if (const auto rejection = ValidateHead(call.Head(), aAttempt.Target())) {
     co_return *rejection;
   }
+  IdentifyResponder(aAttempt);
   // The head of a stream may be sent while the prompt is still being read.
   const bool begins = request_.route_->kind_ != RouteKind::kStreaming;
   ++aAttempt.parts_;
@@ -130,6 +132,18 @@
   co_return boost::outcome_v2::success();
 }
 
+// Records which endpoint responds to a relayed request.
+void RequestRun::IdentifyResponder(RequestAttempt& aAttempt)
+{
+  if (!aAttempt.relay_) {
+    return;
+  }
+  aAttempt.relayedTo_ = PeerRpc::ResponderOf(aAttempt.call_->Head());
+  if (!aAttempt.relayedTo_.empty()) {
+    used_.OnIdentified(aAttempt.relayedTo_, FailedEndpoints());
+  }
+}
+
 void RequestRun::OnStreamData(RequestAttempt& aAttempt,
                               const std::string& aData)
 {
@@ -227,20 +241,19 @@
 asio::awaitable<Outcome<void>> RequestRun::ForwardBuffered(
   RequestAttempt& aAttempt)
 {
-  HttpCall& call = *aAttempt.call_;
   while (!aAttempt.ended_) {
     if (aAttempt.body_.size() > kMaxBufferedBytes) {
-      co_return co_await ForwardUnbuffered(call, std::move(aAttempt.body_));
+      co_return co_await ForwardUnbuffered(aAttempt);
     }
     const auto read = co_await Read(aAttempt);
     if (!read) {
       co_return read;
     }
   }
-  HttpResponse answer = parts_.dialect_.MakeCallerResponse(call.Head());
+  HttpResponse answer = MakeHead(aAttempt);
   answer.body_ = std::move(aAttempt.body_);
   const bool failed = answer.status_ >= 500;
-  if (failed && MayRetryElsewhere() && TryReserveRetry()) {
+  if (failed && MayRetryElsewhere(aAttempt) && TryReserveRetry()) {
     const std::string text = "status " + std::to_string(answer.status_);
     savedFailure_ = std::move(answer);
     co_return Error{ .code_ = ResultCode::kEndpointFailed,
@@ -256,19 +269,16 @@
 }
 
 asio::awaitable<Outcome<void>> RequestRun::ForwardUnbuffered(
-  HttpCall& aCall,
-  std::string aBuffered)
+  RequestAttempt& aAttempt)
 {
-  streamStarted_ = true;
-  RecordResponseStart(aCall.Head().status_);
-  bool open = co_await exchange_.StartStream(
-    parts_.dialect_.MakeCallerResponse(aCall.Head()));
+  HttpCall& call = *aAttempt.call_;
+  bool open = co_await EnsureStreamStarted(aAttempt);
   if (open) {
-    open = co_await exchange_.Write(aBuffered);
+    open = co_await exchange_.Write(aAttempt.body_);
   }
   while (open) {
-    aCall.SetDeadline(request_.deadline_);
-    auto chunk = co_await aCall.ReadSome();
+    call.SetDeadline(request_.deadline_);
+    auto chunk = co_await call.ReadSome();
     if (!chunk) {
       co_return chunk.error();
     }
@@ -291,7 +301,7 @@
       co_return events.error();
     }
     const auto written =
-      co_await WriteEvents(call.Head(), std::move(events.value()));
+      co_await WriteEvents(aAttempt, std::move(events.value()));
     if (!written) {
       co_return written.error();
     }
@@ -316,7 +326,7 @@
   }
   // An empty stream is valid, for instance when the caller resumes a stream of
   // which it already has all events.
-  bool open = co_await EnsureStreamStarted(call.Head());
+  bool open = co_await EnsureStreamStarted(aAttempt);
   if (open) {
     open = co_await exchange_.Finish();
   }
@@ -348,13 +358,13 @@
 }
 
 asio::awaitable<Outcome<void>> RequestRun::WriteEvents(
-  const HttpResponse& aHead,
+  const RequestAttempt& aAttempt,
   std::string aEvents)
 {
   if (aEvents.empty()) {
     co_return boost::outcome_v2::success();
   }
-  bool open = co_await EnsureStreamStarted(aHead);
+  bool open = co_await EnsureStreamStarted(aAttempt);
   RecordStreamChunk();
   if (open) {
     open = co_await exchange_.Write(aEvents);
@@ -367,15 +377,25 @@
 
 // Sends the head of the response, unless it was already sent for an earlier
 // attempt.
-asio::awaitable<bool> RequestRun::EnsureStreamStarted(const HttpResponse& aHead)
+asio::awaitable<bool> RequestRun::EnsureStreamStarted(
+  const RequestAttempt& aAttempt)
 {
   if (streamStarted_) {
     co_return true;
   }
   streamStarted_ = true;
-  RecordResponseStart(aHead.status_);
-  co_return co_await exchange_.StartStream(
-    parts_.dialect_.MakeCallerResponse(aHead));
+  RecordResponseStart(aAttempt.call_->Head().status_);
+  co_return co_await exchange_.StartStream(MakeHead(aAttempt));
+}
+
+// Creates the head for the caller. A host that relayed the request is told the
+// endpoint, since it counts those that received the request.
+HttpResponse RequestRun::MakeHead(const RequestAttempt& aAttempt) const
+{
+  HttpResponse head =
+    parts_.dialect_.MakeCallerResponse(aAttempt.call_->Head());
+  PeerRpc::SetResponder(request_.relay_ ? aAttempt.EndpointId() : "", head);
+  return head;
 }
 
 asio::awaitable<Outcome<void>> RequestRun::SendSavedFailure()
--- a/src/gateway/gooseberrylift-request-attempt.cc
+++ b/src/gateway/gooseberrylift-request-attempt.cc
@@ -130,7 +130,10 @@
     return refusal;
   }
   ++sends_;
-  if (!aAttempt.relay_) {
+  if (aAttempt.relay_) {
+    used_.OnRelayed();
+  } else {
+    used_.OnSent(aAttempt.EndpointId(), FailedEndpoints());
     retry_.OnSent();
   }
   return std::nullopt;
@@ -267,10 +270,15 @@
   LogFailedAttempt(aAttempt, aError);
   attempts_.OnFailed(aError);
   RecordLostConnection(aAttempt, aError);
-  Exclude(aAttempt);
-  if (aError.code_ == ResultCode::kEndpointUnreachable) {
+  if (aError.code_ != ResultCode::kEndpointUnreachable) {
+    unreached_.erase(aAttempt.EndpointId());
+  } else {
     ++failedConnections_;
+    if (!tried_.contains(aAttempt.EndpointId())) {
+      unreached_.insert(aAttempt.EndpointId());
+    }
   }
+  Exclude(aAttempt);
   if (replacement_ || MayRetry(aError)) {
     return Next::kTryAgain;
   }
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -76,10 +76,23 @@
   if (relayReason_ == RelayReason::kNone) {
     return std::nullopt;
   }
-  return parts_.relays_.Choose({ .service_ = request_.service_,
-                                 .allowedZones_ = request_.allowedZones_,
-                                 .excluded_ = excludedPeers_,
-                                 .draw_ = RandomNumber() });
+  return ChoosePeer();
+}
+
+std::optional<PeerMember> RequestRun::ChoosePeer() const
+{
+  RelayQuery query{ .service_ = request_.service_,
+                    .allowedZones_ = request_.allowedZones_,
+                    .excluded_ = excludedPeers_,
+                    .draw_ = RandomNumber() };
+  query.excluded_.insert(silentPeers_.begin(), silentPeers_.end());
+  auto peer = parts_.relays_.Choose(query);
+  if (!peer && stalled_ == 0) {
+    // A host that was silent may have gone on since.
+    query.excluded_ = excludedPeers_;
+    peer = parts_.relays_.Choose(query);
+  }
+  return peer;
 }
 
 // Records that the request would be late or rejected at the endpoints in reach.
@@ -100,9 +113,12 @@
   terms.waited_ =
     duration_cast<milliseconds>(startTime - request_.firstArrived_);
   terms.mayMove_ =
-    request_.route_->IsRepeatable() && sends_ + 1 < MaxAttempts();
+    request_.route_->IsRepeatable() && used_.Count() + 1 < MaxAttempts();
   terms.admitted_ = IsAdmitted();
   terms.tried_ = Tried();
+  if (const auto allowed = AllowedNext()) {
+    terms.only_ = { allowed->begin(), allowed->end() };
+  }
   HttpRequest send = parts_.dialect_.MakeRelayRequest(
     exchange_.Request(), RemainingTime(), events_.Last());
   HttpClient::CallOptions options;
@@ -128,11 +144,13 @@
   const RelayClient::Target& target = *aAttempt.relay_;
   if (const auto& reported = target.Reported()) {
     sends_ += reported->sends_ - 1;
+    used_.OnReported(reported->sends_);
     tried_.insert(reported->tried_.begin(), reported->tried_.end());
   }
   Log(LogEvent::kRelayFailed,
       { { "request_id", request_.facts_.attemptId_ },
         { "to", target.Peer().host_ },
+        { "endpoint", aAttempt.EndpointId() },
         { "code", static_cast<int>(aError.code_) },
         { "text", aError.text_ },
         { "ran", NameOf(aError.ran_) },
@@ -143,13 +161,14 @@
             .count() } });
   if (aAttempt.refusedByHost_) {
     // Says nothing about the request, so that it doesn't become its result.
-    Exclude(aAttempt);
+    excludedPeers_.insert(target.Peer().host_);
     attempts_.OnRefused(MakeError(ResultCode::kLinksLost));
-    return Next::kTryAgain;
+    // It may be that host which does not reach the only endpoint left.
+    return HasAttemptLeft() ? Next::kTryAgain : Next::kEnd;
   }
   attempts_.OnFailed(aError);
   const bool mayPass = streamStarted_ && aError.ran_ == RanState::kNo &&
-                       !EndsStartedResponse(aError.code_);
+                       !EndsStartedResponse(aError.code_) && HasAttemptLeft();
   if (replacement_ || mayPass ||
       (IsOfEndpoint(aError.code_) && MayRetry(aError))) {
     return Next::kTryAgain;
--- a/src/gateway/gooseberrylift-request-replacement.cc
+++ b/src/gateway/gooseberrylift-request-replacement.cc
@@ -79,8 +79,8 @@
     co_return;
   }
   // The host that relayed a request has the other attempts.
-  const bool mayReplace =
-    !request_.relay_ && !aAttempt.isBeingReplaced_ && MayRetryElsewhere();
+  const bool mayReplace = !request_.relay_ && !aAttempt.isBeingReplaced_ &&
+                          MayRetryElsewhere(aAttempt);
   if (!aAttempt.isStalled_) {
     RecordStalled(aAttempt, mayReplace ? "replace" : "no-attempt-left");
   }
@@ -114,19 +114,19 @@
 void RequestRun::Exclude(const RequestAttempt& aAttempt)
 {
   if (aAttempt.relay_) {
-    excludedPeers_.insert(aAttempt.relay_->Peer().host_);
-  } else {
-    tried_.insert(aAttempt.active_->Placement().endpoint_.id_);
+    silentPeers_.insert(aAttempt.relay_->Peer().host_);
+  }
+  if (!aAttempt.EndpointId().empty()) {
+    tried_.insert(aAttempt.EndpointId());
   }
 }
 
 void RequestRun::Include(const RequestAttempt& aAttempt)
 {
   if (aAttempt.relay_) {
-    excludedPeers_.erase(aAttempt.relay_->Peer().host_);
-  } else {
-    tried_.erase(aAttempt.active_->Placement().endpoint_.id_);
+    silentPeers_.erase(aAttempt.relay_->Peer().host_);
   }
+  tried_.erase(aAttempt.EndpointId());
 }
 
 // Returns when the stalled attempt goes on, or has failed and no replacement
@@ -218,7 +218,7 @@
   if (status < 500) {
     return std::nullopt;
   }
-  savedFailure_ = parts_.dialect_.MakeCallerResponse(aAttempt.call_->Head());
+  savedFailure_ = MakeHead(aAttempt);
   savedFailure_->body_ = aAttempt.body_;
   return Error{ .code_ = ResultCode::kEndpointFailed,
                 .text_ = "status " + std::to_string(status),
@@ -238,6 +238,7 @@
   Log(LogEvent::kAttemptStalled,
       { { "request_id", request_.facts_.attemptId_ },
         { "target", target.Name() },
+        { "endpoint", aAttempt.EndpointId() },
         { "decision", aDecision },
         { "last_event", events_.Last().value_or(0) },
         { "silent_ms", activity.requestSilence_.count() },
--- a/src/gateway/gooseberrylift-request-retry.cc
+++ b/src/gateway/gooseberrylift-request-retry.cc
@@ -1,8 +1,10 @@
-// The part of RequestRun that decides whether another attempt may follow, and at
-// which endpoints.
+// The part of RequestRun that decides whether another attempt may follow, and
+// at which endpoints.
 
 #include "gooseberrylift/internal/gooseberrylift-request-run.h"
 
+#include <algorithm>
+
 #include "gooseberrylift-request-errors.h"
 
 namespace gooseberrylift {
@@ -24,6 +26,53 @@
   return request_.relay_ || probing_ ? 1 : request_.route_->maxAttempts_;
 }
 
+// Returns the endpoints that failed the request. One that only this host did
+// not reach may still serve it over another host's links.
+std::set<std::string> RequestRun::FailedEndpoints() const
+{
+  std::set<std::string> failed = tried_;
+  for (const std::string& endpoint : unreached_) {
+    failed.erase(endpoint);
+  }
+  return failed;
+}
+
+// Returns the endpoints that may receive the next attempt; nothing if all may.
+std::optional<std::set<std::string>> RequestRun::AllowedNext() const
+{
+  if (request_.relay_ && !request_.relay_->only_.empty()) {
+    return std::set<std::string>(request_.relay_->only_.begin(),
+                                 request_.relay_->only_.end());
+  }
+  return used_.AllowedNext(MaxAttempts(), FailedEndpoints());
+}
+
+bool RequestRun::HasAttemptLeft() const
+{
+  return MayReachAny(FailedEndpoints());
+}
+
+// Returns whether any endpoint may receive the request if some have failed it.
+bool RequestRun::MayReachAny(const std::set<std::string>& aFailed) const
+{
+  const auto allowed = used_.AllowedNext(MaxAttempts(), aFailed);
+  return !allowed || !allowed->empty();
+}
+
+// Returns whether an endpoint is left that this host has not found unusable.
+bool RequestRun::IsAnyUntried() const
+{
+  const auto allowed = AllowedNext();
+  if (!allowed) {
+    return parts_.fleet_.Access().HasUntried(
+      request_.service_, tried_, request_.allowedZones_);
+  }
+  return std::any_of(
+    allowed->begin(), allowed->end(), [this](const std::string& aEndpoint) {
+      return !tried_.contains(aEndpoint);
+    });
+}
+
 bool RequestRun::MayRetry(const Error& aError)
 {
   if (aError.code_ == ResultCode::kCallerLeft ||
@@ -42,12 +91,11 @@
     return false; // the host that relayed it may choose another one
   }
   const bool mayWait = streamStarted_ && HasCallerPatience();
-  const bool noneLeft = aError.code_ == ResultCode::kEndpointUnreachable &&
-                        !parts_.fleet_.Access().HasUntried(
-                          request_.service_, tried_, request_.allowedZones_);
+  const bool noneLeft =
+    aError.code_ == ResultCode::kEndpointUnreachable && !IsAnyUntried();
   const bool isFutile =
     noneLeft || timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts;
-  if (sends_ >= MaxAttempts() || (isFutile && !mayWait)) {
+  if (!HasAttemptLeft() || (isFutile && !mayWait)) {
     return false;
   }
   // A response that has begun waits for the retry budget.
@@ -66,14 +114,16 @@
   }
 }
 
-// Returns whether a request that was already sent may be retried at another
-// endpoint.
-bool RequestRun::MayRetryElsewhere() const
+// Returns whether a request may be retried at another endpoint than that of an
+// attempt.
+bool RequestRun::MayRetryElsewhere(const RequestAttempt& aAttempt) const
 {
   if (request_.relay_) {
     return request_.relay_->mayMove_;
   }
-  return request_.route_->IsRepeatable() && sends_ < MaxAttempts();
+  std::set<std::string> failed = FailedEndpoints();
+  failed.insert(aAttempt.EndpointId());
+  return request_.route_->IsRepeatable() && MayReachAny(failed);
 }
 
 // Charges the retry budget for a further attempt. That of a relayed request is
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -302,6 +302,7 @@
                   .objective_ = request_.route_->objective_,
                   .maxGap_ = request_.route_->maxGap_ },
     .tried_ = tried_,
+    .only_ = AllowedNext(),
     .mustRespond_ = stalled_ > 0,
     .allowedZones_ = request_.allowedZones_,
     .draw_ = RandomNumber(),
--- a/test/core/gooseberrylift-relay-test.cc
+++ b/test/core/gooseberrylift-relay-test.cc
@@ -130,15 +130,16 @@
 
 TEST(RelayMessageTest, KeepsTermsAndOutcomes)
 {
-  const auto terms =
-    RelayTermsFromJson(RelayTermsToJson({ .from_ = "h",
-                                          .generation_ = 7,
-                                          .waited_ = 70ms,
-                                          .mayMove_ = true,
-                                          .tried_ = { "e" } }));
+  const auto terms = RelayTermsFromJson(RelayTermsToJson({ .from_ = "h",
+                                                           .generation_ = 7,
+                                                           .waited_ = 70ms,
+                                                           .mayMove_ = true,
+                                                           .tried_ = { "e" },
+                                                           .only_ = { "f" } }));
   CHECK_TRUE(terms->from_ == "h" && terms->waited_ == 70ms);
   CHECK_TRUE(terms->generation_ == 7);
   CHECK_TRUE(terms->mayMove_ && terms->tried_.size() == 1);
+  CHECK_TRUE(terms->only_ == std::vector<std::string>{ "f" });
   RelayOutcome sent;
   sent.error_ = { .code_ = ResultCode::kEndpointRefused,
                   .text_ = "status 503",
