Avoid at the other host the endpoints at which a relayed request has stalled

What callers saw: a relayed stream whose engine hangs for good was moved to another host and there sent to the same engine; with two attempts it ended then.

Cause: the terms of a relayed request name the endpoints that failed it, but the receiving host never read them. They also named endpoints that only the sender's own lost links did not reach, which the receiver would then have avoided as well.

The receiver now starts with the named endpoints as tried.

--- a/include/gooseberrylift/limits/gooseberrylift-used-endpoints.h
+++ b/include/gooseberrylift/limits/gooseberrylift-used-endpoints.h
@@ -38,6 +38,12 @@
   /// Returns the number of endpoints that may have received the request.
   int Count() const { return count_; }
 
+  /// Returns those of the endpoints that failed the request to which it was
+  /// sent. Others are only out of this host's reach.
+  /// @param aFailed endpoints that failed the request
+  std::set<std::string> SentAndFailed(
+    const std::set<std::string>& aFailed) const;
+
   /// Returns the endpoints that may receive the request next: nothing if all
   /// may, and an empty set if none may.
   /// @param aMax number of endpoints that may receive it
--- a/include/gooseberrylift/membership/gooseberrylift-relay-message.h
+++ b/include/gooseberrylift/membership/gooseberrylift-relay-message.h
@@ -32,7 +32,9 @@
   // Whether the sender has admitted the request and sent it before, so that it
   // isn't admitted again.
   bool admitted_ = false;
-  std::vector<std::string> tried_; // endpoints that failed the request
+  // Endpoints that failed the request, without those that the sender did not
+  // reach.
+  std::vector<std::string> tried_;
   // Endpoints that it may be sent to; empty if all may receive it.
   std::vector<std::string> only_;
 };
--- a/src/core/limits/gooseberrylift-used-endpoints.cc
+++ b/src/core/limits/gooseberrylift-used-endpoints.cc
@@ -21,6 +21,18 @@
   OnSent(aEndpoint, aFailed);
 }
 
+std::set<std::string> UsedEndpoints::SentAndFailed(
+  const std::set<std::string>& aFailed) const
+{
+  std::set<std::string> both;
+  std::set_intersection(known_.begin(),
+                        known_.end(),
+                        aFailed.begin(),
+                        aFailed.end(),
+                        std::inserter(both, both.end()));
+  return both;
+}
+
 std::optional<std::set<std::string>> UsedEndpoints::AllowedNext(
   int aMax,
   const std::set<std::string>& aFailed) const
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -115,7 +115,8 @@
   terms.mayMove_ =
     request_.route_->IsRepeatable() && used_.Count() + 1 < MaxAttempts();
   terms.admitted_ = IsAdmitted();
-  terms.tried_ = Tried();
+  const auto failed = used_.SentAndFailed(FailedEndpoints());
+  terms.tried_ = { failed.begin(), failed.end() };
   if (const auto allowed = AllowedNext()) {
     terms.only_ = { allowed->begin(), allowed->end() };
   }
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -61,6 +61,10 @@
   , events_(request_.facts_.lastEventId_)
   , requestDraw_(RandomNumber())
 {
+  if (request_.relay_) {
+    tried_.insert(request_.relay_->tried_.begin(),
+                  request_.relay_->tried_.end());
+  }
 }
 
 asio::awaitable<Outcome<void>> RequestRun::Run()
--- a/test/core/gooseberrylift-used-endpoints-test.cc
+++ b/test/core/gooseberrylift-used-endpoints-test.cc
@@ -47,6 +47,14 @@
   CHECK_TRUE(Endpoints{} == used_.AllowedNext(2, { "e1" }));
 }
 
+// Guards against hosts that avoid endpoints out of another host's reach.
+TEST(UsedEndpointsTest, TellsFailedEndpointsFromThoseOutOfReach)
+{
+  used_.OnSent("e1", {});
+  used_.OnSent("e2", {});
+  CHECK_TRUE(Endpoints{ "e1" } == used_.SentAndFailed({ "e1", "e3" }));
+}
+
 TEST(UsedEndpointsTest, CountsARelayedRequestAsOneEndpoint)
 {
   used_.OnRelayed();
--- a/test/integration/gooseberrylift-replacement-test.cc
+++ b/test/integration/gooseberrylift-replacement-test.cc
@@ -181,3 +181,23 @@
   const auto engines = AddEngines(deployment, "engines-new-", 1, kEvents);
   LONGS_EQUAL(0, streams.CountCut());
 }
+
+// Guards against a host that sends a relayed stream to the engine that has
+// stalled at the host from which it moved.
+TEST(ReplacementTest, MovesRelayedStreamsAwayFromAnEngineThatHangs)
+{
+  constexpr int kEvents = 40;
+  GatewayDeployment::Options options = ThreeHosts(1);
+  options.engines_ = 2;
+  options.engine_ = LongStreamEngine(kEvents, kEventInterval);
+  GatewayDeployment deployment(options);
+  ApplyLongTimeouts(deployment);
+  CutOff(deployment, 1);
+  LongStreams streams({ .ports_ = { deployment.At(0).Port() },
+                        .count_ = 12,
+                        .events_ = kEvents,
+                        .deadline_ = seconds(20) });
+  std::this_thread::sleep_for(milliseconds(700));
+  deployment.Engine(0).Handle().Signal(SIGSTOP);
+  LONGS_EQUAL(0, streams.CountCut());
+}
