--- a/test/integration/gooseberrylift-replacement-test.cc
+++ b/test/integration/gooseberrylift-replacement-test.cc
@@ -20,17 +20,6 @@
 
 constexpr milliseconds kEventInterval{ 100 };
 
-// Writes a document with long timeouts and waits until a host has applied it.
-void ApplyLongTimeouts(GatewayDeployment& aDeployment)
-{
-  const json document = LongStreamDocument(aDeployment);
-  aDeployment.PutDocument(document);
-  CHECK_TRUE(WaitUntil(seconds(10), [&] {
-    return aDeployment.At(0).Status().value("generation", 0) ==
-           document.at("version").get<int>();
-  }));
-}
-
 // Sends requests of the route /safe/ at the same time and waits for the
 // responses.
 class SafeCalls
@@ -98,9 +87,7 @@
   LongStreams streams(
     { .ports_ = { deployment.At(0).Port() }, .events_ = kEvents });
   std::this_thread::sleep_for(milliseconds(700));
-  for (std::size_t link = 0; link < deployment.CountLinks(); ++link) {
-    deployment.Link(link).Handle().Signal(SIGSTOP);
-  }
+  SignalLinks(deployment, SIGSTOP);
   LONGS_EQUAL(0, streams.CountCut());
 }
 
--- a/test/integration/gooseberrylift-stalled-attempt-loss-test.cc
+++ b/test/integration/gooseberrylift-stalled-attempt-loss-test.cc
@@ -20,19 +20,6 @@
 constexpr milliseconds kEventInterval{ 100 };
 constexpr milliseconds kDeadline{ 20'000 };
 
-void ApplyDocument(GatewayDeployment& aDeployment,
-                   const json& aDocument,
-                   std::size_t aHosts)
-{
-  aDeployment.PutDocument(aDocument);
-  for (std::size_t host = 0; host < aHosts; ++host) {
-    CHECK_TRUE(WaitUntil(seconds(10), [&] {
-      return aDeployment.At(host).Status().value("generation", 0) ==
-             aDocument.at("version").get<int>();
-    }));
-  }
-}
-
 } // namespace
 
 TEST_GROUP(StalledAttemptLossTest){};
@@ -70,15 +57,13 @@
   GatewayDeployment::Options options = ThreeHosts(1);
   options.engine_ = LongStreamEngine(kEvents, kEventInterval);
   GatewayDeployment deployment(options);
-  ApplyDocument(deployment, LongStreamDocument(deployment), 3);
+  ApplyLongTimeouts(deployment, 3);
   LongStreams streams({ .ports_ = { deployment.At(0).Port() },
                         .count_ = 18,
                         .events_ = kEvents,
                         .deadline_ = kDeadline });
   std::this_thread::sleep_for(milliseconds(700));
-  for (std::size_t link = 0; link < deployment.CountLinks(); ++link) {
-    deployment.Link(link).Handle().Signal(SIGSTOP);
-  }
+  SignalLinks(deployment, SIGSTOP);
   LONGS_EQUAL(0, streams.CountCut());
 }
 
@@ -91,16 +76,14 @@
   options.hosts_ = 2;
   options.engine_ = LongStreamEngine(kEvents, kEventInterval);
   GatewayDeployment deployment(options);
-  ApplyDocument(deployment, LongStreamDocument(deployment), 2);
+  ApplyLongTimeouts(deployment, 2);
   CutOff(deployment, 1);
   LongStreams streams({ .ports_ = { deployment.At(0).Port() },
                         .count_ = 12,
                         .events_ = kEvents,
                         .deadline_ = kDeadline });
   std::this_thread::sleep_for(milliseconds(700));
-  SignalEngines(deployment, kEngines, SIGSTOP);
-  std::this_thread::sleep_for(kPause);
-  SignalEngines(deployment, kEngines, SIGCONT);
+  PauseEngines(deployment, kEngines, kPause);
   std::this_thread::sleep_for(milliseconds(700));
   SignalEngines(deployment, kEngines / 2, SIGKILL);
   LONGS_EQUAL(0, streams.CountCut());
--- a/test/integration/gooseberrylift-stalled-stream-test.cc
+++ b/test/integration/gooseberrylift-stalled-stream-test.cc
@@ -23,13 +23,6 @@
 constexpr milliseconds kPause{ 1'300 }; // more than the stall timeout of 1 s
 constexpr milliseconds kEventInterval{ 100 };
 
-void Pause(GatewayDeployment& aDeployment, int aEngines)
-{
-  SignalEngines(aDeployment, aEngines, SIGSTOP);
-  std::this_thread::sleep_for(kPause);
-  SignalEngines(aDeployment, aEngines, SIGCONT);
-}
-
 void SignalHosts(GatewayDeployment& aDeployment,
                  std::size_t aHosts,
                  int aSignal)
@@ -49,20 +42,6 @@
   return ports;
 }
 
-// Writes a route document and waits until a host has applied it.
-void ApplyDocument(GatewayDeployment& aDeployment,
-                   const json& aDocument,
-                   std::size_t aHosts)
-{
-  aDeployment.PutDocument(aDocument);
-  for (std::size_t host = 0; host < aHosts; ++host) {
-    CHECK_TRUE(WaitUntil(seconds(10), [&] {
-      return aDeployment.At(host).Status().value("generation", 0) ==
-             aDocument.at("version").get<int>();
-    }));
-  }
-}
-
 // Prints the lines of a host that show why it sent requests again.
 void PrintRetries(Host& aHost)
 {
@@ -95,13 +74,13 @@
     { .hosts_ = 3,
       .engines_ = kEngines,
       .engine_ = LongStreamEngine(kEvents, kEventInterval) });
-  ApplyDocument(deployment, LongStreamDocument(deployment), 3);
+  ApplyLongTimeouts(deployment, 3);
   LongStreams streams(
     { .ports_ = PortsOfAll(deployment, 3), .events_ = kEvents });
   std::this_thread::sleep_for(milliseconds(300));
   deployment.Store().Handle().Signal(SIGSTOP);
   AwaitUnprovenKeys(deployment);
-  Pause(deployment, kEngines);
+  PauseEngines(deployment, kEngines, kPause);
   deployment.Store().Handle().Signal(SIGCONT);
   LONGS_EQUAL(0, streams.CountCut());
 }
@@ -113,7 +92,7 @@
   constexpr int kEvents = 80;
   GatewayDeployment deployment(
     { .engines_ = 2, .engine_ = LongStreamEngine(kEvents, kEventInterval) });
-  ApplyDocument(deployment, LongStreamDocument(deployment), 1);
+  ApplyLongTimeouts(deployment, 1);
   LongStreams streams(
     { .ports_ = PortsOfAll(deployment, 1), .count_ = 12, .events_ = kEvents });
   std::this_thread::sleep_for(milliseconds(300));
@@ -132,7 +111,7 @@
   constexpr int kEvents = 40;
   GatewayDeployment deployment(
     { .engines_ = 2, .engine_ = LongStreamEngine(kEvents, kEventInterval) });
-  ApplyDocument(deployment, LongStreamDocument(deployment), 1);
+  ApplyLongTimeouts(deployment, 1);
   LongStreams streams(
     { .ports_ = PortsOfAll(deployment, 1), .count_ = 12, .events_ = kEvents });
   std::this_thread::sleep_for(milliseconds(500));
@@ -159,13 +138,13 @@
   options.engine_ = LongStreamEngine(kEvents, kEventInterval);
   options.gateway_ = { { "retry_allowance", 0 }, { "retry_ratio", 0 } };
   GatewayDeployment deployment(options);
-  ApplyDocument(deployment, LongStreamDocument(deployment), 3);
+  ApplyLongTimeouts(deployment, 3);
   CutOff(deployment, 1);
   LongStreams streams({ .ports_ = { deployment.At(0).Port() },
                         .count_ = 12,
                         .events_ = kEvents });
   std::this_thread::sleep_for(milliseconds(500));
-  Pause(deployment, kEngines);
+  PauseEngines(deployment, kEngines, kPause);
   LONGS_EQUAL(0, streams.CountCut());
 }
 
@@ -180,12 +159,12 @@
     { .hosts_ = kHosts,
       .engines_ = kEngines,
       .engine_ = LongStreamEngine(kEvents, kEventInterval) });
-  ApplyDocument(deployment, LongStreamDocument(deployment), kHosts);
+  ApplyLongTimeouts(deployment, kHosts);
   LongStreams streams({ .ports_ = PortsOfAll(deployment, kHosts),
                         .count_ = kStreams,
                         .events_ = kEvents });
   std::this_thread::sleep_for(milliseconds(500));
-  Pause(deployment, kEngines);
+  PauseEngines(deployment, kEngines, kPause);
   LONGS_EQUAL(0, streams.CountCut());
   int arrivals = 0;
   for (std::size_t engine = 0; engine < kEngines; ++engine) {
@@ -210,7 +189,7 @@
     { .hosts_ = kHosts,
       .engines_ = kEngines,
       .engine_ = LongStreamEngine(kEvents, kEventInterval) });
-  ApplyDocument(deployment, LongStreamDocument(deployment), kHosts);
+  ApplyLongTimeouts(deployment, kHosts);
   LongStreams streams(
     { .ports_ = PortsOfAll(deployment, kHosts), .events_ = kEvents });
   std::this_thread::sleep_for(milliseconds(500));
@@ -235,7 +214,7 @@
   constexpr int kStreams = 12;
   GatewayDeployment deployment(
     { .engines_ = 3, .engine_ = LongStreamEngine(kEvents, kEventInterval) });
-  ApplyDocument(deployment, LongStreamDocument(deployment), 1);
+  ApplyLongTimeouts(deployment, 1);
   LongStreams streams({ .ports_ = PortsOfAll(deployment, 1),
                         .count_ = kStreams,
                         .events_ = kEvents });
--- a/test/integration/gooseberrylift-stop-after-pause-test.cc
+++ b/test/integration/gooseberrylift-stop-after-pause-test.cc
@@ -19,19 +19,6 @@
 constexpr milliseconds kPause{ 1'300 }; // more than the stall timeout of 1 s
 constexpr milliseconds kEventInterval{ 100 };
 
-void ApplyDocument(GatewayDeployment& aDeployment,
-                   const json& aDocument,
-                   std::size_t aHosts)
-{
-  aDeployment.PutDocument(aDocument);
-  for (std::size_t host = 0; host < aHosts; ++host) {
-    CHECK_TRUE(WaitUntil(seconds(10), [&] {
-      return aDeployment.At(host).Status().value("generation", 0) ==
-             aDocument.at("version").get<int>();
-    }));
-  }
-}
-
 } // namespace
 
 TEST_GROUP(StopAfterPauseTest){};
@@ -44,15 +31,13 @@
   GatewayDeployment::Options options = ThreeHosts(1);
   options.engine_ = LongStreamEngine(kEvents, kEventInterval);
   GatewayDeployment deployment(options);
-  ApplyDocument(deployment, LongStreamDocument(deployment), 3);
+  ApplyLongTimeouts(deployment, 3);
   CutOff(deployment, 1);
   LongStreams streams({ .ports_ = { deployment.At(0).Port() },
                         .count_ = 12,
                         .events_ = kEvents });
   std::this_thread::sleep_for(milliseconds(700));
-  SignalEngines(deployment, kEngines, SIGSTOP);
-  std::this_thread::sleep_for(kPause);
-  SignalEngines(deployment, kEngines, SIGCONT);
+  PauseEngines(deployment, kEngines, kPause);
   std::this_thread::sleep_for(milliseconds(700));
   deployment.At(1).Handle().Signal(SIGTERM);
   LONGS_EQUAL(0, streams.CountCut());
--- a/test/integration/harness-streams.cc
+++ b/test/integration/harness-streams.cc
@@ -1,12 +1,16 @@
 #include "harness-streams.h"
 
+#include <csignal>
 #include <sstream>
 
+#include <CppUTest/TestHarness.h>
+
 namespace gooseberrylift::test {
 
 namespace names = gooseberrylift::platform;
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -73,6 +77,24 @@
   return document;
 }
 
+void ApplyDocument(GatewayDeployment& aDeployment,
+                   const json& aDocument,
+                   std::size_t aHosts)
+{
+  aDeployment.PutDocument(aDocument);
+  for (std::size_t host = 0; host < aHosts; ++host) {
+    CHECK_TRUE(WaitUntil(seconds(10), [&] {
+      return aDeployment.At(host).Status().value("generation", 0) ==
+             aDocument.at("version").get<int>();
+    }));
+  }
+}
+
+void ApplyLongTimeouts(GatewayDeployment& aDeployment, std::size_t aHosts)
+{
+  ApplyDocument(aDeployment, LongStreamDocument(aDeployment), aHosts);
+}
+
 std::string LongStreamBody(int aEvents)
 {
   std::string body;
@@ -96,6 +118,22 @@
   }
 }
 
+void PauseEngines(GatewayDeployment& aDeployment,
+                  int aEngines,
+                  milliseconds aPause)
+{
+  SignalEngines(aDeployment, aEngines, SIGSTOP);
+  std::this_thread::sleep_for(aPause);
+  SignalEngines(aDeployment, aEngines, SIGCONT);
+}
+
+void SignalLinks(GatewayDeployment& aDeployment, int aSignal)
+{
+  for (std::size_t link = 0; link < aDeployment.CountLinks(); ++link) {
+    aDeployment.Link(link).Handle().Signal(aSignal);
+  }
+}
+
 int SumMetric(Host& aHost, const std::string& aName)
 {
   const auto metrics = Send(aHost.AdminPort(), MakeRequest("/metrics"));
--- a/test/integration/harness-streams.h
+++ b/test/integration/harness-streams.h
@@ -53,15 +53,31 @@
 /// than the streams.
 json LongStreamDocument(const GatewayDeployment& aDeployment);
 
+/// Writes a route document and waits until the first hosts have applied it.
+void ApplyDocument(GatewayDeployment& aDeployment,
+                   const json& aDocument,
+                   std::size_t aHosts);
+
+/// Applies LongStreamDocument at the first hosts.
+void ApplyLongTimeouts(GatewayDeployment& aDeployment, std::size_t aHosts = 1);
+
 /// Returns the body of a whole stream.
 std::string LongStreamBody(int aEvents);
 
 /// Returns settings of engines whose streams last for a while.
 json LongStreamEngine(int aEvents, std::chrono::milliseconds aInterval);
 
-/// Sends a signal, such as SIGSTOP, to all engines.
+/// Sends a signal, such as SIGSTOP, to the first engines.
 void SignalEngines(GatewayDeployment& aDeployment, int aEngines, int aSignal);
 
+/// Stops the first engines for a while.
+void PauseEngines(GatewayDeployment& aDeployment,
+                  int aEngines,
+                  std::chrono::milliseconds aPause);
+
+/// Sends a signal to all proxies on links of hosts.
+void SignalLinks(GatewayDeployment& aDeployment, int aSignal);
+
 /// Sums a counter of a host, over all of its labels.
 int SumMetric(Host& aHost, const std::string& aName);
 
