--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -8,7 +8,7 @@
 //   POST /control  {"fault": F, "times": n, "after_events": k, "id": new}
 //     F: "cut" (after k events, within the next event), "drop" (no response),
 //     "full" (503, not executed), "helper" (same, attributed to first helper),
-//     "crossed" (response of another request), "status" (500), "unsigned",
+//     "crossed" (response of another request), "status" (500, no stream), "unsigned",
 //     "hang", "gap" (omits an event), "crash" (terminates the process)
 //   POST /control  {"limit": "1.5"}  announces a rate limit; "" removes it
 //   POST /control  {"retry_after": "2"}  asks for a backoff in each response
@@ -244,7 +244,7 @@
       aExchange.Disconnect();
       co_return;
     }
-    if (request.Field(names::kTokenUsage).empty()) {
+    if (request.Field(names::kTokenUsage).empty() || fault == "status") {
       co_await RespondPlain(aExchange, fault);
     } else {
       co_await RespondStream(aExchange, fault);
