Send no saved error response within a stream that has begun

What callers saw: after a part of a stream, a second response head (500) inside the chunked body, and the request logged as served. Cause: an error response of a first attempt is kept for the case that no other attempt does better, and was sent when a later attempt had begun a stream and failed.

--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -86,7 +86,7 @@
     }
     next = OnAttemptFailed(attempt, done.error());
   }
-  if (savedFailure_) {
+  if (savedFailure_ && !streamStarted_) {
     co_return co_await SendSavedFailure();
   }
   co_return MakeFinalError();
