Give each attempt its own reservation of memory

What callers may see: a long prompt that moved to another engine is cut off there when its first attempt ends. Cause: the ID of a reservation was that of the request and the number of attempts sent by this host, 0 at each host that takes a relayed request. The ID now names the host, its request and its attempt.

--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -230,6 +230,7 @@
   FleetQuery MakeQuery() const;
   HttpRequest MakeEndpointRequest(const FleetPlacement& aPlacement,
                                   const MemoryReservation* aReservation) const;
+  std::string MakeReservationId() const;
   boost::asio::awaitable<Outcome<std::unique_ptr<MemoryReservation>>>
   ReserveMemory(const FleetPlacement& aPlacement);
 
--- a/src/gateway/gooseberrylift-request-attempt.cc
+++ b/src/gateway/gooseberrylift-request-attempt.cc
@@ -232,6 +232,14 @@
   return parts_.dialect_.MakeEndpointRequest(exchange_.Request(), send);
 }
 
+// Attempts of one request may be open at the same time, at several hosts too,
+// and the end of one releases its own reservation only.
+std::string RequestRun::MakeReservationId() const
+{
+  return request_.facts_.attemptId_ + "-" + parts_.host_ + "-" +
+         std::to_string(request_.id_) + "-" + std::to_string(opened_);
+}
+
 // Reserves memory at the helpers if the prompt doesn't fit into the memory of
 // one engine.
 asio::awaitable<Outcome<std::unique_ptr<MemoryReservation>>>
@@ -248,8 +256,7 @@
     std::min(options.duration_,
              parts_.board_.gatewaySettings_.Read()->gatewaySettings_.maxHold_);
   co_return co_await MemoryReservation::Acquire(std::move(parts),
-                                                request_.facts_.attemptId_ +
-                                                  "-" + std::to_string(sends_),
+                                                MakeReservationId(),
                                                 aPlacement.helpers_,
                                                 aPlacement.reservedTokens_,
                                                 options);
