Keep an endpoint that only another host does not reach

Cause: the endpoints that a host reports as tried counted as endpoints that failed the request, also if that host had sent nothing. They now count as out of reach, like those behind this host's own links. The other way round, an endpoint that stalls or fails over another host is no longer taken for one that is only out of reach, and no host is asked without an endpoint left.

--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -170,6 +170,7 @@
   Next OnAttemptFailed(RequestAttempt& aAttempt, const Error& aError);
   Next OnEndpointFailed(const RequestAttempt& aAttempt, const Error& aError);
   Next OnRelayFailed(const RequestAttempt& aAttempt, const Error& aError);
+  void ApplyReport(const RelayOutcome& aReported);
 
   // Replacement of a stalled attempt.
   TimePoint StallDeadline() const;
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -57,7 +57,7 @@
 // itself.
 std::optional<PeerMember> RequestRun::ChooseRelay()
 {
-  if (request_.relay_ || relays_ >= kMaxRelays) {
+  if (request_.relay_ || relays_ >= kMaxRelays || !HasAttemptLeft()) {
     return std::nullopt;
   }
   RelayInput input{ .linksLost_ = parts_.links_.StateOf(request_.service_) ==
@@ -139,14 +139,27 @@
   co_return boost::outcome_v2::success();
 }
 
+// Counts what another host did with the request.
+void RequestRun::ApplyReport(const RelayOutcome& aReported)
+{
+  sends_ += aReported.sends_ - 1;
+  used_.OnReported(aReported.sends_);
+  for (const std::string& endpoint : aReported.tried_) {
+    if (aReported.sends_ > 0) {
+      unreached_.erase(endpoint);
+    } else if (!tried_.contains(endpoint)) {
+      unreached_.insert(endpoint); // out of that host's reach
+    }
+    tried_.insert(endpoint);
+  }
+}
+
 RequestRun::Next RequestRun::OnRelayFailed(const RequestAttempt& aAttempt,
                                            const Error& aError)
 {
   const RelayClient::Target& target = *aAttempt.relay_;
   if (const auto& reported = target.Reported()) {
-    sends_ += reported->sends_ - 1;
-    used_.OnReported(reported->sends_);
-    tried_.insert(reported->tried_.begin(), reported->tried_.end());
+    ApplyReport(*reported);
   }
   Log(LogEvent::kRelayFailed,
       { { "request_id", request_.facts_.attemptId_ },
