Avoid an endpoint that has failed a relayed request

What callers saw: relayed requests failed although only one of three endpoints responded with errors, as both attempts went there. Cause: the host that relays a request learnt nothing from an error response. It knows the endpoint now and avoids it.

--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -181,6 +181,10 @@
     return HasAttemptLeft() ? Next::kTryAgain : Next::kEnd;
   }
   attempts_.OnFailed(aError);
+  if (aError.code_ == ResultCode::kEndpointFailed &&
+      !aAttempt.relayedTo_.empty()) {
+    tried_.insert(aAttempt.relayedTo_);
+  }
   const bool mayPass = streamStarted_ && aError.ran_ == RanState::kNo &&
                        !EndsStartedResponse(aError.code_) && HasAttemptLeft();
   if (replacement_ || mayPass ||
