Remove an empty field that names the responder

An endpoint that sends the field of the responder without a value got it through to callers, and before the real one on a relayed response, as the field was found by its value. Found by reading; no run.

--- a/src/clients/gooseberrylift-peer-rpc.cc
+++ b/src/clients/gooseberrylift-peer-rpc.cc
@@ -289,7 +289,8 @@
                            HttpResponse& aResponse)
 {
   std::erase_if(aResponse.fields_, [](const HttpField& aField) {
-    return !FindField({ aField }, kResponderField).empty();
+    const HttpFields named{ { aField.name_, "any" } };
+    return !FindField(named, kResponderField).empty();
   });
   if (!aEndpoint.empty()) {
     aResponse.fields_.push_back({ kResponderField, aEndpoint });
