Do not count an engine that refused a stream that has begun

A refusal proves that the request has not run there and won't.

A refused attempt of a response under way gives its place back, in a relayed request too. It is followed by another one after a short time and only as long as the caller waits for its next event, so that full engines don't use up the retry budget. What holds for a response that has begun now holds for one whose stalled attempt may still begin it.

--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -156,6 +156,7 @@
   Step DecideStep();
   Step DecidePlacement();
   bool MayWaitFor(const Error& aRefusal) const;
+  bool IsUnderWay() const;
   bool HasCallerPatience() const;
   bool IsAdmitted() const;
   boost::asio::awaitable<Outcome<AttemptPtr>> NextAttempt();
@@ -292,8 +293,9 @@
   // While it waits in the order of all hosts, and its place when last checked.
   std::unique_ptr<WaitingRoom::Ticket> waiting_;
   WaitingTurn turn_;
-  int stalled_ = 0;        // attempts that stalled and are still open
-  AttemptPtr replacement_; // has begun in place of a stalled attempt
+  int stalled_ = 0;         // attempts that stalled and are still open
+  TimePoint nextAttempt_{}; // not before it
+  AttemptPtr replacement_;  // has begun in place of a stalled attempt
   // While endpoints were checked under which parts of its prompt may have
   // crashed.
   std::chrono::milliseconds awaitedCrashChecks_{ 0 };
--- a/include/gooseberrylift/limits/gooseberrylift-used-endpoints.h
+++ b/include/gooseberrylift/limits/gooseberrylift-used-endpoints.h
@@ -22,6 +22,10 @@
   void OnSent(const std::string& aEndpoint,
               const std::set<std::string>& aFailed);
 
+  /// Records that an endpoint has refused the request, so that it will not run
+  /// there.
+  void OnRefused(const std::string& aEndpoint);
+
   /// Records that the request was relayed to a host, which counts as one
   /// endpoint until it is known better.
   void OnRelayed() { ++count_; }
--- a/src/core/limits/gooseberrylift-used-endpoints.cc
+++ b/src/core/limits/gooseberrylift-used-endpoints.cc
@@ -14,6 +14,11 @@
   }
 }
 
+void UsedEndpoints::OnRefused(const std::string& aEndpoint)
+{
+  count_ -= static_cast<int>(known_.erase(aEndpoint));
+}
+
 void UsedEndpoints::OnIdentified(const std::string& aEndpoint,
                                  const std::set<std::string>& aFailed)
 {
--- a/src/gateway/gooseberrylift-request-attempt.cc
+++ b/src/gateway/gooseberrylift-request-attempt.cc
@@ -23,6 +23,9 @@
 // would not know of the prompt.
 constexpr microseconds kMinAnnouncedPrefill{ 100'000 };
 
+// A caller that has a part of a response waits for at least 2 s.
+constexpr milliseconds kMinRefusalInterval{ 100 };
+
 EndpointOutcome OutcomeOf(const Error& aError)
 {
   switch (aError.code_) {
@@ -286,6 +289,12 @@
     }
   }
   Exclude(aAttempt);
+  if (aError.code_ == ResultCode::kEndpointRefused && IsUnderWay()) {
+    // It has not run there. The time between attempts spares the retry budget
+    // while all endpoints are full.
+    used_.OnRefused(aAttempt.EndpointId());
+    nextAttempt_ = TimerService::Now() + kMinRefusalInterval;
+  }
   if (replacement_ || MayRetry(aError)) {
     return Next::kTryAgain;
   }
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -142,8 +142,10 @@
 // Counts what another host did with the request.
 void RequestRun::ApplyReport(const RelayOutcome& aReported)
 {
+  const bool isForgiven =
+    IsUnderWay() && aReported.error_.ran_ == RanState::kNo;
   sends_ += aReported.sends_ - 1;
-  used_.OnReported(aReported.sends_);
+  used_.OnReported(isForgiven ? 0 : aReported.sends_);
   for (const std::string& endpoint : aReported.tried_) {
     if (aReported.sends_ > 0) {
       unreached_.erase(endpoint);
--- a/src/gateway/gooseberrylift-request-retry.cc
+++ b/src/gateway/gooseberrylift-request-retry.cc
@@ -90,16 +90,18 @@
   if (request_.relay_ && failedConnections_ >= kMaxFailedConnections) {
     return false; // the host that relayed it may choose another one
   }
-  const bool mayWait = streamStarted_ && HasCallerPatience();
+  const bool mayWait = IsUnderWay() && HasCallerPatience();
   const bool noneLeft =
     aError.code_ == ResultCode::kEndpointUnreachable && !IsAnyUntried();
+  const bool isForgiven =
+    aError.code_ == ResultCode::kEndpointRefused && IsUnderWay();
   const bool isFutile =
-    noneLeft || timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts;
+    noneLeft || isForgiven || timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts;
   if (!HasAttemptLeft() || (isFutile && !mayWait)) {
     return false;
   }
   // A response that has begun waits for the retry budget.
-  return sends_ == 0 || streamStarted_ || TryReserveRetry();
+  return sends_ == 0 || IsUnderWay() || TryReserveRetry();
 }
 
 // Adds a retry delay to the error of a request that has not run, if it has
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -127,7 +127,7 @@
     if (OnAttemptFailed(*attempt, sent.error()) == Next::kEnd) {
       co_return sent.error();
     }
-    if (streamStarted_) {
+    if (IsUnderWay()) {
       co_await TimerService::SleepFor(kStartedResponsePoll);
     }
   }
@@ -138,6 +138,9 @@
   if (const auto refusal = CheckSendPreconditions()) {
     return { .refusal_ = refusal };
   }
+  if (TimerService::Now() < nextAttempt_) {
+    return { .wait_ = kStartedResponsePoll };
+  }
   if (MustAwaitLinkState()) {
     return { .wait_ = kLinkStatePoll };
   }
@@ -202,11 +205,17 @@
 // after its stall timeout.
 bool RequestRun::MayWaitFor(const Error& aRefusal) const
 {
-  const bool isUnderWay = stalled_ > 0 || streamStarted_;
-  return isUnderWay && !EndsStartedResponse(aRefusal.code_) &&
+  return IsUnderWay() && !EndsStartedResponse(aRefusal.code_) &&
          HasCallerPatience();
 }
 
+// Returns whether the caller has a part of the response or may still get it
+// from a stalled attempt.
+bool RequestRun::IsUnderWay() const
+{
+  return stalled_ > 0 || streamStarted_;
+}
+
 // Returns whether the caller still waits for the next event.
 bool RequestRun::HasCallerPatience() const
 {
--- a/test/core/gooseberrylift-used-endpoints-test.cc
+++ b/test/core/gooseberrylift-used-endpoints-test.cc
@@ -55,6 +55,15 @@
   CHECK_TRUE(Endpoints{ "e1" } == used_.SentAndFailed({ "e1", "e3" }));
 }
 
+// Guards against streams that end because an engine that refused them counts.
+TEST(UsedEndpointsTest, DoesNotCountAnEndpointThatRefused)
+{
+  used_.OnSent("e1", {});
+  used_.OnSent("e2", { "e1" });
+  used_.OnRefused("e2");
+  LONGS_EQUAL(1, used_.Count());
+}
+
 TEST(UsedEndpointsTest, CountsARelayedRequestAsOneEndpoint)
 {
   used_.OnRelayed();
