Keep the port of a test proxy while it refuses connections

Cause, in runs that show it: a proxy refused connections by closing its listening socket, and the kernel assigned the port to the next process that asked for one, such as a host or proxy of another test that ran at the same time. That process answered the probes of the links: links of the host that the test had cut off counted as up again, and it sent the calls itself instead of relaying them, to two refused ports and to the other process.

KeepsItsPortWhileItRefusesConnections fails on the code before.

--- a/fakes/gooseberrylift-fake-proxy.cc
+++ b/fakes/gooseberrylift-fake-proxy.cc
@@ -299,12 +299,13 @@
 public:
   FakeProxy(asio::io_context& aContext, const json& aSettings)
     : context_(aContext)
+    , reservation_(aContext)
     , acceptor_(aContext)
     , target_(ParseEndpoint(aSettings.value("target", "")))
   {
     state_.seed_ = aSettings.value("seed", std::uint64_t{ 1 });
     state_.script_.Load(aSettings.value("rules", json::array()));
-    Listen(aSettings.value("data_port", std::uint16_t{ 0 }));
+    Reserve(aSettings.value("data_port", std::uint16_t{ 0 }));
     UpdateListener();
   }
 
@@ -344,15 +345,27 @@
              { "hits", state_.script_.Hits() } };
   }
 
-  void Listen(std::uint16_t aPort)
+  static void Bind(tcp::acceptor& aAcceptor, std::uint16_t aPort)
   {
     const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), aPort);
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(endpoint);
+    aAcceptor.open(endpoint.protocol());
+    aAcceptor.set_option(tcp::acceptor::reuse_address(true));
+    aAcceptor.bind(endpoint);
+  }
+
+  // While the proxy refuses connections, the kernel would assign its port to
+  // another process, which would then answer instead.
+  void Reserve(std::uint16_t aPort)
+  {
+    Bind(reservation_, aPort);
+    port_ = reservation_.local_endpoint().port();
+  }
+
+  void Listen()
+  {
+    Bind(acceptor_, port_);
     const bool hangs = state_.script_.HangsConnections();
     acceptor_.listen(hangs ? 0 : asio::socket_base::max_listen_connections);
-    port_ = acceptor_.local_endpoint().port();
     if (hangs) {
       FillAcceptQueue(acceptor_.local_endpoint());
     } else {
@@ -379,7 +392,7 @@
       queued_.reset();
     }
     if (!refuses && !acceptor_.is_open()) {
-      Listen(port_);
+      Listen();
     }
   }
 
@@ -402,6 +415,7 @@
   }
 
   asio::io_context& context_;
+  tcp::acceptor reservation_; // bound to the port, never listens
   tcp::acceptor acceptor_;
   tcp::endpoint target_;
   std::uint16_t port_ = 0;
--- a/test/integration/gooseberrylift-proxy-test.cc
+++ b/test/integration/gooseberrylift-proxy-test.cc
@@ -5,10 +5,13 @@
 
 #include <thread>
 
+#include <boost/asio.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace gooseberrylift;
 using namespace gooseberrylift::test;
+using tcp = boost::asio::ip::tcp;
 
 namespace {
 
@@ -107,6 +110,18 @@
   STRCMP_EQUAL("/b", PathOrError(Call(proxy_, "/b")).c_str());
 }
 
+// Guards against another process that gets the port and answers there.
+TEST(ProxyTest, KeepsItsPortWhileItRefusesConnections)
+{
+  proxy_.Script({ { { "fault", "refuse" } } });
+  boost::asio::io_context context;
+  tcp::acceptor other(context);
+  boost::system::error_code code;
+  other.open(tcp::v4());
+  other.bind({ boost::asio::ip::address_v4::loopback(), proxy_.Port() }, code);
+  CHECK_TRUE(code == boost::asio::error::address_in_use);
+}
+
 TEST(ProxyTest, LosesTheAnswerOfARequestThatRan)
 {
   proxy_.Script({ { { "fault", "lose_answer" }, { "count", 1 } } });
