Relay requests that were refused at all endpoints of a service

What callers saw: 503 with code 126 for the first requests after a host lost its links to a service of two endpoints, although other hosts reached them. The same with three endpoints, one of which is no candidate.

Cause: two refused connections are a reason to relay a request (DecideRelay), but before that is asked, MayRetry ended a request without an untried endpoint as futile. It counted only what this host can reach.

Evidence: seen in a run of gooseberrylift-departed-caller-test whose links were refused: events 1302 with 126 at two of three boards, the third one not a candidate, then 1301 with 126 after 8 ms and no event 1404. RelaysRequestsThatAllEndpointsOfASmallServiceRefused fails in 6 of 6 runs on the code before.

A request that is not left with an endpoint is now retried if it has not been relayed yet and DecideRelay and the known hosts allow it. One host is asked: if the endpoints themselves are gone, it says so, and the request ends as before. The new test passes in 6 of 6 runs; the tests of links, relays, crashes, backoffs, planned stops, replacements and evacuation pass, four programs at once.

A service of one endpoint still fails its first request (3 of 3 runs of a trial): a single refused connection is no reason to relay.

--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -203,6 +203,7 @@
   bool HasAttemptLeft() const;
   bool MayReachAny(const std::set<std::string>& aFailed) const;
   bool IsAnyUntried() const;
+  bool MayAskAnotherHost();
   std::optional<Error> CheckSendPreconditions() const;
   std::optional<Error> Admit(const FleetPlacement& aPlacement) const;
   std::optional<Error> DecideRefusal(const FleetPlacement& aPlacement,
--- a/src/gateway/gooseberrylift-request-retry.cc
+++ b/src/gateway/gooseberrylift-request-retry.cc
@@ -73,6 +73,13 @@
     });
 }
 
+// Returns whether another host may reach an endpoint that this one does not.
+// The first that is asked tells for all whether they are gone.
+bool RequestRun::MayAskAnotherHost()
+{
+  return relays_ == 0 && ChooseRelay().has_value();
+}
+
 bool RequestRun::MayRetry(const Error& aError)
 {
   if (aError.code_ == ResultCode::kCallerLeft ||
@@ -91,8 +98,8 @@
     return false; // the host that relayed it may choose another one
   }
   const bool mayWait = streamStarted_ && HasCallerPatience();
-  const bool noneLeft =
-    aError.code_ == ResultCode::kEndpointUnreachable && !IsAnyUntried();
+  const bool noneLeft = aError.code_ == ResultCode::kEndpointUnreachable &&
+                        !IsAnyUntried() && !MayAskAnotherHost();
   const bool isFutile =
     noneLeft || timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts;
   if (!HasAttemptLeft() || (isFutile && !mayWait)) {
--- a/test/integration/gooseberrylift-link-loss-test.cc
+++ b/test/integration/gooseberrylift-link-loss-test.cc
@@ -178,6 +178,22 @@
   }
 }
 
+// Guards against failing a request because no endpoint is left to this host.
+TEST(LinkLossTest, RelaysRequestsThatAllEndpointsOfASmallServiceRefused)
+{
+  GatewayDeployment::Options options = ThreeHosts(1);
+  options.boards_ = 2;
+  GatewayDeployment deployment(options);
+  CutAllLinks(deployment, LinkFault::kReset);
+  // Relayed prompts show that the first host knows another one.
+  CHECK_TRUE(WaitUntil(5s, [&] {
+    const auto prompt = deployment.SendToFirstHost(MakeShortPrompt("at-0"));
+    return prompt && prompt.value().status_ == 200;
+  }));
+  const auto answer = deployment.SendToFirstHost(MakeSafeRequest("at-1"));
+  LONGS_EQUAL(200, answer.value().status_);
+}
+
 // Guards against a host that takes the loss of its links for a failure of the
 // endpoints, and against one that doesn't notice the end of it.
 TEST(LinkLossTest, ReportsThatItsLinksAreLostAndThatTheyAreUpAgain)
