Let no call stall in the tests of departed callers

What was seen: FreesTheEndpointOfARelayedRequest and MakesNoSecondAttemptForACallerThatLeft wait for two seconds until 30 calls are active at the boards. Calls of their route stall after 0.8 s, relayed ones after 1 s; a stalled one is sent again, is then active at two boards, and the sum passes 30 for good.

Evidence, a trial with both other hosts stopped while the calls arrive: after 1.3 s the sum was 31 within 3 ms of reaching 30, and in one of two runs skipped it (25, 31); after 0.3 and 0.9 s it passed 30 after 0.85 and 0.25 s.

The tests now give their routes a latency objective from which no call stalls before its deadline, and wait for the same sum. The sum then stays at 30 until the deadline in 6 of 6 runs of the trial. All tests of the file passed in 48 of 48 runs, 12 at once beside 8 busy processes.

--- a/test/integration/gooseberrylift-departed-caller-test.cc
+++ b/test/integration/gooseberrylift-departed-caller-test.cc
@@ -76,6 +76,23 @@
   return sum;
 }
 
+// Lets no call stall before its deadline. A stalled one is sent again and then
+// counted at two boards.
+void AllowSlowCalls(GatewayDeployment& aDeployment, std::size_t aHosts)
+{
+  json document = aDeployment.Document();
+  document["version"] = 2;
+  for (json& route : document["routes"]) {
+    route["targetLatencyMs"] = route["timeoutMs"];
+  }
+  aDeployment.PutDocument(document);
+  for (std::size_t host = 0; host < aHosts; ++host) {
+    CHECK_TRUE(WaitUntil(10s, [&] {
+      return aDeployment.At(host).Status().value("generation", 0) == 2;
+    }));
+  }
+}
+
 // Starts three hosts, of which the first has lost its links to the endpoints
 // and relays its requests to the others.
 std::unique_ptr<GatewayDeployment> StartRelayingHost()
@@ -83,6 +100,7 @@
   GatewayDeployment::Options options = ThreeHosts(1);
   options.engine_ = { { "work_ms", 3'000 } };
   auto deployment = std::make_unique<GatewayDeployment>(options);
+  AllowSlowCalls(*deployment, 3);
   CutOff(*deployment, 1);
   return deployment;
 }
@@ -184,6 +202,7 @@
 {
   GatewayDeployment slow(
     { .engines_ = 0, .boards_ = 2, .engine_ = { { "work_ms", 3'000 } } });
+  AllowSlowCalls(slow, 1);
   OpenCallers callers = StartCalls(slow.At(0).Port());
   CHECK_TRUE(
     WaitUntil(2s, [&] { return SumAtBoards(slow, 2, ActiveOf) == kCallers; }));
