Wait for all probes of a round instead of a limit of the clock

What callers saw: a host that stood still while it probed its links found them lost (event 1212) although each endpoint had answered. Such a host relays its requests until further rounds of probes are answered.

Cause: a round of probes ended 400 ms after it began by the clock. After a pause within the round that limit has passed, and it was checked before the responses that lay in the sockets had been read. The operations of the probes themselves get a moment after a pause; the round did not.

The round now ends with its probes. Each of them ends: its connection, its request and each read of its response have a deadline, and a stop of the host cancels the round with them. (Only a response that trickles in after a pause could last longer, since each read then gets its moment.)

--- a/src/gateway/gooseberrylift-link-prober.cc
+++ b/src/gateway/gooseberrylift-link-prober.cc
@@ -121,8 +121,8 @@
   for (std::size_t index = 0; index < round->result_.sent_; ++index) {
     SpawnTask(parts_.executor_, Probe(endpoints.at(index), round));
   }
-  const TimePoint limit = TimerService::Now() + kProbeTimeout;
-  while (round->ended_ < round->result_.sent_ && TimerService::Now() < limit) {
+  // Each probe has a deadline, which allows for a pause of this process.
+  while (round->ended_ < round->result_.sent_) {
     co_await TimerService::SleepFor(kProbePoll);
   }
   co_return round->result_;
