Send a probe again if the host stood still while it connected

All probes of a round connect at the same time, so all of them counted as unanswered.

Cause: HttpClient::Send does not write a request after its deadline, and a probe has one deadline for its connection and its response. If the connection was established and the deadline has passed, the process was suspended in between; the probe was never sent, but counted as unanswered.

Such a probe is now sent again, with a new deadline. A link that hangs after the pause fails it in the same time as any other probe.

--- a/include/gooseberrylift/internal/gooseberrylift-link-prober.h
+++ b/include/gooseberrylift/internal/gooseberrylift-link-prober.h
@@ -69,6 +69,7 @@
 
   boost::asio::awaitable<void> Follow(std::string aService);
   boost::asio::awaitable<ProbeResult> ProbeSample(std::string aService);
+  boost::asio::awaitable<Outcome<HttpResponse>> SendProbe(std::string aAddress);
   boost::asio::awaitable<void> Probe(ListedEndpoint aEndpoint,
                                      std::shared_ptr<Round> aRound);
   void SuspectOthers(const std::string& aService);
--- a/src/gateway/gooseberrylift-link-prober.cc
+++ b/src/gateway/gooseberrylift-link-prober.cc
@@ -19,6 +19,14 @@
 constexpr milliseconds kProbeTimeout{ 400 };
 constexpr milliseconds kProbePoll{ 10 };
 
+// Returns whether a probe was not sent although its connection was established,
+// which shows that this host stood still and nothing about the link.
+bool WasPausedWhileConnecting(const Error& aError)
+{
+  return aError.code_ == ResultCode::kDeadlineExceeded &&
+         aError.ran_ == RanState::kNo;
+}
+
 } // namespace
 
 void LinkProber::OnFailed(const ListedEndpoint& aEndpoint, LinkFailure aFailure)
@@ -128,16 +136,25 @@
   co_return round->result_;
 }
 
-asio::awaitable<void> LinkProber::Probe(ListedEndpoint aEndpoint,
-                                        std::shared_ptr<Round> aRound)
+asio::awaitable<Outcome<HttpResponse>> LinkProber::SendProbe(
+  std::string aAddress)
 {
   HttpClient::CallOptions options;
   options.forceNewConnection_ = true;
   options.connectTimeout_ = kProbeTimeout;
   const TimePoint deadline = TimerService::Now() + kProbeTimeout;
   HttpRequest request = parts_.dialect_.MakeProbeRequest();
-  const auto answer = co_await parts_.client_.Fetch(
-    aEndpoint.address_, std::move(request), deadline, options);
+  co_return co_await parts_.client_.Fetch(
+    std::move(aAddress), std::move(request), deadline, options);
+}
+
+asio::awaitable<void> LinkProber::Probe(ListedEndpoint aEndpoint,
+                                        std::shared_ptr<Round> aRound)
+{
+  auto answer = co_await SendProbe(aEndpoint.address_);
+  while (!answer && WasPausedWhileConnecting(answer.error())) {
+    answer = co_await SendProbe(aEndpoint.address_);
+  }
   ++aRound->ended_;
   aRound->result_.answered_ += answer ? 1 : 0;
   parts_.metrics_.Count("gooseberrylift_link_probes_total",
