--- a/src/gateway/gooseberrylift-link-prober.cc
+++ b/src/gateway/gooseberrylift-link-prober.cc
@@ -19,6 +19,14 @@
 constexpr milliseconds kProbeTimeout{ 400 };
 constexpr milliseconds kProbePoll{ 10 };
 
+// Returns whether a probe was not sent although its connection was established,
+// which shows that this host stood still and nothing about the link.
+bool WasPausedWhileConnecting(const Error& aError)
+{
+  return aError.code_ == ResultCode::kDeadlineExceeded &&
+         aError.ran_ == RanState::kNo;
+}
+
 } // namespace
 
 void LinkProber::OnFailed(const ListedEndpoint& aEndpoint, LinkFailure aFailure)
@@ -121,23 +129,32 @@
   for (std::size_t index = 0; index < round->result_.sent_; ++index) {
     SpawnTask(parts_.executor_, Probe(endpoints.at(index), round));
   }
-  const TimePoint limit = TimerService::Now() + kProbeTimeout;
-  while (round->ended_ < round->result_.sent_ && TimerService::Now() < limit) {
+  // Each probe has a deadline, which allows for a pause of this process.
+  while (round->ended_ < round->result_.sent_) {
     co_await TimerService::SleepFor(kProbePoll);
   }
   co_return round->result_;
 }
 
-asio::awaitable<void> LinkProber::Probe(ListedEndpoint aEndpoint,
-                                        std::shared_ptr<Round> aRound)
+asio::awaitable<Outcome<HttpResponse>> LinkProber::SendProbe(
+  std::string aAddress)
 {
   HttpClient::CallOptions options;
   options.forceNewConnection_ = true;
   options.connectTimeout_ = kProbeTimeout;
   const TimePoint deadline = TimerService::Now() + kProbeTimeout;
   HttpRequest request = parts_.dialect_.MakeProbeRequest();
-  const auto answer = co_await parts_.client_.Fetch(
-    aEndpoint.address_, std::move(request), deadline, options);
+  co_return co_await parts_.client_.Fetch(
+    std::move(aAddress), std::move(request), deadline, options);
+}
+
+asio::awaitable<void> LinkProber::Probe(ListedEndpoint aEndpoint,
+                                        std::shared_ptr<Round> aRound)
+{
+  auto answer = co_await SendProbe(aEndpoint.address_);
+  while (!answer && WasPausedWhileConnecting(answer.error())) {
+    answer = co_await SendProbe(aEndpoint.address_);
+  }
   ++aRound->ended_;
   aRound->result_.answered_ += answer ? 1 : 0;
   parts_.metrics_.Count("gooseberrylift_link_probes_total",
