--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -8,8 +8,9 @@
 //   POST /control  {"fault": F, "times": n, "after_events": k, "id": new}
 //     F: "cut" (after k events, within the next event), "drop" (no response),
 //     "full" (503, not executed), "helper" (same, attributed to first helper),
-//     "crossed" (response of another request), "status" (500, no stream), "unsigned",
-//     "hang", "gap" (omits an event), "crash" (terminates the process)
+//     "crossed" (response of another request), "status" (500, no stream),
+//     "unsigned", "hang", "gap" (omits an event), "crash" (terminates the
+//     process)
 //   POST /control  {"limit": "1.5"}  announces a rate limit; "" removes it
 //   POST /control  {"retry_after": "2"}  asks for a backoff in each response
 //     that reports "full"; "" removes it
