Repeat soon the probe of a quarantined part that no endpoint has run

What callers saw: after a start of all hosts beside a crashing part, all sound prompts were rejected for ten seconds and more (code 75): a part that all of them share had been quarantined, and its quarantine did not end.

Cause: such a quarantine is verified by single requests after 2, 10 and 42 s. The first of them used up its turn even if it could not be sent, since all engines were still down, or if an engine rejected it. Then nothing could clear the part for eight more seconds.

A request that ends without having run at any endpoint now returns its probe. It is repeated after half a second if nothing was sent. If an endpoint rejected it, the next one follows after the interval before, so that the arrivals of a part that does crash engines grow by one.

The wrong decision itself remains.

Both new core tests fail if returned probes are ignored.

--- a/include/gooseberrylift/internal/gooseberrylift-poison-request-monitor.h
+++ b/include/gooseberrylift/internal/gooseberrylift-poison-request-monitor.h
@@ -75,8 +75,13 @@
 
   /// Decides whether to send a request once although it is quarantined, to
   /// verify the quarantine.
-  bool TryProbe(const RequestFeatures& aFeatures,
-                const std::string& aRequestId);
+  /// @return the feature to be verified; nothing if it must not be sent
+  std::optional<std::string> TryProbe(const RequestFeatures& aFeatures,
+                                      const std::string& aRequestId);
+
+  /// Records that no endpoint ran a probe.
+  /// @param aSent whether an endpoint received it, and rejected it
+  void OnProbeNotRun(const std::string& aFeature, bool aSent);
 
   /// Returns whether to send a request only once it is known which of the
   /// endpoints whose connections broke have crashed.
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -88,6 +88,9 @@
   };
 
   RequestRun(Parts aParts, HttpExchange& aExchange, RoutedRequest aRequest);
+  ~RequestRun();
+  RequestRun(const RequestRun&) = delete;
+  RequestRun& operator=(const RequestRun&) = delete;
 
   /// Runs until the caller has the response.
   /// @return an error if no response was sent, or if a stream was truncated
@@ -306,7 +309,8 @@
   RelayReason relayReason_ = RelayReason::kNone; // of the last decision
   // Total time of the attempts that sent nothing, such as failed connections.
   TimePoint::duration timeOnUnsentAttempts_{ 0 };
-  bool probing_ = false;       // it is sent to verify a quarantine
+  std::optional<std::string> probed_; // feature that it is sent to verify
+  bool ranNothing_ = false;    // it has failed, and no endpoint has run it
   bool streamStarted_ = false; // the head has been sent to the caller
   int status_ = 0;
   // A 5xx response of an endpoint, sent to the caller if the retries don't
--- a/include/gooseberrylift/limits/gooseberrylift-poison-request-detector.h
+++ b/include/gooseberrylift/limits/gooseberrylift-poison-request-detector.h
@@ -81,6 +81,9 @@
     double minProbedShare_ = 0.2;
     std::chrono::milliseconds firstProbe_{ 2'000 };
     int probeIntervalGrowth_ = 4;
+    // A probe that could not be sent, as while all endpoints are down, is
+    // repeated after this time.
+    std::chrono::milliseconds unsentProbeRetry_{ 500 };
     // Crashes with this time between them happened at different moments,
     // however late they are noticed.
     std::chrono::milliseconds momentGap_{ 500 };
@@ -152,7 +155,14 @@
   /// Decides whether to send a request although it has a quarantined part, to
   /// find out whether the part still crashes endpoints. To be asked at one host
   /// of the fleet; the request must not be retried.
-  bool TryProbe(const RequestFeatures& aFeatures, WallTime aNow);
+  /// @return the feature to be verified; nothing if it must not be sent
+  std::optional<std::string> TryProbe(const RequestFeatures& aFeatures,
+                                      WallTime aNow);
+
+  /// Records that no endpoint ran a probe, which has verified nothing. It is
+  /// repeated sooner than one that ran.
+  /// @param aSent whether an endpoint received it, and rejected it
+  void OnProbeNotRun(const std::string& aFeature, bool aSent, WallTime aNow);
 
   /// Returns whether a request has a part that never was known to be sound and
   /// was part of several crashes, confirmed or not.
--- a/src/core/limits/gooseberrylift-poison-request-detector.cc
+++ b/src/core/limits/gooseberrylift-poison-request-detector.cc
@@ -99,10 +99,11 @@
   return std::nullopt;
 }
 
-bool PoisonRequestDetector::TryProbe(const RequestFeatures& aFeatures,
-                                     WallTime aNow)
+std::optional<std::string> PoisonRequestDetector::TryProbe(
+  const RequestFeatures& aFeatures,
+  WallTime aNow)
 {
-  ProbeSchedule* due = nullptr;
+  std::optional<std::string> quarantined;
   for (const std::string& feature : aFeatures.All()) {
     if (!quarantine_.Contains(feature, aNow)) {
       continue;
@@ -111,21 +112,44 @@
     const bool isPopular =
       static_cast<double>(arrivals.with_) >=
       options_.minProbedShare_ * static_cast<double>(arrivals.all_);
-    if (due != nullptr || !IsPartFeature(feature) || !isPopular) {
-      return false; // its answer would not tell which feature is sound
+    if (quarantined || !IsPartFeature(feature) || !isPopular) {
+      return std::nullopt; // its answer would not tell which feature is sound
     }
-    due = &probes_
-             .try_emplace(feature,
-                          ProbeSchedule{ .next_ = aNow + options_.firstProbe_,
-                                         .interval_ = options_.firstProbe_ })
-             .first->second;
+    quarantined = feature;
   }
-  if (due == nullptr || aNow < due->next_) {
-    return false;
+  if (!quarantined) {
+    return std::nullopt;
+  }
+  ProbeSchedule& schedule =
+    probes_
+      .try_emplace(*quarantined,
+                   ProbeSchedule{ .next_ = aNow + options_.firstProbe_,
+                                  .interval_ = options_.firstProbe_ })
+      .first->second;
+  if (aNow < schedule.next_) {
+    return std::nullopt;
+  }
+  schedule.interval_ *= options_.probeIntervalGrowth_;
+  schedule.next_ = aNow + schedule.interval_;
+  return quarantined;
+}
+
+void PoisonRequestDetector::OnProbeNotRun(const std::string& aFeature,
+                                          bool aSent,
+                                          WallTime aNow)
+{
+  const auto found = probes_.find(aFeature);
+  if (found == probes_.end()) {
+    return; // the quarantine has ended
+  }
+  ProbeSchedule& schedule = found->second;
+  const auto interval = schedule.interval_ / options_.probeIntervalGrowth_;
+  if (aSent) {
+    schedule.next_ = aNow + interval; // the intervals of arrivals still grow
+    return;
   }
-  due->interval_ *= options_.probeIntervalGrowth_;
-  due->next_ = aNow + due->interval_;
-  return true;
+  schedule.interval_ = interval;
+  schedule.next_ = aNow + options_.unsentProbeRetry_;
 }
 
 bool PoisonRequestDetector::IsSuspect(const RequestFeatures& aFeatures) const
--- a/src/gateway/gooseberrylift-poison-request-monitor.cc
+++ b/src/gateway/gooseberrylift-poison-request-monitor.cc
@@ -286,23 +286,33 @@
   return detector_.FindQuarantined(aFeatures, system_clock::now());
 }
 
-bool PoisonRequestMonitor::TryProbe(const RequestFeatures& aFeatures,
-                                    const std::string& aRequestId)
+std::optional<std::string> PoisonRequestMonitor::TryProbe(
+  const RequestFeatures& aFeatures,
+  const std::string& aRequestId)
 {
   std::optional<std::string> feature;
   {
     const std::lock_guard lock(mutex_);
     const WallTime now = system_clock::now();
-    feature = detector_.FindQuarantined(aFeatures, now);
-    if (!feature || !parts_.verifiesQuarantines_() ||
-        !detector_.TryProbe(aFeatures, now)) {
-      return false;
+    if (!detector_.FindQuarantined(aFeatures, now) ||
+        !parts_.verifiesQuarantines_()) {
+      return std::nullopt;
     }
+    feature = detector_.TryProbe(aFeatures, now);
   }
-  Log(LogEvent::kQuarantineProbed,
-      { { "request_id", aRequestId }, { "feature", *feature } });
-  parts_.metrics_.Count("gooseberrylift_quarantine_probes_total");
-  return true;
+  if (feature) {
+    Log(LogEvent::kQuarantineProbed,
+        { { "request_id", aRequestId }, { "feature", *feature } });
+    parts_.metrics_.Count("gooseberrylift_quarantine_probes_total");
+  }
+  return feature;
+}
+
+void PoisonRequestMonitor::OnProbeNotRun(const std::string& aFeature,
+                                         bool aSent)
+{
+  const std::lock_guard lock(mutex_);
+  detector_.OnProbeNotRun(aFeature, aSent, system_clock::now());
 }
 
 bool PoisonRequestMonitor::MustAwaitCheck(const RequestFeatures& aFeatures)
--- a/src/gateway/gooseberrylift-request-retry.cc
+++ b/src/gateway/gooseberrylift-request-retry.cc
@@ -23,7 +23,7 @@
 // decides about the next attempt.
 int RequestRun::MaxAttempts() const
 {
-  return request_.relay_ || probing_ ? 1 : request_.route_->maxAttempts_;
+  return request_.relay_ || probed_ ? 1 : request_.route_->maxAttempts_;
 }
 
 // Returns the endpoints that failed the request. One that only this host did
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -67,11 +67,19 @@
   }
 }
 
+RequestRun::~RequestRun()
+{
+  if (probed_ && (sends_ == 0 || ranNothing_)) {
+    parts_.poisonRequestMonitor_.OnProbeNotRun(*probed_, sends_ > 0);
+  }
+}
+
 asio::awaitable<Outcome<void>> RequestRun::Run()
 {
-  probing_ = !request_.relay_ &&
-             parts_.poisonRequestMonitor_.TryProbe(request_.features_,
-                                                   request_.facts_.attemptId_);
+  if (!request_.relay_) {
+    probed_ = parts_.poisonRequestMonitor_.TryProbe(request_.features_,
+                                                    request_.facts_.attemptId_);
+  }
   Next next = Next::kTryAgain;
   while (next == Next::kTryAgain) {
     const auto opened = co_await NextAttempt();
@@ -86,6 +94,7 @@
     }
     next = OnAttemptFailed(attempt, done.error());
   }
+  ranNothing_ = attempts_.FinalError().ran_ == RanState::kNo;
   if (savedFailure_) {
     co_return co_await SendSavedFailure();
   }
@@ -267,7 +276,7 @@
 {
   const auto feature =
     parts_.poisonRequestMonitor_.FindQuarantined(request_.features_);
-  if (!feature || probing_) {
+  if (!feature || probed_) {
     return std::nullopt;
   }
   Error error = MakeError(IsPartFeature(*feature) ? ResultCode::kSuspectPart
--- a/test/core/gooseberrylift-poison-request-detector-test.cc
+++ b/test/core/gooseberrylift-poison-request-detector-test.cc
@@ -66,6 +66,36 @@
     detector_.OnEndpointExit(endpoint, aAt + 100ms);
   }
 
+  // Quarantines kBadPart, which many requests have, and a rare part.
+  void QuarantineAPopularPart()
+  {
+    Receive(detector_, 20, { kBadPart });
+    Receive(detector_, 5, { PartFeature("rare") });
+    for (int crash = 0; crash < 4; ++crash) {
+      Crash(MakePrompt(++prompts_, { kBadPart }), now_);
+      Crash(MakePrompt(++prompts_, { PartFeature("rare") }), now_ + 300ms);
+      now_ += 600ms;
+    }
+    detector_.Sweep(now_ + 1s);
+    CHECK_TRUE(IsQuarantined(kBadPart, now_ + 1s));
+  }
+
+  // Returns after which of the next minute's seconds a probe is sent, while
+  // none of them runs at an endpoint.
+  std::vector<int> ProbeWithoutResult(bool aSent)
+  {
+    const auto prompt = MakePrompt(++prompts_, { kBadPart });
+    std::vector<int> times;
+    for (int second = 1; second <= 60; ++second) {
+      const WallTime at = now_ + second * 1s;
+      if (const auto feature = detector_.TryProbe(prompt, at)) {
+        times.push_back(second);
+        detector_.OnProbeNotRun(*feature, aSent, at);
+      }
+    }
+    return times;
+  }
+
   bool IsQuarantined(const std::string& aFeature, WallTime aNow)
   {
     const RequestFeatures request =
@@ -369,15 +399,7 @@
 // it.
 TEST(PoisonRequestDetectorTest, QuarantineOfAPopularPartIsVerified)
 {
-  Receive(detector_, 20, { kBadPart });
-  Receive(detector_, 5, { PartFeature("rare") });
-  for (int crash = 0; crash < 4; ++crash) {
-    Crash(MakePrompt(++prompts_, { kBadPart }), now_);
-    Crash(MakePrompt(++prompts_, { PartFeature("rare") }), now_ + 300ms);
-    now_ += 600ms;
-  }
-  detector_.Sweep(now_ + 1s);
-  CHECK_TRUE(IsQuarantined(kBadPart, now_ + 1s));
+  QuarantineAPopularPart();
   const auto prompt = MakePrompt(++prompts_, { kBadPart });
   const auto rare = MakePrompt(++prompts_, { PartFeature("rare") });
   const auto both = MakePrompt(++prompts_, { kBadPart, PartFeature("rare") });
@@ -393,6 +415,28 @@
   LONGS_EQUAL(3, count(prompt));
 }
 
+// Guards against rejecting a sound part for longer because the endpoints were
+// down when its quarantine was to be verified.
+TEST(PoisonRequestDetectorTest, ProbesThatWereNotSentAreRepeatedSoon)
+{
+  QuarantineAPopularPart();
+  const std::vector<int> times = ProbeWithoutResult(false);
+  LONGS_EQUAL(58, times.size()); // at each second from the first probe on
+  const auto prompt = MakePrompt(++prompts_, { kBadPart });
+  CHECK_TRUE(detector_.TryProbe(prompt, now_ + 61s).has_value());
+  CHECK_FALSE(detector_.TryProbe(prompt, now_ + 68s).has_value());
+  CHECK_TRUE(detector_.TryProbe(prompt, now_ + 69s).has_value());
+}
+
+// Guards against the same where an endpoint rejected the probe, and against
+// many such arrivals of a part that does crash endpoints.
+TEST(PoisonRequestDetectorTest, ProbesThatWereRejectedAreRepeatedOnceMore)
+{
+  QuarantineAPopularPart();
+  const std::vector<int> times = ProbeWithoutResult(true);
+  CHECK_TRUE((times == std::vector<int>{ 3, 5, 13, 45 }));
+}
+
 TEST(PoisonRequestDetectorTest, RejectsTwoPartsThatAreAlwaysTogether)
 {
   const std::string other = PartFeature("bad2");
