Don't hold up all engines of a test for one whose port is in use

Cause: the test's engines return at their former ports. Another process had got one of them meanwhile, so the engine ended at once ("Address already in use"), but the harness waited ten seconds for its first line and started no other engine until then.

Waiting for a line now ends with the process. An engine whose port is in use is tried again until the port is free, and returns at the same address, as before.

--- a/test/integration/harness-crashing-part.cc
+++ b/test/integration/harness-crashing-part.cc
@@ -12,6 +12,7 @@
 constexpr const char* kCommonPart = "c0"; // of all prompts
 constexpr std::int64_t kUnlistedAfterMs = 1500;
 constexpr std::int64_t kBackAfterMs = 2000;
+constexpr std::int64_t kRetryMs = 100; // while another process has the port
 
 HttpRequest MakePrompt(const std::string& aAttempt, const std::string& aParts)
 {
@@ -74,7 +75,12 @@
   aSlot.id_ = "engine-" + std::to_string(++started_);
   settings["id"] = aSlot.id_;
   settings["port"] = aSlot.port_;
-  aSlot.fake_ = std::make_unique<Fake>("fleet-engine", settings);
+  auto fake = std::make_unique<Fake>("fleet-engine", settings);
+  if (fake->Port() == 0) {
+    aSlot.crashedAt_ = NowMs() - kBackAfterMs + kRetryMs;
+    return;
+  }
+  aSlot.fake_ = std::move(fake);
   aSlot.port_ = aSlot.fake_->Port();
   aSlot.crashedAt_ = 0;
   aSlot.listed_ = true;
--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -102,10 +102,11 @@
 {
   std::string line;
   WaitUntil(aLimit, [&] {
+    const bool ended = WaitForExit(milliseconds(0)) != -1;
     const std::string output = Output();
     const std::size_t at = output.find(aText);
     if (at == std::string::npos) {
-      return false;
+      return ended;
     }
     const std::size_t begin = output.rfind('\n', at) + 1;
     line = output.substr(begin, output.find('\n', at) - begin);
