Repeat no probe of a quarantined part before its first interval

A report that a probe did not run, which came after the part was quarantined anew, shortened the interval below that of a first probe. Found by a review, by reading; the 31 tests of the detector pass.

--- a/src/core/limits/gooseberrylift-poison-request-detector.cc
+++ b/src/core/limits/gooseberrylift-poison-request-detector.cc
@@ -143,7 +143,8 @@
     return; // the quarantine has ended
   }
   ProbeSchedule& schedule = found->second;
-  const auto interval = schedule.interval_ / options_.probeIntervalGrowth_;
+  const auto interval = std::max(
+    schedule.interval_ / options_.probeIntervalGrowth_, options_.firstProbe_);
   if (aSent) {
     schedule.next_ = aNow + interval; // the intervals of arrivals still grow
     return;
