Correct how refusals of a response under way are counted and paced

It ends now only if no endpoint is untried. - Streams asked full engines again every 100 ms and used up the retry budget of the service. An endpoint that refused it, here or at another host, is avoided but has not failed it, the next attempt is delayed, and a response under way may be relayed more than four times. This was not run. - An endpoint that failed a relayed request after this host had not reached it counted as out of reach.

--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -209,6 +209,7 @@
   bool MayReachAny(const std::set<std::string>& aFailed) const;
   bool IsAnyUntried() const;
   bool MayAskAnotherHost();
+  void DelayAfterRefusal();
   std::optional<Error> CheckSendPreconditions() const;
   std::optional<Error> Admit(const FleetPlacement& aPlacement) const;
   std::optional<Error> DecideRefusal(const FleetPlacement& aPlacement,
@@ -290,16 +291,19 @@
   SharedRetryBudget::Retry retry_; // its next attempt, unless that is its first
   AttemptErrors attempts_;
   EventSequence events_;
-  std::uint64_t requestDraw_;       // random
-  std::set<std::string> tried_;     // endpoints that are avoided
-  std::set<std::string> unreached_; // of these, those only out of reach
+  std::uint64_t requestDraw_;   // random
+  std::set<std::string> tried_; // endpoints that are avoided
+  // Of these, those that have not failed it: out of a host's reach, or full.
+  std::set<std::string> unavailable_;
   UsedEndpoints used_;
   // While it waits in the order of all hosts, and its place when last checked.
   std::unique_ptr<WaitingRoom::Ticket> waiting_;
   WaitingTurn turn_;
-  int stalled_ = 0;         // attempts that stalled and are still open
-  TimePoint nextAttempt_{}; // not before it
-  AttemptPtr replacement_;  // has begun in place of a stalled attempt
+  int stalled_ = 0;           // attempts that stalled and are still open
+  TimePoint nextAttemptAt_{}; // earliest time of the next attempt
+  // The next delay after a refusal, once all endpoints have been tried.
+  std::chrono::milliseconds refusalDelay_{ 400 };
+  AttemptPtr replacement_; // has begun in place of a stalled attempt
   // While endpoints were checked under which parts of its prompt may have
   // crashed.
   std::chrono::milliseconds awaitedCrashChecks_{ 0 };
--- a/include/gooseberrylift/limits/gooseberrylift-used-endpoints.h
+++ b/include/gooseberrylift/limits/gooseberrylift-used-endpoints.h
@@ -3,6 +3,7 @@
 #ifndef GOOSEBERRYLIFT_LIMITS_GOOSEBERRYLIFT_USED_ENDPOINTS_H_
 #define GOOSEBERRYLIFT_LIMITS_GOOSEBERRYLIFT_USED_ENDPOINTS_H_
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -22,8 +23,8 @@
   void OnSent(const std::string& aEndpoint,
               const std::set<std::string>& aFailed);
 
-  /// Records that an endpoint has refused the request, so that it will not run
-  /// there.
+  /// Records that an endpoint has refused an attempt, which will not run there.
+  /// It still counts if another attempt was sent to it.
   void OnRefused(const std::string& aEndpoint);
 
   /// Records that the request was relayed to a host, which counts as one
@@ -57,7 +58,13 @@
     const std::set<std::string>& aFailed) const;
 
 private:
-  std::set<std::string> known_;
+  struct Use
+  {
+    int attempts_ = 0; // that may have run
+    int counted_ = 0;  // how often the endpoint counts
+  };
+
+  std::map<std::string, Use> known_;
   int count_ = 0;
 };
 
--- a/src/core/limits/gooseberrylift-used-endpoints.cc
+++ b/src/core/limits/gooseberrylift-used-endpoints.cc
@@ -1,22 +1,35 @@
 #include "gooseberrylift/limits/gooseberrylift-used-endpoints.h"
 
-#include <algorithm>
-#include <iterator>
-
 namespace gooseberrylift {
 
 void UsedEndpoints::OnSent(const std::string& aEndpoint,
                            const std::set<std::string>& aFailed)
 {
-  const bool isNew = known_.insert(aEndpoint).second;
-  if (isNew || aFailed.contains(aEndpoint)) {
+  Use& use = known_[aEndpoint];
+  if (use.attempts_ == 0 || aFailed.contains(aEndpoint)) {
+    ++use.counted_;
     ++count_;
   }
+  ++use.attempts_;
 }
 
 void UsedEndpoints::OnRefused(const std::string& aEndpoint)
 {
-  count_ -= static_cast<int>(known_.erase(aEndpoint));
+  const auto found = known_.find(aEndpoint);
+  if (found == known_.end()) {
+    return;
+  }
+  Use& use = found->second;
+  --use.attempts_;
+  const int needed = use.attempts_ > 0 ? 1 : 0;
+  if (use.counted_ > needed) {
+    --use.counted_;
+    --count_;
+  }
+  if (use.attempts_ == 0) {
+    count_ -= use.counted_;
+    known_.erase(found);
+  }
 }
 
 void UsedEndpoints::OnIdentified(const std::string& aEndpoint,
@@ -30,11 +43,11 @@
   const std::set<std::string>& aFailed) const
 {
   std::set<std::string> both;
-  std::set_intersection(known_.begin(),
-                        known_.end(),
-                        aFailed.begin(),
-                        aFailed.end(),
-                        std::inserter(both, both.end()));
+  for (const auto& [endpoint, use] : known_) {
+    if (aFailed.contains(endpoint)) {
+      both.insert(endpoint);
+    }
+  }
   return both;
 }
 
@@ -46,11 +59,11 @@
     return std::nullopt;
   }
   std::set<std::string> allowed;
-  std::set_difference(known_.begin(),
-                      known_.end(),
-                      aFailed.begin(),
-                      aFailed.end(),
-                      std::inserter(allowed, allowed.end()));
+  for (const auto& [endpoint, use] : known_) {
+    if (!aFailed.contains(endpoint)) {
+      allowed.insert(endpoint);
+    }
+  }
   return allowed;
 }
 
--- a/src/gateway/gooseberrylift-request-attempt.cc
+++ b/src/gateway/gooseberrylift-request-attempt.cc
@@ -23,9 +23,6 @@
 // would not know of the prompt.
 constexpr microseconds kMinAnnouncedPrefill{ 100'000 };
 
-// A caller that has a part of a response waits for at least 2 s.
-constexpr milliseconds kMinRefusalInterval{ 100 };
-
 EndpointOutcome OutcomeOf(const Error& aError)
 {
   switch (aError.code_) {
@@ -281,19 +278,20 @@
   attempts_.OnFailed(aError);
   RecordLostConnection(aAttempt, aError);
   if (aError.code_ != ResultCode::kEndpointUnreachable) {
-    unreached_.erase(aAttempt.EndpointId());
+    unavailable_.erase(aAttempt.EndpointId());
   } else {
     ++failedConnections_;
     if (!tried_.contains(aAttempt.EndpointId())) {
-      unreached_.insert(aAttempt.EndpointId());
+      unavailable_.insert(aAttempt.EndpointId());
     }
   }
   Exclude(aAttempt);
   if (aError.code_ == ResultCode::kEndpointRefused && IsUnderWay()) {
-    // It has not run there. The time between attempts spares the retry budget
-    // while all endpoints are full.
-    used_.OnRefused(aAttempt.EndpointId());
-    nextAttempt_ = TimerService::Now() + kMinRefusalInterval;
+    if (aAttempt.call_) { // rather than one of its helpers
+      used_.OnRefused(aAttempt.EndpointId());
+    }
+    unavailable_.insert(aAttempt.EndpointId());
+    DelayAfterRefusal();
   }
   if (replacement_ || MayRetry(aError)) {
     return Next::kTryAgain;
--- a/src/gateway/gooseberrylift-request-relay.cc
+++ b/src/gateway/gooseberrylift-request-relay.cc
@@ -57,7 +57,8 @@
 // itself.
 std::optional<PeerMember> RequestRun::ChooseRelay()
 {
-  if (request_.relay_ || relays_ >= kMaxRelays || !HasAttemptLeft()) {
+  const bool wasRelayedOften = relays_ >= kMaxRelays && !IsUnderWay();
+  if (request_.relay_ || wasRelayedOften || !HasAttemptLeft()) {
     return std::nullopt;
   }
   RelayInput input{ .linksLost_ = parts_.links_.StateOf(request_.service_) ==
@@ -142,18 +143,23 @@
 // Counts what another host did with the request.
 void RequestRun::ApplyReport(const RelayOutcome& aReported)
 {
-  const bool isForgiven =
-    IsUnderWay() && aReported.error_.ran_ == RanState::kNo;
+  // The endpoint has refused it, or that host did not reach one.
+  const bool isUnavailable =
+    aReported.sends_ == 0 ||
+    (IsUnderWay() && aReported.error_.ran_ == RanState::kNo);
   sends_ += aReported.sends_ - 1;
-  used_.OnReported(isForgiven ? 0 : aReported.sends_);
+  used_.OnReported(isUnavailable ? 0 : aReported.sends_);
   for (const std::string& endpoint : aReported.tried_) {
-    if (aReported.sends_ > 0) {
-      unreached_.erase(endpoint);
+    if (!isUnavailable) {
+      unavailable_.erase(endpoint);
     } else if (!tried_.contains(endpoint)) {
-      unreached_.insert(endpoint); // out of that host's reach
+      unavailable_.insert(endpoint);
     }
     tried_.insert(endpoint);
   }
+  if (isUnavailable && IsUnderWay()) {
+    DelayAfterRefusal();
+  }
 }
 
 RequestRun::Next RequestRun::OnRelayFailed(const RequestAttempt& aAttempt,
@@ -186,6 +192,7 @@
   if (aError.code_ == ResultCode::kEndpointFailed &&
       !aAttempt.relayedTo_.empty()) {
     tried_.insert(aAttempt.relayedTo_);
+    unavailable_.erase(aAttempt.relayedTo_);
   }
   const bool mayPass = streamStarted_ && aError.ran_ == RanState::kNo &&
                        !EndsStartedResponse(aError.code_) && HasAttemptLeft();
--- a/src/gateway/gooseberrylift-request-replacement.cc
+++ b/src/gateway/gooseberrylift-request-replacement.cc
@@ -115,7 +115,7 @@
 {
   if (aAttempt.relay_) {
     silentPeers_.insert(aAttempt.relay_->Peer().host_);
-    unreached_.erase(aAttempt.EndpointId());
+    unavailable_.erase(aAttempt.EndpointId());
   }
   if (!aAttempt.EndpointId().empty()) {
     tried_.insert(aAttempt.EndpointId());
--- a/src/gateway/gooseberrylift-request-retry.cc
+++ b/src/gateway/gooseberrylift-request-retry.cc
@@ -6,16 +6,21 @@
 #include <algorithm>
 
 #include "gooseberrylift-request-errors.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 // Failed connections don't count as attempts or against the retry budget, but
 // take time. A refused connection takes only a few milliseconds, so a request
 // tries further endpoints until it has lost this much time. With a maximum
 // count instead, requests would fail if most endpoints had crashed at once.
-constexpr std::chrono::milliseconds kMaxTimeOnUnsentAttempts{ 1'000 };
+constexpr milliseconds kMaxTimeOnUnsentAttempts{ 1'000 };
+
+constexpr milliseconds kDelayToUntriedEndpoint{ 100 };
 
 } // namespace
 
@@ -26,12 +31,12 @@
   return request_.relay_ || probed_ ? 1 : request_.route_->maxAttempts_;
 }
 
-// Returns the endpoints that failed the request. One that only this host did
-// not reach may still serve it over another host's links.
+// Returns the endpoints that failed the request. One that a host did not reach
+// may still serve it over another host's links, and a full one later.
 std::set<std::string> RequestRun::FailedEndpoints() const
 {
   std::set<std::string> failed = tried_;
-  for (const std::string& endpoint : unreached_) {
+  for (const std::string& endpoint : unavailable_) {
     failed.erase(endpoint);
   }
   return failed;
@@ -73,13 +78,25 @@
     });
 }
 
-// Returns whether another host may reach an endpoint that this one does not.
-// The first that is asked tells for all whether they are gone.
+// Returns whether another host may reach an endpoint that this one does not,
+// and none was asked yet.
 bool RequestRun::MayAskAnotherHost()
 {
   return relays_ == 0 && ChooseRelay().has_value();
 }
 
+// Delays the next attempt of a response under way. While all endpoints are
+// full, attempts would otherwise use up the retry budget of the service.
+void RequestRun::DelayAfterRefusal()
+{
+  milliseconds delay = kDelayToUntriedEndpoint;
+  if (!IsAnyUntried()) {
+    delay = refusalDelay_;
+    refusalDelay_ *= 2;
+  }
+  nextAttemptAt_ = TimerService::Now() + delay;
+}
+
 bool RequestRun::MayRetry(const Error& aError)
 {
   if (aError.code_ == ResultCode::kCallerLeft ||
@@ -98,12 +115,13 @@
     return false; // the host that relayed it may choose another one
   }
   const bool mayWait = IsUnderWay() && HasCallerPatience();
-  const bool noneLeft = aError.code_ == ResultCode::kEndpointUnreachable &&
-                        !IsAnyUntried() && !MayAskAnotherHost();
-  const bool isForgiven =
-    aError.code_ == ResultCode::kEndpointRefused && IsUnderWay();
+  const bool isUnavailable =
+    aError.code_ == ResultCode::kEndpointUnreachable ||
+    (aError.code_ == ResultCode::kEndpointRefused && IsUnderWay());
+  const bool noneLeft =
+    isUnavailable && !IsAnyUntried() && !MayAskAnotherHost();
   const bool isFutile =
-    noneLeft || isForgiven || timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts;
+    noneLeft || timeOnUnsentAttempts_ > kMaxTimeOnUnsentAttempts;
   if (!HasAttemptLeft() || (isFutile && !mayWait)) {
     return false;
   }
--- a/src/gateway/gooseberrylift-request-run.cc
+++ b/src/gateway/gooseberrylift-request-run.cc
@@ -147,7 +147,7 @@
   if (const auto refusal = CheckSendPreconditions()) {
     return { .refusal_ = refusal };
   }
-  if (TimerService::Now() < nextAttempt_) {
+  if (TimerService::Now() < nextAttemptAt_) {
     return { .wait_ = kStartedResponsePoll };
   }
   if (MustAwaitLinkState()) {
--- a/test/core/gooseberrylift-used-endpoints-test.cc
+++ b/test/core/gooseberrylift-used-endpoints-test.cc
@@ -64,6 +64,28 @@
   LONGS_EQUAL(1, used_.Count());
 }
 
+// Guards against a stream that runs at too many endpoints, as one of them has
+// refused the rest of it.
+TEST(UsedEndpointsTest, CountsAnEndpointThatRefusedOnlyAnotherAttempt)
+{
+  used_.OnSent("e1", {});
+  used_.OnSent("e1", {});
+  used_.OnRefused("e1");
+  LONGS_EQUAL(1, used_.Count());
+  used_.OnSent("e1", { "e1" });
+  used_.OnRefused("e1");
+  LONGS_EQUAL(1, used_.Count());
+}
+
+TEST(UsedEndpointsTest, CountsAnEndpointThatRefusedWhileARelayedAttemptRuns)
+{
+  used_.OnRelayed();
+  used_.OnSent("e1", {});
+  used_.OnIdentified("e1", {});
+  used_.OnRefused("e1");
+  LONGS_EQUAL(1, used_.Count());
+}
+
 TEST(UsedEndpointsTest, CountsARelayedRequestAsOneEndpoint)
 {
   used_.OnRelayed();
--- a/test/integration/gooseberrylift-second-attempt-test.cc
+++ b/test/integration/gooseberrylift-second-attempt-test.cc
@@ -192,3 +192,62 @@
   }
   LONGS_EQUAL(0, failed);
 }
+
+// Guards against streams that run at more endpoints than their route allows,
+// since an endpoint that has run a stream refuses the rest of it.
+TEST(SecondAttemptTest, CountsAnEndpointThatRefusesTheRestOfAStream)
+{
+  constexpr int kEvents = 80;
+  GatewayDeployment::Options options = ThreeHosts(1);
+  options.engines_ = 3;
+  options.engine_ = LongStreamEngine(kEvents, kEventInterval);
+  GatewayDeployment deployment(options);
+  json document = LongStreamDocument(deployment);
+  for (json& route : document["routes"]) {
+    route["maxAttempts"] = 1;
+  }
+  ApplyDocument(deployment, document, 3);
+  CutOff(deployment, 1);
+  LongStreams streams({ .ports_ = { deployment.At(0).Port() },
+                        .count_ = 24,
+                        .events_ = kEvents,
+                        .deadline_ = seconds(20) });
+  std::this_thread::sleep_for(milliseconds(1'000));
+  for (std::size_t engine = 0; engine < 3; ++engine) {
+    deployment.Engine(engine).Control(
+      { { "fault", "full" }, { "times", 1000 } });
+  }
+  const auto further = AddEngine(deployment, "engines-further", kEvents);
+  RestoreLinks(deployment);
+  std::this_thread::sleep_for(milliseconds(2'500));
+  deployment.At(1).Handle().Signal(SIGKILL);
+  (void)streams.CountCut(); // those may end
+  LONGS_EQUAL(0, further->Stats().at("ran").size());
+}
+
+// Guards against streams that end at the refusal of one endpoint although
+// another one has room.
+TEST(SecondAttemptTest, MovesStreamsThatWereRefusedAfterALongPause)
+{
+  constexpr int kEvents = 60;
+  GatewayDeployment deployment(
+    { .engines_ = 1, .engine_ = LongStreamEngine(kEvents, kEventInterval) });
+  json document = LongStreamDocument(deployment);
+  for (json& route : document["routes"]) {
+    route["maxAttempts"] = 4;
+  }
+  ApplyDocument(deployment, document, 1);
+  LongStreams streams({ .ports_ = { deployment.At(0).Port() },
+                        .count_ = 12,
+                        .events_ = kEvents,
+                        .deadline_ = seconds(20) });
+  std::this_thread::sleep_for(milliseconds(500));
+  deployment.Engine(0).Handle().Signal(SIGSTOP);
+  std::this_thread::sleep_for(milliseconds(2'500));
+  const auto full = AddEngine(deployment, "engines-full", kEvents);
+  full->Control({ { "fault", "full" }, { "times", 1000 } });
+  const auto sound = AddEngine(deployment, "engines-sound", kEvents);
+  std::this_thread::sleep_for(milliseconds(2'500));
+  deployment.Engine(0).Handle().Signal(SIGKILL);
+  LONGS_EQUAL(0, streams.CountCut());
+}
