Log and export how old the list of endpoints is, and where updates came from

Event 1201 names an entry without its revision or source, and drops all but 20 lines a second, so that 22 entries that change at once look lost on half of the hosts.

Event 1213 is one line an update: source, revisions before and after, age of what was read, and the names of the endpoints that left (40 at most each). Events 1214 and 1215 and a counter say when a host's list is older than 2.5 s; /status has its revision and age. Event 1216 says that removals are deferred, with the gap between the two reads. Hosts send each other the age of their endpoints in the store status and its answers, in a field that earlier versions ignore. The age decides nothing yet.

--- a/include/gooseberrylift/internal/gooseberrylift-route-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-route-follower.h
@@ -11,7 +11,8 @@
 
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
 #include "gooseberrylift/internal/gooseberrylift-gateway-board.h"
-#include "gooseberrylift/internal/gooseberrylift-store.h"
+#include "gooseberrylift/internal/gooseberrylift-metrics.h"
+#include "gooseberrylift/internal/gooseberrylift-store-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-wire-dialect.h"
 #include "gooseberrylift/membership/gooseberrylift-freshness-lease.h"
 
@@ -53,23 +54,39 @@
 class EndpointFollower
 {
 public:
-  EndpointFollower(const WireDialect& aDialect, Fleet& aFleet);
+  EndpointFollower(const WireDialect& aDialect,
+                   Fleet& aFleet,
+                   Metrics& aMetrics);
 
-  /// Handles a changed or deleted endpoint entry.
-  void OnEvent(const StoreEvent& aEvent);
+  /// Applies changed and deleted endpoint entries.
+  void OnUpdate(const ViewUpdate& aUpdate, const EndpointUpdateSource& aSource);
+
+  /// Handles a list of endpoints that became late, or current again.
+  void OnListLate(bool aLate, const StoreStatus& aStatus);
 
   /// Handles the start or the end of an availability zone's evacuation.
   void OnEvacuation(const StoreEvent& aEvent);
 
   /// Handles the end of a store outage: entries that are missing now may have
   /// expired although their endpoints are alive.
-  void OnStoreReturned();
+  /// @param aGap between the reads before and after the outage
+  void OnStoreReturned(std::chrono::milliseconds aGap);
 
 private:
+  enum class EntryState
+  {
+    kLive,
+    kLeaving,
+    kGone
+  };
+
+  EntryState OnChanged(const StoreObject& aObject);
+  void OnRemoved(const std::string& aName);
   std::optional<ListedEndpoint> Read(const StoreObject& aObject);
 
   const WireDialect& dialect_;
   Fleet& fleet_;
+  Metrics& metrics_;
   std::map<std::string, std::string>
     rejectedVersions_; // versions of invalid entries, by name
 };
--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -21,6 +21,16 @@
 
 namespace gooseberrylift {
 
+// Where an update of the endpoints was read, for the log.
+struct EndpointUpdateSource
+{
+  std::string origin_; // "store", "store-any-age" or the host that sent it
+  std::uint64_t revisionBefore_ = 0;
+  std::uint64_t revision_ = 0; // up to which the list is complete now
+  // Age of what was read; nothing if unknown.
+  std::optional<std::chrono::milliseconds> age_;
+};
+
 // Follows three kinds of objects: routes, endpoints and evacuations of
 // availability zones. Each exchange between two hosts carries the revisions
 // that each of them has; a host that is behind fetches the difference from the
@@ -62,8 +72,11 @@
       call_;
     // Called for each changed or deleted object of a kind.
     std::function<void(const StoreEvent& aEvent)> onRoutes_;
-    std::function<void(const StoreEvent& aEvent)> onEndpoint_;
     std::function<void(const StoreEvent& aEvent)> onEvacuation_;
+    // Called with changed endpoint entries.
+    std::function<void(const ViewUpdate& aUpdate,
+                       const EndpointUpdateSource& aSource)>
+      onEndpoints_;
     // Called when the applied routes include all changes made before that time.
     std::function<void(BootTime aReadStart)> onProof_;
     // Called when this host's own reads of the store begin to fail, or succeed
@@ -71,7 +84,11 @@
     std::function<void(bool aReachable)> onReachabilityChanged_;
     // Called after a store outage, when this or another host has read the store
     // again, before the new data is applied.
-    std::function<void()> onStoreReturned_;
+    // @param aGap between the two reads before and after the outage
+    std::function<void(std::chrono::milliseconds aGap)> onStoreReturned_;
+    // Called when the list of endpoints becomes late, or current again.
+    std::function<void(bool aLate, const StoreStatus& aStatus)>
+      onEndpointsLate_;
     // Called when this host has read a change from the store.
     std::function<void()> onNewData_;
     // Returns this host's rank among the live hosts.
@@ -107,6 +124,8 @@
     // How long after a list of any age this host relies on others for endpoint
     // changes instead of listing the endpoints again.
     std::chrono::milliseconds peerUpdateWait_{ 1'000 };
+    // An older list of endpoints is reported as late.
+    std::chrono::milliseconds endpointsLateAfter_{ 2'500 };
     StoreReadSchedule::Options readSchedule_{};
   };
 
@@ -134,25 +153,40 @@
   /// result is empty if it would exceed maxAnswerBytes_.
   nlohmann::json Answer(const nlohmann::json& aParams) const;
 
+  /// Reports a list of endpoints that has become late, or current again.
+  void CheckEndpointsAge();
+
   /// Returns whether this host's last read of the store failed.
   bool IsStoreUnavailable() const { return readSchedule_.IsStoreUnavailable(); }
 
 private:
   boost::asio::awaitable<void> Read();
   boost::asio::awaitable<void> ReadAllowStale();
-  boost::asio::awaitable<bool> ReadRoutes();
+  // Returns when the read started, or nothing if it failed.
+  boost::asio::awaitable<std::optional<BootTime>> ReadRoutes();
   boost::asio::awaitable<bool> ReadKind(std::string aKind, StoreView& aView);
-  boost::asio::awaitable<bool> ReadChanges();
+  boost::asio::awaitable<bool> ReadChanges(BootTime aRoutesReadStart);
   bool FollowsEvacuations() const { return !options_.evacuationsKind_.empty(); }
   boost::asio::awaitable<void> Fetch(PeerMember aPeer);
-  void ApplyList(const std::string& aKind, StoreView& aView, StoreList aList);
+  void ApplyList(const std::string& aKind,
+                 StoreView& aView,
+                 StoreList aList,
+                 BootTime aReadStart);
   nlohmann::json FetchParams() const;
-  void ApplyAnswer(const nlohmann::json& aAnswer, BootTime aRequestTime);
+  void ApplyAnswer(const nlohmann::json& aAnswer,
+                   const std::string& aPeer,
+                   BootTime aRequestTime);
   void Publish(const std::string& aKind, const ViewUpdate& aUpdate);
+  void PublishEndpoints(const ViewUpdate& aUpdate,
+                        std::string aOrigin,
+                        std::uint64_t aRevisionBefore,
+                        std::optional<BootTime> aReadAt);
   void OnProof(BootTime aReadStart);
+  void OnEndpointsRead(BootTime aReadStart);
   void DetectOutage(BootTime aReadStart);
   void LogReaderRole(bool aIsReader);
-  std::optional<std::chrono::milliseconds> ProofAge() const;
+  static std::optional<std::chrono::milliseconds> AgeOf(
+    std::optional<BootTime> aReadStart);
 
   Parts parts_;
   Options options_;
@@ -161,7 +195,10 @@
   StoreView endpoints_{ StoreView::Options{} };
   StoreView evacuations_{ StoreView::Options{} };
   std::optional<BootTime> proof_;
-  ViewUpdate unprovenRoutes_; // from a list of any age, not published yet
+  // The views of endpoints and evacuations include all changes made before.
+  std::optional<BootTime> endpointsReadAt_;
+  bool endpointsLate_ = false; // as last reported
+  ViewUpdate unprovenRoutes_;  // from a list of any age, not published yet
   std::optional<TimePoint> anyAgeReadAt_;
   bool fetching_ = false;
   bool isReader_ = false; // as last logged
--- a/include/gooseberrylift/membership/gooseberrylift-store-view.h
+++ b/include/gooseberrylift/membership/gooseberrylift-store-view.h
@@ -48,6 +48,10 @@
   // Age of the latest proof that the routes are current (see FreshnessLease),
   // on the sender's clock at the time of sending; nothing without one.
   std::optional<std::chrono::milliseconds> proofAge_;
+  // The views of endpoints and evacuations include all changes that were made
+  // longer ago than this, on the sender's clock at the time of sending; nothing
+  // if unknown.
+  std::optional<std::chrono::milliseconds> endpointsAge_{};
 };
 
 // What an update changed in a view.
--- a/src/gateway/gooseberrylift-route-follower.cc
+++ b/src/gateway/gooseberrylift-route-follower.cc
@@ -5,6 +5,20 @@
 
 namespace gooseberrylift {
 
+namespace {
+
+// The number of endpoints that one log line names.
+constexpr std::size_t kMaxLoggedNames = 40;
+
+void AddName(nlohmann::json& aNames, const std::string& aName)
+{
+  if (aNames.size() < kMaxLoggedNames) {
+    aNames.push_back(aName);
+  }
+}
+
+} // namespace
+
 RouteFollower::RouteFollower(const WireDialect& aDialect, GatewayBoard& aBoard)
   : dialect_(aDialect)
   , board_(aBoard)
@@ -78,9 +92,12 @@
   return lease_.Age(TimerService::BootNow());
 }
 
-EndpointFollower::EndpointFollower(const WireDialect& aDialect, Fleet& aFleet)
+EndpointFollower::EndpointFollower(const WireDialect& aDialect,
+                                   Fleet& aFleet,
+                                   Metrics& aMetrics)
   : dialect_(aDialect)
   , fleet_(aFleet)
+  , metrics_(aMetrics)
 {
 }
 
@@ -104,24 +121,69 @@
   return std::nullopt;
 }
 
-void EndpointFollower::OnEvent(const StoreEvent& aEvent)
+void EndpointFollower::OnUpdate(const ViewUpdate& aUpdate,
+                                const EndpointUpdateSource& aSource)
 {
-  const std::string& id = aEvent.object_.name_;
-  const auto listed = aEvent.deleted_ ? std::nullopt : Read(aEvent.object_);
-  if (aEvent.deleted_) {
-    rejectedVersions_.erase(id);
+  nlohmann::json leaving = nlohmann::json::array();
+  nlohmann::json gone = nlohmann::json::array();
+  for (const CachedObject& object : aUpdate.objects_) {
+    const EntryState state = OnChanged({ .name_ = object.name_,
+                                         .version_ = object.version_,
+                                         .spec_ = object.spec_ });
+    if (state != EntryState::kLive) {
+      AddName(state == EntryState::kLeaving ? leaving : gone, object.name_);
+    }
   }
+  for (const std::string& name : aUpdate.removed_) {
+    rejectedVersions_.erase(name);
+    OnRemoved(name);
+    AddName(gone, name);
+  }
+  Log(LogEvent::kEndpointListUpdated,
+      { { "source", aSource.origin_ },
+        { "revision_before", aSource.revisionBefore_ },
+        { "revision", aSource.revision_ },
+        { "age_ms", aSource.age_ ? aSource.age_->count() : -1 },
+        { "changed", aUpdate.objects_.size() },
+        { "removed", aUpdate.removed_.size() },
+        { "leaving", std::move(leaving) },
+        { "gone", std::move(gone) } });
+}
+
+EndpointFollower::EntryState EndpointFollower::OnChanged(
+  const StoreObject& aObject)
+{
+  const auto listed = Read(aObject);
   if (!listed) {
     // An entry that became invalid is handled like a deleted one.
-    Log(LogEvent::kEndpointState, { { "endpoint", id }, { "state", "gone" } });
-    fleet_.OnUnlisted(id);
-    return;
+    OnRemoved(aObject.name_);
+    return EntryState::kGone;
   }
   Log(LogEvent::kEndpointState,
-      { { "endpoint", id },
+      { { "endpoint", aObject.name_ },
         { "service", listed->service_ },
-        { "state", listed->leaving_ ? "leaving" : "live" } });
+        { "state", listed->leaving_ ? "leaving" : "live" },
+        { "store_version", aObject.version_ } });
   fleet_.OnListed(*listed);
+  return listed->leaving_ ? EntryState::kLeaving : EntryState::kLive;
+}
+
+void EndpointFollower::OnRemoved(const std::string& aName)
+{
+  Log(LogEvent::kEndpointState, { { "endpoint", aName }, { "state", "gone" } });
+  fleet_.OnUnlisted(aName);
+}
+
+void EndpointFollower::OnListLate(bool aLate, const StoreStatus& aStatus)
+{
+  const auto count = [](const auto& aAge) { return aAge ? aAge->count() : -1; };
+  if (aLate) {
+    metrics_.Count("gooseberrylift_endpoint_list_late_total");
+  }
+  Log(aLate ? LogEvent::kEndpointListLate : LogEvent::kEndpointListCurrent,
+      { { "age_ms", count(aStatus.endpointsAge_) },
+        { "revision", aStatus.endpoints_ },
+        { "routes_age_ms", count(aStatus.proofAge_) } });
 }
 
 void EndpointFollower::OnEvacuation(const StoreEvent& aEvent)
@@ -140,8 +202,9 @@
   fleet_.Loads().OnReturned(returned, TimerService::Now());
 }
 
-void EndpointFollower::OnStoreReturned()
+void EndpointFollower::OnStoreReturned(std::chrono::milliseconds aGap)
 {
+  Log(LogEvent::kRemovalsDeferred, { { "gap_ms", aGap.count() } });
   const TimePoint now = TimerService::Now();
   fleet_.Access().WithDirectory(
     [now](EndpointDirectory& aDirectory) { aDirectory.OnStoreReturned(now); });
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -22,10 +22,15 @@
 constexpr const char* kEndpoints = "e";
 constexpr const char* kEvacuations = "z";
 constexpr const char* kRevision = "r";
-constexpr const char* kObjects = "o";  // packed: [name, version, spec] each
-constexpr const char* kRemoved = "d";  // names
-constexpr const char* kNames = "n";    // absent if kRemoved is complete
-constexpr const char* kProofAge = "a"; // ms; absent without a proof
+constexpr const char* kObjects = "o";      // packed: [name, version, spec] each
+constexpr const char* kRemoved = "d";      // names
+constexpr const char* kNames = "n";        // absent if kRemoved is complete
+constexpr const char* kProofAge = "a";     // ms; absent without a proof
+constexpr const char* kEndpointsAge = "b"; // ms; absent if unknown
+
+// The origins of updates that this host has read itself.
+constexpr const char* kOriginStore = "store";
+constexpr const char* kOriginStoreAnyAge = "store-any-age";
 
 // Not valid JSON, so that a text that can't be unpacked fails to parse.
 constexpr const char* kInvalidJson = "";
@@ -111,7 +116,8 @@
   }
   while (true) {
     const milliseconds due = readSchedule_.TimeUntilDue(
-      TimerService::Now(), ProofAge(), parts_.rank_());
+      TimerService::Now(), AgeOf(proof_), parts_.rank_());
+    CheckEndpointsAge();
     if (due <= milliseconds(0)) {
       co_await Read();
       continue;
@@ -139,8 +145,11 @@
   }
   auto listed = ToCachedObjects(std::move(endpoints.value().items_));
   const std::uint64_t endpointsRevision = NewestRevision(listed);
-  Publish(options_.endpointsKind_,
-          endpoints_.OnList(std::move(listed), endpointsRevision));
+  const std::uint64_t revisionBefore = endpoints_.Revision();
+  PublishEndpoints(endpoints_.OnList(std::move(listed), endpointsRevision),
+                   kOriginStoreAnyAge,
+                   revisionBefore,
+                   std::nullopt);
   if (!proof_) { // with a proof, other hosts have sent newer routes
     auto documents = ToCachedObjects(std::move(routes.value().items_));
     const std::uint64_t routesRevision = NewestRevision(documents);
@@ -173,10 +182,11 @@
     read = co_await ReadKind(options_.evacuationsKind_, evacuations_);
   }
   if (read) {
-    read = co_await ReadRoutes();
-  }
-  if (read) {
-    read = co_await ReadChanges();
+    const auto readStart = co_await ReadRoutes();
+    read = readStart.has_value();
+    if (readStart) {
+      read = co_await ReadChanges(*readStart);
+    }
   }
   const bool wasUnavailable = readSchedule_.IsStoreUnavailable();
   if (read) {
@@ -190,25 +200,25 @@
   }
 }
 
-asio::awaitable<bool> StoreFollower::ReadRoutes()
+asio::awaitable<std::optional<BootTime>> StoreFollower::ReadRoutes()
 {
   const BootTime readStart = TimerService::BootNow();
   auto list = co_await parts_.store_.List(
     options_.routesKind_, TimerService::Now() + options_.callTimeout_);
   if (!list) {
-    co_return false;
+    co_return std::nullopt;
   }
   DetectOutage(readStart);
-  ApplyList(options_.routesKind_, routes_, std::move(list.value()));
+  ApplyList(options_.routesKind_, routes_, std::move(list.value()), readStart);
   // After applying the list, since a proof covers only applied data.
   OnProof(readStart);
-  co_return true;
+  co_return readStart;
 }
 
 // Lists endpoints and evacuations if the store has changed. Evacuations are
 // read before the endpoints and applied after them, so that when an evacuation
 // ends, the entries of the zone's engines, which may be cold, are up to date.
-asio::awaitable<bool> StoreFollower::ReadChanges()
+asio::awaitable<bool> StoreFollower::ReadChanges(BootTime aRoutesReadStart)
 {
   const TimePoint limit = TimerService::Now() + options_.callTimeout_;
   std::optional<StoreList> evacuations;
@@ -219,17 +229,24 @@
     }
     evacuations = std::move(list.value());
   }
+  const bool isBehind = endpoints_.Revision() < routes_.Revision();
   const bool awaitsPeerUpdates =
-    anyAgeReadAt_ &&
+    isBehind && anyAgeReadAt_ &&
     TimerService::Now() - *anyAgeReadAt_ < options_.peerUpdateWait_;
-  if (endpoints_.Revision() < routes_.Revision() && !awaitsPeerUpdates) {
+  if (isBehind && !awaitsPeerUpdates) {
     const bool read = co_await ReadKind(options_.endpointsKind_, endpoints_);
     if (!read) {
       co_return false;
     }
   }
   if (evacuations) {
-    ApplyList(options_.evacuationsKind_, evacuations_, std::move(*evacuations));
+    ApplyList(options_.evacuationsKind_,
+              evacuations_,
+              std::move(*evacuations),
+              aRoutesReadStart);
+  }
+  if (!awaitsPeerUpdates) {
+    OnEndpointsRead(aRoutesReadStart);
   }
   co_return true;
 }
@@ -237,22 +254,29 @@
 asio::awaitable<bool> StoreFollower::ReadKind(std::string aKind,
                                               StoreView& aView)
 {
+  const BootTime readStart = TimerService::BootNow();
   auto list = co_await parts_.store_.List(
     aKind, TimerService::Now() + options_.callTimeout_);
   if (!list) {
     co_return false;
   }
-  ApplyList(aKind, aView, std::move(list.value()));
+  ApplyList(aKind, aView, std::move(list.value()), readStart);
   co_return true;
 }
 
 void StoreFollower::ApplyList(const std::string& aKind,
                               StoreView& aView,
-                              StoreList aList)
+                              StoreList aList,
+                              BootTime aReadStart)
 {
+  const std::uint64_t revisionBefore = aView.Revision();
   const ViewUpdate update = aView.OnList(
     ToCachedObjects(std::move(aList.items_)), RevisionOf(aList.version_));
-  Publish(aKind, update);
+  if (aKind == options_.endpointsKind_) {
+    PublishEndpoints(update, kOriginStore, revisionBefore, aReadStart);
+  } else {
+    Publish(aKind, update);
+  }
   if (!update.Empty()) {
     parts_.onNewData_();
   }
@@ -263,7 +287,8 @@
   return { .routes_ = routes_.Revision(),
            .endpoints_ = endpoints_.Revision(),
            .evacuations_ = evacuations_.Revision(),
-           .proofAge_ = ProofAge() };
+           .proofAge_ = AgeOf(proof_),
+           .endpointsAge_ = AgeOf(endpointsReadAt_) };
 }
 
 void StoreFollower::OnPeerStatus(const PeerMember& aPeer,
@@ -271,9 +296,9 @@
                                  std::optional<BootTime> aRequestTime)
 {
   const bool hasRoutes = aStatus.routes_ <= routes_.Revision();
-  const bool hasAll = hasRoutes &&
-                      aStatus.endpoints_ <= endpoints_.Revision() &&
-                      aStatus.evacuations_ <= evacuations_.Revision();
+  const bool hasEndpoints = aStatus.endpoints_ <= endpoints_.Revision() &&
+                            aStatus.evacuations_ <= evacuations_.Revision();
+  const bool hasAll = hasRoutes && hasEndpoints;
   if (!hasAll && !fetching_) {
     SpawnTask(parts_.executor_, Fetch(aPeer));
   }
@@ -286,6 +311,9 @@
     DetectOutage(readStart);
     OnProof(readStart);
   }
+  if (hasEndpoints && aRequestTime && aStatus.endpointsAge_) {
+    OnEndpointsRead(*aRequestTime - *aStatus.endpointsAge_);
+  }
 }
 
 json StoreFollower::FetchParams() const
@@ -307,7 +335,7 @@
     co_return; // the next status triggers a fetch from another host
   }
   try {
-    ApplyAnswer(answer.value(), requestTime);
+    ApplyAnswer(answer.value(), aPeer.host_, requestTime);
   } catch (const json::exception&) {
     Log(LogEvent::kPeerRefused,
         { { "reason", "malformed answer" }, { "peer", aPeer.host_ } });
@@ -315,17 +343,29 @@
 }
 
 // Throws a json::exception if the answer is malformed.
-void StoreFollower::ApplyAnswer(const json& aAnswer, BootTime aRequestTime)
+void StoreFollower::ApplyAnswer(const json& aAnswer,
+                                const std::string& aPeer,
+                                BootTime aRequestTime)
 {
   const StoreDelta routes = DeltaFromJson(aAnswer.at(kRoutes));
   const StoreDelta endpoints = DeltaFromJson(aAnswer.at(kEndpoints));
-  std::optional<BootTime> readStart;
-  if (aAnswer.contains(kProofAge)) {
-    readStart =
-      aRequestTime - milliseconds(aAnswer.at(kProofAge).get<std::int64_t>());
+  const auto readStartOf = [&](const char* aAge) -> std::optional<BootTime> {
+    if (!aAnswer.contains(aAge)) {
+      return std::nullopt;
+    }
+    return aRequestTime - milliseconds(aAnswer.at(aAge).get<std::int64_t>());
+  };
+  const auto readStart = readStartOf(kProofAge);
+  const auto endpointsReadAt = readStartOf(kEndpointsAge);
+  if (readStart) {
     DetectOutage(*readStart);
   }
-  Publish(options_.endpointsKind_, endpoints_.ApplyDelta(endpoints));
+  const std::uint64_t revisionBefore = endpoints_.Revision();
+  const ViewUpdate endpointUpdate = endpoints_.ApplyDelta(endpoints);
+  if (endpointsReadAt) {
+    OnEndpointsRead(*endpointsReadAt);
+  }
+  PublishEndpoints(endpointUpdate, aPeer, revisionBefore, endpointsReadAt);
   // Absent if the peer runs an earlier version.
   if (aAnswer.contains(kEvacuations)) {
     const StoreDelta evacuations = DeltaFromJson(aAnswer.at(kEvacuations));
@@ -356,9 +396,12 @@
       options_.maxAnswerBytes_) {
     return json::object();
   }
-  if (const auto age = ProofAge()) {
+  if (const auto age = AgeOf(proof_)) {
     answer[kProofAge] = age->count();
   }
+  if (const auto age = AgeOf(endpointsReadAt_)) {
+    answer[kEndpointsAge] = age->count();
+  }
   return answer;
 }
 
@@ -367,9 +410,8 @@
   if (aKind == options_.routesKind_ && !unprovenRoutes_.Empty()) {
     Publish(aKind, std::exchange(unprovenRoutes_, {}));
   }
-  const auto& sink = aKind == options_.routesKind_      ? parts_.onRoutes_
-                     : aKind == options_.endpointsKind_ ? parts_.onEndpoint_
-                                                        : parts_.onEvacuation_;
+  const auto& sink =
+    aKind == options_.routesKind_ ? parts_.onRoutes_ : parts_.onEvacuation_;
   for (const CachedObject& object : aUpdate.objects_) {
     sink({ .object_ = { .kind_ = aKind,
                         .name_ = object.name_,
@@ -381,12 +423,27 @@
   }
 }
 
+void StoreFollower::PublishEndpoints(const ViewUpdate& aUpdate,
+                                     std::string aOrigin,
+                                     std::uint64_t aRevisionBefore,
+                                     std::optional<BootTime> aReadAt)
+{
+  if (!aUpdate.Empty()) {
+    parts_.onEndpoints_(aUpdate,
+                        { .origin_ = std::move(aOrigin),
+                          .revisionBefore_ = aRevisionBefore,
+                          .revision_ = endpoints_.Revision(),
+                          .age_ = AgeOf(aReadAt) });
+  }
+}
+
 // Must be called before new data is applied: entries that are missing in it may
 // have expired during the outage although their endpoints are alive.
 void StoreFollower::DetectOutage(BootTime aReadStart)
 {
   if (proof_ && aReadStart - *proof_ > options_.outageThreshold_) {
-    parts_.onStoreReturned_();
+    parts_.onStoreReturned_(
+      std::chrono::duration_cast<milliseconds>(aReadStart - *proof_));
   }
 }
 
@@ -399,13 +456,32 @@
   }
 }
 
-// Rounds up, since a proof must never appear younger than it is.
-std::optional<milliseconds> StoreFollower::ProofAge() const
+void StoreFollower::OnEndpointsRead(BootTime aReadStart)
 {
-  if (!proof_) {
+  if (!endpointsReadAt_ || aReadStart > *endpointsReadAt_) {
+    endpointsReadAt_ = aReadStart;
+  }
+  CheckEndpointsAge();
+}
+
+void StoreFollower::CheckEndpointsAge()
+{
+  const auto age = AgeOf(endpointsReadAt_);
+  const bool late = age && *age > options_.endpointsLateAfter_;
+  if (late != endpointsLate_) {
+    endpointsLate_ = late;
+    parts_.onEndpointsLate_(late, CurrentStatus());
+  }
+}
+
+// Rounds up, since data must never appear younger than it is.
+std::optional<milliseconds> StoreFollower::AgeOf(
+  std::optional<BootTime> aReadStart)
+{
+  if (!aReadStart) {
     return std::nullopt;
   }
-  return std::chrono::ceil<milliseconds>(TimerService::BootNow() - *proof_);
+  return std::chrono::ceil<milliseconds>(TimerService::BootNow() - *aReadStart);
 }
 
 void StoreFollower::LogReaderRole(bool aIsReader)
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -108,7 +108,7 @@
                       .metrics_ = metrics_,
                       .links_ = links_ })
   , routes_(*dialect_, board_)
-  , endpoints_(*dialect_, fleet_)
+  , endpoints_(*dialect_, fleet_, metrics_)
   , storeFollower_(StoreFollowerParts(), StoreFollowerOptions())
   , retryBudget_(metrics_)
   , promises_(metrics_)
@@ -422,16 +422,23 @@
           std::move(aPeer), kStoreMethod, std::move(aParams), aDeadline);
       },
     .onRoutes_ = [this](const StoreEvent& aEvent) { routes_.OnEvent(aEvent); },
-    .onEndpoint_ =
-      [this](const StoreEvent& aEvent) { endpoints_.OnEvent(aEvent); },
     .onEvacuation_ =
       [this](const StoreEvent& aEvent) { endpoints_.OnEvacuation(aEvent); },
+    .onEndpoints_ =
+      [this](const ViewUpdate& aUpdate, const EndpointUpdateSource& aSource) {
+        endpoints_.OnUpdate(aUpdate, aSource);
+      },
     .onProof_ = [this](BootTime aReadStart) { routes_.OnProof(aReadStart); },
     .onReachabilityChanged_ =
       [](bool aReachable) {
         Log(aReachable ? LogEvent::kStoreReached : LogEvent::kStoreLost);
       },
-    .onStoreReturned_ = [this] { endpoints_.OnStoreReturned(); },
+    .onStoreReturned_ =
+      [this](milliseconds aGap) { endpoints_.OnStoreReturned(aGap); },
+    .onEndpointsLate_ =
+      [this](bool aLate, const StoreStatus& aStatus) {
+        endpoints_.OnListLate(aLate, aStatus);
+      },
     .onNewData_ = [this] { statusExchange_.SendRequestNow(); },
     .rank_ = [this] { return rank_; },
   };
@@ -541,6 +548,7 @@
 {
   const RouteTable::Ptr table = board_.routes_.Read()->table_;
   const auto age = routes_.ProofAge();
+  const StoreStatus store = storeFollower_.CurrentStatus();
   const std::string reason = NotReadyReason();
   const nlohmann::json status = {
     { "host", settings_.hostName_ },
@@ -551,6 +559,9 @@
     { "store_reachable", !storeFollower_.IsStoreUnavailable() },
     { "proof_age_ms", age ? age->count() : -1 },
     { "keys_proven", routes_.AreKeysProven() },
+    { "endpoints_revision", store.endpoints_ },
+    { "endpoints_age_ms",
+      store.endpointsAge_ ? store.endpointsAge_->count() : -1 },
     { "cold_endpoints", limiter_.CountCold() },
     { "links_lost", links_.Lost() },
   };
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -166,6 +166,27 @@
                 "This host's links to the endpoints of a service were found to "
                 "be lost, or up again or after all; 'answered' of 'probes' "
                 "endpoints answered." },
+  LogEventInfo{ kEndpointListUpdated,
+                LogLevel::kInfo,
+                "endpoint-list-updated",
+                "Changed entries of endpoints were applied; 'source' is where "
+                "they were read, 'age_ms' how old that is (-1: unknown), and "
+                "'leaving' and 'gone' name the endpoints that left." },
+  LogEventInfo{ kEndpointListLate,
+                LogLevel::kWarning,
+                "endpoint-list-late",
+                "The list of endpoints is known to be complete only up to "
+                "'age_ms' ago, although requests are placed by it." },
+  LogEventInfo{ kEndpointListCurrent,
+                LogLevel::kInfo,
+                "endpoint-list-current",
+                "The list of endpoints is complete again." },
+  LogEventInfo{ kRemovalsDeferred,
+                LogLevel::kWarning,
+                "removals-deferred",
+                "The host took a gap of 'gap_ms' between two reads of the "
+                "store for an outage; endpoints whose entries are missing stay "
+                "in use for a short time." },
   LogEventInfo{ kRequestFinished,
                 LogLevel::kDebug,
                 "request-finished",
