--- a/fakes/platform/gooseberrylift-fake-fleet-store.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-store.cc
@@ -2,9 +2,9 @@
 // users report.
 //   GET|POST /-/objects/KIND, GET|PUT|DELETE /-/objects/KIND/NAME
 //   POST /control  {"outage", "delay_ms", "lose_answers": n, "mute_ms",
-//                   "forget_history": true, "page": n, "keep_for_any_age": true
-//                   (lists that allow stale data keep returning the
-//                   current state),
+//                   "forget_history": true, "page": n,
+//                   "any_age_lags": [n, ...] (pages of lists that allow stale
+//                   data lag by these numbers of revisions, in turn),
 //                   "put": {"KIND/NAME": spec}, "remove": ["KIND/NAME"]}
 //   GET  /stats    number of calls by type
 // The text kInvalidUtf8Placeholder in an object is sent as invalid UTF-8.
@@ -118,8 +118,9 @@
     const std::string after(aRequest.QueryParameter("after"));
     json items = json::array();
     bool more = false;
-    auto& source = allowStale && !staleKinds_.empty() ? staleKinds_ : objects_;
-    for (const auto& [name, object] : source[aKind]) {
+    const std::uint64_t lag = allowStale ? NextLag() : 0;
+    const std::uint64_t asOf = revision_ > lag ? revision_ - lag : 0;
+    for (const auto& [name, object] : ObjectsAsOf(aKind, asOf)) {
       if (name <= after && !after.empty()) {
         continue;
       }
@@ -135,6 +136,34 @@
     return 200;
   }
 
+  std::uint64_t NextLag()
+  {
+    return anyAgeLags_.empty()
+             ? 0
+             : anyAgeLags_[anyAgeLists_++ % anyAgeLags_.size()];
+  }
+
+  std::map<std::string, json> ObjectsAsOf(const std::string& aKind,
+                                          std::uint64_t aRevision)
+  {
+    if (aRevision >= revision_) {
+      return objects_[aKind];
+    }
+    std::map<std::string, json> objects;
+    for (const Change& change : history_) {
+      if (change.kind_ != aKind || change.revision_ > aRevision) {
+        continue;
+      }
+      const std::string name = change.object_[names::kMetadata][names::kName];
+      if (change.removed_) {
+        objects.erase(name);
+      } else {
+        objects[name] = change.object_;
+      }
+    }
+    return objects;
+  }
+
   int Find(const std::string& aKind, const std::string& aName, json& aBody)
   {
     const auto found = objects_[aKind].find(aName);
@@ -264,18 +293,19 @@
       const std::size_t slash = key.find('/');
       Remove(key.substr(0, slash), key.substr(slash + 1));
     }
-    if (aBody.value("keep_for_any_age", false)) {
-      staleKinds_ = objects_;
+    if (aBody.contains("any_age_lags")) {
+      anyAgeLags_ = aBody.at("any_age_lags").get<std::vector<std::uint64_t>>();
+      anyAgeLists_ = 0;
     }
     if (aBody.value("forget_history", false)) {
-      history_.clear();
       oldestRevision_ = revision_;
     }
   }
 
   std::map<std::string, std::map<std::string, json>> objects_;
-  std::map<std::string, std::map<std::string, json>> staleKinds_;
   std::vector<Change> history_;
+  std::vector<std::uint64_t> anyAgeLags_;
+  std::size_t anyAgeLists_ = 0; // answered
   std::uint64_t revision_ = 1;
   std::uint64_t oldestRevision_ = 0; // watches from an earlier revision get 410
   std::map<std::string, int> counts_;
--- a/test/integration/gooseberrylift-gateway-store-test.cc
+++ b/test/integration/gooseberrylift-gateway-store-test.cc
@@ -377,11 +377,11 @@
 TEST(GatewayTest, RejectsRevokedKeyFromListOfAnyAge)
 {
   GatewayDeployment deployment({});
-  deployment.Store().Control({ { "keep_for_any_age", true } });
   json document = deployment.Document();
   document["version"] = 2;
   document["tenants"][0]["apiKeys"] = { "new-key" };
   deployment.PutDocument(document);
+  deployment.Store().Control({ { "any_age_lags", { 1 } } });
   json settings = deployment.HostSettings("host-late");
   // No host listens on the seed address, so this host must prove its own
   // routes.
