Take a list of any age to be complete up to its oldest page only

Callers' requests were sent to endpoints that had been draining for seconds, by hosts that had just started. A list of more than a page is several reads, and the platform may answer each with data of another age. The host claimed all of it to be as recent as its newest entry. With an old first page it thus claimed changes that this page lacks; other hosts then sent only later ones, and hosts that fetched from it inherited the gap.

ObjectStore lists now tell the sizes of their pages, and CompleteRevision takes the lowest of the pages' newest revisions: each page shows all changes of its entries up to its own newest one. What lies between comes with the first fetch from another host, so starts cost no further call of the store.

ConvergesFromListsWhosePagesDifferInAge, 300 random schedules on virtual time, fails with the highest revision instead of the lowest.

--- a/include/gooseberrylift/internal/gooseberrylift-store.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store.h
@@ -31,6 +31,9 @@
 {
   std::vector<StoreObject> items_;
   std::string version_; // to start a watch from
+  // Numbers of items that were read at once, in the order of items_; empty if
+  // all were.
+  std::vector<std::size_t> pageSizes_{};
 };
 
 struct StoreEvent
@@ -69,7 +72,8 @@
     TimePoint aDeadline) = 0;
 
   /// Reads all objects of a kind, allowing a result that is a few seconds stale
-  /// if that is cheaper for the store. The store may hold later updates.
+  /// if that is cheaper for the store. The store may hold later updates, and
+  /// each page may be of another age.
   virtual boost::asio::awaitable<Outcome<StoreList>> ListAllowStale(
     std::string aKind,
     TimePoint aDeadline)
--- a/include/gooseberrylift/membership/gooseberrylift-store-view.h
+++ b/include/gooseberrylift/membership/gooseberrylift-store-view.h
@@ -6,6 +6,7 @@
 #define GOOSEBERRYLIFT_MEMBERSHIP_GOOSEBERRYLIFT_STORE_VIEW_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -141,6 +142,15 @@
 /// number.
 std::uint64_t RevisionOf(const std::string& aVersion);
 
+/// Returns the store revision up to which a list of any age is known to be
+/// complete; 0 if unknown. A page shows all changes up to its newest object,
+/// and each page may be of another age, so it is the lowest of these revisions.
+/// @param aObjects the listed objects
+/// @param aPageSizes numbers of objects that were read at once, in the order of
+/// aObjects; empty if all were
+std::uint64_t CompleteRevision(const std::vector<CachedObject>& aObjects,
+                               const std::vector<std::size_t>& aPageSizes);
+
 } // namespace gooseberrylift
 
 #endif // GOOSEBERRYLIFT_MEMBERSHIP_GOOSEBERRYLIFT_STORE_VIEW_H_
--- a/src/core/membership/gooseberrylift-store-view.cc
+++ b/src/core/membership/gooseberrylift-store-view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace gooseberrylift {
@@ -13,6 +14,23 @@
   return revision;
 }
 
+std::uint64_t CompleteRevision(const std::vector<CachedObject>& aObjects,
+                               const std::vector<std::size_t>& aPageSizes)
+{
+  const std::vector<std::size_t> pageSizes =
+    aPageSizes.empty() ? std::vector{ aObjects.size() } : aPageSizes;
+  std::uint64_t complete = std::numeric_limits<std::uint64_t>::max();
+  auto object = aObjects.begin();
+  for (const std::size_t size : pageSizes) {
+    std::uint64_t newest = 0;
+    for (std::size_t index = 0; index < size; ++index, ++object) {
+      newest = std::max(newest, RevisionOf(object->version_));
+    }
+    complete = std::min(complete, newest);
+  }
+  return complete;
+}
+
 ViewUpdate StoreView::OnList(std::vector<CachedObject> aObjects,
                              std::uint64_t aRevision)
 {
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -42,16 +42,6 @@
 // Shorter without a proof, since a request may expedite the read.
 constexpr milliseconds kMaxSleepWithoutProof{ 20 };
 
-// The revision up to which a list of any age is known to be complete.
-std::uint64_t NewestRevision(const std::vector<CachedObject>& aObjects)
-{
-  std::uint64_t revision = 0;
-  for (const CachedObject& object : aObjects) {
-    revision = std::max(revision, RevisionOf(object.version_));
-  }
-  return revision;
-}
-
 json DeltaToJson(const StoreDelta& aDelta)
 {
   json list = json::array();
@@ -144,7 +134,8 @@
     co_return;
   }
   auto listed = ToCachedObjects(std::move(endpoints.value().items_));
-  const std::uint64_t endpointsRevision = NewestRevision(listed);
+  const std::uint64_t endpointsRevision =
+    CompleteRevision(listed, endpoints.value().pageSizes_);
   const std::uint64_t revisionBefore = endpoints_.Revision();
   PublishEndpoints(endpoints_.OnList(std::move(listed), endpointsRevision),
                    kOriginStoreAnyAge,
@@ -152,7 +143,8 @@
                    std::nullopt);
   if (!proof_) { // with a proof, other hosts have sent newer routes
     auto documents = ToCachedObjects(std::move(routes.value().items_));
-    const std::uint64_t routesRevision = NewestRevision(documents);
+    const std::uint64_t routesRevision =
+      CompleteRevision(documents, routes.value().pageSizes_);
     unprovenRoutes_ = routes_.OnList(std::move(documents), routesRevision);
   }
   const TimePoint now = TimerService::Now();
--- a/test/core/gooseberrylift-store-view-test.cc
+++ b/test/core/gooseberrylift-store-view-test.cc
@@ -22,6 +22,26 @@
   {
     return { .name_ = aName, .version_ = aVersion, .spec_ = aVersion };
   }
+
+  static std::vector<CachedObject> Objects(const Versions& aVersions)
+  {
+    std::vector<CachedObject> objects;
+    for (const auto& [name, version] : aVersions) {
+      objects.push_back(Object(name, version));
+    }
+    return objects;
+  }
+
+  // Applies what a view reported.
+  static void Record(Versions & aVersions, const ViewUpdate& aUpdate)
+  {
+    for (const CachedObject& object : aUpdate.objects_) {
+      aVersions[object.name_] = object.version_;
+    }
+    for (const std::string& removed : aUpdate.removed_) {
+      aVersions.erase(removed);
+    }
+  }
 };
 
 TEST(StoreViewTest, ReturnsEverythingSinceRevisionZero)
@@ -123,12 +143,7 @@
     Versions versions_; // built up from the updates that the view reported
   };
   const auto record = [](Host& aHost, const ViewUpdate& aUpdate) {
-    for (const CachedObject& object : aUpdate.objects_) {
-      aHost.versions_[object.name_] = object.version_;
-    }
-    for (const std::string& removed : aUpdate.removed_) {
-      aHost.versions_.erase(removed);
-    }
+    Record(aHost.versions_, aUpdate);
   };
   for (unsigned seed = 0; seed < 300; ++seed) {
     std::mt19937 random(seed);
@@ -136,11 +151,7 @@
     std::uint64_t revision = 1;
     std::array<Host, kHosts> hosts;
     const auto list = [&](Host& aHost) {
-      std::vector<CachedObject> objects;
-      for (const auto& [name, version] : store) {
-        objects.push_back(Object(name, version));
-      }
-      record(aHost, aHost.view_.OnList(std::move(objects), revision));
+      record(aHost, aHost.view_.OnList(Objects(store), revision));
     };
     const auto fetch = [&](Host& aHost, const Host& aFrom) {
       if (aFrom.view_.Revision() > aHost.view_.Revision()) {
@@ -172,6 +183,51 @@
   }
 }
 
+// Guards against a claim to be complete up to the newest page of a list whose
+// other pages are older.
+TEST(StoreViewTest, ConvergesFromListsWhosePagesDifferInAge)
+{
+  constexpr std::size_t kPage = 3;
+  constexpr std::uint64_t kMaxLag = 7;
+  for (unsigned seed = 0; seed < 300; ++seed) {
+    std::mt19937 random(seed);
+    std::vector<Versions> states(1); // of the store, by revision
+    StoreView upToDate{ StoreView::Options{ .maxRemovals_ = 3 } };
+    for (int step = 0; step < 60; ++step) {
+      Versions next = states.back();
+      const std::string name(1, static_cast<char>('a' + random() % 12));
+      if (random() % 4 != 0 || next.erase(name) == 0) {
+        next[name] = std::to_string(states.size());
+      }
+      states.push_back(next);
+      if (random() % 3 == 0) {
+        upToDate.OnList(Objects(next), states.size() - 1);
+      }
+    }
+    upToDate.OnList(Objects(states.back()), states.size() - 1);
+    std::vector<CachedObject> listed;
+    std::vector<std::size_t> pageSizes;
+    for (std::string after; pageSizes.empty() || pageSizes.back() == kPage;) {
+      const std::size_t lag = random() % (kMaxLag + 1);
+      const Versions& state = states[states.size() - 1 - lag];
+      pageSizes.push_back(0);
+      for (auto entry = state.upper_bound(after);
+           entry != state.end() && pageSizes.back() < kPage;
+           ++entry) {
+        listed.push_back(Object(entry->first, entry->second));
+        ++pageSizes.back();
+        after = entry->first;
+      }
+    }
+    StoreView started{ StoreView::Options{} };
+    const std::uint64_t revision = CompleteRevision(listed, pageSizes);
+    Versions versions;
+    Record(versions, started.OnList(std::move(listed), revision));
+    Record(versions, started.ApplyDelta(upToDate.Since(started.Revision())));
+    CHECK_TRUE(versions == states.back());
+  }
+}
+
 // A proof of freshness is relayed from host to host. No host may accept a key
 // for longer than the revocation time after it was revoked.
 TEST_GROUP(RelayedProofTest){};
