Read the store when the endpoints are too old, not only the routes

Callers' requests were sent to endpoints that had been draining for seconds, by hosts that serve for a long time. Other hosts prove the routes by their revision alone, and a host decided by the age of that proof when to read the store itself. A host whose fetches of the endpoints failed, by a timeout or since the answer was too large for any host to send, thus kept a list of endpoints of unlimited age.

A starting host counts its list of any age as read when it came. No call is added while the exchange works.

--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -41,6 +41,8 @@
 // proves that no key was revoked. The store has one revision number for all its
 // changes, which the answer contains: the endpoints are listed when it has
 // changed.
+// A host also reads when its endpoints are too old, although others prove its
+// routes: it may be unable to fetch the endpoints from any of them.
 // A starting host first reads lists of any age, which cost less, and learns of
 // later changes from other hosts. It serves their routes only with a proof:
 // from another host, or from its own linearizable read. That read is delayed at
@@ -187,6 +189,7 @@
   void LogReaderRole(bool aIsReader);
   static std::optional<std::chrono::milliseconds> AgeOf(
     std::optional<BootTime> aReadStart);
+  std::optional<std::chrono::milliseconds> DataAge() const;
 
   Parts parts_;
   Options options_;
@@ -199,7 +202,7 @@
   std::optional<BootTime> endpointsReadAt_;
   bool endpointsLate_ = false; // as last reported
   ViewUpdate unprovenRoutes_;  // from a list of any age, not published yet
-  std::optional<TimePoint> anyAgeReadAt_;
+  std::optional<BootTime> anyAgeReadAt_;
   bool fetching_ = false;
   bool isReader_ = false; // as last logged
 };
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -106,7 +106,7 @@
   }
   while (true) {
     const milliseconds due = readSchedule_.TimeUntilDue(
-      TimerService::Now(), AgeOf(proof_), parts_.rank_());
+      TimerService::Now(), DataAge(), parts_.rank_());
     CheckEndpointsAge();
     if (due <= milliseconds(0)) {
       co_await Read();
@@ -147,11 +147,10 @@
       CompleteRevision(documents, routes.value().pageSizes_);
     unprovenRoutes_ = routes_.OnList(std::move(documents), routesRevision);
   }
-  const TimePoint now = TimerService::Now();
-  anyAgeReadAt_ = now;
+  anyAgeReadAt_ = TimerService::BootNow();
   std::minstd_rand random{ std::random_device{}() };
-  readSchedule_.DelayUntil(now + options_.firstReadMaxDelay_ *
-                                   (random() % 1'000) / 1'000);
+  readSchedule_.DelayUntil(TimerService::Now() + options_.firstReadMaxDelay_ *
+                                                   (random() % 1'000) / 1'000);
 }
 
 bool StoreFollower::ExpediteFirstProof()
@@ -224,7 +223,7 @@
   const bool isBehind = endpoints_.Revision() < routes_.Revision();
   const bool awaitsPeerUpdates =
     isBehind && anyAgeReadAt_ &&
-    TimerService::Now() - *anyAgeReadAt_ < options_.peerUpdateWait_;
+    TimerService::BootNow() - *anyAgeReadAt_ < options_.peerUpdateWait_;
   if (isBehind && !awaitsPeerUpdates) {
     const bool read = co_await ReadKind(options_.endpointsKind_, endpoints_);
     if (!read) {
@@ -466,6 +465,19 @@
   }
 }
 
+// Returns the age of this host's data by its oldest kind; nothing before the
+// first proof. A list of any age counts as read when it was received, since
+// nothing is known of its age.
+std::optional<milliseconds> StoreFollower::DataAge() const
+{
+  if (!proof_) {
+    return std::nullopt;
+  }
+  const BootTime endpoints =
+    endpointsReadAt_.value_or(anyAgeReadAt_.value_or(*proof_));
+  return AgeOf(std::min(*proof_, endpoints));
+}
+
 // Rounds up, since data must never appear younger than it is.
 std::optional<milliseconds> StoreFollower::AgeOf(
   std::optional<BootTime> aReadStart)
