Never replace an entry by an older state of it

The later pages of a list may be newer than its revision. A view accepted any version that differed, so that the next update, complete to a revision in between, could bring an older state of an entry back, for example of an endpoint that had begun to drain, or remove an entry that was created meanwhile. For draining endpoints the directory hid it, since leaving is final; other fields and new endpoints had no such guard.

A view now keeps an object that is newer than the update. Two tests in StoreViewTest, both red before; ConvergesOnAllHostsInRandomSchedules holds as before.

--- a/include/gooseberrylift/membership/gooseberrylift-store-view.h
+++ b/include/gooseberrylift/membership/gooseberrylift-store-view.h
@@ -70,6 +70,10 @@
 // after the actual one: a host whose revision lies between the two receives the
 // removal twice, which is harmless.
 //
+// A list that is read in pages has the revision of its first page, so a view
+// may hold objects that are newer than its revision. An update never replaces
+// such an object by an older state of it.
+//
 // A list does not show objects that were both created and removed before it,
 // and a host that asks may have received such an object from elsewhere. A host
 // whose revision is older than the last list therefore gets all names. Not
--- a/src/core/membership/gooseberrylift-store-view.cc
+++ b/src/core/membership/gooseberrylift-store-view.cc
@@ -76,12 +76,14 @@
                        ViewUpdate& aUpdate)
 {
   Entry& entry = objects_[aObject.name_];
+  const std::uint64_t version = RevisionOf(aObject.version_);
+  const std::uint64_t changed = version == 0 ? aRevision : version;
   if (entry.changeRevision_ != 0 &&
-      entry.object_.version_ == aObject.version_) {
+      (entry.object_.version_ == aObject.version_ ||
+       changed < entry.changeRevision_)) {
     return;
   }
-  const std::uint64_t changed = RevisionOf(aObject.version_);
-  entry.changeRevision_ = changed == 0 ? aRevision : changed;
+  entry.changeRevision_ = changed;
   entry.object_ = std::move(aObject);
   aUpdate.objects_.push_back(entry.object_);
 }
@@ -90,9 +92,14 @@
                        std::uint64_t aRevision,
                        ViewUpdate& aUpdate)
 {
+  const auto found = objects_.find(aName);
+  if (found != objects_.end() && found->second.changeRevision_ > aRevision) {
+    return; // created again after that revision
+  }
   // Record the removal even if the object is not in this view: other hosts may
   // have it.
-  if (objects_.erase(aName) > 0) {
+  if (found != objects_.end()) {
+    objects_.erase(found);
     aUpdate.removed_.push_back(aName);
   }
   // A long list is read in pages and has the revision of the first page. The
--- a/test/core/gooseberrylift-store-view-test.cc
+++ b/test/core/gooseberrylift-store-view-test.cc
@@ -130,6 +130,28 @@
   LONGS_EQUAL(2, changes.names_->size());
 }
 
+// Guards against an endpoint that is taken for ready again, since the next
+// update is older than a later page of the last list.
+TEST(StoreViewTest, KeepsAnObjectThatIsNewerThanAnUpdate)
+{
+  view_.OnList({ Object("a", "1"), Object("z", "14") }, 10);
+  const ViewUpdate older =
+    view_.ApplyDelta({ .revision_ = 12, .objects_ = { Object("z", "11") } });
+  CHECK_TRUE(older.Empty());
+  STRCMP_EQUAL("14", view_.Since(12).objects_.front().version_.c_str());
+}
+
+// Guards against the loss of an object that was created after an update was
+// read elsewhere.
+TEST(StoreViewTest, KeepsAnObjectThatIsNewerThanItsRemoval)
+{
+  view_.OnList({ Object("a", "1"), Object("z", "14") }, 10);
+  CHECK_TRUE(
+    view_.ApplyDelta({ .revision_ = 12, .removed_ = { "z" } }).Empty());
+  CHECK_TRUE(view_.OnList({ Object("a", "1") }, 13).Empty());
+  LONGS_EQUAL(1, view_.OnList({ Object("a", "1") }, 14).removed_.size());
+}
+
 // All hosts must converge to the state of the store, whichever host reads it.
 // The store changes at random; any host lists it at any time, or fetches
 // changes from any host with a higher revision. It holds because each change is
