Bound what an endpoint may send that is no answer

An endpoint in trouble may send bytes that never end in a head or a body. The size of a chunk and trailers had none either, so that a host kept all of it in memory until the deadline.

A connection now keeps at most 64 KiB that it can't pass on yet, an event and a failure 256 KiB; past that the call is closed with a code of its own, 135, the endpoint counts as failed and the request goes to another one if it may be repeated. Bytes of a stream that complete no event no longer extend the wait for one, also on the own interface.

The own interface and answers of the store and other hosts have the limits of the same client, but no test of their own for this.

--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -82,6 +82,7 @@
   kEndpointSilent = 132,
   kEndpointFailed = 133,
   kEndpointWithdrawn = 134,
+  kEndpointOverlong = 135,
   kOnceStoreUnavailable = 170,
   kOnceKeyReused = 171,
   kOncePending = 172,
--- a/include/gooseberrylift/gooseberrylift-sse.h
+++ b/include/gooseberrylift/gooseberrylift-sse.h
@@ -5,6 +5,7 @@
 #ifndef GOOSEBERRYLIFT_GOOSEBERRYLIFT_SSE_H_
 #define GOOSEBERRYLIFT_GOOSEBERRYLIFT_SSE_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,9 @@
   /// none yet. Skips events that do not start with "data:".
   std::optional<std::string> Next();
 
+  /// Returns the number of bytes that have not been returned.
+  std::size_t Pending() const { return text_.size() - position_; }
+
 private:
   std::string text_;
   std::size_t position_ = 0;
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -249,7 +249,9 @@
   boost::asio::awaitable<Outcome<void>> Read(RequestAttempt& aAttempt);
   boost::asio::awaitable<Outcome<void>> ReadPart(RequestAttempt& aAttempt);
   boost::asio::awaitable<Outcome<void>> ReadHead(RequestAttempt& aAttempt);
-  void OnStreamData(RequestAttempt& aAttempt, const std::string& aData);
+  static void OnPart(RequestAttempt& aAttempt);
+  Outcome<void> OnStreamData(RequestAttempt& aAttempt,
+                             const std::string& aData);
   std::optional<Error> ValidateHead(const HttpResponse& aHead,
                                     AttemptTarget& aTarget);
   void OnNotExecuted(const EndpointResponseMetadata& aFacts,
--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -264,6 +264,11 @@
               503,
               "The endpoint began to leave or asked this host to back off "
               "before the request was sent to it." },
+  ResultInfo{ kEndpointOverlong,
+              "endpoint-overlong",
+              502,
+              "The head, an event or another part of the endpoint's answer is "
+              "over its limit, or does not end." },
   ResultInfo{ kOnceStoreUnavailable,
               "once-store-unavailable",
               503,
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -64,13 +64,21 @@
 }
 
 // Reads the next part of a response. If it stalls, it is replaced or goes on.
+// Bytes of a stream that complete no event are no part, so that an endpoint
+// that sends such bytes without end stalls.
 asio::awaitable<Outcome<void>> RequestRun::Read(RequestAttempt& aAttempt)
 {
   aAttempt.call_->SetDeadline(aAttempt.isBeingReplaced_ ? request_.deadline_
                                                         : StallDeadline());
   const std::size_t partsBefore = aAttempt.parts_;
-  auto read = co_await ReadPart(aAttempt);
-  while (!read && IsStallTimeout(read.error())) {
+  while (aAttempt.parts_ == partsBefore) {
+    const auto read = co_await ReadPart(aAttempt);
+    if (read) {
+      continue;
+    }
+    if (!IsStallTimeout(read.error())) {
+      co_return read;
+    }
     co_await OnStallTimeout(aAttempt);
     if (replacement_) {
       co_return MakeStallError();
@@ -78,12 +86,8 @@
     if (aAttempt.failure_) {
       co_return *aAttempt.failure_;
     }
-    if (aAttempt.parts_ > partsBefore) {
-      co_return boost::outcome_v2::success();
-    }
-    read = co_await ReadPart(aAttempt);
   }
-  co_return read;
+  co_return boost::outcome_v2::success();
 }
 
 asio::awaitable<Outcome<void>> RequestRun::ReadPart(RequestAttempt& aAttempt)
@@ -95,16 +99,14 @@
   if (!chunk) {
     co_return chunk.error();
   }
-  ++aAttempt.parts_;
-  aAttempt.isStalled_ = false;
-  if (!chunk.value()) {
-    aAttempt.ended_ = true;
-    co_return boost::outcome_v2::success();
+  if (chunk.value() && IsStream(aAttempt)) {
+    co_return OnStreamData(aAttempt, *chunk.value());
   }
-  if (IsStream(aAttempt)) {
-    OnStreamData(aAttempt, *chunk.value());
-  } else {
+  OnPart(aAttempt);
+  if (chunk.value()) {
     aAttempt.body_ += *chunk.value();
+  } else {
+    aAttempt.ended_ = true;
   }
   co_return boost::outcome_v2::success();
 }
@@ -122,8 +124,7 @@
   IdentifyResponder(aAttempt);
   // The head of a stream may be sent while the prompt is still being read.
   const bool begins = request_.route_->kind_ != RouteKind::kStreaming;
-  ++aAttempt.parts_;
-  aAttempt.isStalled_ = false;
+  OnPart(aAttempt);
   aAttempt.headRead_ = true;
   aAttempt.Target().OnDataReceived(begins);
   if (begins) {
@@ -144,21 +145,36 @@
   }
 }
 
-void RequestRun::OnStreamData(RequestAttempt& aAttempt,
-                              const std::string& aData)
+void RequestRun::OnPart(RequestAttempt& aAttempt)
+{
+  ++aAttempt.parts_;
+  aAttempt.isStalled_ = false;
+}
+
+Outcome<void> RequestRun::OnStreamData(RequestAttempt& aAttempt,
+                                       const std::string& aData)
 {
-  aAttempt.Target().OnDataReceived(!aAttempt.bodyBegun_);
-  aAttempt.bodyBegun_ = true;
-  if (aAttempt.relay_) {
-    parts_.fleet_.Loads().With(request_.service_, [](ServiceLoad& aLoad) {
-      aLoad.load_.RecordData(TimerService::Now());
-    });
-  }
   RecordAnswerData(aAttempt);
   aAttempt.splitter_.Feed(aData);
+  bool isPart = !aAttempt.bodyBegun_;
   while (auto event = aAttempt.splitter_.Next()) {
     aAttempt.events_.push_back(std::move(*event));
+    isPart = true;
+  }
+  if (isPart) {
+    OnPart(aAttempt);
+    aAttempt.Target().OnDataReceived(!aAttempt.bodyBegun_);
+    aAttempt.bodyBegun_ = true;
+    if (aAttempt.relay_) {
+      parts_.fleet_.Loads().With(request_.service_, [](ServiceLoad& aLoad) {
+        aLoad.load_.RecordData(TimerService::Now());
+      });
+    }
+  }
+  if (aAttempt.splitter_.Pending() > kMaxBufferedBytes) {
+    return MakeOverlongError("an event without an end");
   }
+  return boost::outcome_v2::success();
 }
 
 // Checks the head of a response before its content is trusted.
@@ -243,6 +259,10 @@
 {
   while (!aAttempt.ended_) {
     if (aAttempt.body_.size() > kMaxBufferedBytes) {
+      const bool failed = aAttempt.call_->Head().status_ >= 500;
+      if (failed && MayRetryElsewhere(aAttempt) && TryReserveRetry()) {
+        co_return MakeOverlongError("a failure with a body over the limit");
+      }
       co_return co_await ForwardUnbuffered(aAttempt);
     }
     const auto read = co_await Read(aAttempt);
--- a/src/gateway/gooseberrylift-request-errors.cc
+++ b/src/gateway/gooseberrylift-request-errors.cc
@@ -35,4 +35,11 @@
            .ran_ = RanState::kUnknown };
 }
 
+Error MakeOverlongError(std::string aText)
+{
+  return { .code_ = ResultCode::kEndpointOverlong,
+           .text_ = std::move(aText),
+           .ran_ = RanState::kUnknown };
+}
+
 } // namespace gooseberrylift
--- a/src/gateway/gooseberrylift-request-errors.h
+++ b/src/gateway/gooseberrylift-request-errors.h
@@ -22,6 +22,9 @@
 /// Returns the error for a response that is incomplete or invalid.
 Error MakeBrokenError(std::string aText);
 
+/// Returns the error of a response with a part that is over its limit.
+Error MakeOverlongError(std::string aText);
+
 } // namespace gooseberrylift
 
 #endif // GOOSEBERRYLIFT_GATEWAY_GOOSEBERRYLIFT_REQUEST_ERRORS_H_
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -22,6 +22,9 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
+// Of received bytes that can't be passed on yet: a head, the size of a chunk or
+// trailers that have not ended.
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
 
 struct Connection
 {
@@ -30,7 +33,7 @@
   {
   }
   tcp::socket socket_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{ kMaxUnparsedBytes };
   TimePoint idleSince_;
   TimePoint idleUntil_;
 };
@@ -294,6 +297,18 @@
   }
 
 private:
+  static ResultCode ResultOf(boost::system::error_code aCode)
+  {
+    if (aCode == asio::error::operation_aborted) {
+      return ResultCode::kCallerLeft;
+    }
+    const bool isOverlong = aCode == http::error::header_limit ||
+                            aCode == http::error::body_limit ||
+                            aCode == http::error::buffer_overflow;
+    return isOverlong ? ResultCode::kEndpointOverlong
+                      : ResultCode::kEndpointBroken;
+  }
+
   static Error MakeTransferError(boost::system::error_code aCode, bool aExpired)
   {
     if (aExpired) {
@@ -301,9 +316,7 @@
                .text_ = "the server did not respond before the deadline",
                .ran_ = RanState::kUnknown };
     }
-    return { .code_ = aCode == asio::error::operation_aborted
-                        ? ResultCode::kCallerLeft
-                        : ResultCode::kEndpointBroken,
+    return { .code_ = ResultOf(aCode),
              .text_ = aCode.message(),
              .ran_ = RanState::kUnknown };
   }
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -23,6 +23,8 @@
 // step next to a prompt of a million tokens takes about 50 ms; 10 seconds also
 // allow for an engine that preempts a sequence and resumes it.
 constexpr std::chrono::milliseconds kTokenTimeout{ 10'000 };
+// Of an event that has not ended.
+constexpr std::size_t kMaxEventBytes = 256 * 1024;
 
 asio::awaitable<void> SendCancel(HttpClient& aClient,
                                  std::string aAddress,
@@ -79,6 +81,7 @@
 {
   return aCode == ResultCode::kEndpointUnreachable ||
          aCode == ResultCode::kEndpointBroken ||
+         aCode == ResultCode::kEndpointOverlong ||
          aCode == ResultCode::kEndpointCrossed ||
          aCode == ResultCode::kStreamCut;
 }
@@ -353,8 +356,8 @@
 {
   SseParser parser;
   bool ended = false;
-  const std::uint64_t first = aProgress.next_;
   while (true) {
+    const std::uint64_t before = aProgress.next_;
     auto chunk = co_await aCall.ReadSome();
     // Bytes after the end marker are drained so that the connection can be
     // reused. An error there does not affect the response, which is complete.
@@ -389,13 +392,19 @@
         co_return taken.error();
       }
     }
+    if (parser.Pending() > kMaxEventBytes) {
+      co_return Error{ .code_ = ResultCode::kEndpointOverlong,
+                       .text_ = "an event without an end",
+                       .ran_ = RanState::kYes };
+    }
     const bool reading = co_await aSink.Flush();
     if (!reading) {
       aProgress.callerLeft_ = true;
       co_return Error{ .code_ = ResultCode::kCallerLeft,
                        .ran_ = RanState::kYes };
     }
-    if (aProgress.next_ > first) {
+    // Bytes that complete no token don't extend the wait for one.
+    if (aProgress.next_ > before) {
       aCall.SetDeadline(std::min(aGeneration.info_.deadline_,
                                  TimerService::Now() + kTokenTimeout));
     }
--- a/src/runtime/gooseberrylift-once-runner.cc
+++ b/src/runtime/gooseberrylift-once-runner.cc
@@ -283,7 +283,7 @@
     }
     response.body_ += *chunk.value();
     if (response.body_.size() > options_.maxResponseBytes_) {
-      co_return Error{ .code_ = ResultCode::kEndpointBroken,
+      co_return Error{ .code_ = ResultCode::kEndpointOverlong,
                        .text_ = "the response is larger than 16 MiB",
                        .ran_ = RanState::kYes };
     }
--- a/test/integration/harness-raw-endpoint.cc
+++ b/test/integration/harness-raw-endpoint.cc
@@ -1,5 +1,6 @@
 #include "harness-raw-endpoint.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include <boost/asio.hpp>
@@ -17,6 +18,7 @@
 public:
   asio::io_context context_;
   tcp::acceptor acceptor_{ context_, { asio::ip::address_v4::loopback(), 0 } };
+  tcp::socket socket_{ context_ }; // of the connection that is being served
 };
 
 namespace {
@@ -75,13 +77,27 @@
          std::to_string(impl_->acceptor_.local_endpoint().port());
 }
 
+void RawEndpoint::SendEndless()
+{
+  ++sending_;
+  std::size_t sent = 0;
+  boost::system::error_code code;
+  while (!stop_ && !code) {
+    sent += asio::write(impl_->socket_, asio::buffer(answer_.endless_), code);
+    mostSent_ = std::max(mostSent_.load(), sent);
+    std::this_thread::sleep_for(answer_.pause_);
+  }
+  --sending_;
+}
+
 // Serves one connection after the other.
 void RawEndpoint::Run()
 {
   impl_->acceptor_.non_blocking(true);
   while (!stop_) {
     boost::system::error_code code;
-    tcp::socket socket(impl_->context_);
+    tcp::socket& socket = impl_->socket_;
+    socket = tcp::socket(impl_->context_);
     impl_->acceptor_.accept(socket, code);
     if (code) {
       std::this_thread::sleep_for(std::chrono::milliseconds(2));
@@ -92,11 +108,14 @@
     if (request.empty()) {
       continue;
     }
-    const std::string text =
-      "HTTP/1.1 200 OK\r\n" + std::string(names::kAttemptId) + ": " +
+    const std::string head = answer_.start_.value_or(
+      "HTTP/1.1 " + answer_.status_ + "\r\n" + names::kAttemptId + ": " +
       FieldOf(request, names::kAttemptId) + "\r\n" + names::kResponseStamp +
-      ": raw\r\n" + answer_.fields_ + "\r\n" + answer_.body_;
-    asio::write(socket, asio::buffer(text), code);
+      ": raw\r\n" + answer_.fields_ + "\r\n");
+    asio::write(socket, asio::buffer(head + answer_.body_), code);
+    if (!answer_.endless_.empty()) {
+      SendEndless();
+    }
     ++answered_;
     // What was sent must have arrived before a reset discards it.
     std::this_thread::sleep_for(std::chrono::milliseconds(30));
--- a/test/integration/harness-raw-endpoint.h
+++ b/test/integration/harness-raw-endpoint.h
@@ -1,12 +1,15 @@
-// An endpoint whose answers have neither a length nor chunks and end with their
-// connection, which a conforming HTTP server would not send.
+// An endpoint whose answers a conforming HTTP server would not send: they have
+// neither a length nor chunks and end with their connection, or don't end.
 
 #ifndef GOOSEBERRYLIFT_TEST_INTEGRATION_HARNESS_RAW_ENDPOINT_H_
 #define GOOSEBERRYLIFT_TEST_INTEGRATION_HARNESS_RAW_ENDPOINT_H_
 
 #include <atomic>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -28,6 +31,13 @@
     std::string fields_; // further header lines, each terminated by CR LF
     std::string body_;
     End end_ = End::kClosed;
+    std::string status_ = "200 OK";
+    // Sent instead of the head.
+    std::optional<std::string> start_{};
+    // Sent again and again after the body until the connection is closed, with
+    // this pause in between.
+    std::string endless_{};
+    std::chrono::milliseconds pause_{ 1 };
   };
 
   explicit RawEndpoint(Answer aAnswer);
@@ -40,18 +50,28 @@
   /// Returns how many requests were answered.
   int Answered() const { return answered_; }
 
+  /// Returns the most bytes sent in an endless answer before its connection was
+  /// closed.
+  std::size_t MostSent() const { return mostSent_; }
+
+  /// Returns how many endless answers are being sent.
+  int Sending() const { return sending_; }
+
   /// Returns how many connections carried a second request.
   int Reused() const { return reused_; }
 
 private:
   class Impl;
   void Run();
+  void SendEndless();
 
   Answer answer_;
   std::unique_ptr<Impl> impl_;
   std::atomic<bool> stop_ = false;
   std::atomic<int> answered_ = 0;
   std::atomic<int> reused_ = 0;
+  std::atomic<int> sending_ = 0;
+  std::atomic<std::size_t> mostSent_ = 0;
   std::thread thread_;
 };
 
