Serve no caller by a list of endpoints of unknown age

A request that arrives before the endpoints are known to be current is now held as one that arrives before the routes are (0.4 s at most). The host waits for others until 0.3 s after its list, then lists the endpoints itself; hosts without callers wait as before, so that a fleet that starts without traffic makes no further calls.

--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -32,7 +32,7 @@
     Metrics& metrics_;
     // Expedites the first proof that the routes are current, and returns
     // whether that proof is still pending.
-    std::function<bool()> expediteFirstProof_;
+    std::function<bool()> expediteFirstRead_;
     RequestRun::Parts run_;
   };
 
@@ -59,7 +59,7 @@
   boost::asio::awaitable<void> Serve(HttpExchange& aExchange,
                                      TimePoint aArrived,
                                      const Relayed* aRelayed);
-  boost::asio::awaitable<void> WaitForFirstProof();
+  boost::asio::awaitable<void> WaitForFirstRead();
   Outcome<RoutedRequest> Resolve(const HttpRequest& aRequest,
                                  CallerRequestMetadata aFacts,
                                  TimePoint aArrived);
--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -126,6 +126,8 @@
     // How long after a list of any age this host relies on others for endpoint
     // changes instead of listing the endpoints again.
     std::chrono::milliseconds peerUpdateWait_{ 1'000 };
+    // The same while a caller waits. Other hosts answer within two exchanges.
+    std::chrono::milliseconds awaitedPeerUpdateWait_{ 300 };
     // An older list of endpoints is reported as late.
     std::chrono::milliseconds endpointsLateAfter_{ 2'500 };
     StoreReadSchedule::Options readSchedule_{};
@@ -146,10 +148,10 @@
                     const StoreStatus& aStatus,
                     std::optional<BootTime> aRequestTime);
 
-  /// Cancels the delay of the first read if there is no proof yet, since a
-  /// caller is waiting for it.
-  /// @return whether the first proof is still missing
-  bool ExpediteFirstProof();
+  /// Cancels the delay of the first read if there is no proof yet, or no list
+  /// of endpoints of known age, since a caller is waiting for it.
+  /// @return whether one of them is still missing and may come soon
+  bool ExpediteFirstRead();
 
   /// Returns the objects that another host lacks, given its revisions. The
   /// result is empty if it would exceed maxAnswerBytes_.
@@ -168,6 +170,7 @@
   boost::asio::awaitable<std::optional<BootTime>> ReadRoutes();
   boost::asio::awaitable<bool> ReadKind(std::string aKind, StoreView& aView);
   boost::asio::awaitable<bool> ReadChanges(BootTime aRoutesReadStart);
+  bool AwaitsPeerUpdates() const;
   bool FollowsEvacuations() const { return !options_.evacuationsKind_.empty(); }
   boost::asio::awaitable<void> Fetch(PeerMember aPeer);
   void ApplyList(const std::string& aKind,
@@ -203,6 +206,7 @@
   bool endpointsLate_ = false; // as last reported
   ViewUpdate unprovenRoutes_;  // from a list of any age, not published yet
   std::optional<BootTime> anyAgeReadAt_;
+  bool isAwaited_ = false; // a caller has waited for the first read
   bool fetching_ = false;
   bool isReader_ = false; // as last logged
 };
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -23,8 +23,8 @@
 
 // How long a starting host holds a request while its routes are not yet proven
 // to be current.
-constexpr milliseconds kFirstProofWait{ 400 };
-constexpr milliseconds kFirstProofPollInterval{ 10 };
+constexpr milliseconds kFirstReadWait{ 400 };
+constexpr milliseconds kFirstReadPollInterval{ 10 };
 
 // The host that received a request from its caller counts it, also if it
 // relayed it.
@@ -135,18 +135,18 @@
 
 // After a fleet-wide power loss, callers reconnect before the routes are proven
 // to be current, and each rejection would use up one of a caller's few retries.
-asio::awaitable<void> GatewayFront::WaitForFirstProof()
+asio::awaitable<void> GatewayFront::WaitForFirstRead()
 {
-  const TimePoint limit = TimerService::Now() + kFirstProofWait;
-  while (parts_.expediteFirstProof_() && TimerService::Now() < limit) {
-    co_await TimerService::SleepFor(kFirstProofPollInterval);
+  const TimePoint limit = TimerService::Now() + kFirstReadWait;
+  while (parts_.expediteFirstRead_() && TimerService::Now() < limit) {
+    co_await TimerService::SleepFor(kFirstReadPollInterval);
   }
 }
 
 asio::awaitable<void> GatewayFront::Handle(HttpExchange& aExchange)
 {
   const TimePoint arrived = TimerService::Now();
-  co_await WaitForFirstProof();
+  co_await WaitForFirstRead();
   co_await Serve(aExchange, arrived, nullptr);
 }
 
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -113,7 +113,8 @@
       continue;
     }
     LogReaderRole(readSchedule_.IsActiveReader(TimerService::Now()));
-    const milliseconds maxSleep = proof_ ? kMaxSleep : kMaxSleepWithoutProof;
+    const milliseconds maxSleep =
+      proof_ && endpointsReadAt_ ? kMaxSleep : kMaxSleepWithoutProof;
     co_await TimerService::SleepFor(std::clamp(due, kMinSleep, maxSleep));
   }
 }
@@ -153,12 +154,26 @@
                                                    (random() % 1'000) / 1'000);
 }
 
-bool StoreFollower::ExpediteFirstProof()
+bool StoreFollower::ExpediteFirstRead()
 {
-  if (!proof_) {
-    readSchedule_.CancelDelay();
-  }
-  return !proof_;
+  const bool lacksEndpoints =
+    !endpointsReadAt_ && !readSchedule_.IsStoreUnavailable();
+  if (proof_ && !lacksEndpoints) {
+    return false;
+  }
+  isAwaited_ = true;
+  readSchedule_.CancelDelay();
+  return true;
+}
+
+// Returns whether this host still relies on others for the changes since its
+// list of any age.
+bool StoreFollower::AwaitsPeerUpdates() const
+{
+  const milliseconds wait =
+    isAwaited_ ? options_.awaitedPeerUpdateWait_ : options_.peerUpdateWait_;
+  return anyAgeReadAt_ && !endpointsReadAt_ &&
+         TimerService::BootNow() - *anyAgeReadAt_ < wait;
 }
 
 asio::awaitable<void> StoreFollower::Read()
@@ -221,9 +236,7 @@
     evacuations = std::move(list.value());
   }
   const bool isBehind = endpoints_.Revision() < routes_.Revision();
-  const bool awaitsPeerUpdates =
-    isBehind && anyAgeReadAt_ &&
-    TimerService::BootNow() - *anyAgeReadAt_ < options_.peerUpdateWait_;
+  const bool awaitsPeerUpdates = isBehind && AwaitsPeerUpdates();
   if (isBehind && !awaitsPeerUpdates) {
     const bool read = co_await ReadKind(options_.endpointsKind_, endpoints_);
     if (!read) {
@@ -466,11 +479,13 @@
 }
 
 // Returns the age of this host's data by its oldest kind; nothing before the
-// first proof. A list of any age counts as read when it was received, since
-// nothing is known of its age.
+// first proof, or if a caller waits for endpoints of known age. A list of any
+// age counts as read when it was received, since nothing is known of its age.
 std::optional<milliseconds> StoreFollower::DataAge() const
 {
-  if (!proof_) {
+  const bool isDueForCaller =
+    isAwaited_ && !endpointsReadAt_ && !AwaitsPeerUpdates();
+  if (!proof_ || isDueForCaller) {
     return std::nullopt;
   }
   const BootTime endpoints =
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -208,8 +208,8 @@
   , front_({ .board_ = board_,
              .dialect_ = *dialect_,
              .metrics_ = metrics_,
-             .expediteFirstProof_ =
-               [this] { return storeFollower_.ExpediteFirstProof(); },
+             .expediteFirstRead_ =
+               [this] { return storeFollower_.ExpediteFirstRead(); },
              .run_ = { .board_ = board_,
                        .client_ = endpointClient_,
                        .dialect_ = *dialect_,
