--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -30,8 +30,8 @@
     GatewayBoard& board_;
     const WireDialect& dialect_;
     Metrics& metrics_;
-    // Expedites the first proof that the routes are current, and returns
-    // whether that proof is still pending.
+    // Expedites this host's first read of the routes and endpoints, and returns
+    // whether it is still unknown that both are current.
     std::function<bool()> expediteFirstRead_;
     RequestRun::Parts run_;
   };
--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -157,9 +157,6 @@
   /// result is empty if it would exceed maxAnswerBytes_.
   nlohmann::json Answer(const nlohmann::json& aParams) const;
 
-  /// Reports a list of endpoints that has become late, or current again.
-  void CheckEndpointsAge();
-
   /// Returns whether this host's last read of the store failed.
   bool IsStoreUnavailable() const { return readSchedule_.IsStoreUnavailable(); }
 
@@ -188,6 +185,8 @@
                         std::optional<BootTime> aReadAt);
   void OnProof(BootTime aReadStart);
   void OnEndpointsRead(BootTime aReadStart);
+  // Reports a list of endpoints that has become late, or current again.
+  void CheckEndpointsAge();
   void DetectOutage(BootTime aReadStart);
   void LogReaderRole(bool aIsReader);
   static std::optional<std::chrono::milliseconds> AgeOf(
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -21,8 +21,8 @@
 // milliseconds, and the caller can use other hosts meanwhile.
 constexpr milliseconds kConfigurationRetryDelay{ 300 };
 
-// How long a starting host holds a request while its routes are not yet proven
-// to be current.
+// How long a starting host holds a request while its routes or endpoints are
+// not yet known to be current.
 constexpr milliseconds kFirstReadWait{ 400 };
 constexpr milliseconds kFirstReadPollInterval{ 10 };
 
