--- a/test/integration/gooseberrylift-endpoint-list-test.cc
+++ b/test/integration/gooseberrylift-endpoint-list-test.cc
@@ -189,6 +189,21 @@
   return text;
 }
 
+// Starts a host whose list has its first page from before the last two changes.
+// The one before the last is that board-0 left.
+void CheckStartedHostAvoidsFirstEndpoint(GatewayDeployment& aDeployment)
+{
+  aDeployment.List("board-3", aDeployment.Board(3), "board", "ready", "zone-b");
+  aDeployment.Store().Control(
+    { { "page", 2 }, { "any_age_lags", { 2, 0, 0, 0 } } });
+  json settings = aDeployment.HostSettings("host-late");
+  settings["peer"] = PeerSettings(aDeployment);
+  Host late(settings);
+  CHECK_TRUE(late.WaitReady(5s));
+  std::this_thread::sleep_for(kDrainTime);
+  LONGS_EQUAL(0, CountServedBy("board-0", late.Port()));
+}
+
 } // namespace
 
 TEST_GROUP(EndpointListTest){};
@@ -199,15 +214,7 @@
 {
   GatewayDeployment deployment({ .boards_ = 4 });
   deployment.List("board-0", deployment.Board(0), "board", "draining");
-  deployment.List("board-3", deployment.Board(3), "board", "ready", "zone-b");
-  deployment.Store().Control(
-    { { "page", 2 }, { "any_age_lags", { 2, 0, 0, 0 } } });
-  json settings = deployment.HostSettings("host-late");
-  settings["peer"] = PeerSettings(deployment);
-  Host late(settings);
-  CHECK_TRUE(late.WaitReady(5s));
-  std::this_thread::sleep_for(kDrainTime);
-  LONGS_EQUAL(0, CountServedBy("board-0", late.Port()));
+  CheckStartedHostAvoidsFirstEndpoint(deployment);
 }
 
 // Guards against an endpoint that a list of any age still has and that no
@@ -216,15 +223,7 @@
 {
   GatewayDeployment deployment({ .boards_ = 4 });
   deployment.Remove(std::string(names::kEndpointsKind) + "/board-0");
-  deployment.List("board-3", deployment.Board(3), "board", "ready", "zone-b");
-  deployment.Store().Control(
-    { { "page", 2 }, { "any_age_lags", { 2, 0, 0, 0 } } });
-  json settings = deployment.HostSettings("host-late");
-  settings["peer"] = PeerSettings(deployment);
-  Host late(settings);
-  CHECK_TRUE(late.WaitReady(5s));
-  std::this_thread::sleep_for(kDrainTime);
-  LONGS_EQUAL(0, CountServedBy("board-0", late.Port()));
+  CheckStartedHostAvoidsFirstEndpoint(deployment);
 }
 
 // Guards against a host that keeps a list of endpoints of unlimited age, since
