Log and count background tasks that end by an exception

Operators could not tell a loop that had ended from an idle one: TaskList dropped the exception of every task. No behaviour changes.

--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -32,6 +32,7 @@
   kSettingsRefused = 1004,
   kStopped = 1005,
   kHostPaused = 1006,
+  kTaskFailed = 1007,
   kConfigurationApplied = 1100,
   kConfigurationRejected = 1101,
   kStoreLost = 1102,
--- a/include/gooseberrylift/internal/gooseberrylift-tasks.h
+++ b/include/gooseberrylift/internal/gooseberrylift-tasks.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <string>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -14,6 +15,14 @@
 
 namespace gooseberrylift {
 
+// Is called with the text of an exception that ended a task.
+using TaskFailureHandler = std::function<void(const std::string& aText)>;
+
+/// Sets what is called when a task of the context ends by an exception other
+/// than a cancellation. Must be called before the context runs.
+void SetTaskFailureHandler(boost::asio::execution_context& aContext,
+                           TaskFailureHandler aHandler);
+
 /// Starts a coroutine in the background. Does nothing once the tasks of the
 /// context have been cancelled.
 /// @param aExecutor the executor that runs it
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -11,6 +11,7 @@
 #include "gooseberrylift/internal/gooseberrylift-host-stop.h"
 #include "gooseberrylift/internal/gooseberrylift-log-routes.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-task-failure-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 
 namespace gooseberrylift {
@@ -155,6 +156,7 @@
       { .address_ = settings_.peer_.address_, .port_ = settings_.peer_.port_ },
       [this](HttpExchange& aExchange) { return peers_.Handle(aExchange); })
 {
+  SetTaskFailureHandler(context_, TaskFailureRecorder(metrics_));
   AddRoutes();
 }
 
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -11,6 +11,7 @@
 #include "gooseberrylift/internal/gooseberrylift-host-stop.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-keys.h"
+#include "gooseberrylift/internal/gooseberrylift-task-failure-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -258,6 +259,7 @@
   peers_.AddMethod(kPermitMethod, [this](const nlohmann::json& aParams) {
     return limiter_.Answer(aParams);
   });
+  SetTaskFailureHandler(context_, TaskFailureRecorder(metrics_));
   ApplyGatewaySettings(*settings_.gateway_);
   board_.routes_.Subscribe([this](const auto& aSnapshot) {
     const CallerLimits& limits = aSnapshot->table_->Limits();
--- a/src/net/gooseberrylift-tasks.cc
+++ b/src/net/gooseberrylift-tasks.cc
@@ -3,6 +3,7 @@
 #include <list>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <vector>
 
 #include <boost/asio.hpp>
@@ -21,6 +22,25 @@
   kCleanup
 };
 
+// Returns the text of an exception; empty if there is none, or if it is how a
+// cancelled operation ends its coroutine.
+std::string FailureText(const std::exception_ptr& aError)
+{
+  if (!aError) {
+    return {};
+  }
+  try {
+    std::rethrow_exception(aError);
+  } catch (const boost::system::system_error& error) {
+    const bool cancelled = error.code() == asio::error::operation_aborted;
+    return cancelled ? std::string() : error.what();
+  } catch (const std::exception& error) {
+    return error.what();
+  } catch (...) {
+    return "unknown exception";
+  }
+}
+
 class TaskList : public asio::execution_context::service
 {
 public:
@@ -59,11 +79,18 @@
                    std::move(aCoroutine),
                    asio::bind_cancellation_slot(
                      task->signal_.slot(),
-                     [this, position](const std::exception_ptr& /*aError*/) {
+                     [this, position](const std::exception_ptr& aError) {
+                       ReportFailure(aError);
                        Remove(position);
                      }));
   }
 
+  void SetFailureHandler(TaskFailureHandler aHandler)
+  {
+    const std::lock_guard lock(mutex_);
+    onFailure_ = std::move(aHandler);
+  }
+
   void Cancel()
   {
     std::vector<std::shared_ptr<Task>> running;
@@ -86,6 +113,19 @@
   }
 
 private:
+  void ReportFailure(const std::exception_ptr& aError)
+  {
+    const std::string text = FailureText(aError);
+    TaskFailureHandler handler;
+    {
+      const std::lock_guard lock(mutex_);
+      handler = onFailure_;
+    }
+    if (!text.empty() && handler) {
+      handler(text);
+    }
+  }
+
   struct Task
   {
     explicit Task(TaskKind aKind)
@@ -111,6 +151,7 @@
   std::mutex mutex_;
   std::list<std::shared_ptr<Task>> tasks_; // tasks that have not ended
   std::vector<std::shared_ptr<Task>> endedAfterCancel_;
+  TaskFailureHandler onFailure_;
   bool cancelled_ = false;
 };
 
@@ -118,6 +159,12 @@
 
 } // namespace
 
+void SetTaskFailureHandler(asio::execution_context& aContext,
+                           TaskFailureHandler aHandler)
+{
+  asio::use_service<TaskList>(aContext).SetFailureHandler(std::move(aHandler));
+}
+
 void SpawnTask(const asio::any_io_executor& aExecutor,
                asio::awaitable<void> aTask)
 {
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -56,6 +56,11 @@
                 "host-paused",
                 "This process did not run for 'paused_ms': the machine was "
                 "suspended, overloaded or throttled." },
+  LogEventInfo{ kTaskFailed,
+                LogLevel::kError,
+                "task-failed",
+                "A background task of this host ended by an exception, whose "
+                "text is 'fault'." },
   LogEventInfo{ kConfigurationApplied,
                 LogLevel::kInfo,
                 "configuration-applied",
