An exception ends only the task, timer call or handler that threw it

Hosts looked up while a loop that follows the store, the peers, the settings or a listener was gone for good: TaskList dropped the exception that ended it. An exception of a timer's callback or of a posted handler left io_context::run() and ended the process (FAULT).

Loops are started with SpawnLoop, which starts them again after 100 ms; a timer keeps its period; RunContext goes on after a handler that threw; what a request's handler throws is reported too.

--- a/include/gooseberrylift/internal/gooseberrylift-tasks.h
+++ b/include/gooseberrylift/internal/gooseberrylift-tasks.h
@@ -6,20 +6,23 @@
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_TASKS_H_
 
 #include <cstddef>
+#include <exception>
 #include <functional>
 #include <string>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/execution_context.hpp>
+#include <boost/asio/io_context.hpp>
 
 namespace gooseberrylift {
 
 // Is called with the text of an exception that ended a task.
 using TaskFailureHandler = std::function<void(const std::string& aText)>;
 
-/// Sets what is called when a task of the context ends by an exception other
-/// than a cancellation. Must be called before the context runs.
+/// Sets what is called when a task, a timer or another handler of the context
+/// fails by an exception other than a cancellation. Must be called before the
+/// context runs.
 void SetTaskFailureHandler(boost::asio::execution_context& aContext,
                            TaskFailureHandler aHandler);
 
@@ -35,6 +38,21 @@
 void SpawnTask(const boost::asio::any_io_executor& aExecutor,
                std::function<boost::asio::awaitable<void>()> aTask);
 
+/// Starts a coroutine that runs until its context is stopped. If it ends by an
+/// exception, reports it and starts the coroutine again after a short delay.
+/// @param aLoop returns the coroutine; is kept alive with it
+void SpawnLoop(const boost::asio::any_io_executor& aExecutor,
+               std::function<boost::asio::awaitable<void>()> aLoop);
+
+/// Reports an exception to the handler of the context; does nothing if it is
+/// how a cancelled operation ends.
+void ReportTaskFailure(boost::asio::execution_context& aContext,
+                       const std::exception_ptr& aError);
+
+/// Runs a context until it is stopped or has no more work. An exception of a
+/// handler is reported and ends only that handler.
+void RunContext(boost::asio::io_context& aContext);
+
 /// Runs two coroutines on the executor of the calling one until one of them
 /// ends, and cancels the other. Returns when both have ended. Their exceptions
 /// are dropped; if the calling coroutine is cancelled, so are both.
--- a/src/clients/gooseberrylift-peer-datagrams.cc
+++ b/src/clients/gooseberrylift-peer-datagrams.cc
@@ -78,7 +78,7 @@
                   .text_ = "UDP port " + std::to_string(aPort) + ": " +
                            error.message() };
   }
-  SpawnTask(executor_, Receive());
+  SpawnLoop(executor_, [this] { return Receive(); });
   return boost::outcome_v2::success();
 }
 
--- a/src/gateway/gooseberrylift-link-prober.cc
+++ b/src/gateway/gooseberrylift-link-prober.cc
@@ -43,7 +43,8 @@
                                   TimerService::Now());
   }
   if (suspected) {
-    SpawnTask(parts_.executor_, Follow(aEndpoint.service_));
+    SpawnLoop(parts_.executor_,
+              [this, service = aEndpoint.service_] { return Follow(service); });
   }
 }
 
@@ -114,7 +115,7 @@
     }
   }
   for (const std::string& service : suspected) {
-    SpawnTask(parts_.executor_, Follow(service));
+    SpawnLoop(parts_.executor_, [this, service] { return Follow(service); });
   }
 }
 
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -179,12 +179,12 @@
     return listening.error();
   }
   StartControllers();
-  SpawnTask(context_.get_executor(), WaitForStop());
+  SpawnLoop(context_.get_executor(), [this] { return WaitForStop(); });
   std::vector<std::thread> threads;
   for (int thread = 1; thread < settings_.threads_; ++thread) {
-    threads.emplace_back([this] { context_.run(); });
+    threads.emplace_back([this] { RunContext(context_); });
   }
-  context_.run();
+  RunContext(context_);
   for (std::thread& thread : threads) {
     thread.join();
   }
@@ -219,10 +219,11 @@
 
 void EntryHost::StartControllers()
 {
-  SpawnTask(context_.get_executor(), configFollower_.Run());
-  SpawnTask(context_.get_executor(), configFollower_.Poll());
+  const auto executor = context_.get_executor();
+  SpawnLoop(executor, [this] { return configFollower_.Run(); });
+  SpawnLoop(executor, [this] { return configFollower_.Poll(); });
   endpointTracker_.FollowPeers();
-  SpawnTask(context_.get_executor(), endpointTracker_.Run());
+  SpawnLoop(executor, [this] { return endpointTracker_.Run(); });
   jobs_.Start();
 }
 
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -491,12 +491,12 @@
   if (!listening) {
     return listening.error();
   }
-  SpawnTask(context_.get_executor(), storeFollower_.Run());
-  SpawnTask(context_.get_executor(), StartPeers());
+  SpawnLoop(context_.get_executor(), [this] { return storeFollower_.Run(); });
+  SpawnLoop(context_.get_executor(), [this] { return StartPeers(); });
   settingsWatch_.Start();
   pauseMonitor_.Start(context_.get_executor());
-  SpawnTask(context_.get_executor(), WaitForStop());
-  context_.run();
+  SpawnLoop(context_.get_executor(), [this] { return WaitForStop(); });
+  RunContext(context_);
   FinishStop(context_,
              { &callerServer_, &readyServer_, &adminServer_, &peerServer_ });
   return boost::outcome_v2::success();
--- a/src/host/gooseberrylift-host-stop.cc
+++ b/src/host/gooseberrylift-host-stop.cc
@@ -31,7 +31,11 @@
   const TimePoint deadline = TimerService::Now() + aTimeout;
   while (!aDone() && TimerService::Now() < deadline) {
     aContext.restart();
-    aContext.run_one_for(kPollInterval);
+    try {
+      aContext.run_one_for(kPollInterval);
+    } catch (...) {
+      ReportTaskFailure(aContext, std::current_exception());
+    }
   }
 }
 
--- a/src/host/gooseberrylift-settings-watch.cc
+++ b/src/host/gooseberrylift-settings-watch.cc
@@ -34,8 +34,8 @@
 
 void SettingsWatch::Start()
 {
-  SpawnTask(parts_.executor_, WatchFile());
-  SpawnTask(parts_.executor_, WaitForSignals());
+  SpawnLoop(parts_.executor_, [this] { return WatchFile(); });
+  SpawnLoop(parts_.executor_, [this] { return WaitForSignals(); });
 }
 
 void SettingsWatch::Reload()
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -98,7 +98,7 @@
                            code.message() };
   }
   port_ = acceptor_.local_endpoint().port();
-  SpawnTask(acceptor_.get_executor(),
+  SpawnLoop(acceptor_.get_executor(),
             [self = shared_from_this()] { return self->AcceptLoop(); });
   return port_;
 }
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -358,6 +358,8 @@
       server_->handler_(*this),
       asio::bind_cancellation_slot(signal_.slot(),
                                    asio::as_tuple(asio::use_awaitable)));
+    ReportTaskFailure(
+      asio::query(socket_.get_executor(), asio::execution::context), exception);
     deadline_.Cancel();
     disconnectCheck_.Cancel();
     handlerToken_.reset();
--- a/src/net/gooseberrylift-tasks.cc
+++ b/src/net/gooseberrylift-tasks.cc
@@ -10,12 +10,17 @@
 #include <boost/asio/deferred.hpp>
 #include <boost/asio/experimental/parallel_group.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+
 namespace gooseberrylift {
 
 namespace asio = boost::asio;
 
 namespace {
 
+// Keeps a loop that fails at once each time from using the whole processor.
+constexpr std::chrono::milliseconds kLoopRestartDelay{ 100 };
+
 enum class TaskKind
 {
   kCancellable,
@@ -80,7 +85,7 @@
                    asio::bind_cancellation_slot(
                      task->signal_.slot(),
                      [this, position](const std::exception_ptr& aError) {
-                       ReportFailure(aError);
+                       Report(aError);
                        Remove(position);
                      }));
   }
@@ -112,8 +117,7 @@
     return tasks_.size();
   }
 
-private:
-  void ReportFailure(const std::exception_ptr& aError)
+  void Report(const std::exception_ptr& aError)
   {
     const std::string text = FailureText(aError);
     TaskFailureHandler handler;
@@ -126,6 +130,7 @@
     }
   }
 
+private:
   struct Task
   {
     explicit Task(TaskKind aKind)
@@ -179,6 +184,62 @@
     aExecutor, std::move(aTask), TaskKind::kCancellable);
 }
 
+namespace {
+
+// Returns the exception that ended the coroutine, or null.
+asio::awaitable<std::exception_ptr> RunOnce(
+  std::function<asio::awaitable<void>()>& aLoop)
+{
+  try {
+    co_await aLoop();
+  } catch (...) {
+    co_return std::current_exception();
+  }
+  co_return nullptr;
+}
+
+asio::awaitable<void> RunRestarting(
+  std::function<asio::awaitable<void>()> aLoop)
+{
+  const auto executor = co_await asio::this_coro::executor;
+  auto& context = asio::query(executor, asio::execution::context);
+  while (true) {
+    const std::exception_ptr error = co_await RunOnce(aLoop);
+    if (!error) {
+      co_return;
+    }
+    co_await ThrowIfCancelled();
+    ReportTaskFailure(context, error);
+    co_await TimerService::SleepFor(kLoopRestartDelay);
+  }
+}
+
+} // namespace
+
+void SpawnLoop(const asio::any_io_executor& aExecutor,
+               std::function<asio::awaitable<void>()> aLoop)
+{
+  SpawnTask(aExecutor, RunRestarting(std::move(aLoop)));
+}
+
+void ReportTaskFailure(asio::execution_context& aContext,
+                       const std::exception_ptr& aError)
+{
+  asio::use_service<TaskList>(aContext).Report(aError);
+}
+
+void RunContext(asio::io_context& aContext)
+{
+  while (true) {
+    try {
+      aContext.run();
+      return;
+    } catch (...) {
+      ReportTaskFailure(aContext, std::current_exception());
+    }
+  }
+}
+
 asio::awaitable<void> RunUntilOneEnds(
   std::function<asio::awaitable<void>()> aFirst,
   std::function<asio::awaitable<void>()> aSecond)
--- a/src/net/gooseberrylift-timer-service.cc
+++ b/src/net/gooseberrylift-timer-service.cc
@@ -10,6 +10,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-tasks.h"
+
 namespace gooseberrylift {
 
 namespace asio = boost::asio;
@@ -49,13 +51,24 @@
       if (self->cancelled_) {
         return;
       }
-      self->callback_();
+      self->RunCallback();
       if (self->period_.count() > 0) {
         self->Start(TimerService::Now() + self->period_);
       }
     });
   }
 
+  // A callback that fails must not end the period of its timer.
+  void RunCallback()
+  {
+    try {
+      callback_();
+    } catch (...) {
+      ReportTaskFailure(asio::query(executor_, asio::execution::context),
+                        std::current_exception());
+    }
+  }
+
   void Cancel()
   {
     cancelled_ = true;
--- a/src/runtime/gooseberrylift-job-runner.cc
+++ b/src/runtime/gooseberrylift-job-runner.cc
@@ -84,9 +84,9 @@
 
 void JobRunner::Start()
 {
-  SpawnTask(asio::make_strand(executor_), FollowJobs());
-  SpawnTask(asio::make_strand(executor_), ClaimLoop());
-  SpawnTask(asio::make_strand(executor_), SweepLoop());
+  SpawnLoop(asio::make_strand(executor_), [this] { return FollowJobs(); });
+  SpawnLoop(asio::make_strand(executor_), [this] { return ClaimLoop(); });
+  SpawnLoop(asio::make_strand(executor_), [this] { return SweepLoop(); });
 }
 
 bool JobRunner::CanAddJob(const std::string& aTeam) const
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -59,8 +59,8 @@
   LogEventInfo{ kTaskFailed,
                 LogLevel::kError,
                 "task-failed",
-                "A background task of this host ended by an exception, whose "
-                "text is 'fault'." },
+                "A task, timer or handler of this host failed by an exception, "
+                "whose text is 'fault'; a loop is started again." },
   LogEventInfo{ kConfigurationApplied,
                 LogLevel::kInfo,
                 "configuration-applied",
--- a/src/runtime/gooseberrylift-peer-exchange.cc
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -141,8 +141,8 @@
                         .roundsUntilExpired_ = options_.roundsUntilExpired_ });
   UpdateOwnDigest();
   started_ = true;
-  SpawnTask(parts_.executor_, RunRounds());
-  SpawnTask(parts_.executor_, RunMembership());
+  SpawnLoop(parts_.executor_, [this] { return RunRounds(); });
+  SpawnLoop(parts_.executor_, [this] { return RunMembership(); });
 }
 
 asio::awaitable<void> PeerExchange::Handle(HttpExchange& aExchange)
