Release memory of a prompt whose engine is lost while it reads

A reservation is renewed only with a sign of life of the engine that uses it: data to this host within the last renewal interval, or an answer to a report. After two renewals without one the attempt ends, if another one may follow; otherwise the memory lapses and is renewed again if the engine answers.

The fake engine ends the leases of tickets.

--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -17,7 +17,7 @@
 //   POST /control  {"leaving": true}  announces in all responses that it leaves
 //   POST /control  {"order_ms": n}  delays the responses to orders
 //   GET  /stats    arrivals, executions, active requests, helpers, orders and
-//                  tickets
+//                  tickets whose lease has not ended
 
 #include <cstdlib>
 #include <iostream>
@@ -53,6 +53,12 @@
   int& count_;
 };
 
+struct Ticket
+{
+  std::uint64_t tokens_ = 0;
+  TimePoint until_; // the end of its lease
+};
+
 class FakeFleetEngine
 {
 public:
@@ -98,7 +104,7 @@
     id_ = aBody.value("id", id_);
   }
 
-  json Stats() const
+  json Stats()
   {
     return { { "arrived", arrived_ },
              { "ran", ran_ },
@@ -109,7 +115,7 @@
              { "active", active_ },
              { "helpers", helpers_ },
              { "orders", orders_ },
-             { "tickets", tickets_ } };
+             { "tickets", LiveTickets() } };
   }
 
   // Returns the configured fault, if any, and decrements its remaining count.
@@ -165,12 +171,15 @@
     co_await TimerService::SleepFor(orderTime_);
     HttpResponse response{ .status_ = 200 };
     const auto tokens = order.value("tokens", std::uint64_t{ 0 });
+    EndExpiredTickets();
     if (op == names::kReleaseOp) {
       tickets_.erase(id);
     } else if (!tickets_.contains(id) && tokens > CountFreeTokens()) {
       response.status_ = 409;
     } else {
-      tickets_[id] = tokens;
+      const milliseconds lease(order.value("holdMs", 0));
+      tickets_[id] = { .tokens_ = tokens,
+                       .until_ = TimerService::Now() + lease };
     }
     response.fields_ = { { "Content-Type", "application/json" } };
     AddLeavingNotice(response);
@@ -178,6 +187,23 @@
     co_await aExchange.Send(std::move(response));
   }
 
+  void EndExpiredTickets()
+  {
+    std::erase_if(tickets_, [](const auto& aEntry) {
+      return aEntry.second.until_ <= TimerService::Now();
+    });
+  }
+
+  json LiveTickets()
+  {
+    EndExpiredTickets();
+    json live = json::object();
+    for (const auto& [id, ticket] : tickets_) {
+      live[id] = ticket.tokens_;
+    }
+    return live;
+  }
+
   json MakeFreeTokensBody() const
   {
     json body;
@@ -188,8 +214,8 @@
   std::uint64_t CountFreeTokens() const
   {
     std::uint64_t used = 0;
-    for (const auto& [id, tokens] : tickets_) {
-      used += tokens;
+    for (const auto& [id, ticket] : tickets_) {
+      used += ticket.tokens_;
     }
     return used < kvTotal_ ? kvTotal_ - used : 0;
   }
@@ -349,7 +375,7 @@
   json arrivals_ = json::array();
   std::map<std::string, std::string> helpers_;
   std::map<std::string, int> orders_;
-  std::map<std::string, std::uint64_t> tickets_;
+  std::map<std::string, Ticket> tickets_;
 };
 
 } // namespace
--- a/include/gooseberrylift/internal/gooseberrylift-memory-reservation.h
+++ b/include/gooseberrylift/internal/gooseberrylift-memory-reservation.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,7 +24,9 @@
 // same order of endpoint ids, so that two hosts never each hold a part that the
 // other one needs. The destructor releases the memory. If this host crashes or
 // is disconnected, the engines release it themselves, because a reservation is
-// short and renewed while the request runs.
+// short and renewed while the request runs. It is not renewed without a sign of
+// life of the engine that uses the memory: if that one is lost, so is the
+// request, although its connection stays open.
 class MemoryReservation
 {
 public:
@@ -42,6 +45,9 @@
     EndpointClient& client_;
     const WireDialect& dialect_;
     boost::asio::any_io_executor executor_;
+    ListedEndpoint user_; // the engine that uses the memory
+    // Returns the time since the user last sent data to this host.
+    std::function<std::chrono::milliseconds()> userSilence_;
   };
 
   /// Reserves memory.
@@ -65,13 +71,22 @@
 
   const std::string& TicketId() const { return reservationId_; }
 
+  /// Returns whether the engine that uses the memory has shown no sign of life
+  /// at two consecutive renewals.
+  bool IsUserLost() const { return missedSigns_ >= kMaxMissedSigns; }
+
 private:
   MemoryReservation(Parts aParts,
                     std::string aTicketId,
                     std::uint64_t aTokens,
                     Options aOptions);
 
+  static constexpr int kMaxMissedSigns = 2;
+
   void Renew();
+  void SendRenewals();
+  boost::asio::awaitable<void> RenewIfUserResponds(
+    std::weak_ptr<MemoryReservation*> aSelf);
   boost::asio::awaitable<Outcome<void>> Reserve(ListedEndpoint aEndpoint);
   static boost::asio::awaitable<void> SendBestEffort(Parts aParts,
                                                      ListedEndpoint aEndpoint,
@@ -84,6 +99,9 @@
   Options options_;
   std::vector<ListedEndpoint> endpoints_; // where memory may be reserved
   TimerSubscription renewal_;
+  int missedSigns_ = 0; // since the last sign of life of the user
+  // Expires with this object, for calls that are awaited meanwhile.
+  std::shared_ptr<MemoryReservation*> self_;
 };
 
 } // namespace gooseberrylift
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -177,7 +177,7 @@
   void ApplyReport(const RelayOutcome& aReported);
 
   // Replacement of a stalled attempt.
-  TimePoint StallDeadline() const;
+  TimePoint StallDeadline(const RequestAttempt& aAttempt) const;
   TimePoint NextStallCheck() const;
   bool IsStallTimeout(const Error& aError) const;
   boost::asio::awaitable<void> OnStallTimeout(RequestAttempt& aAttempt);
@@ -239,7 +239,7 @@
                                   const MemoryReservation* aReservation) const;
   std::string MakeReservationId() const;
   boost::asio::awaitable<Outcome<std::unique_ptr<MemoryReservation>>>
-  ReserveMemory(const FleetPlacement& aPlacement);
+  ReserveMemory(const Fleet::ActiveRequest& aActive);
 
   // Reads the response of an attempt and forwards it.
   bool IsStream(const RequestAttempt& aAttempt) const;
--- a/src/gateway/gooseberrylift-memory-reservation.cc
+++ b/src/gateway/gooseberrylift-memory-reservation.cc
@@ -16,6 +16,7 @@
   , reservationId_(std::move(aTicketId))
   , tokens_(aTokens)
   , options_(aOptions)
+  , self_(std::make_shared<MemoryReservation*>(this))
 {
 }
 
@@ -92,6 +93,39 @@
 }
 
 void MemoryReservation::Renew()
+{
+  if (parts_.userSilence_() < options_.renewInterval_) {
+    missedSigns_ = 0;
+    SendRenewals();
+    return;
+  }
+  SpawnTask(parts_.executor_, RenewIfUserResponds(self_));
+}
+
+asio::awaitable<void> MemoryReservation::RenewIfUserResponds(
+  std::weak_ptr<MemoryReservation*> aSelf)
+{
+  const EndpointClient::CallOptions options{ .purpose_ =
+                                               EndpointPurpose::kUpkeep };
+  EndpointClient& client = parts_.client_;
+  const auto report =
+    co_await client.Fetch(parts_.user_,
+                          parts_.dialect_.MakeProbeRequest(),
+                          TimerService::Now() + options_.callTimeout_,
+                          options);
+  const auto self = aSelf.lock();
+  if (!self) {
+    co_return;
+  }
+  if (report) {
+    missedSigns_ = 0;
+    SendRenewals();
+  } else {
+    ++missedSigns_;
+  }
+}
+
+void MemoryReservation::SendRenewals()
 {
   const TimePoint deadline = TimerService::Now() + options_.callTimeout_;
   for (const ListedEndpoint& endpoint : endpoints_) {
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -16,15 +16,6 @@
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 
-namespace {
-
-Error MakeStallError()
-{
-  return { .code_ = ResultCode::kEndpointSilent, .ran_ = RanState::kUnknown };
-}
-
-} // namespace
-
 bool RequestRun::IsStream(const RequestAttempt& aAttempt) const
 {
   return request_.route_->kind_ == RouteKind::kStreaming &&
@@ -68,8 +59,8 @@
 // that sends such bytes without end stalls.
 asio::awaitable<Outcome<void>> RequestRun::Read(RequestAttempt& aAttempt)
 {
-  aAttempt.call_->SetDeadline(aAttempt.isBeingReplaced_ ? request_.deadline_
-                                                        : StallDeadline());
+  aAttempt.call_->SetDeadline(
+    aAttempt.isBeingReplaced_ ? request_.deadline_ : StallDeadline(aAttempt));
   const std::size_t partsBefore = aAttempt.parts_;
   while (aAttempt.parts_ == partsBefore) {
     const auto read = co_await ReadPart(aAttempt);
--- a/src/gateway/gooseberrylift-request-attempt.cc
+++ b/src/gateway/gooseberrylift-request-attempt.cc
@@ -94,7 +94,7 @@
 {
   const FleetPlacement& placement = aAttempt.active_->Placement();
   AnnouncePlacement(placement);
-  auto reservation = co_await ReserveMemory(placement);
+  auto reservation = co_await ReserveMemory(*aAttempt.active_);
   if (!reservation) {
     co_return reservation.error();
   }
@@ -243,22 +243,28 @@
 // Reserves memory at the helpers if the prompt doesn't fit into the memory of
 // one engine.
 asio::awaitable<Outcome<std::unique_ptr<MemoryReservation>>>
-RequestRun::ReserveMemory(const FleetPlacement& aPlacement)
+RequestRun::ReserveMemory(const Fleet::ActiveRequest& aActive)
 {
-  if (aPlacement.reservedTokens_ == 0) {
+  const FleetPlacement& placement = aActive.Placement();
+  if (placement.reservedTokens_ == 0) {
     co_return std::unique_ptr<MemoryReservation>();
   }
-  MemoryReservation::Parts parts{ .client_ = parts_.client_,
-                                  .dialect_ = parts_.dialect_,
-                                  .executor_ = parts_.executor_ };
+  MemoryReservation::Parts parts{
+    .client_ = parts_.client_,
+    .dialect_ = parts_.dialect_,
+    .executor_ = parts_.executor_,
+    .user_ = placement.endpoint_,
+    .userSilence_ =
+      [&aActive] { return aActive.CurrentActivity().hostSilence_; }
+  };
   MemoryReservation::Options options;
   options.duration_ =
     std::min(options.duration_,
              parts_.board_.gatewaySettings_.Read()->gatewaySettings_.maxHold_);
   co_return co_await MemoryReservation::Acquire(std::move(parts),
                                                 MakeReservationId(),
-                                                aPlacement.helpers_,
-                                                aPlacement.reservedTokens_,
+                                                placement.helpers_,
+                                                placement.reservedTokens_,
                                                 options);
 }
 
--- a/src/gateway/gooseberrylift-request-errors.cc
+++ b/src/gateway/gooseberrylift-request-errors.cc
@@ -42,4 +42,9 @@
            .ran_ = RanState::kUnknown };
 }
 
+Error MakeStallError()
+{
+  return { .code_ = ResultCode::kEndpointSilent, .ran_ = RanState::kUnknown };
+}
+
 } // namespace gooseberrylift
--- a/src/gateway/gooseberrylift-request-errors.h
+++ b/src/gateway/gooseberrylift-request-errors.h
@@ -25,6 +25,9 @@
 /// Returns the error of a response with a part that is over its limit.
 Error MakeOverlongError(std::string aText);
 
+/// Returns the error of an attempt whose endpoint is silent.
+Error MakeStallError();
+
 } // namespace gooseberrylift
 
 #endif // GOOSEBERRYLIFT_GATEWAY_GOOSEBERRYLIFT_REQUEST_ERRORS_H_
--- a/src/gateway/gooseberrylift-request-replacement.cc
+++ b/src/gateway/gooseberrylift-request-replacement.cc
@@ -49,9 +49,12 @@
 };
 
 // Returns when an endpoint exceeds its stall timeout if it stays silent from
-// now on.
-TimePoint RequestRun::StallDeadline() const
+// now on. One that uses memory of others is checked for signs of life.
+TimePoint RequestRun::StallDeadline(const RequestAttempt& aAttempt) const
 {
+  if (aAttempt.reservation_) {
+    return NextStallCheck();
+  }
   return std::min(request_.deadline_,
                   TimerService::Now() + EndpointStallTimeout(*request_.route_));
 }
@@ -75,7 +78,9 @@
 asio::awaitable<void> RequestRun::OnStallTimeout(RequestAttempt& aAttempt)
 {
   aAttempt.call_->SetDeadline(NextStallCheck());
-  if (!aAttempt.Target().IsStalled()) {
+  const bool isLost =
+    aAttempt.reservation_ && aAttempt.reservation_->IsUserLost();
+  if (!isLost && !aAttempt.Target().IsStalled()) {
     co_return;
   }
   // The host that relayed a request has the other attempts.
@@ -85,6 +90,11 @@
     RecordStalled(aAttempt, mayReplace ? "replace" : "no-attempt-left");
   }
   aAttempt.isStalled_ = true;
+  if (isLost && mayReplace) {
+    // The next attempt needs the memory that this one holds.
+    aAttempt.failure_ = MakeStallError();
+    co_return;
+  }
   if (mayReplace) {
     co_await AwaitOrReplace(aAttempt);
   }
@@ -108,7 +118,7 @@
       Include(aStalled); // it has gone on
     }
   }
-  aStalled.call_->SetDeadline(StallDeadline());
+  aStalled.call_->SetDeadline(StallDeadline(aStalled));
 }
 
 void RequestRun::Exclude(const RequestAttempt& aAttempt)
