A host goes on when its output isn't read

Operators saw hosts end by themselves and requests cut with them.

Cause: nothing ignored SIGPIPE, and poll() reports a pipe or socket without a reader as writable, so the next log line ended the process. A log file at its size limit ended it by SIGXFSZ in the same way. A write that poll() had allowed could still block the host: on a pipe that other processes fill in between, and on a stream socket with room for a part of the line only. An error at the start was written to standard error with a blocking call, so that the process never ended while a full pipe wasn't read. SIGUSR1, SIGALRM and others, which mean nothing to a host, ended it by their default action.

Why it works: the signals without a meaning are ignored by hosts, and only by them. Sockets are written with MSG_DONTWAIT, pipes with RWF_NOWAIT, neither of which touches the flags that other processes share; where a kernel refuses the latter, it is written as before. The rest of a line that was taken in part goes before the next line. Lines that can't be written are counted on the metrics address, and a count is no longer lost with the line that reports it.

--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_LOG_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_LOG_H_
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -102,6 +103,15 @@
 /// @param aHost the host's name, added to each event
 void StartLogging(std::string_view aLevel, std::string aHost);
 
+/// Returns the number of lines that could not be written since the start,
+/// because the reader of standard output had ended or was too slow, its file
+/// could not grow, or they were longer than a pipe takes at once.
+std::uint64_t CountUnwrittenLogLines();
+
+/// Writes a line to standard error without blocking. A line longer than a pipe
+/// takes at once is cut; one that can't be written is dropped.
+void WriteToStandardError(std::string aLine);
+
 // A component, which owns a range of 100 event numbers.
 struct LogComponent
 {
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -6,10 +6,13 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <string>
 
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-log.h"
+
 namespace gooseberrylift {
 
 namespace leaf = boost::leaf;
@@ -53,25 +56,34 @@
 using gooseberrylift::Error;
 using gooseberrylift::ResultCode;
 
-int Report(const Error& aError)
+using ErrorWriter = void (*)(std::string aLine);
+
+void WriteError(std::string aLine)
+{
+  aLine += '\n';
+  std::cerr << aLine << std::flush;
+}
+
+int Report(const Error& aError, ErrorWriter aWrite)
 {
   const auto& info = gooseberrylift::InfoOf(aError.code_);
-  std::cerr << "gooseberrylift: " << info.name_ << " ("
-            << static_cast<int>(aError.code_)
-            << "): " << (aError.text_.empty() ? info.meaning_ : aError.text_)
-            << std::endl;
+  std::string line = "gooseberrylift: ";
+  line += info.name_;
+  line += " (" + std::to_string(static_cast<int>(aError.code_)) + "): ";
+  line += aError.text_.empty() ? info.meaning_ : aError.text_;
+  aWrite(std::move(line));
   return static_cast<int>(aError.code_);
 }
 
-int RunBody(const CommandBody& aBody)
+int RunBody(const CommandBody& aBody, ErrorWriter aWrite)
 {
   return boost::leaf::try_handle_all(
     [&]() -> boost::leaf::result<int> {
       BOOST_LEAF_CHECK(aBody());
       return 0;
     },
-    [](const Error& aError) { return Report(aError); },
-    [] { return Report({ .code_ = ResultCode::kInternal }); });
+    [aWrite](const Error& aError) { return Report(aError, aWrite); },
+    [aWrite] { return Report({ .code_ = ResultCode::kInternal }, aWrite); });
 }
 
 } // namespace
@@ -103,5 +115,10 @@
     const int status = app.exit(aError);
     return status == 0 ? 0 : static_cast<int>(ResultCode::kUsage);
   }
-  return RunBody(body);
+  // A host that can't start must end, whether or not its standard error is
+  // read.
+  return RunBody(body,
+                 app.got_subcommand("serve")
+                   ? &gooseberrylift::WriteToStandardError
+                   : &WriteError);
 }
--- a/src/runtime/gooseberrylift-log-sink.h
+++ b/src/runtime/gooseberrylift-log-sink.h
@@ -3,7 +3,11 @@
 #ifndef GOOSEBERRYLIFT_RUNTIME_GOOSEBERRYLIFT_LOG_SINK_H_
 #define GOOSEBERRYLIFT_RUNTIME_GOOSEBERRYLIFT_LOG_SINK_H_
 
+#include <mutex>
 #include <string>
+#include <string_view>
+
+#include <sys/types.h>
 
 namespace gooseberrylift {
 
@@ -11,11 +15,37 @@
 // dropped, because they could be written in part or block.
 constexpr std::size_t kMaxLogLineBytes = 4'096; // PIPE_BUF of Linux
 
-/// Writes a line and a newline, or drops it if the descriptor is not writable.
-/// A write to a full pipe would block all requests of the process; with this
-/// function a log collector that hangs costs only log lines.
-/// @return false if the line was dropped
-bool WriteNonBlocking(int aDescriptor, std::string aLine);
+// Writes lines to a descriptor that other processes may share, so that its
+// flags stay as they are. A write that blocked would block all requests of the
+// process; with this class a log collector that hangs or ends costs only log
+// lines. Thread-safe. SIGPIPE and SIGXFSZ must be ignored.
+class LogSink
+{
+public:
+  /// @param aDescriptor an open file, pipe, terminal or socket
+  explicit LogSink(int aDescriptor)
+    : descriptor_(aDescriptor)
+  {
+  }
+
+  /// Writes a line and a newline, or drops it if that would block or fails. The
+  /// rest of a line that a socket or file takes in part is written before the
+  /// next line.
+  /// @return false if the line was dropped
+  bool Write(std::string aLine);
+
+private:
+  // Writes without blocking. @return the number of bytes; -1 on errors
+  using Writer = ssize_t (*)(int aDescriptor, std::string_view aText);
+
+  static Writer SelectWriter(int aDescriptor);
+  ssize_t Put(std::string_view aText);
+
+  const int descriptor_;
+  std::mutex mutex_;
+  Writer writer_ = nullptr; // selected by the first line
+  std::string rest_;        // of a line that was written in part
+};
 
 } // namespace gooseberrylift
 
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -362,17 +362,23 @@
   return event.limit_.Admit(TimerService::Now());
 }
 
-// Number of lines dropped because the reader was too slow, reported with the
-// next line.
-std::atomic<std::uint64_t> sDroppedLines = 0;
+LogSink sOutput{ STDOUT_FILENO };
+
+// Number of lines that could not be written: since the start, and since the
+// last written line, which reports them.
+std::atomic<std::uint64_t> sAllUnwrittenLines = 0;
+std::atomic<std::uint64_t> sUnwrittenLines = 0;
+// The number that the line being written reports.
+thread_local std::uint64_t sReportedLines = 0;
 
 class StandardOutputCallback : public el::LogDispatchCallback
 {
 protected:
   void handle(const el::LogDispatchData* aData) override
   {
-    if (!WriteNonBlocking(STDOUT_FILENO, aData->logMessage()->message())) {
-      sDroppedLines.fetch_add(1, std::memory_order_relaxed);
+    if (!sOutput.Write(aData->logMessage()->message())) {
+      sAllUnwrittenLines.fetch_add(1, std::memory_order_relaxed);
+      sUnwrittenLines.fetch_add(1 + sReportedLines, std::memory_order_relaxed);
     }
   }
 };
@@ -420,6 +426,17 @@
   return NameOf(sMinLevels.at(index).load(std::memory_order_relaxed));
 }
 
+std::uint64_t CountUnwrittenLogLines()
+{
+  return sAllUnwrittenLines.load(std::memory_order_relaxed);
+}
+
+void WriteToStandardError(std::string aLine)
+{
+  aLine.resize(std::min(aLine.size(), kMaxLogLineBytes - 1));
+  (void)LogSink(STDERR_FILENO).Write(std::move(aLine));
+}
+
 std::string_view NameOf(LogLevel aLevel)
 {
   return kLevelNames.at(static_cast<std::size_t>(aLevel));
@@ -455,9 +472,9 @@
   if (*suppressed > 0) {
     aFields["left_out"] = *suppressed;
   }
-  const std::uint64_t dropped = sDroppedLines.exchange(0);
-  if (dropped > 0) {
-    aFields["unwritten"] = dropped;
+  sReportedLines = sUnwrittenLines.exchange(0, std::memory_order_relaxed);
+  if (sReportedLines > 0) {
+    aFields["unwritten"] = sReportedLines;
   }
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   aFields["at_ms"] =
--- a/src/runtime/gooseberrylift-metrics.cc
+++ b/src/runtime/gooseberrylift-metrics.cc
@@ -8,6 +8,7 @@
 #include <sstream>
 
 #include "gooseberrylift/gooseberrylift-prompt-band.h"
+#include "gooseberrylift/internal/gooseberrylift-log.h"
 
 namespace gooseberrylift {
 
@@ -135,7 +136,9 @@
           << '\n';
     }
   }
-  out << "# TYPE gooseberrylift_first_token_seconds histogram\n";
+  out << "# TYPE gooseberrylift_log_lines_unwritten_total counter\n"
+      << "gooseberrylift_log_lines_unwritten_total " << CountUnwrittenLogLines()
+      << "\n# TYPE gooseberrylift_first_token_seconds histogram\n";
   std::map<SeriesKey, SeriesBins> series;
   for (const FirstTokenHistogram::Bin& bin : FirstTokens().NonEmptyBins()) {
     series[{ bin.service_, bin.band_ }][bin.bin_] = bin.count_;
--- /dev/null
+++ b/test/integration/gooseberrylift-signals-test.cc
@@ -0,0 +1,235 @@
+// Tests of hosts whose log isn't read and that get signals at any moment.
+
+#include "harness-process.h"
+#include "harness.h"
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <string>
+#include <thread>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "gooseberrylift/gooseberrylift-result.h"
+#include "gooseberrylift/internal/gooseberrylift-process-signals.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::seconds kTimeout{ 10 };
+constexpr const char* kUnwritten = "gooseberrylift_log_lines_unwritten_total ";
+
+std::string TemporaryPath(const std::string& aName)
+{
+  return "/tmp/signals-test-" + std::to_string(::getpid()) + "-" + aName;
+}
+
+// A host that serves routes, without a store.
+class BareHost
+{
+public:
+  /// @param aPath its settings file; empty: inline settings
+  explicit BareHost(BareProcess::Options aOptions,
+                    const std::string& aPath = {})
+    : adminPort_(FreePort())
+    , process_(WithArguments(std::move(aOptions), aPath))
+  {
+  }
+
+  BareProcess& Handle() { return process_; }
+
+  bool Answers() const
+  {
+    return WaitUntil(kTimeout, [this] {
+      return Send(adminPort_, MakeRequest("/status"), 1s).has_value();
+    });
+  }
+
+  // SIGHUP makes the host write a line, whether or not the settings are valid.
+  void WriteLines(int aCount) const
+  {
+    for (int line = 0; line < aCount; ++line) {
+      process_.Signal(SIGHUP);
+      std::this_thread::sleep_for(20ms);
+    }
+  }
+
+  // Returns the number of lines that the host could not write.
+  int Unwritten() const
+  {
+    const auto answer = Send(adminPort_, MakeRequest("/metrics"), 5s);
+    const std::string text = answer ? answer.value().body_ : std::string();
+    const std::size_t at = text.find(std::string("\n") + kUnwritten);
+    return at == std::string::npos
+             ? -1
+             : std::atoi(text.c_str() + at + 1 + std::strlen(kUnwritten));
+  }
+
+  int Stop()
+  {
+    process_.Signal(SIGTERM);
+    return process_.WaitForExit(kTimeout);
+  }
+
+protected:
+  std::string Settings() const
+  {
+    const json settings = {
+      { "host", { { "name", "a" }, { "zone", "zone-a" } } },
+      { "caller", { { "port", 0 } } },
+      { "admin", { { "port", adminPort_ } } },
+      { "store", { { "addresses", { "127.0.0.1:1" } } } },
+      { "drain", { { "lag_ms", 50 }, { "limit_ms", 200 } } },
+      { "gateway", { { "revoke_ms", 5000 } } }
+    };
+    return settings.dump();
+  }
+
+private:
+  BareProcess::Options WithArguments(BareProcess::Options aOptions,
+                                     const std::string& aPath) const
+  {
+    aOptions.arguments_ = { "serve",
+                            "--settings",
+                            aPath.empty() ? Settings() : aPath };
+    return aOptions;
+  }
+
+  std::uint16_t adminPort_;
+  BareProcess process_;
+};
+
+} // namespace
+
+TEST_GROUP(LogReaderTest){
+  // Checks that a host goes on, stops on request and counts lines whose reader
+  // ended or reads nothing.
+  void CheckGoesOn(Channel aChannel, bool aEnds, bool aErrors){
+    const int writer = aChannel.writer_.Number();
+BareHost host({ .output_ = writer,
+                .errors_ = aErrors ? writer : STDERR_FILENO });
+CHECK_TRUE(host.Answers());
+if (aEnds) {
+  aChannel.reader_.Close();
+} else {
+  aChannel.Fill();
+}
+aChannel.writer_.Close();
+host.WriteLines(3);
+CHECK_TRUE(host.Answers());
+CHECK_TRUE(host.Unwritten() > 0);
+LONGS_EQUAL(0, host.Stop());
+}
+}
+;
+
+// Guards against hosts that end by SIGPIPE with the reader of their log.
+TEST(LogReaderTest, GoesOnWhenTheReaderOfAPipeEnds)
+{
+  CheckGoesOn(Channel::Pipe(), true, false);
+}
+
+TEST(LogReaderTest, GoesOnWhenTheReaderOfASocketEnds)
+{
+  CheckGoesOn(Channel::Sockets(), true, true);
+}
+
+TEST(LogReaderTest, GoesOnWhenTheReaderOfAPipeStalls)
+{
+  CheckGoesOn(Channel::Pipe(), false, true);
+}
+
+TEST(LogReaderTest, GoesOnWhenTheReaderOfASocketStalls)
+{
+  CheckGoesOn(Channel::Sockets(), false, false);
+}
+
+// Guards against hosts that end by SIGXFSZ.
+TEST(LogReaderTest, GoesOnWhenItsLogFileMayNotGrow)
+{
+  const std::string path = TemporaryPath("log");
+  Descriptor file(::open(path.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0600));
+  BareHost host({ .output_ = file.Number(), .fileSizeLimit_ = 100 });
+  CHECK_TRUE(host.Answers());
+  host.WriteLines(3);
+  CHECK_TRUE(host.Answers());
+  CHECK_TRUE(host.Unwritten() > 0);
+  LONGS_EQUAL(0, host.Stop());
+  ::unlink(path.c_str());
+}
+
+TEST(LogReaderTest, WritesAgainWhenAReaderOfAFifoReturns)
+{
+  const std::string path = TemporaryPath("fifo");
+  CHECK_EQUAL(0, ::mkfifo(path.c_str(), 0600));
+  Descriptor first(::open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC));
+  Descriptor writer(::open(path.c_str(), O_WRONLY | O_CLOEXEC));
+  BareHost host({ .output_ = writer.Number() });
+  writer.Close();
+  CHECK_TRUE(host.Answers());
+  first.Close();
+  host.WriteLines(2);
+  Channel channel{ .reader_ = Descriptor(
+                     ::open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC)),
+                   .writer_ = Descriptor() };
+  host.WriteLines(1);
+  std::string text;
+  WaitUntil(kTimeout, [&] {
+    text += channel.Drain();
+    return text.find("unwritten") != std::string::npos;
+  });
+  CHECK_TRUE(text.find("\"unwritten\":2") != std::string::npos);
+  LONGS_EQUAL(0, host.Stop());
+  ::unlink(path.c_str());
+}
+
+// Guards against an error at the start that is never over, since its text can't
+// be written.
+TEST(LogReaderTest, EndsWithAnErrorWhoseTextIsNotRead)
+{
+  const Channel channel = Channel::Pipe();
+  channel.Fill();
+  BareProcess process({ .arguments_ = { "serve", "--settings", "/nowhere" },
+                        .output_ = channel.writer_.Number(),
+                        .errors_ = channel.writer_.Number() });
+  LONGS_EQUAL(static_cast<int>(ResultCode::kSettingsUnreadable),
+              process.WaitForExit(3s));
+}
+
+TEST_GROUP(SignalsTest){};
+
+// Guards against hosts that are ended or stopped by signals without a meaning.
+TEST(SignalsTest, GoesOnAfterSignalsWithoutAMeaning)
+{
+  BareHost host({ .output_ = STDERR_FILENO, .errors_ = STDERR_FILENO });
+  CHECK_TRUE(host.Answers());
+  for (const int signal : { SIGPIPE,
+                            SIGXFSZ,
+                            SIGXCPU,
+                            SIGUSR1,
+                            SIGUSR2,
+                            SIGALRM,
+                            SIGPROF,
+                            SIGIO,
+                            SIGVTALRM,
+                            SIGPWR,
+                            SIGSTKFLT,
+                            SIGTTIN,
+                            SIGTTOU }) {
+    host.Handle().Signal(signal);
+    std::this_thread::sleep_for(5ms);
+    CHECK_TRUE(host.Handle().Runs());
+  }
+  CHECK_TRUE(host.Answers());
+  LONGS_EQUAL(0, host.Stop());
+}
