Signals at a host's start and end no longer cut it

Operators saw hosts that didn't start or ended by themselves.

Cause: the handlers of SIGHUP, SIGTERM and SIGINT stood only once the settings were read and the host constructed, so that a signal before that ended the process. As the handlers were removed at the end, Asio restored the default action, and one more signal turned a clean stop into an end by a signal. SIGQUIT always ended the process, SIGHUP those hosts that serve no routes. With a closed standard error, the first descriptor of the host (an eventfd) got its number, and error texts.

Why it works: an entry of .preinit_array, which runs before the initializers of all libraries, blocks the signals if the subcommand is `serve` and opens /dev/null in place of closed standard descriptors. The main thread unblocks them when all handlers are installed, and blocks them again before these are removed. Pending signals are carried out then: SIGHUP reads the settings again, SIGTERM stops with status 0. Further threads of a host keep them blocked, so /drain signals the process and not its thread.

What remains is the time in which the dynamic loader maps the shared libraries.

--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -27,7 +27,7 @@
 
 namespace gooseberrylift {
 
-// Runs until SIGTERM or SIGINT, then drains and stops:
+// Runs until SIGTERM, SIGINT or SIGQUIT, then drains and stops:
 //
 //   EntryHost host(settings);
 //   const Outcome<void> ended = host.Run();
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -32,8 +32,8 @@
 
 namespace gooseberrylift {
 
-// Runs until SIGTERM or SIGINT, then drains and stops. Applies new gateway
-// settings on SIGHUP or when the settings file changes:
+// Runs until SIGTERM, SIGINT or SIGQUIT, then drains and stops. Applies new
+// gateway settings on SIGHUP or when the settings file changes:
 //
 //   GatewayHost host(settings, path);
 //   const Outcome<void> ended = host.Run();
--- a/src/cli/gooseberrylift-serve.cc
+++ b/src/cli/gooseberrylift-serve.cc
@@ -1,4 +1,5 @@
 #include "gooseberrylift-command.h"
+#include "gooseberrylift-startup.h"
 
 #include <memory>
 
@@ -8,7 +9,6 @@
 #include "gooseberrylift/internal/gooseberrylift-entry-host.h"
 #include "gooseberrylift/internal/gooseberrylift-gateway-host.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
-#include "gooseberrylift/internal/gooseberrylift-process-signals.h"
 
 namespace gooseberrylift {
 
@@ -18,7 +18,7 @@
 
 leaf::result<void> Serve(const std::string& aPath)
 {
-  IgnoreSignals();
+  PrepareToServe();
   BOOST_LEAF_AUTO(text, ReadTextFile(aPath, ResultCode::kSettingsUnreadable));
   BOOST_LEAF_AUTO(settings, Settings::Parse(text));
   StartLogging(settings.logLevel_, settings.hostName_);
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -2,6 +2,7 @@
 // subcommand and returns its result code as the exit status.
 
 #include "gooseberrylift-command.h"
+#include "gooseberrylift-startup.h"
 
 #include <fstream>
 #include <iostream>
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -6,11 +6,13 @@
 #include <vector>
 
 #include <boost/asio/use_awaitable.hpp>
+#include <unistd.h>
 #include <xxhash.h>
 
 #include "gooseberrylift/internal/gooseberrylift-host-stop.h"
 #include "gooseberrylift/internal/gooseberrylift-log-routes.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-process-signals.h"
 #include "gooseberrylift/internal/gooseberrylift-task-failure-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 
@@ -58,7 +60,7 @@
 EntryHost::EntryHost(Settings aSettings)
   : settings_(std::move(aSettings))
   , context_(settings_.threads_)
-  , stopSignals_(context_, SIGTERM, SIGINT)
+  , stopSignals_(context_, kStopSignals[0], kStopSignals[1], kStopSignals[2])
   , burn_({ .settings_ = settings_, .board_ = board_, .metrics_ = metrics_ })
   , client_(context_.get_executor(), HttpClient::Options{})
   , store_(client_,
@@ -157,6 +159,7 @@
       [this](HttpExchange& aExchange) { return peers_.Handle(aExchange); })
 {
   SetTaskFailureHandler(context_, TaskFailureRecorder(metrics_));
+  IgnoreReloadSignal();
   AddRoutes();
 }
 
@@ -167,7 +170,8 @@
   adminApi_.Add(
     "POST", "/drain", [](HttpExchange& aExchange) -> asio::awaitable<void> {
       co_await aExchange.Send(TextResponse(202, "draining\n"));
-      std::raise(SIGTERM);
+      // To the process, since only one thread doesn't block the signal.
+      ::kill(::getpid(), SIGTERM);
     });
 }
 
@@ -184,11 +188,13 @@
   for (int thread = 1; thread < settings_.threads_; ++thread) {
     threads.emplace_back([this] { RunContext(context_); });
   }
+  ReleaseSignals();
   RunContext(context_);
   for (std::thread& thread : threads) {
     thread.join();
   }
   FinishStop(context_, { &callerServer_, &adminServer_, &peerServer_ });
+  HoldSignals();
   return boost::outcome_v2::success();
 }
 
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -11,6 +11,7 @@
 #include "gooseberrylift/internal/gooseberrylift-host-stop.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-keys.h"
+#include "gooseberrylift/internal/gooseberrylift-process-signals.h"
 #include "gooseberrylift/internal/gooseberrylift-task-failure-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -67,7 +68,7 @@
 GatewayHost::GatewayHost(Settings aSettings, std::string aPath)
   : settings_(std::move(aSettings))
   , context_(1)
-  , stopSignals_(context_, SIGTERM, SIGINT)
+  , stopSignals_(context_, kStopSignals[0], kStopSignals[1], kStopSignals[2])
   , random_(std::random_device{}())
   , client_(context_.get_executor(), HttpClient::Options{})
   , storeClient_(context_.get_executor(),
@@ -496,9 +497,11 @@
   settingsWatch_.Start();
   pauseMonitor_.Start(context_.get_executor());
   SpawnLoop(context_.get_executor(), [this] { return WaitForStop(); });
+  ReleaseSignals();
   RunContext(context_);
   FinishStop(context_,
              { &callerServer_, &readyServer_, &adminServer_, &peerServer_ });
+  HoldSignals();
   return boost::outcome_v2::success();
 }
 
--- a/src/host/gooseberrylift-process-signals.cc
+++ b/src/host/gooseberrylift-process-signals.cc
@@ -4,6 +4,20 @@
 
 namespace {
 
+sigset_t AllSignals()
+{
+  sigset_t all;
+  sigemptyset(&all);
+  for (const int signal : kStopSignals) {
+    sigaddset(&all, signal);
+  }
+  for (const int signal : kIgnoredSignals) {
+    sigaddset(&all, signal);
+  }
+  sigaddset(&all, kReloadSignal);
+  return all;
+}
+
 void Ignore(int aSignal)
 {
   struct sigaction current
@@ -18,6 +32,18 @@
 
 } // namespace
 
+void HoldSignals()
+{
+  const sigset_t all = AllSignals();
+  ::pthread_sigmask(SIG_BLOCK, &all, nullptr);
+}
+
+void ReleaseSignals()
+{
+  const sigset_t all = AllSignals();
+  ::pthread_sigmask(SIG_UNBLOCK, &all, nullptr);
+}
+
 void IgnoreSignals()
 {
   for (const int signal : kIgnoredSignals) {
@@ -25,4 +51,9 @@
   }
 }
 
+void IgnoreReloadSignal()
+{
+  Ignore(kReloadSignal);
+}
+
 } // namespace gooseberrylift
--- a/src/host/gooseberrylift-settings-watch.cc
+++ b/src/host/gooseberrylift-settings-watch.cc
@@ -1,7 +1,6 @@
 #include "gooseberrylift/internal/gooseberrylift-settings-watch.h"
 
 #include <chrono>
-#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -10,6 +9,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-log.h"
+#include "gooseberrylift/internal/gooseberrylift-process-signals.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -28,7 +28,7 @@
 
 SettingsWatch::SettingsWatch(Parts aParts)
   : parts_(std::move(aParts))
-  , hangupSignals_(parts_.executor_, SIGHUP)
+  , hangupSignals_(parts_.executor_, kReloadSignal)
 {
 }
 
--- a/test/integration/gooseberrylift-signals-test.cc
+++ b/test/integration/gooseberrylift-signals-test.cc
@@ -34,6 +34,17 @@
   return "/tmp/signals-test-" + std::to_string(::getpid()) + "-" + aName;
 }
 
+// Opens a FIFO for writing once another process opens it for reading.
+Descriptor OpenForReader(const std::string& aPath)
+{
+  int writer = -1;
+  WaitUntil(kTimeout, [&] {
+    writer = ::open(aPath.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+    return writer >= 0;
+  });
+  return Descriptor(writer);
+}
+
 // A host that serves routes, without a store.
 class BareHost
 {
@@ -109,6 +120,42 @@
   BareProcess process_;
 };
 
+// A host that waits for its settings, since their file is a FIFO.
+class StartingHost : public BareHost
+{
+public:
+  explicit StartingHost(BareProcess::Options aOptions)
+    : BareHost(std::move(aOptions), MakeFifo())
+    , writer_(OpenForReader(path_))
+  {
+  }
+
+  ~StartingHost() { ::unlink(path_.c_str()); }
+
+  // Lets the host go on. It reads the same text when it reads the file again.
+  void GiveSettings(const std::string& aText)
+  {
+    const std::string file = path_ + ".new";
+    std::ofstream(file) << aText;
+    ::rename(file.c_str(), path_.c_str());
+    (void)!::write(writer_.Number(), aText.data(), aText.size());
+    writer_.Close();
+  }
+
+  void GiveSettings() { GiveSettings(Settings()); }
+
+private:
+  static std::string MakeFifo()
+  {
+    std::string path = TemporaryPath("settings");
+    ::mkfifo(path.c_str(), 0600);
+    return path;
+  }
+
+  std::string path_ = TemporaryPath("settings");
+  Descriptor writer_;
+};
+
 } // namespace
 
 TEST_GROUP(LogReaderTest){
@@ -154,6 +201,23 @@
   CheckGoesOn(Channel::Sockets(), false, false);
 }
 
+// Guards against log lines that are sent to a caller, because the first socket
+// of the host got the number of a closed standard output.
+TEST(LogReaderTest, GoesOnWithoutStandardDescriptors)
+{
+  BareHost host({});
+  CHECK_TRUE(host.Answers());
+  host.WriteLines(2);
+  for (const char* number : { "1", "2" }) {
+    std::array<char, 64> target{};
+    const std::string link =
+      "/proc/" + std::to_string(host.Handle().Pid()) + "/fd/" + number;
+    (void)::readlink(link.c_str(), target.data(), target.size() - 1);
+    STRCMP_EQUAL("/dev/null", target.data());
+  }
+  LONGS_EQUAL(0, host.Stop());
+}
+
 // Guards against hosts that end by SIGXFSZ.
 TEST(LogReaderTest, GoesOnWhenItsLogFileMayNotGrow)
 {
@@ -233,3 +297,94 @@
   CHECK_TRUE(host.Answers());
   LONGS_EQUAL(0, host.Stop());
 }
+
+TEST(SignalsTest, StopsOnEachStopSignal)
+{
+  for (const int signal : kStopSignals) {
+    BareHost host({ .output_ = STDERR_FILENO, .errors_ = STDERR_FILENO });
+    CHECK_TRUE(host.Answers());
+    host.Handle().Signal(signal);
+    LONGS_EQUAL(0, host.Handle().WaitForExit(kTimeout));
+  }
+}
+
+// Guards against hosts without routes that end by SIGHUP.
+TEST(SignalsTest, GoesOnAfterAHangupOfAHostWithoutRoutes)
+{
+  Deployment deployment({ .engines_ = 1, .services_ = 0 });
+  Host& host = deployment.At(0);
+  host.Handle().Signal(SIGHUP);
+  std::this_thread::sleep_for(20ms);
+  CHECK_TRUE(host.WaitReady());
+  host.Handle().Signal(SIGTERM);
+  LONGS_EQUAL(0, host.Handle().WaitForExit(kTimeout));
+}
+
+// Guards against hosts that end by a signal that comes before its handler is
+// installed: the host still reads its settings.
+TEST(SignalsTest, ReadsItsSettingsAgainAfterAHangupAtItsStart)
+{
+  const Channel channel = Channel::Pipe();
+  StartingHost host({ .output_ = channel.writer_.Number() });
+  host.Handle().Signal(SIGHUP);
+  host.GiveSettings();
+  CHECK_TRUE(host.Answers());
+  std::string text;
+  CHECK_TRUE(WaitUntil(kTimeout, [&] {
+    text += channel.Drain();
+    return text.find("settings-reloaded") != std::string::npos;
+  }));
+  LONGS_EQUAL(0, host.Stop());
+}
+
+TEST(SignalsTest, StopsCleanlyWhenItIsToldToAtItsStart)
+{
+  for (const int signal : kStopSignals) {
+    StartingHost host({ .output_ = STDERR_FILENO, .errors_ = STDERR_FILENO });
+    host.Handle().Signal(signal);
+    host.GiveSettings();
+    LONGS_EQUAL(0, host.Handle().WaitForExit(kTimeout));
+  }
+}
+
+TEST(SignalsTest, EndsWithItsErrorWhenItIsToldToStopAtAStartThatFails)
+{
+  StartingHost host({ .output_ = STDERR_FILENO, .errors_ = STDERR_FILENO });
+  host.Handle().Signal(SIGTERM);
+  host.GiveSettings("{}");
+  LONGS_EQUAL(static_cast<int>(ResultCode::kSettingsInvalid),
+              host.Handle().WaitForExit(kTimeout));
+}
+
+// Guards against other subcommands that can't be ended by signals.
+TEST(SignalsTest, EndsOtherSubcommandsByTheirSignals)
+{
+  const std::string path = TemporaryPath("settings");
+  CHECK_EQUAL(0, ::mkfifo(path.c_str(), 0600));
+  for (const int signal : { SIGHUP, SIGTERM, SIGPIPE }) {
+    BareProcess process({ .arguments_ = { "check", "--settings", path },
+                          .output_ = STDERR_FILENO,
+                          .errors_ = STDERR_FILENO });
+    const Descriptor writer = OpenForReader(path);
+    process.Signal(signal);
+    LONGS_EQUAL(128 + signal, process.WaitForExit(kTimeout));
+  }
+  ::unlink(path.c_str());
+}
+
+// Guards against a clean stop that ends by a signal, because the handlers are
+// removed before the process ends.
+TEST(SignalsTest, StopsCleanlyUnderSignalsUntilItsEnd)
+{
+  for (int round = 0; round < 10; ++round) {
+    BareHost host({ .output_ = STDERR_FILENO, .errors_ = STDERR_FILENO });
+    CHECK_TRUE(host.Answers());
+    for (bool ended = false; !ended;) {
+      for (const int signal : { SIGTERM, SIGHUP, SIGINT, SIGQUIT }) {
+        host.Handle().Signal(signal);
+      }
+      ended = host.Handle().WaitForExit(0ms) != -1;
+    }
+    LONGS_EQUAL(0, host.Handle().WaitForExit(0ms));
+  }
+}
