--- a/src/cli/gooseberrylift-serve.cc
+++ b/src/cli/gooseberrylift-serve.cc
@@ -1,4 +1,5 @@
 #include "gooseberrylift-command.h"
+#include "gooseberrylift-startup.h"
 
 #include <memory>
 
@@ -17,6 +18,7 @@
 
 leaf::result<void> Serve(const std::string& aPath)
 {
+  PrepareToServe();
   BOOST_LEAF_AUTO(text, ReadTextFile(aPath, ResultCode::kSettingsUnreadable));
   BOOST_LEAF_AUTO(settings, Settings::Parse(text));
   StartLogging(settings.logLevel_, settings.hostName_);
