Read each spelling of a value in the settings

Hosts didn't start (code 11) where a bound was spelled as a fraction (retry window 10.0 or 2.5 s, hold 20000.0 ms), or where a field of the deployment was missing or empty: the schema takes integers only, the template appended three zeros to the window's seconds, and a bare placeholder without a value isn't JSON.

NormalizeSpelling rewrites the document by its schema before validation: numbers and booleans as text, fractions, exponents, times in seconds, joined lists; null and empty values are removed, so that the default applies. What it can't rewrite stays for the schema to reject, with the field's path; unknown fields are rejected as before.

The times of a planned stop were fixed at 3000 and 4200 ms, though the grace period is a setting of the platform. They are derived from it now (grace_ms): the same at 8 s, 1333 and 1867 ms at 4 s.

"port" is no longer required in the sections ready, admin and peer, which may be missing as a whole; a typing error is found as an unknown field.

--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -1,10 +1,12 @@
 #include "gooseberrylift/gooseberrylift-settings.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-spelling.h"
 #include "gooseberrylift/gooseberrylift-schema.h"
 
 namespace gooseberrylift {
@@ -52,7 +54,6 @@
       } },
     "ready": {
       "type": "object", "additionalProperties": false,
-      "anyOf": [ { "required": ["port"] }, { "required": ["listen"] } ],
       "properties": {
         "listen": { "$ref": "#/definitions/endpoint" },
         "address": { "type": "string" },
@@ -76,7 +77,6 @@
       } },
     "admin": {
       "type": "object", "additionalProperties": false,
-      "anyOf": [ { "required": ["port"] }, { "required": ["listen"] } ],
       "properties": {
         "listen": { "$ref": "#/definitions/endpoint" },
         "address": { "type": "string" },
@@ -86,7 +86,6 @@
       } },
     "peer": {
       "type": "object", "additionalProperties": false,
-      "anyOf": [ { "required": ["port"] }, { "required": ["listen"] } ],
       "properties": {
         "listen": { "$ref": "#/definitions/endpoint" },
         "address": { "type": "string" },
@@ -116,7 +115,8 @@
       "type": "object", "additionalProperties": false,
       "properties": {
         "lag_ms": { "$ref": "#/definitions/ms" },
-        "limit_ms": { "$ref": "#/definitions/ms" }
+        "limit_ms": { "$ref": "#/definitions/ms" },
+        "grace_ms": { "type": "integer", "minimum": 0, "maximum": 86400000 }
       } },
     "once": {
       "type": "object", "additionalProperties": false,
@@ -134,6 +134,15 @@
   }
 })json";
 
+// What a host needs after its drain limit: it sends the final answers and ends
+// its tasks (FinishStop).
+constexpr milliseconds kStopReserve{ 800 };
+// The rest of a grace period is split between the lag and the limit. Load
+// balancers notice within the lag that a host is not ready.
+constexpr int kLagParts = 5;
+constexpr int kLimitParts = 7;
+constexpr milliseconds kMaxDerivedLag{ 3'000 };
+
 leaf::error_id InvalidSettings(std::string aText)
 {
   return leaf::new_error(
@@ -187,6 +196,27 @@
     ParseMilliseconds(aSection, "write_timeout_ms", aSettings.writeTimeout_);
 }
 
+// Sets the times of a planned stop. If they aren't given, they are derived from
+// the time after which the process is killed.
+void ParseDrain(const json& aSection, Settings& aSettings)
+{
+  std::optional<milliseconds> usable;
+  if (aSection.contains("grace_ms")) {
+    const milliseconds grace(aSection.at("grace_ms").get<std::int64_t>());
+    usable = grace - std::min(kStopReserve, grace / 2);
+    aSettings.drainLag_ =
+      std::min(kMaxDerivedLag, *usable * kLagParts / (kLagParts + kLimitParts));
+  }
+  aSettings.drainLag_ =
+    ParseMilliseconds(aSection, "lag_ms", aSettings.drainLag_);
+  if (usable) {
+    aSettings.drainLimit_ =
+      std::max(*usable - aSettings.drainLag_, milliseconds(0));
+  }
+  aSettings.drainLimit_ =
+    ParseMilliseconds(aSection, "limit_ms", aSettings.drainLimit_);
+}
+
 GatewaySettings ParseGateway(const json& aSection)
 {
   GatewaySettings gateway;
@@ -243,10 +273,7 @@
   settings.loadPoll_ =
     ParseMilliseconds(aDocument, "load_poll_ms", settings.loadPoll_);
   settings.threads_ = aDocument.value("threads", settings.threads_);
-  settings.drainLag_ =
-    ParseMilliseconds(section("drain"), "lag_ms", settings.drainLag_);
-  settings.drainLimit_ =
-    ParseMilliseconds(section("drain"), "limit_ms", settings.drainLimit_);
+  ParseDrain(section("drain"), settings);
   settings.onceMaxBatch_ =
     section("once").value("max_batch", settings.onceMaxBatch_);
   settings.jobLease_ =
@@ -264,10 +291,11 @@
 
 leaf::result<Settings> Settings::Parse(std::string_view aText)
 {
-  const json document = json::parse(aText, nullptr, false);
+  json document = json::parse(aText, nullptr, false);
   if (document.is_discarded()) {
     return InvalidSettings("<root>: not valid JSON");
   }
+  NormalizeSpelling(document, kSchema);
   if (const auto violation = FindSchemaViolation(document, kSchema)) {
     return InvalidSettings(*violation);
   }
