Report a path that can't be read by its code, whatever it is

ReadTextFile reads in blocks, at most 64 MiB, and returns the system's reason as the command's own error.

--- a/src/cli/gooseberrylift-command.h
+++ b/src/cli/gooseberrylift-command.h
@@ -31,8 +31,8 @@
 void AddTableCommands(CLI::App& aApp, const CommandSink& aSink);
 void AddVersionCommand(CLI::App& aApp, const CommandSink& aSink);
 
-/// Reads a whole file, or standard input for "-". An argument that begins with
-/// "{" is returned as it is.
+/// Reads a whole file of at most 64 MiB, or standard input for "-". An argument
+/// that begins with "{" is returned as it is.
 /// @param aPath the path, "-", or JSON text
 /// @param aCode the code of the error when the file can't be read
 /// @return the text
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -3,9 +3,11 @@
 
 #include "gooseberrylift-command.h"
 
+#include <array>
+#include <cerrno>
 #include <fstream>
 #include <iostream>
-#include <iterator>
+#include <system_error>
 
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -14,6 +16,13 @@
 
 namespace leaf = boost::leaf;
 
+namespace {
+
+constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr std::size_t kMaxTextBytes = 64 * 1024 * 1024;
+
+} // namespace
+
 leaf::result<std::string> ReadTextFile(const std::string& aPath,
                                        ResultCode aCode)
 {
@@ -21,16 +30,27 @@
   if (aPath.starts_with("{")) {
     return aPath;
   }
+  errno = 0;
   std::ifstream file;
   if (aPath != "-") {
     file.open(aPath);
-    if (!file) {
-      return leaf::new_error(
-        Error{ .code_ = aCode, .text_ = aPath + ": can't be read" });
-    }
   }
   std::istream& in = aPath == "-" ? std::cin : file;
-  return std::string(std::istreambuf_iterator<char>(in), {});
+  std::string text;
+  std::array<char, kReadBytes> buffer{};
+  while (in && text.size() <= kMaxTextBytes) {
+    in.read(buffer.data(), buffer.size());
+    text.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
+  }
+  const bool isOpen = aPath == "-" || file.is_open();
+  if (!isOpen || in.bad() || text.size() > kMaxTextBytes) {
+    const std::string reason = text.size() > kMaxTextBytes
+                                 ? "too large"
+                                 : std::generic_category().message(errno);
+    return leaf::new_error(
+      Error{ .code_ = aCode, .text_ = aPath + ": can't be read: " + reason });
+  }
+  return text;
 }
 
 void AddVersionCommand(CLI::App& aApp, const CommandSink& aSink)
--- a/test/integration/gooseberrylift-command-test.cc
+++ b/test/integration/gooseberrylift-command-test.cc
@@ -138,6 +138,19 @@
   STRCMP_CONTAINS("--hosts is required", usage.output_.c_str());
 }
 
+// Guards against an end by an exception or for want of memory.
+TEST(CommandTest, ReportsAPathThatIsNoFileOrEndless)
+{
+  for (const char* path : { "/tmp", "/dev/zero" }) {
+    const CommandResult settings = RunCommand({ "check", "--settings", path });
+    LONGS_EQUAL(static_cast<int>(ResultCode::kSettingsUnreadable),
+                settings.status_);
+    const CommandResult configuration = RunCommand({ "check", path });
+    LONGS_EQUAL(static_cast<int>(ResultCode::kConfigurationUnreadable),
+                configuration.status_);
+  }
+}
+
 TEST(CommandTest, GivesEverySubcommandHelpWithAnExample)
 {
   const std::string help = RunCommand({ "--help" }).output_;
