Find the settings file by the environment, or at its usual place

A host didn't start (code 10) where GOOSEBERRYLIFT_SETTINGS named the settings file and none lay at /etc/gooseberrylift/local.conf: the program never read the variable, and the deploy file had the path in words.

A file of the option that is missing isn't replaced by that of the variable: who names a file expects it to be used.

--- a/src/cli/gooseberrylift-serve.cc
+++ b/src/cli/gooseberrylift-serve.cc
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr const char* kDefaultPath = "/etc/gooseberrylift/local.conf";
+
 leaf::result<void> Serve(const std::string& aPath)
 {
   BOOST_LEAF_AUTO(text, ReadTextFile(aPath, ResultCode::kSettingsUnreadable));
@@ -36,9 +38,10 @@
   CLI::App* command =
     aApp.add_subcommand("serve", "Run an entry host until SIGTERM");
   command->footer("Example: gooseberrylift serve --settings host-1.json");
-  auto path = std::make_shared<std::string>();
+  auto path = std::make_shared<std::string>(kDefaultPath);
   command->add_option("--settings", *path, "the host's settings, a JSON file")
-    ->required();
+    ->envname("GOOSEBERRYLIFT_SETTINGS")
+    ->capture_default_str();
   command->callback([path, aSink] { aSink([path] { return Serve(*path); }); });
 }
 
