Wait for a settings file that is missing or half-written

The settings file was read at one moment as if it were always whole. A host that started while another process replaced the file ended with code 10 or 11, and hung on a named pipe. A running host took no settings any more once a single look at the file had failed: the loop ended for good, and nothing said so. It refused half-written files, missed a change that left the modification time as it was, and said nothing of changed fields that need a start.

At the start a file that is no complete JSON is read again every 50 ms for 5 s (event 1008, and once on standard error); SIGTERM ends the wait with status 0. Complete JSON that is wrong ends the command at once, as before. While the host runs, the content is compared each second; a file that can't be read (1013, once) or is incomplete is looked at again, and incomplete text is refused when it has stayed the same for a second, or on SIGHUP. Fields that need a start are named (1014). The times of a planned stop take effect at a reload. Reads are bounded to 1 MiB and never wait for a pipe while the host runs. JSON text in place of a path isn't watched.

--- a/include/gooseberrylift/gooseberrylift-settings.h
+++ b/include/gooseberrylift/gooseberrylift-settings.h
@@ -1,6 +1,6 @@
 // The settings of one host: its name, availability zone, addresses and limits.
-// They are read once at startup; Configuration holds what can change at run
-// time. docs/CONFIGURATION.md describes each field.
+// docs/CONFIGURATION.md describes each field and which of them take effect
+// while the host runs. Configuration holds what all hosts share.
 
 #ifndef GOOSEBERRYLIFT_GOOSEBERRYLIFT_SETTINGS_H_
 #define GOOSEBERRYLIFT_GOOSEBERRYLIFT_SETTINGS_H_
@@ -25,6 +25,8 @@
   std::string address_ = "127.0.0.1";
   std::uint16_t port_ = 0; // 0 selects a free port
   std::size_t maxConnections_ = 10'000;
+
+  bool operator==(const ListenSettings& aOther) const = default;
 };
 
 // Guarantees and limits of a gateway, a host that serves routes. The platform
@@ -99,6 +101,14 @@
   static std::string_view Schema();
 };
 
+/// Returns the fields that differ and that a running host can't change, such as
+/// its name and addresses.
+/// @param aStart the settings with which the host was started
+/// @param aNew the settings that its file has now
+/// @return their names in the settings file
+std::vector<std::string> FindRestartFields(const Settings& aStart,
+                                           const Settings& aNew);
+
 } // namespace gooseberrylift
 
 #endif // GOOSEBERRYLIFT_GOOSEBERRYLIFT_SETTINGS_H_
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -35,14 +35,14 @@
 // Runs until SIGTERM or SIGINT, then drains and stops. Applies new gateway
 // settings on SIGHUP or when the settings file changes:
 //
-//   GatewayHost host(settings, path);
+//   GatewayHost host(settings, file);
 //   const Outcome<void> ended = host.Run();
 class GatewayHost
 {
 public:
   /// @param aSettings with gateway_ set
-  /// @param aPath of the settings file, which is watched for changes
-  GatewayHost(Settings aSettings, std::string aPath);
+  /// @param aFile which is watched for changes, with the text of aSettings
+  GatewayHost(Settings aSettings, SettingsFile aFile);
   ~GatewayHost();
 
   /// Serves until a planned stop is complete.
@@ -60,6 +60,7 @@
   StoreFollower::Parts StoreFollowerParts();
   StoreFollower::Options StoreFollowerOptions() const;
   boost::asio::awaitable<void> StartPeers();
+  void ApplySettings(const Settings& aSettings);
   void ApplyGatewaySettings(const GatewaySettings& aGatewaySettings);
   void ApplyColdTerms(const RouteTable& aTable);
   bool HasOtherSeeds() const;
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -64,7 +64,7 @@
 
 } // namespace
 
-GatewayHost::GatewayHost(Settings aSettings, std::string aPath)
+GatewayHost::GatewayHost(Settings aSettings, SettingsFile aFile)
   : settings_(std::move(aSettings))
   , context_(1)
   , stopSignals_(context_, SIGTERM, SIGINT)
@@ -200,10 +200,11 @@
           } },
       { .host_ = settings_.hostName_, .zone_ = settings_.zone_ })
   , settingsWatch_({ .executor_ = context_.get_executor(),
-                     .path_ = std::move(aPath),
+                     .file_ = std::move(aFile),
+                     .settings_ = settings_,
                      .apply_ =
-                       [this](const GatewaySettings& aGatewaySettings) {
-                         ApplyGatewaySettings(aGatewaySettings);
+                       [this](const Settings& aNewSettings) {
+                         ApplySettings(aNewSettings);
                        } })
   , pauseMonitor_(metrics_)
   , front_({ .board_ = board_,
@@ -474,6 +475,13 @@
   peers_.Start(peerServer_.Port(), { key }, AdminAddress());
 }
 
+void GatewayHost::ApplySettings(const Settings& aSettings)
+{
+  settings_.drainLag_ = aSettings.drainLag_;
+  settings_.drainLimit_ = aSettings.drainLimit_;
+  ApplyGatewaySettings(*aSettings.gateway_);
+}
+
 void GatewayHost::ApplyGatewaySettings(const GatewaySettings& aGatewaySettings)
 {
   board_.gatewaySettings_.Write({ .gatewaySettings_ = aGatewaySettings });
--- a/src/host/gooseberrylift-settings-watch.cc
+++ b/src/host/gooseberrylift-settings-watch.cc
@@ -2,9 +2,7 @@
 
 #include <chrono>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
+#include <utility>
 
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -20,7 +18,7 @@
 
 namespace {
 
-// The settings file may change without a signal. Checking it is cheap, since it
+// The settings file may change without a signal. Reading it is cheap, since it
 // is small and in memory.
 constexpr std::chrono::milliseconds kPollInterval{ 1'000 };
 
@@ -34,44 +32,78 @@
 
 void SettingsWatch::Start()
 {
-  SpawnLoop(parts_.executor_, [this] { return WatchFile(); });
+  if (!parts_.file_.path_.empty()) {
+    SpawnLoop(parts_.executor_, [this] { return WatchFile(); });
+  }
   SpawnLoop(parts_.executor_, [this] { return WaitForSignals(); });
 }
 
-void SettingsWatch::Reload()
+void SettingsWatch::Check(Cause aCause)
+{
+  const auto text =
+    ReadSettingsFile(parts_.file_.path_, std::chrono::milliseconds(0));
+  if (!text || text.value().empty()) {
+    ReportUnavailable(aCause, text ? "empty" : text.error().text_);
+    return;
+  }
+  isAvailable_ = true;
+  const bool isPoll = aCause == Cause::kPoll;
+  const std::string previous = std::exchange(incomplete_, {});
+  if (isPoll && text.value() == parts_.file_.text_) {
+    return;
+  }
+  if (isPoll && !IsCompleteJson(text.value()) && text.value() != previous) {
+    incomplete_ = text.value();
+    return;
+  }
+  parts_.file_.text_ = text.value();
+  Load();
+}
+
+void SettingsWatch::ReportUnavailable(Cause aCause, const std::string& aFault)
+{
+  if (aCause == Cause::kSignal) {
+    Refuse(aFault);
+  } else if (std::exchange(isAvailable_, false)) {
+    Log(LogEvent::kSettingsUnavailable,
+        { { "path", parts_.file_.path_ }, { "fault", aFault } });
+  }
+}
+
+void SettingsWatch::Load()
 {
-  std::ifstream file(parts_.path_);
-  const std::string text(std::istreambuf_iterator<char>(file), {});
   leaf::try_handle_all(
     [&]() -> leaf::result<void> {
-      BOOST_LEAF_AUTO(settings, Settings::Parse(text));
+      BOOST_LEAF_AUTO(settings, Settings::Parse(parts_.file_.text_));
       if (!settings.gateway_) {
         return leaf::new_error(MakeError(ResultCode::kSettingsInvalid,
                                          "<root>: no 'gateway' section"));
       }
-      parts_.apply_(*settings.gateway_);
+      parts_.apply_(settings);
       SetLogLevel("all", settings.logLevel_);
-      Log(LogEvent::kSettingsReloaded, { { "path", parts_.path_ } });
+      Log(LogEvent::kSettingsReloaded, { { "path", parts_.file_.path_ } });
+      const auto fields = FindRestartFields(parts_.settings_, settings);
+      if (!fields.empty()) {
+        Log(LogEvent::kSettingsNeedRestart,
+            { { "path", parts_.file_.path_ }, { "fields", fields } });
+      }
       return {};
     },
-    [&](const Error& aError) {
-      Log(LogEvent::kSettingsRefused,
-          { { "path", parts_.path_ }, { "fault", aError.text_ } });
-    },
-    [] { Log(LogEvent::kSettingsRefused); });
+    [&](const Error& aError) { Refuse(aError.text_); },
+    [&] { Refuse(""); });
+}
+
+void SettingsWatch::Refuse(const std::string& aFault) const
+{
+  Log(LogEvent::kSettingsRefused,
+      { { "path", parts_.file_.path_ }, { "fault", aFault } });
 }
 
 asio::awaitable<void> SettingsWatch::WatchFile()
 {
-  std::error_code error;
-  auto lastWriteTime = std::filesystem::last_write_time(parts_.path_, error);
-  while (!error) {
+  while (true) {
     co_await TimerService::SleepFor(kPollInterval);
-    const auto changed = std::filesystem::last_write_time(parts_.path_, error);
-    if (!error && changed != lastWriteTime) {
-      lastWriteTime = changed;
-      Reload();
-    }
+    Check(Cause::kPoll);
   }
 }
 
@@ -79,7 +111,9 @@
 {
   while (true) {
     co_await hangupSignals_.async_wait(asio::use_awaitable);
-    Reload();
+    if (!parts_.file_.path_.empty()) {
+      Check(Cause::kSignal);
+    }
   }
 }
 
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -61,6 +61,21 @@
                 "task-failed",
                 "A task, timer or handler of this host failed by an exception, "
                 "whose text is 'fault'; a loop is started again." },
+  LogEventInfo{ kSettingsAwaited,
+                LogLevel::kWarning,
+                "settings-awaited",
+                "The settings file is missing, unreadable or half-written; the "
+                "host waits for it and ends if it stays so." },
+  LogEventInfo{ kSettingsUnavailable,
+                LogLevel::kWarning,
+                "settings-unavailable",
+                "The settings file of the running host is missing, unreadable "
+                "or empty; the old settings stay in force." },
+  LogEventInfo{ kSettingsNeedRestart,
+                LogLevel::kWarning,
+                "settings-need-restart",
+                "The settings file differs from that of the start in 'fields', "
+                "which take effect only when the host is started again." },
   LogEventInfo{ kConfigurationApplied,
                 LogLevel::kInfo,
                 "configuration-applied",
