Bound the nesting of JSON and CBOR from outside the process

ParseJson and ParseCbor build values from the parser's events, stop at 64 levels and never throw; a CBOR item may have 8 KB (a datagram has 2), and its text must be UTF-8, since other text throws when it is dumped. Settings, configuration, peers' messages, callers' bodies and the command line are read through them. Messages of JSON-RPC are checked before jsoncpp sees them. Fields of a peer's envelope that have another type are refused instead of thrown out of the session.

--- a/src/cli/gooseberrylift-admin-client.cc
+++ b/src/cli/gooseberrylift-admin-client.cc
@@ -6,6 +6,7 @@
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -34,8 +35,7 @@
     return std::string(InfoOf(error.code_).name_) +
            (error.text_.empty() ? "" : ": " + error.text_);
   }
-  const auto body =
-    nlohmann::json::parse(response_.value().body_, nullptr, false);
+  const auto body = ParseJson(response_.value().body_);
   const std::string status =
     "status " + std::to_string(response_.value().status_);
   return body.is_object() && body.contains("error") && body["error"].is_object()
--- a/src/cli/gooseberrylift-configuration.cc
+++ b/src/cli/gooseberrylift-configuration.cc
@@ -18,6 +18,7 @@
 #include <nlohmann/json.hpp>
 
 #include "gooseberrylift/gooseberrylift-config-change.h"
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -64,7 +65,7 @@
 // command is the result code that the host returned.
 Error ErrorFromResponse(const HttpResponse& aResponse)
 {
-  const json body = json::parse(aResponse.body_, nullptr, false);
+  const json body = ParseJson(aResponse.body_);
   if (!body.is_object() || !body.contains("error")) {
     return MakeError(ResultCode::kHostUnreachable,
                      "status " + std::to_string(aResponse.status_));
@@ -102,7 +103,7 @@
   if (result->value().status_ != 200) {
     return leaf::new_error(ErrorFromResponse(result->value()));
   }
-  return json::parse(result->value().body_, nullptr, false);
+  return ParseJson(result->value().body_);
 }
 
 // Returns the names of the host's live peers that still use an older
--- a/src/cli/gooseberrylift-explain.cc
+++ b/src/cli/gooseberrylift-explain.cc
@@ -8,6 +8,7 @@
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 
 namespace gooseberrylift {
@@ -28,7 +29,7 @@
     if (begin == std::string::npos || text.find(aId) == std::string::npos) {
       continue;
     }
-    json line = json::parse(text.substr(begin), nullptr, false);
+    json line = ParseJson(std::string_view(text).substr(begin));
     if (line.is_object() && line.value("request_id", "") == aId) {
       lines.push_back(std::move(line));
     }
--- a/src/cli/gooseberrylift-status.cc
+++ b/src/cli/gooseberrylift-status.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "gooseberrylift-admin-client.h"
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/gooseberrylift-text-table.h"
 
 namespace gooseberrylift {
@@ -193,9 +194,8 @@
   std::vector<json> hosts;
   json unresponsive = json::array();
   for (const AdminAnswer& answer : answers) {
-    json host = answer.IsSuccess()
-                  ? json::parse(answer.response_.value().body_, nullptr, false)
-                  : json();
+    json host =
+      answer.IsSuccess() ? ParseJson(answer.response_.value().body_) : json();
     if (host.is_object()) {
       host["admin_address"] = answer.address_;
       hosts.push_back(std::move(host));
--- a/src/clients/gooseberrylift-peer-rpc.cc
+++ b/src/clients/gooseberrylift-peer-rpc.cc
@@ -8,6 +8,7 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 
 namespace gooseberrylift {
@@ -114,7 +115,7 @@
 
 std::string PeerRpc::Dispatch(const Method& aMethod, const std::string& aParams)
 {
-  const json params = json::parse(aParams, nullptr, false);
+  const json params = ParseJson(aParams);
   if (!params.is_object()) {
     return json{ { "refused", "parameters are no object" } }.dump();
   }
@@ -122,8 +123,14 @@
     return json{ { "refused", *refusal } }.dump();
   }
   json result;
-  result["nonce"] = params.value("nonce", "");
-  result["result"] = aMethod(params.value("p", json::object()));
+  result["nonce"] = JsonFieldOr(params, "nonce", std::string());
+  try {
+    result["result"] = aMethod(params.value("p", json::object()));
+  } catch (const json::exception& error) {
+    // From an incompatible version. It must not end the connection, on which
+    // other calls follow.
+    return json{ { "refused", error.what() } }.dump();
+  }
   return result.dump();
 }
 
@@ -133,10 +140,10 @@
 // time are checked.
 std::optional<std::string> PeerRpc::CheckEnvelope(const json& aEnvelope)
 {
-  const std::string nonce = aEnvelope.value("nonce", "");
+  const auto nonce = JsonFieldOr(aEnvelope, "nonce", std::string());
   const std::chrono::milliseconds sent(
-    aEnvelope.value("at", std::int64_t{ 0 }));
-  const std::string receiver = aEnvelope.value("to", "");
+    JsonFieldOr(aEnvelope, "at", std::int64_t{ 0 }));
+  const auto receiver = JsonFieldOr(aEnvelope, "to", std::string());
   if (receiver.empty() ||
       (receiver != options_.host_ && !addresses_.contains(receiver))) {
     return "meant for another host";
@@ -181,14 +188,18 @@
                           std::to_string(response.value().status_));
   }
   std::string text;
-  if (!ParseJsonRpcResponse(response.value().body_, text)) {
+  // The JSON-RPC client ends the process if its parser throws, as it does
+  // beyond a thousand levels.
+  if (IsJsonTooDeep(response.value().body_) ||
+      !ParseJsonRpcResponse(response.value().body_, text)) {
     co_return PeerError(ResultCode::kPeerRefused,
                         "the peer's response is not a JSON-RPC result");
   }
-  const json reply = json::parse(text, nullptr, false);
-  const bool matches = reply.is_object() &&
-                       reply.value("nonce", "") == envelope.at("nonce") &&
-                       reply.contains("result");
+  const json reply = ParseJson(text);
+  const bool matches =
+    reply.is_object() &&
+    JsonFieldOr(reply, "nonce", std::string()) == envelope.at("nonce") &&
+    reply.contains("result");
   if (!matches) {
     co_return PeerError(ResultCode::kPeerRefused,
                         aTarget.host_ +
@@ -218,6 +229,14 @@
     co_return;
   }
   byteCount_ += request.body_.size();
+  // The parser of JSON-RPC throws beyond a thousand levels.
+  if (IsJsonTooDeep(request.body_)) {
+    Log(LogEvent::kPeerRefused,
+        { { "reason", "nested too deeply" }, { "peer", aExchange.Peer() } });
+    co_await aExchange.Send(
+      ErrorResponse(MakeError(ResultCode::kPeerRefused), {}));
+    co_return;
+  }
   const std::string response = server_.Dispatch(request.body_);
   byteCount_ += response.size();
   co_await aExchange.Send(MakeSignedResponse(response, Sign(response)));
@@ -246,7 +265,7 @@
   const std::string value(aRequest.Field(kRelayField));
   const std::string signature(aRequest.Field(kSignatureField));
   RemovePeerFields(aRequest.fields_);
-  const json envelope = json::parse(value, nullptr, false);
+  const json envelope = ParseJson(value);
   if (!envelope.is_object() ||
       !IsSigned(RelayedText(value, aRequest), signature)) {
     Log(LogEvent::kPeerRefused, { { "reason", "signature" } });
@@ -255,7 +274,8 @@
   if (const auto refusal = CheckEnvelope(envelope)) {
     return PeerError(ResultCode::kPeerRefused, *refusal);
   }
-  return RelayedEnvelope{ .nonce_ = envelope.value("nonce", ""),
+  return RelayedEnvelope{ .nonce_ =
+                            JsonFieldOr(envelope, "nonce", std::string()),
                           .terms_ = envelope.value("p", json::object()) };
 }
 
@@ -277,9 +297,9 @@
   if (value.empty() || !IsSigned(value, aResponse.Field(kSignatureField))) {
     return std::nullopt;
   }
-  const json envelope = json::parse(value, nullptr, false);
-  if (!envelope.is_object() || envelope.value("nonce", "") != aNonce ||
-      !envelope.contains("p")) {
+  const json envelope = ParseJson(value);
+  if (JsonFieldOr(envelope, "nonce", std::string()) != aNonce ||
+      !envelope.is_object() || !envelope.contains("p")) {
     return std::nullopt;
   }
   return envelope.at("p");
--- a/src/core/gooseberrylift-burn-document.cc
+++ b/src/core/gooseberrylift-burn-document.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/gooseberrylift-text-table.h"
 
 namespace gooseberrylift {
@@ -189,7 +190,7 @@
 std::optional<BurnDocument> ParseBurnDocument(std::string_view aText)
 {
   try {
-    const json document = json::parse(aText);
+    const json document = ParseJson(aText);
     BurnDocument read{
       .hosts_ = document.at("hosts"),
       .generation_ = document.at("generation"),
--- a/src/core/gooseberrylift-config.cc
+++ b/src/core/gooseberrylift-config.cc
@@ -3,6 +3,7 @@
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/gooseberrylift-placement-strategy.h"
 #include "gooseberrylift/gooseberrylift-schema.h"
 
@@ -287,7 +288,7 @@
 leaf::result<Configuration::Ptr> Configuration::Parse(std::string_view aText,
                                                       std::uint64_t aGeneration)
 {
-  const json document = json::parse(aText, nullptr, false);
+  const json document = ParseJson(aText);
   if (document.is_discarded()) {
     return InvalidConfiguration("not valid JSON");
   }
--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -5,6 +5,7 @@
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/gooseberrylift-schema.h"
 
 namespace gooseberrylift {
@@ -264,7 +265,7 @@
 
 leaf::result<Settings> Settings::Parse(std::string_view aText)
 {
-  const json document = json::parse(aText, nullptr, false);
+  const json document = ParseJson(aText);
   if (document.is_discarded()) {
     return InvalidSettings("<root>: not valid JSON");
   }
--- a/src/core/membership/gooseberrylift-load-message.cc
+++ b/src/core/membership/gooseberrylift-load-message.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
+
 namespace gooseberrylift {
 
 using nlohmann::json;
@@ -243,7 +245,7 @@
 
 std::optional<LoadMessage> DecodeLoadMessage(std::string_view aBytes)
 {
-  const json datagram = json::from_cbor(aBytes, true, false);
+  const json datagram = ParseCbor(aBytes);
   if (datagram.is_discarded()) {
     return std::nullopt;
   }
--- a/src/core/membership/gooseberrylift-store-status-message.cc
+++ b/src/core/membership/gooseberrylift-store-status-message.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
+
 namespace gooseberrylift {
 
 using nlohmann::json;
@@ -43,7 +45,7 @@
 std::optional<StoreStatusMessage> DecodeStoreStatusMessage(
   std::string_view aBytes)
 {
-  const json message = json::from_cbor(aBytes, true, false);
+  const json message = ParseCbor(aBytes);
   if (message.is_discarded()) {
     return std::nullopt;
   }
--- a/src/front/gooseberrylift-job-api.cc
+++ b/src/front/gooseberrylift-job-api.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-encoding.h"
 #include "gooseberrylift/internal/gooseberrylift-model-request.h"
 
@@ -75,7 +76,7 @@
 Outcome<JobRequest> ReadJobRequest(const HttpRequest& aRequest,
                                    const Configuration& aConfig)
 {
-  const json body = json::parse(aRequest.body_, nullptr, false);
+  const json body = ParseJson(aRequest.body_);
   if (!body.is_object()) {
     return MakeError(ResultCode::kMalformedJson);
   }
@@ -234,7 +235,7 @@
     if (!result) {
       co_return ToJobError(result.error());
     }
-    view["result"] = json::parse(result.value(), nullptr, false);
+    view["result"] = ParseJson(result.value());
   }
   co_return MakeJsonResponse(200, view);
 }
--- a/src/front/gooseberrylift-model-request.cc
+++ b/src/front/gooseberrylift-model-request.cc
@@ -4,6 +4,8 @@
 
 #include <xxhash.h>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
+
 namespace gooseberrylift {
 
 using nlohmann::json;
@@ -60,7 +62,9 @@
       }
       return true;
     };
-  return json::parse(aText, onParseEvent, false);
+  // The callback sees the depth but can't end the parse.
+  return IsJsonTooDeep(aText) ? json(json::value_t::discarded)
+                              : json::parse(aText, onParseEvent, false);
 }
 
 Outcome<PromptScan> ScanChat(const json& aBody)
--- a/src/runtime/gooseberrylift-once-runner.cc
+++ b/src/runtime/gooseberrylift-once-runner.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-encoding.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
@@ -55,7 +56,7 @@
   }
   const auto head = DecodeBase64(std::string_view(aText).substr(0, dot));
   auto body = DecodeBase64(std::string_view(aText).substr(dot + 1));
-  const json result = head ? json::parse(*head, nullptr, false) : json();
+  const json result = head ? ParseJson(*head) : json();
   if (!result.is_object() || !body) {
     return std::nullopt;
   }
