Read the store's objects one by one when a list can't be parsed

One object of another writer made the whole list unreadable: text with a lone surrogate, a number out of range, or deep nesting. An item without a readable name also ended lists early, or started them over.

A response is parsed at once as before. Only if that fails, it is cut into its members, its items or events are parsed one by one, and of one that can't be read the members are. Such an object has an empty spec, so an entry names no endpoint and is handled like a deleted one, also where a sound one stood before, and an unreadable configuration leaves the old one in force. Without a readable name it is left out. Pages continue after the last name that can be read; if a page has none, the list fails, since a short one would remove endpoints.

Event 1112 logs each version of such an object once with kind, name and reason; gooseberrylift_store_objects_unreadable_total counts them.

Lists for watches are read in the same way, without a test: hosts that serve routes don't watch.

--- a/fakes/platform/gooseberrylift-fake-fleet-store.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-store.cc
@@ -5,12 +5,17 @@
 //                   "forget_history": true, "page": n,
 //                   "any_age_lags": [n, ...] (pages of lists that allow stale
 //                   data lag by these numbers of revisions, in turn),
-//                   "put": {"KIND/NAME": spec}, "remove": ["KIND/NAME"]}
+//                   "put": {"KIND/NAME": spec}, "remove": ["KIND/NAME"],
+//                   "outage_kinds": ["KIND"] (calls for these get 503),
+//                   "replace": {"PLACEHOLDER": text} (in all objects sent, for
+//                   text that no JSON value represents)}
 //   GET  /stats    number of calls by type
-// The text kInvalidUtf8Placeholder in an object is sent as invalid UTF-8.
+// The text kInvalidUtf8Placeholder in an object is sent as invalid UTF-8. A
+// replacement may contain the quotes of a string and so stand for any value.
 // lose_answers: the next n calls are executed, but no response is sent.
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "gooseberrylift-fake.h"
@@ -28,18 +33,15 @@
 // Placeholder for bytes that are not valid UTF-8, which JSON cannot represent.
 constexpr const char* kInvalidUtf8Placeholder = "ODD-BYTES";
 
-asio::awaitable<void> SendJsonWithInvalidUtf8(HttpExchange& aExchange,
-                                              int aStatus,
-                                              json aBody)
+void ReplaceAll(std::string& aText,
+                std::string_view aPlaceholder,
+                std::string_view aReplacement)
 {
-  std::string text = aBody.dump();
-  for (std::size_t at = text.find(kInvalidUtf8Placeholder);
-       at != std::string::npos;
-       at = text.find(kInvalidUtf8Placeholder)) {
-    text.replace(
-      at, std::string_view(kInvalidUtf8Placeholder).size(), "\xff\xfe\xc3");
+  std::size_t at = aText.find(aPlaceholder);
+  while (at != std::string::npos) {
+    aText.replace(at, aPlaceholder.size(), aReplacement);
+    at = aText.find(aPlaceholder, at + aReplacement.size());
   }
-  co_await aExchange.Send(JsonResponse(aStatus, std::move(text)));
 }
 
 struct Change
@@ -72,13 +74,14 @@
     if (delay_.count() > 0) {
       co_await TimerService::SleepFor(delay_);
     }
-    if (outage_) {
+    const std::string key =
+      path.substr(std::string(names::kObjectsPath).size());
+    if (outage_ || outageKinds_.contains(key.substr(0, key.find('/')))) {
       ++counts_["refused"];
       co_await SendJson(aExchange, 503, json::object());
       co_return;
     }
-    co_await Serve(aExchange,
-                   path.substr(std::string(names::kObjectsPath).size()));
+    co_await Serve(aExchange, key);
   }
 
 private:
@@ -107,7 +110,18 @@
       co_await TimerService::SleepFor(std::chrono::seconds(30));
       co_return;
     }
-    co_await SendJsonWithInvalidUtf8(aExchange, status, body);
+    co_await SendReplaced(aExchange, status, body);
+  }
+
+  asio::awaitable<void> SendReplaced(HttpExchange& aExchange,
+                                     int aStatus,
+                                     json aBody)
+  {
+    std::string text = aBody.dump();
+    for (const auto& [placeholder, replacement] : replacements_) {
+      ReplaceAll(text, placeholder, replacement);
+    }
+    co_await aExchange.Send(JsonResponse(aStatus, std::move(text)));
   }
 
   int List(const HttpRequest& aRequest, const std::string& aKind, json& aBody)
@@ -235,7 +249,7 @@
     }
     body[names::kEvents] = events;
     body[names::kAsOf] = AreWatchesMuted() ? from : revision_;
-    co_await SendJsonWithInvalidUtf8(aExchange, 200, body);
+    co_await SendReplaced(aExchange, 200, body);
   }
 
   bool AreWatchesMuted() const { return TimerService::Now() < muteUntil_; }
@@ -293,6 +307,11 @@
       const std::size_t slash = key.find('/');
       Remove(key.substr(0, slash), key.substr(slash + 1));
     }
+    outageKinds_ = aBody.value("outage_kinds", outageKinds_);
+    const json replacements = aBody.value("replace", json::object());
+    for (const auto& [placeholder, text] : replacements.items()) {
+      replacements_[placeholder] = text;
+    }
     if (aBody.contains("any_age_lags")) {
       anyAgeLags_ = aBody.at("any_age_lags").get<std::vector<std::uint64_t>>();
       anyAgeLists_ = 0;
@@ -304,12 +323,15 @@
 
   std::map<std::string, std::map<std::string, json>> objects_;
   std::vector<Change> history_;
+  std::map<std::string, std::string> replacements_{ { kInvalidUtf8Placeholder,
+                                                      "\xff\xfe\xc3" } };
   std::vector<std::uint64_t> anyAgeLags_;
   std::size_t anyAgeLists_ = 0; // answered
   std::uint64_t revision_ = 1;
   std::uint64_t oldestRevision_ = 0; // watches from an earlier revision get 410
   std::map<std::string, int> counts_;
   bool outage_ = false;
+  std::set<std::string> outageKinds_;
   milliseconds delay_{ 0 };
   int loseAnswers_ = 0;
   std::size_t pageSize_ = 500;
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -44,6 +44,7 @@
   kKeysProven = 1108,
   kStoreReading = 1109,
   kZoneAggregatorChanged = 1110,
+  kStoreObjectUnreadable = 1112,
   kHostListLost = 1200,
   kEndpointState = 1201,
   kEntryRefused = 1202,
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-encoding.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
@@ -63,7 +64,8 @@
   StoreDelta delta;
   delta.revision_ = aAnswer.at(kRevision);
   const auto objects = DecompressFromBase64(aAnswer.at(kObjects));
-  for (const json& item : json::parse(objects.value_or(kInvalidJson))) {
+  const json list = ParseJson(objects.value_or(kInvalidJson));
+  for (const json& item : list.get_ref<const json::array_t&>()) {
     delta.objects_.push_back(
       { .name_ = item.at(0), .version_ = item.at(1), .spec_ = item.at(2) });
   }
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -14,6 +14,7 @@
 #include "gooseberrylift/internal/gooseberrylift-task-failure-recorder.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+#include "gooseberrylift/internal/gooseberrylift-unreadable-object-recorder.h"
 
 namespace gooseberrylift {
 
@@ -52,14 +53,20 @@
                                        const Settings& aSettings,
                                        Metrics& aMetrics)
 {
+  const auto recorder = std::make_shared<UnreadableObjectRecorder>(aMetrics);
   return std::make_unique<platform::FleetStore>(
     aClient,
     platform::FleetStore::Options{
       .address_ = aSettings.storeAddresses_.front(),
-      .onCall_ = [&aMetrics](std::string_view aKind) {
-        aMetrics.Count("gooseberrylift_store_calls_total",
-                       "kind=\"" + std::string(aKind) + "\"");
-      } });
+      .onCall_ =
+        [&aMetrics](std::string_view aKind) {
+          aMetrics.Count("gooseberrylift_store_calls_total",
+                         "kind=\"" + std::string(aKind) + "\"");
+        },
+      .onUnreadable_ =
+        [recorder](const StoreObject& aObject, const std::string& aFault) {
+          recorder->Record(aObject, aFault);
+        } });
 }
 
 } // namespace
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -111,6 +111,11 @@
                 "zone-summed",
                 "The host starts or stops sending the total load of its "
                 "availability zone to other zones." },
+  LogEventInfo{ kStoreObjectUnreadable,
+                LogLevel::kWarning,
+                "store-object-unreadable",
+                "An object of the store can't be read, for the reason in "
+                "'fault'; the others stay in use." },
   LogEventInfo{
     kHostListLost,
     LogLevel::kWarning,
