Read the routes although the list of endpoints keeps failing

A host that starts reads the endpoints first, so that its first callers find some. While that list failed it never asked for the routes, and answered all callers that it had no configuration, although peers could have given it the endpoints.

From the second attempt on, the routes are read whether or not the lists before them could be read. The first attempt keeps its order, so that one failed call changes nothing; while the store is down, an attempt of a host without endpoints makes two calls instead of one.

--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -189,14 +189,16 @@
   if (read && FollowsEvacuations() && evacuations_.Revision() == 0) {
     read = co_await ReadKind(options_.evacuationsKind_, evacuations_);
   }
-  if (read) {
+  const bool wasUnavailable = readSchedule_.IsStoreUnavailable();
+  // A list that fails again and again must not keep the routes from this host,
+  // which may get the endpoints from its peers.
+  if (read || wasUnavailable) {
     const auto readStart = co_await ReadRoutes();
-    read = readStart.has_value();
-    if (readStart) {
+    if (read && readStart) {
       read = co_await ReadChanges(*readStart);
     }
+    read = read && readStart;
   }
-  const bool wasUnavailable = readSchedule_.IsStoreUnavailable();
   if (read) {
     readSchedule_.OnRead(TimerService::Now());
     LogReaderRole(true);
--- a/test/integration/gooseberrylift-unreadable-entry-test.cc
+++ b/test/integration/gooseberrylift-unreadable-entry-test.cc
@@ -53,6 +53,15 @@
   }
 }
 
+// Returns the settings of a host with a seed address on which no host listens,
+// so that it learns its peers only from the store.
+json LoneSettings(const GatewayDeployment& aDeployment)
+{
+  json settings = aDeployment.HostSettings("host-late");
+  settings["peer"] = { { "port", 0 }, { "seeds", { "127.0.0.1:1" } } };
+  return settings;
+}
+
 bool Logged(Host& aHost, const std::string& aText)
 {
   return !aHost.Handle().WaitForLine(aText, 5s).empty();
@@ -153,3 +162,20 @@
   deployment.PutDocument(document);
   CHECK_TRUE(Logged(deployment.At(0), "\"generation\":9"));
 }
+
+// Guards against hosts that never ask for the routes while the list of
+// endpoints fails.
+TEST(UnreadableEntryTest, ReadsTheRoutesAlthoughTheListOfEndpointsFails)
+{
+  GatewayDeployment deployment({});
+  deployment.Store().Control(
+    { { "outage_kinds", { names::kEndpointsKind, "members" } } });
+  Host late(LoneSettings(deployment));
+  CHECK_TRUE(late.WaitReady(10s));
+  deployment.Store().Control({ { "outage_kinds", json::array() } });
+  CHECK_TRUE(WaitUntil(5s, [&] {
+    return Send(late.Port(), RouteRequest("GET", "/safe/a", "at"))
+             .value()
+             .status_ == 200;
+  }));
+}
