Take fields of other types in documents of others as missing

A member list of another writer whose fields have other types threw out of the task that joins the peers: a host logged event 1007 and learned no member from the store for as long as that object stood. The same holds for jobs, stored configurations, lists of the older interface's store, endpoints' load reports and streams, and peers' answers: get() and value() throw on a field of another type.

These fields are read by JsonFieldOr, which returns the default instead. Members without a host or an address are skipped. Records of calls that run once are read as before: there a missing field would allow a second run, and the exception refuses the call.

Evidence: JoinsItsPeersBesideMemberListsOfAnotherWriter failed on the code before (event 1007) and passes. The other places have no test of their own.

--- a/src/clients/gooseberrylift-member-list.cc
+++ b/src/clients/gooseberrylift-member-list.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <random>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-peer-exchange.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -37,16 +38,25 @@
                                    static_cast<std::uint64_t>(bound.count()));
 }
 
+// Skips members that no host wrote: any client may write to the store.
 std::vector<PeerMember> ParseMembers(const StoreObject& aObject)
 {
   std::vector<PeerMember> members;
-  for (const json& item : aObject.spec_.value("members", json::array())) {
-    members.push_back(
-      { .host_ = item.value("host", ""),
-        .zone_ = aObject.name_,
-        .region_ = item.value("region", ""),
-        .address_ = item.value("address", ""),
-        .incarnation_ = item.value("incarnation", std::uint64_t{ 0 }) });
+  const json& spec = aObject.spec_;
+  const auto list = spec.is_object() ? spec.find("members") : spec.end();
+  if (list == spec.end() || !list->is_array()) {
+    return members;
+  }
+  for (const json& item : *list) {
+    PeerMember member{ .host_ = JsonFieldOr(item, "host", std::string()),
+                       .zone_ = aObject.name_,
+                       .region_ = JsonFieldOr(item, "region", std::string()),
+                       .address_ = JsonFieldOr(item, "address", std::string()),
+                       .incarnation_ =
+                         JsonFieldOr(item, "incarnation", std::uint64_t{ 0 }) };
+    if (!member.host_.empty() && !member.address_.empty()) {
+      members.push_back(std::move(member));
+    }
   }
   return members;
 }
--- a/src/clients/gooseberrylift-rest-store.cc
+++ b/src/clients/gooseberrylift-rest-store.cc
@@ -1,5 +1,6 @@
 #include "gooseberrylift/internal/gooseberrylift-rest-store.h"
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
 namespace gooseberrylift {
@@ -23,11 +24,11 @@
 
 StoreObject ToStoreObject(const json& aBody)
 {
-  return { .kind_ = aBody.value("kind", ""),
-           .name_ = aBody.value("/metadata/name"_json_pointer, ""),
-           .version_ =
-             aBody.value("/metadata/resourceVersion"_json_pointer, ""),
-           .spec_ = aBody.value("spec", json::object()) };
+  const json metadata = JsonFieldOr(aBody, "metadata", json::object());
+  return { .kind_ = JsonFieldOr(aBody, "kind", std::string()),
+           .name_ = JsonFieldOr(metadata, "name", std::string()),
+           .version_ = JsonFieldOr(metadata, "resourceVersion", std::string()),
+           .spec_ = JsonFieldOr(aBody, "spec", json::object()) };
 }
 
 std::string ToRequestBody(const StoreObject& aObject)
@@ -106,7 +107,7 @@
   if (const auto error = ErrorFromStatus(response.value())) {
     co_return *error;
   }
-  json body = json::parse(response.value().body_, nullptr, false);
+  json body = ParseJson(response.value().body_);
   if (body.is_discarded()) {
     co_return StoreUnavailable("the response of the store is not JSON",
                                RanState::kUnknown);
@@ -136,9 +137,8 @@
     co_return body.error();
   }
   StoreList list;
-  list.version_ =
-    body.value().value("/metadata/resourceVersion"_json_pointer, "");
-  for (const json& item : body.value().value("items", json::array())) {
+  list.version_ = ToStoreObject(body.value()).version_;
+  for (const json& item : JsonFieldOr(body.value(), "items", json::array())) {
     list.items_.push_back(ToStoreObject(item));
   }
   co_return list;
@@ -223,13 +223,14 @@
     text += *piece.value();
     std::size_t end = 0;
     while ((end = text.find('\n')) != std::string::npos) {
-      const json event = json::parse(text.substr(0, end), nullptr, false);
+      const json event = ParseJson(std::string_view(text).substr(0, end));
       text.erase(0, end + 1);
       if (event.is_object() && event.contains("object")) {
         StoreObject object = ToStoreObject(event.at("object"));
         aVersion = object.version_;
-        aSink({ .deleted_ = event.value("type", "") == "DELETED",
-                .object_ = std::move(object) });
+        aSink(
+          { .deleted_ = JsonFieldOr(event, "type", std::string()) == "DELETED",
+            .object_ = std::move(object) });
       }
     }
   }
--- a/src/core/gooseberrylift-config-change.cc
+++ b/src/core/gooseberrylift-config-change.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
+
 namespace gooseberrylift {
 
 using nlohmann::json;
@@ -77,15 +79,15 @@
 StoredConfiguration StoredConfiguration::FromSpec(const json& aSpec)
 {
   StoredConfiguration stored{
-    .generation_ = aSpec.value("generation", std::uint64_t{ 0 }),
-    .configuration_ = aSpec.value("configuration", json::object()),
+    .generation_ = JsonFieldOr(aSpec, "generation", std::uint64_t{ 0 }),
+    .configuration_ = JsonFieldOr(aSpec, "configuration", json::object()),
   };
-  for (const json& item : aSpec.value("recent", json::array())) {
+  for (const json& item : JsonFieldOr(aSpec, "recent", json::array())) {
     stored.recent_.push_back(
-      { .generation_ = item.value("generation", std::uint64_t{ 0 }),
-        .nonce_ = item.value("nonce", ""),
-        .author_ = item.value("author", ""),
-        .atMs_ = item.value("at_ms", std::int64_t{ 0 }) });
+      { .generation_ = JsonFieldOr(item, "generation", std::uint64_t{ 0 }),
+        .nonce_ = JsonFieldOr(item, "nonce", std::string()),
+        .author_ = JsonFieldOr(item, "author", std::string()),
+        .atMs_ = JsonFieldOr(item, "at_ms", std::int64_t{ 0 }) });
   }
   return stored;
 }
--- a/src/core/gooseberrylift-job.cc
+++ b/src/core/gooseberrylift-job.cc
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
+
 namespace gooseberrylift {
 
 using nlohmann::json;
@@ -52,22 +54,22 @@
 
 JobRecord JobRecord::Parse(const json& aSpec)
 {
-  return { .team_ = aSpec.value("team", ""),
-           .digest_ = aSpec.value("digest", ""),
-           .target_ = aSpec.value("target", ""),
-           .state_ = ParseJobState(aSpec.value("state", "")),
-           .claims_ = aSpec.value("claims", 0),
-           .holder_ = aSpec.value("holder", ""),
-           .leaseUntil_ =
-             FromMilliseconds(aSpec.value("lease_until", std::int64_t{ 0 })),
+  return { .team_ = JsonFieldOr(aSpec, "team", std::string()),
+           .digest_ = JsonFieldOr(aSpec, "digest", std::string()),
+           .target_ = JsonFieldOr(aSpec, "target", std::string()),
+           .state_ = ParseJobState(JsonFieldOr(aSpec, "state", std::string())),
+           .claims_ = JsonFieldOr(aSpec, "claims", 0),
+           .holder_ = JsonFieldOr(aSpec, "holder", std::string()),
+           .leaseUntil_ = FromMilliseconds(
+             JsonFieldOr(aSpec, "lease_until", std::int64_t{ 0 })),
            .expires_ =
-             FromMilliseconds(aSpec.value("expires", std::int64_t{ 0 })),
-           .request_ = aSpec.value("request", ""),
-           .requestChunks_ = aSpec.value("request_chunks", 0),
-           .result_ = aSpec.value("result", ""),
-           .resultChunks_ = aSpec.value("result_chunks", 0),
-           .code_ = aSpec.value("code", 0),
-           .reason_ = aSpec.value("reason", "") };
+             FromMilliseconds(JsonFieldOr(aSpec, "expires", std::int64_t{ 0 })),
+           .request_ = JsonFieldOr(aSpec, "request", std::string()),
+           .requestChunks_ = JsonFieldOr(aSpec, "request_chunks", 0),
+           .result_ = JsonFieldOr(aSpec, "result", std::string()),
+           .resultChunks_ = JsonFieldOr(aSpec, "result_chunks", 0),
+           .code_ = JsonFieldOr(aSpec, "code", 0),
+           .reason_ = JsonFieldOr(aSpec, "reason", std::string()) };
 }
 
 json JobRecord::Spec() const
--- a/src/gateway/gooseberrylift-endpoint-rate-limiter.cc
+++ b/src/gateway/gooseberrylift-endpoint-rate-limiter.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gooseberrylift/gooseberrylift-digest-codec.h"
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -426,8 +427,9 @@
   if (!answer || !answer.value().contains(kGranter)) {
     co_return answer;
   }
-  aGranter.host_ = answer.value().value(kGranter, "");
-  aGranter.address_ = answer.value().value(kGranterAddress, "");
+  aGranter.host_ = JsonFieldOr(answer.value(), kGranter, std::string());
+  aGranter.address_ =
+    JsonFieldOr(answer.value(), kGranterAddress, std::string());
   co_return co_await parts_.call_(aGranter, std::move(params), deadline);
 }
 
--- a/src/runtime/gooseberrylift-config-follower.cc
+++ b/src/runtime/gooseberrylift-config-follower.cc
@@ -4,6 +4,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -133,8 +134,9 @@
     return false;
   }
   return ApplyTextIfNewer(
-    aObject.spec_.value("generation", std::uint64_t{ 0 }),
-    aObject.spec_.value("configuration", nlohmann::json::object()).dump(),
+    JsonFieldOr(aObject.spec_, "generation", std::uint64_t{ 0 }),
+    JsonFieldOr(aObject.spec_, "configuration", nlohmann::json::object())
+      .dump(),
     ConfigSource::kStore);
 }
 
--- a/src/runtime/gooseberrylift-endpoint-tracker.cc
+++ b/src/runtime/gooseberrylift-endpoint-tracker.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -16,31 +17,36 @@
 EndpointView ViewOf(const json& aHost)
 {
   return {
-    .name_ = aHost.value("name", ""),
-    .address_ = aHost.value("address", ""),
-    .pool_ = aHost.value("pool", ""),
-    .zone_ = aHost.value("zone", ""),
-    .kind_ = aHost.value("kind", "engine") == "service" ? EndpointKind::kService
-                                                        : EndpointKind::kEngine,
-    .state_ = aHost.value("state", "live") == "leaving"
+    .name_ = JsonFieldOr(aHost, "name", std::string()),
+    .address_ = JsonFieldOr(aHost, "address", std::string()),
+    .pool_ = JsonFieldOr(aHost, "pool", std::string()),
+    .zone_ = JsonFieldOr(aHost, "zone", std::string()),
+    .kind_ = JsonFieldOr(aHost, "kind", std::string("engine")) == "service"
+               ? EndpointKind::kService
+               : EndpointKind::kEngine,
+    .state_ = JsonFieldOr(aHost, "state", std::string("live")) == "leaving"
                 ? EndpointState::kLeaving
                 : EndpointState::kLive,
-    .incarnation_ = aHost.value("incarnation", std::uint64_t{ 0 }),
+    .incarnation_ = JsonFieldOr(aHost, "incarnation", std::uint64_t{ 0 }),
   };
 }
 
 EndpointReport ReportOf(const json& aBody, TimePoint aNow)
 {
   EndpointReport report;
-  report.leaving_ = aBody.value("state", "live") == "leaving";
-  report.incarnation_ = aBody.value("incarnation", std::uint64_t{ 0 });
-  report.load_.at_ = aNow - std::chrono::milliseconds(aBody.value("age_ms", 0));
+  report.leaving_ =
+    JsonFieldOr(aBody, "state", std::string("live")) == "leaving";
+  report.incarnation_ = JsonFieldOr(aBody, "incarnation", std::uint64_t{ 0 });
+  report.load_.at_ =
+    aNow - std::chrono::milliseconds(JsonFieldOr(aBody, "age_ms", 0));
   report.load_.waitingTokens_ =
-    aBody.value("waiting_tokens", std::uint64_t{ 0 });
-  report.load_.running_ = aBody.value("running", 0);
-  report.load_.waiting_ = aBody.value("waiting", 0);
-  report.load_.kvTokensUsed_ = aBody.value("kv_used", std::uint64_t{ 0 });
-  report.load_.kvTokensTotal_ = aBody.value("kv_total", std::uint64_t{ 0 });
+    JsonFieldOr(aBody, "waiting_tokens", std::uint64_t{ 0 });
+  report.load_.running_ = JsonFieldOr(aBody, "running", 0);
+  report.load_.waiting_ = JsonFieldOr(aBody, "waiting", 0);
+  report.load_.kvTokensUsed_ =
+    JsonFieldOr(aBody, "kv_used", std::uint64_t{ 0 });
+  report.load_.kvTokensTotal_ =
+    JsonFieldOr(aBody, "kv_total", std::uint64_t{ 0 });
   return report;
 }
 
@@ -122,7 +128,7 @@
                            TimerService::Now() + options_.listPoll_);
   json body;
   if (response && response.value().status_ == 200) {
-    body = json::parse(response.value().body_, nullptr, false);
+    body = ParseJson(response.value().body_);
   }
   if (!body.is_object()) {
     if (!listUnavailable_.exchange(true)) {
@@ -132,7 +138,7 @@
   }
   listUnavailable_ = false;
   std::vector<EndpointView> listed;
-  for (const json& host : body.value("hosts", json::array())) {
+  for (const json& host : JsonFieldOr(body, "hosts", json::array())) {
     listed.push_back(ViewOf(host));
   }
   bool changed = false;
@@ -168,7 +174,7 @@
   const TimePoint now = TimerService::Now();
   json body;
   if (response && response.value().status_ == 200) {
-    body = json::parse(response.value().body_, nullptr, false);
+    body = ParseJson(response.value().body_);
   }
   bool changed = false;
   {
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gooseberrylift/gooseberrylift-attempt-errors.h"
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/gooseberrylift-sse.h"
 #include "gooseberrylift/internal/gooseberrylift-failed-attempt.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
@@ -418,8 +419,9 @@
   const std::string& aData,
   TokenSink& aSink)
 {
-  const json event = json::parse(aData, nullptr, false);
-  if (!event.is_object() || !event.contains("choices")) {
+  const json event = ParseJson(aData);
+  const json choices = JsonFieldOr(event, "choices", json::array());
+  if (choices.empty()) {
     co_return Error{ .code_ = ResultCode::kEndpointBroken,
                      .text_ =
                        "an event of the stream is not a completion chunk",
@@ -427,11 +429,12 @@
   }
   // The engine echoes the request's id in every event. An event of another
   // request, late or misrouted, must not reach this caller.
-  if (event.value("id", "") != aGeneration.requestId_) {
+  if (JsonFieldOr(event, "id", std::string()) != aGeneration.requestId_) {
     co_return Error{ .code_ = ResultCode::kEndpointCrossed,
                      .ran_ = RanState::kUnknown };
   }
-  const std::uint64_t index = event.value("token_index", aProgress.next_);
+  const std::uint64_t index =
+    JsonFieldOr(event, "token_index", aProgress.next_);
   if (index < aProgress.next_) {
     // The engine resumed at an earlier token.
     co_return boost::outcome_v2::success();
@@ -448,14 +451,15 @@
     metrics_.RecordFirstToken(
       aGeneration.info_.service_, aGeneration.info_.promptTokens_, elapsed);
   }
-  const json& choice = event.at("choices").at(0);
-  const json reason = choice.value("finish_reason", json());
+  const json& choice = choices.front();
+  const auto reason = JsonFieldOr(choice, "finish_reason", std::string());
+  const json delta = JsonFieldOr(choice, "delta", json::object());
   const TokenEvent token{ .index_ = index,
-                          .text_ = choice.contains("delta")
-                                     ? choice["delta"].value("content", "")
-                                     : choice.value("text", ""),
-                          .finishReason_ =
-                            reason.is_string() ? reason.get<std::string>() : "",
+                          .text_ =
+                            choice.contains("delta")
+                              ? JsonFieldOr(delta, "content", std::string())
+                              : JsonFieldOr(choice, "text", std::string()),
+                          .finishReason_ = reason,
                           .raw_ = aData };
   const bool taken = co_await aSink.OnToken(token);
   if (!taken) {
--- a/src/runtime/gooseberrylift-peer-exchange.cc
+++ b/src/runtime/gooseberrylift-peer-exchange.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "gooseberrylift/gooseberrylift-digest-codec.h"
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-member-list.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
@@ -432,8 +433,10 @@
     fetching_ = false;
   }
   if (answer) {
-    parts_.offer_({ .generation_ = answer.value().value("generation", 0ULL),
-                    .text_ = answer.value().value("text", "") });
+    const json& document = answer.value();
+    parts_.offer_(
+      { .generation_ = JsonFieldOr(document, "generation", std::uint64_t{ 0 }),
+        .text_ = JsonFieldOr(document, "text", std::string()) });
   }
 }
 
--- a/test/integration/gooseberrylift-unreadable-entry-test.cc
+++ b/test/integration/gooseberrylift-unreadable-entry-test.cc
@@ -179,3 +179,22 @@
              .status_ == 200;
   }));
 }
+
+// Guards against a task of the peer exchange that ends by an exception at a
+// member list of another writer.
+TEST(UnreadableEntryTest, JoinsItsPeersBesideMemberListsOfAnotherWriter)
+{
+  GatewayDeployment deployment({ .hosts_ = 2 });
+  deployment.Put("members/aa-text", "not an object");
+  deployment.Put("members/aa-list", { { "members", 5 } });
+  deployment.Put(
+    "members/aa-item",
+    { { "members", { 7, { { "host", 7 }, { "address", {} } } } } });
+  Host late(LoneSettings(deployment));
+  CHECK_TRUE(WaitUntil(10s, [&] {
+    const auto members =
+      Send(deployment.Store().Port(), MakeRequest("/-/objects/members"));
+    return members.value().body_.find("host-late") != std::string::npos;
+  }));
+  CHECK_TRUE(late.Handle().WaitForLine("\"event\":1007", 2s).empty());
+}
