--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "gooseberrylift/gooseberrylift-json-spelling.h"
+#include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/gooseberrylift-schema.h"
 
 namespace gooseberrylift {
@@ -291,7 +292,7 @@
 
 leaf::result<Settings> Settings::Parse(std::string_view aText)
 {
-  json document = json::parse(aText, nullptr, false);
+  json document = ParseJson(aText);
   if (document.is_discarded()) {
     return InvalidSettings("<root>: not valid JSON");
   }
