Answer what callers send while a stopping host closes connections

Callers that open new connections through the moment at which a stopping host closes its listener got an end of file instead of an answer; so did pipelined requests behind a response with "Connection: close", requests on a connection whose last response had promised to keep it, and bodies still coming at the drain limit.

Cause: after the lag, Drain closed the listener with connections in its queue, then every idle connection at once, also those whose first request was about to arrive. A connection accepted just before the close was dropped by the accept loop. A session ended whenever the drain had begun, whatever its last response had said, and the process ended while sessions still lingered.

After the lag the server now makes the kernel drop new handshakes for 2 ms (a socket filter; where it is not available this step is left out), accepts until the queue is empty and closes the listener. A response keeps the connection while further bytes have arrived, and the next request is read wherever a response has promised to. Drain ends when all connections are closed. At the limit, a request that is still being read gets 503 "not run". Events 1017 and 1018 and a counter of connections closed with unanswered bytes show what a stop did.

--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -6,9 +6,11 @@
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_HTTP_SERVER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -91,6 +93,11 @@
   virtual void KeepRunningWithoutCaller() = 0;
 
   virtual AbortReason Reason() const = 0;
+
+  /// Returns when the handler is cancelled because the host stops, if the
+  /// request arrived after the host began to close connections. A handler
+  /// refuses what would take longer.
+  virtual std::optional<TimePoint> LatestEnd() const = 0;
 };
 
 using HttpHandler =
@@ -116,6 +123,9 @@
     std::chrono::milliseconds bodyTimeout_{ 60'000 };
     std::chrono::milliseconds idleTimeout_{ 75'000 };
     std::chrono::milliseconds writeTimeout_{ 30'000 };
+    // Is called for each connection that is closed while bytes of the caller
+    // have got no answer.
+    std::function<void()> onClosedUnread_{};
   };
 
   HttpServer(boost::asio::any_io_executor aExecutor,
@@ -144,21 +154,42 @@
   /// Returns the listening port, or 0 before Listen.
   std::uint16_t Port() const;
 
+  struct DrainOptions
+  {
+    // How long new connections are still accepted, in which the load balancer
+    // removes this host.
+    std::chrono::milliseconds lag_{};
+    // When to stop waiting for active requests.
+    TimePoint limit_{};
+    // Is called after the lag with the number of open connections.
+    std::function<void(std::size_t aConnections)> onClosing_{};
+  };
+
+  // What happened after the lag of a drain.
+  struct DrainReport
+  {
+    std::size_t accepted_ = 0;    // connections
+    std::size_t idleClosed_ = 0;  // connections without a request
+    std::size_t refused_ = 0;     // requests answered 503
+    std::size_t active_ = 0;      // requests still active at the limit
+    std::size_t connections_ = 0; // still open at the limit
+  };
+
   /// Shuts down gracefully. Responses carry "Connection: close" from now on.
-  /// After aGracePeriod, in which the load balancer removes this host, closes
-  /// the listener and idle connections and waits for active requests.
-  /// @param aGracePeriod how long new requests are still accepted
-  /// @param aDeadline when to stop waiting for active requests
-  /// @return the number of requests that were still active
-  boost::asio::awaitable<std::size_t> Drain(
-    std::chrono::milliseconds aGracePeriod,
-    TimePoint aDeadline);
+  /// After the lag, accepts what callers take for accepted, closes the listener
+  /// and waits until all connections are closed: idle ones after a moment, the
+  /// others after their responses.
+  boost::asio::awaitable<DrainReport> Drain(DrainOptions aOptions);
 
   /// Returns the number of requests that are being read or handled.
   std::size_t ActiveRequests() const;
 
+  /// Returns the number of open connections.
+  std::size_t Connections() const;
+
   /// Cancels all running handlers with the reason kStopping, so that they can
-  /// still send an error response.
+  /// still send an error response, answers requests that are being read with
+  /// 503, and closes idle connections.
   void Abort();
 
   /// Closes the listener and all connections immediately.
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -33,6 +33,8 @@
   kStopped = 1005,
   kHostPaused = 1006,
   kTaskFailed = 1007,
+  kConnectionsClosing = 1017,
+  kConnectionsClosed = 1018,
   kConfigurationApplied = 1100,
   kConfigurationRejected = 1101,
   kStoreLost = 1102,
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -144,7 +144,8 @@
         .maxBodyBytes_ = settings_.maxBodyBytes_,
         .headerTimeout_ = settings_.headerTimeout_,
         .bodyTimeout_ = settings_.bodyTimeout_,
-        .writeTimeout_ = settings_.writeTimeout_ },
+        .writeTimeout_ = settings_.writeTimeout_,
+        .onClosedUnread_ = ClosedUnreadCounter(metrics_) },
       [this](HttpExchange& aExchange) { return callerApi_.Handle(aExchange); })
   , adminServer_(
       context_.get_executor(),
@@ -238,16 +239,21 @@
 {
   Log(LogEvent::kDrainStarted);
   board_.host_.Write({ .draining_ = true });
-  const std::size_t abortedRequests = co_await callerServer_.Drain(
-    settings_.drainLag_,
-    TimerService::Now() + settings_.drainLag_ + settings_.drainLimit_);
+  HttpServer::DrainOptions options{
+    .lag_ = settings_.drainLag_,
+    .limit_ = TimerService::Now() + settings_.drainLag_ + settings_.drainLimit_,
+    .onClosing_ = LogClosing
+  };
+  const HttpServer::DrainReport report =
+    co_await callerServer_.Drain(std::move(options));
+  LogClosed(report);
   // Outcomes of at-most-once calls are recorded after the answer is sent; a
   // host that exited earlier would leave them as "unknown".
   const TimePoint limit = TimerService::Now() + settings_.drainLag_;
   while (!once_.Idle() && TimerService::Now() < limit) {
     co_await TimerService::SleepFor(std::chrono::milliseconds(10));
   }
-  Log(LogEvent::kDrainFinished, { { "cut", abortedRequests } });
+  Log(LogEvent::kDrainFinished, { { "cut", report.active_ } });
 }
 
 } // namespace gooseberrylift
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -236,7 +236,8 @@
       { .address_ = settings_.caller_.address_,
         .port_ = settings_.caller_.port_,
         .maxConnections_ = settings_.caller_.maxConnections_,
-        .writeTimeout_ = settings_.writeTimeout_ },
+        .writeTimeout_ = settings_.writeTimeout_,
+        .onClosedUnread_ = ClosedUnreadCounter(metrics_) },
       [this](HttpExchange& aExchange) { return front_.Handle(aExchange); })
   , readyServer_(
       context_.get_executor(),
@@ -619,8 +620,13 @@
   board_.host_.Write({ .draining_ = true });
   const TimePoint limit =
     TimerService::Now() + settings_.drainLag_ + settings_.drainLimit_;
-  std::size_t abortedRequests =
-    co_await callerServer_.Drain(settings_.drainLag_, limit);
+  HttpServer::DrainOptions options{ .lag_ = settings_.drainLag_,
+                                    .limit_ = limit,
+                                    .onClosing_ = LogClosing };
+  const HttpServer::DrainReport report =
+    co_await callerServer_.Drain(std::move(options));
+  LogClosed(report);
+  std::size_t abortedRequests = report.active_;
   while (relayServer_.Active() > 0 && TimerService::Now() < limit) {
     co_await TimerService::SleepFor(kRelayDrainPoll);
   }
--- a/src/host/gooseberrylift-host-stop.cc
+++ b/src/host/gooseberrylift-host-stop.cc
@@ -41,6 +41,27 @@
 
 } // namespace
 
+void LogClosing(std::size_t aConnections)
+{
+  Log(LogEvent::kConnectionsClosing, { { "connections", aConnections } });
+}
+
+void LogClosed(const HttpServer::DrainReport& aReport)
+{
+  Log(LogEvent::kConnectionsClosed,
+      { { "accepted", aReport.accepted_ },
+        { "idle_closed", aReport.idleClosed_ },
+        { "refused", aReport.refused_ },
+        { "connections", aReport.connections_ } });
+}
+
+std::function<void()> ClosedUnreadCounter(Metrics& aMetrics)
+{
+  return [&aMetrics] {
+    aMetrics.Count("gooseberrylift_connections_closed_unread_total");
+  };
+}
+
 void FinishStop(boost::asio::io_context& aContext,
                 const std::vector<HttpServer*>& aServers)
 {
@@ -51,7 +72,7 @@
   RunUntil(aContext, kAnswerTimeout, [&aServers] {
     return std::all_of(
       aServers.begin(), aServers.end(), [](const HttpServer* aServer) {
-        return aServer->ActiveRequests() == 0;
+        return aServer->Connections() == 0;
       });
   });
   for (HttpServer* server : aServers) {
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 
 #include "gooseberrylift-http-session.h"
+#include "gooseberrylift-listener.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -15,6 +16,10 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+// How long handshakes under way may take once new ones are dropped. Callers
+// whose handshakes are dropped try again after a second.
+constexpr std::chrono::milliseconds kHandshakeTime{ 2 };
+
 } // namespace
 
 std::string_view NameOf(AbortReason aReason)
@@ -64,8 +69,11 @@
   Outcome<std::uint16_t> Listen();
   asio::awaitable<void> AcceptLoop();
   void StopAccepting();
-  void CloseSessions(bool aOnlyIdle);
-  void AbortSessions();
+  asio::awaitable<void> CloseListener();
+  void SetPhase(DrainPhase aPhase);
+  void CloseSessions();
+  std::size_t CountSessions();
+  bool HasRoom();
 
   asio::any_io_executor executor_;
   std::shared_ptr<HttpServerState> state_ = std::make_shared<HttpServerState>();
@@ -108,7 +116,8 @@
   while (acceptor_.is_open()) {
     auto [code, socket] =
       co_await acceptor_.async_accept(asio::make_strand(executor_), kAwait);
-    if (code == asio::error::operation_aborted || !acceptor_.is_open()) {
+    // A connection may be accepted just before the acceptor is closed.
+    if (code && !acceptor_.is_open()) {
       co_return;
     }
     if (code) {
@@ -135,22 +144,52 @@
   });
 }
 
-void HttpServer::Impl::CloseSessions(bool aOnlyIdle)
+// Must run on the acceptor's strand.
+asio::awaitable<void> HttpServer::Impl::CloseListener()
 {
+  if (acceptor_.is_open() && DropNewHandshakes(acceptor_)) {
+    co_await TimerService::SleepFor(kHandshakeTime);
+  }
+  AcceptQueued(
+    acceptor_,
+    [this] { return asio::make_strand(executor_); },
+    [this](tcp::socket aSocket) {
+      if (HasRoom()) {
+        StartHttpSession(state_, std::move(aSocket));
+      }
+    });
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void HttpServer::Impl::SetPhase(DrainPhase aPhase)
+{
+  state_->phase_ = aPhase;
   const std::lock_guard lock(state_->mutex_);
   for (HttpSession* session : state_->sessions_) {
-    session->PostClose(aOnlyIdle);
+    session->PostPhase();
   }
 }
 
-void HttpServer::Impl::AbortSessions()
+void HttpServer::Impl::CloseSessions()
 {
   const std::lock_guard lock(state_->mutex_);
   for (HttpSession* session : state_->sessions_) {
-    session->PostAbort(AbortReason::kStopping);
+    session->PostClose();
   }
 }
 
+std::size_t HttpServer::Impl::CountSessions()
+{
+  const std::lock_guard lock(state_->mutex_);
+  return state_->sessions_.size();
+}
+
+bool HttpServer::Impl::HasRoom()
+{
+  return CountSessions() < state_->options_.maxConnections_;
+}
+
 HttpServer::HttpServer(asio::any_io_executor aExecutor,
                        Options aOptions,
                        HttpHandler aHandler)
@@ -181,19 +220,30 @@
   return impl_->port_;
 }
 
-asio::awaitable<std::size_t> HttpServer::Drain(
-  std::chrono::milliseconds aGracePeriod,
-  TimePoint aDeadline)
+asio::awaitable<HttpServer::DrainReport> HttpServer::Drain(
+  DrainOptions aOptions)
 {
   constexpr std::chrono::milliseconds kPollInterval{ 20 };
-  impl_->state_->draining_ = true;
-  co_await TimerService::SleepFor(aGracePeriod);
-  impl_->StopAccepting();
-  impl_->CloseSessions(true);
-  while (impl_->state_->active_ > 0 && TimerService::Now() < aDeadline) {
+  const auto impl = impl_;
+  impl->state_->drainLimit_ = aOptions.limit_;
+  impl->SetPhase(DrainPhase::kLag);
+  co_await TimerService::SleepFor(aOptions.lag_);
+  if (aOptions.onClosing_) {
+    aOptions.onClosing_(impl->CountSessions());
+  }
+  impl->SetPhase(DrainPhase::kClosing);
+  co_await asio::co_spawn(
+    impl->acceptor_.get_executor(), impl->CloseListener(), asio::use_awaitable);
+  while (impl->CountSessions() > 0 && TimerService::Now() < aOptions.limit_) {
     co_await TimerService::SleepFor(kPollInterval);
   }
-  co_return ActiveRequests();
+  const DrainCounts& counts = impl->state_->drainCounts_;
+  const DrainReport report{ .accepted_ = counts.Accepted(),
+                            .idleClosed_ = counts.IdleClosed(),
+                            .refused_ = counts.Refused(),
+                            .active_ = ActiveRequests(),
+                            .connections_ = impl->CountSessions() };
+  co_return report;
 }
 
 std::size_t HttpServer::ActiveRequests() const
@@ -201,17 +251,21 @@
   return static_cast<std::size_t>(impl_->state_->active_);
 }
 
+std::size_t HttpServer::Connections() const
+{
+  return impl_->CountSessions();
+}
+
 void HttpServer::Abort()
 {
-  impl_->state_->draining_ = true;
-  impl_->AbortSessions();
+  impl_->SetPhase(DrainPhase::kEnding);
 }
 
 void HttpServer::Close()
 {
-  impl_->state_->draining_ = true;
+  impl_->state_->phase_ = DrainPhase::kEnding;
   impl_->StopAccepting();
-  impl_->CloseSessions(false);
+  impl_->CloseSessions();
 }
 
 } // namespace gooseberrylift
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -1,10 +1,14 @@
 #include "gooseberrylift-http-session.h"
 
+#include <algorithm>
+#include <array>
+
 #include <poll.h>
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include "gooseberrylift-http-message.h"
 #include "gooseberrylift/internal/gooseberrylift-socket-deadline.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -20,39 +24,6 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-Error MakeReadError(const boost::system::error_code& aCode)
-{
-  if (aCode == http::error::body_limit) {
-    return { .code_ = ResultCode::kBodyTooLarge };
-  }
-  if (aCode == http::error::header_limit ||
-      aCode == http::error::buffer_overflow) {
-    return { .code_ = ResultCode::kHeadersTooLarge };
-  }
-  return { .code_ = ResultCode::kMalformedHttp, .text_ = aCode.message() };
-}
-
-HttpRequest ToHttpRequest(http::request<http::string_body>&& aMessage)
-{
-  HttpRequest request{ .method_ = std::string(aMessage.method_string()),
-                       .target_ = std::string(aMessage.target()) };
-  for (const auto& field : aMessage) {
-    request.fields_.push_back(
-      { std::string(field.name_string()), std::string(field.value()) });
-  }
-  request.body_ = std::move(aMessage.body());
-  return request;
-}
-
-template<typename Body>
-void CopyHead(http::response<Body>& aMessage, const HttpResponse& aResponse)
-{
-  aMessage.result(static_cast<unsigned>(aResponse.status_));
-  for (const HttpField& field : aResponse.fields_) {
-    aMessage.insert(field.name_, field.value_);
-  }
-}
-
 // A connection. All members run on the socket's strand except the constructor,
 // the destructor and the Post functions.
 class Connection
@@ -69,6 +40,7 @@
     socket_.set_option(tcp::no_delay(true), ignored);
     const tcp::endpoint peer = socket_.remote_endpoint(ignored);
     peer_ = peer.address().to_string() + ":" + std::to_string(peer.port());
+    server_->drainCounts_.OnAccepted(server_->phase_);
     const std::lock_guard lock(server_->mutex_);
     server_->sessions_.insert(this);
   }
@@ -85,7 +57,7 @@
     while (hasRequest) {
       co_await Handle();
       SetBusy(false);
-      hasRequest = reusable_ && !server_->draining_;
+      hasRequest = reusable_;
       if (hasRequest) {
         hasRequest = co_await ReadRequest();
       }
@@ -94,23 +66,21 @@
     co_await Linger();
   }
 
-  void PostClose(bool aOnlyIdle) override
+  void PostClose() override
   {
-    asio::post(socket_.get_executor(), [self = weak_from_this(), aOnlyIdle] {
-      const auto session = self.lock();
-      if (!session || (aOnlyIdle && !session->IsIdle())) {
-        return;
-      }
+    asio::post(socket_.get_executor(), [self = weak_from_this()] {
       boost::system::error_code ignored;
-      session->socket_.close(ignored);
+      if (const auto session = self.lock()) {
+        session->socket_.close(ignored);
+      }
     });
   }
 
-  void PostAbort(AbortReason aReason) override
+  void PostPhase() override
   {
-    asio::post(socket_.get_executor(), [self = weak_from_this(), aReason] {
+    asio::post(socket_.get_executor(), [self = weak_from_this()] {
       if (const auto session = self.lock()) {
-        session->Abort(aReason);
+        session->OnPhase();
       }
     });
   }
@@ -120,6 +90,7 @@
   const std::string& Peer() const override { return peer_; }
   bool ResponseStarted() const override { return started_; }
   AbortReason Reason() const override { return reason_; }
+  std::optional<TimePoint> LatestEnd() const override { return latestEnd_; }
   void KeepRunningWithoutCaller() override { keepRunning_ = true; }
 
   void Disconnect() override
@@ -154,7 +125,8 @@
     http::response<http::string_body> message;
     message.version(11);
     CopyHead(message, aResponse);
-    message.keep_alive(keepAlive_ && !server_->draining_);
+    message.keep_alive(KeepsConnection());
+    server_->drainCounts_.OnResponse(server_->phase_, aResponse.status_);
     message.body() = std::move(aResponse.body_);
     message.content_length(message.body().size());
     started_ = true;
@@ -176,7 +148,7 @@
     http::response<http::empty_body> message;
     message.version(11);
     CopyHead(message, aHead);
-    message.keep_alive(keepAlive_ && !server_->draining_);
+    message.keep_alive(KeepsConnection());
     message.chunked(true);
     started_ = true;
     streamKeepAlive_ = message.keep_alive();
@@ -213,6 +185,15 @@
   }
 
 private:
+  // What the connection awaits.
+  enum class Stage
+  {
+    kIdle,
+    kReading,
+    kHandling,
+    kLingering
+  };
+
   // A connection is busy from the first byte of a request to the last byte of
   // its response, so that Drain waits for a body that is still being received
   // as well as for a running handler.
@@ -224,12 +205,39 @@
     }
   }
 
-  // A connection with unread bytes is not idle. The bytes belong to a request,
-  // which a close would reset.
-  bool IsIdle() const
+  // Applies the present phase to what this connection awaits.
+  void OnPhase()
+  {
+    const bool ending = server_->phase_ == DrainPhase::kEnding;
+    if (stage_ == Stage::kIdle || stage_ == Stage::kLingering ||
+        (ending && stage_ == Stage::kReading)) {
+      boost::system::error_code ignored;
+      socket_.cancel(ignored);
+    }
+    if (ending) {
+      Abort(AbortReason::kStopping);
+    }
+  }
+
+  bool HasUnreadBytes() const
   {
     boost::system::error_code ignored;
-    return idle_ && socket_.available(ignored) == 0;
+    return buffer_.size() > 0 || socket_.available(ignored) > 0;
+  }
+
+  bool KeepsConnection() const
+  {
+    const DrainPhase phase = server_->phase_;
+    return keepAlive_ &&
+           gooseberrylift::KeepsConnection(
+             phase, phase != DrainPhase::kServing && HasUnreadBytes());
+  }
+
+  TimePoint IdleDeadline() const
+  {
+    const TimePoint limit = idleSince_ + server_->Limits().idleTimeout_;
+    return std::min(limit,
+                    IdleLimit(server_->phase_, idleSince_).value_or(limit));
   }
 
   // Sees a close even if unread bytes precede it.
@@ -258,12 +266,14 @@
   asio::awaitable<bool> ReadRequest()
   {
     if (buffer_.size() == 0) {
-      const bool arrived = co_await WaitForBytes();
-      if (!arrived) {
+      co_await WaitForBytes();
+      if (buffer_.size() == 0) {
         co_return false;
       }
     }
     SetBusy(true);
+    stage_ = Stage::kReading;
+    latestEnd_ = LatestEndOfNewRequest(server_->phase_, server_->drainLimit_);
     const HttpServer::Limits limits = server_->Limits();
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.maxHeaderBytes_);
@@ -276,6 +286,7 @@
     if (!bodyRead) {
       co_return false;
     }
+    stage_ = Stage::kHandling;
     keepAlive_ = parser.keep_alive();
     request_ = ToHttpRequest(parser.release());
     started_ = false;
@@ -285,18 +296,23 @@
     co_return true;
   }
 
-  asio::awaitable<bool> WaitForBytes()
+  asio::awaitable<void> WaitForBytes()
   {
-    idle_ = true;
-    const SocketDeadline guard(socket_,
-                               socket_.get_executor(),
-                               TimerService::Now() +
-                                 server_->Limits().idleTimeout_);
-    const auto [code, size] =
-      co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAwait);
-    idle_ = false;
-    buffer_.commit(size);
-    co_return !code;
+    stage_ = Stage::kIdle;
+    idleSince_ = TimerService::Now();
+    bool waits = true;
+    while (waits) {
+      const SocketDeadline guard(
+        socket_, socket_.get_executor(), IdleDeadline());
+      const auto [code, size] =
+        co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAwait);
+      buffer_.commit(size);
+      waits = code == asio::error::operation_aborted && socket_.is_open() &&
+              (HasUnreadBytes() || TimerService::Now() < IdleDeadline());
+    }
+    if (buffer_.size() == 0) {
+      server_->drainCounts_.OnIdleClosed(server_->phase_);
+    }
   }
 
   asio::awaitable<bool> ReadHeader(
@@ -340,12 +356,11 @@
   {
     keepAlive_ = false;
     request_ = {};
-    if (aTimedOut) {
-      co_await Send(ErrorResponse(MakeError(ResultCode::kCallerTooSlow), {}));
-    } else if (aCode.category() ==
-                 http::make_error_code(http::error::bad_method).category() &&
-               aCode != http::error::end_of_stream) {
-      co_await Send(ErrorResponse(MakeReadError(aCode), {}));
+    stage_ = Stage::kHandling;
+    const auto error =
+      MakeReadError(aCode, aTimedOut, server_->phase_ == DrainPhase::kEnding);
+    if (error) {
+      co_await Send(ErrorResponse(*error, {}));
     }
   }
 
@@ -422,23 +437,30 @@
   // caller may lose a response that is in transit.
   asio::awaitable<void> Linger()
   {
+    stage_ = Stage::kLingering;
     boost::system::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    const SocketDeadline guard(
-      socket_, socket_.get_executor(), TimerService::Now() + kLingerTimeout);
+    const TimePoint start = TimerService::Now();
+    bool unanswered = buffer_.size() > 0;
     std::array<char, kReadBytes> discarded;
-    while (true) {
+    bool waits = true;
+    while (waits) {
+      const SocketDeadline guard(
+        socket_, socket_.get_executor(), start + LingerTime(server_->phase_));
       const auto [code, size] =
         co_await socket_.async_read_some(asio::buffer(discarded), kAwait);
-      if (code) {
-        break;
-      }
+      unanswered = unanswered || size > 0;
+      waits =
+        !code || (code == asio::error::operation_aborted && socket_.is_open() &&
+                  TimerService::Now() < start + LingerTime(server_->phase_));
+    }
+    if (unanswered && server_->options_.onClosedUnread_) {
+      server_->options_.onClosedUnread_();
     }
     socket_.close(ignored);
   }
 
   static constexpr std::size_t kReadBytes = 4096;
-  static constexpr std::chrono::milliseconds kLingerTimeout{ 1000 };
   static constexpr std::chrono::milliseconds kDisconnectCheckInterval{ 100 };
 
   std::shared_ptr<HttpServerState> server_;
@@ -451,7 +473,9 @@
   TimerSubscription deadline_;
   TimerSubscription disconnectCheck_;
   AbortReason reason_ = AbortReason::kNone;
-  bool idle_ = false;
+  Stage stage_ = Stage::kIdle;
+  TimePoint idleSince_{};
+  std::optional<TimePoint> latestEnd_;
   bool busy_ = false;
   bool keepAlive_ = true;
   bool started_ = false;
--- a/src/net/gooseberrylift-http-session.h
+++ b/src/net/gooseberrylift-http-session.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "gooseberrylift/gooseberrylift-drain-policy.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
 
 namespace gooseberrylift {
@@ -22,12 +23,46 @@
 public:
   virtual ~HttpSession() = default;
 
-  /// Closes the connection. Thread-safe.
-  /// @param aOnlyIdle leave the connection open while a request is active
-  virtual void PostClose(bool aOnlyIdle) = 0;
+  /// Closes the connection at once. Thread-safe.
+  virtual void PostClose() = 0;
 
-  /// Cancels the running handler, if any. Thread-safe.
-  virtual void PostAbort(AbortReason aReason) = 0;
+  /// Applies the server's present phase; in the last one, cancels the running
+  /// handler, if any. Thread-safe.
+  virtual void PostPhase() = 0;
+};
+
+// Counts what a server does while it closes.
+class DrainCounts
+{
+public:
+  void OnAccepted(DrainPhase aPhase) { CountIfClosing(accepted_, aPhase); }
+  void OnIdleClosed(DrainPhase aPhase) { CountIfClosing(idleClosed_, aPhase); }
+
+  void OnResponse(DrainPhase aPhase, int aStatus)
+  {
+    if (aStatus == kServiceUnavailable) {
+      CountIfClosing(refused_, aPhase);
+    }
+  }
+
+  std::size_t Accepted() const { return accepted_; }
+  std::size_t IdleClosed() const { return idleClosed_; }
+  std::size_t Refused() const { return refused_; }
+
+private:
+  static constexpr int kServiceUnavailable = 503;
+
+  static void CountIfClosing(std::atomic<std::size_t>& aCount,
+                             DrainPhase aPhase)
+  {
+    if (aPhase == DrainPhase::kClosing || aPhase == DrainPhase::kEnding) {
+      ++aCount;
+    }
+  }
+
+  std::atomic<std::size_t> accepted_ = 0;
+  std::atomic<std::size_t> idleClosed_ = 0;
+  std::atomic<std::size_t> refused_ = 0;
 };
 
 // State shared by a server and its connections.
@@ -35,7 +70,9 @@
 {
   HttpServer::Options options_; // immutable; limits_ overrides its limits
   HttpHandler handler_;
-  std::atomic<bool> draining_ = false;
+  std::atomic<DrainPhase> phase_ = DrainPhase::kServing;
+  std::atomic<TimePoint> drainLimit_{}; // written before the phase kClosing
+  DrainCounts drainCounts_;
   std::atomic<std::ptrdiff_t> active_ = 0; // number of busy connections
   std::mutex mutex_;                       // guards sessions_ and limits_
   HttpServer::Limits limits_{};
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -61,6 +61,18 @@
                 "task-failed",
                 "A task, timer or handler of this host failed by an exception, "
                 "whose text is 'fault'; a loop is started again." },
+  LogEventInfo{ kConnectionsClosing,
+                LogLevel::kInfo,
+                "connections-closing",
+                "The lag of a graceful shutdown is over: the listener and the "
+                "callers' 'connections' are being closed." },
+  LogEventInfo{
+    kConnectionsClosed,
+    LogLevel::kInfo,
+    "connections-closed",
+    "The callers' connections are closed; 'connections' counts those that are "
+    "left at the limit. Since event 1017, 'accepted' connections were opened, "
+    "'idle_closed' had no request, and 'refused' requests got 503." },
   LogEventInfo{ kConfigurationApplied,
                 LogLevel::kInfo,
                 "configuration-applied",
