Refuse requests that may outlast a stop, and say that they have not run

A request that begins after a stopping host has closed its listener could reach an endpoint and be cut at the drain limit. One that was held by a host that had just started, and was aborted by a stop, got a refusal without Retry-After that said "unknown" instead of "not run".

Requests carry the time at which the stop aborts them. The front refuses those whose deadline is later; callers' requests of entry hosts are refused once the time has come. An abort before the first read of the store is answered with 503, Retry-After and "not run".

--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -62,7 +62,8 @@
   boost::asio::awaitable<void> WaitForFirstRead();
   Outcome<RoutedRequest> Resolve(const HttpRequest& aRequest,
                                  CallerRequestMetadata aFacts,
-                                 TimePoint aArrived);
+                                 TimePoint aArrived,
+                                 std::optional<TimePoint> aLatestEnd);
   void ApplyPromise(RoutedRequest& aRequest);
   boost::asio::awaitable<Outcome<void>> RunRequest(HttpExchange& aExchange,
                                                    RequestRun& aRun);
@@ -70,6 +71,8 @@
                                                  const std::string& aAttemptId,
                                                  RelayOutcome aOutcome,
                                                  const Relayed* aRelayed);
+  boost::asio::awaitable<void> SendStoppingError(HttpExchange& aExchange,
+                                                 TimePoint aArrived);
   void RecordSuccess(const RoutedRequest& aRequest, const RequestRun& aRun);
   void RecordTruncation(const RoutedRequest& aRequest,
                         const RequestRun& aRun,
--- a/src/front/gooseberrylift-caller-api.cc
+++ b/src/front/gooseberrylift-caller-api.cc
@@ -302,6 +302,9 @@
   if (aExchange.HasCallerLeft()) {
     co_return Error{ .code_ = ResultCode::kCallerLeft };
   }
+  if (TimerService::Now() >= aExchange.LatestEnd().value_or(TimePoint::max())) {
+    co_return MakeError(ResultCode::kShuttingDown);
+  }
   const HttpRequest& request = aExchange.Request();
   const std::string_view path = request.Path();
   const auto* route = std::find_if(
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -41,6 +41,13 @@
   return error;
 }
 
+Error MakeStoppingError()
+{
+  Error error = MakeError(ResultCode::kShuttingDown);
+  error.retryAfter_ = RandomRetryDelay();
+  return error;
+}
+
 } // namespace
 
 int HttpStatusOf(const Error& aError)
@@ -62,9 +69,11 @@
 {
 }
 
-Outcome<RoutedRequest> GatewayFront::Resolve(const HttpRequest& aRequest,
-                                             CallerRequestMetadata aFacts,
-                                             TimePoint aArrived)
+Outcome<RoutedRequest> GatewayFront::Resolve(
+  const HttpRequest& aRequest,
+  CallerRequestMetadata aFacts,
+  TimePoint aArrived,
+  std::optional<TimePoint> aLatestEnd)
 {
   RoutedRequest request{ .id_ = ++nextId_,
                          .table_ = parts_.board_.routes_.Read()->table_,
@@ -112,6 +121,9 @@
   const milliseconds timeout =
     request.facts_.callerTimeout_.value_or(request.route_->timeout_);
   request.deadline_ = aArrived + std::min(timeout, request.route_->timeout_);
+  if (aLatestEnd && request.deadline_ > *aLatestEnd) {
+    return MakeStoppingError();
+  }
   return request;
 }
 
@@ -146,10 +158,34 @@
 asio::awaitable<void> GatewayFront::Handle(HttpExchange& aExchange)
 {
   const TimePoint arrived = TimerService::Now();
-  co_await WaitForFirstRead();
+  bool stopped = false;
+  try {
+    co_await WaitForFirstRead();
+  } catch (const boost::system::system_error&) {
+    stopped = aExchange.Reason() == AbortReason::kStopping;
+    if (!stopped) {
+      throw;
+    }
+  }
+  if (stopped) {
+    co_await asio::this_coro::reset_cancellation_state();
+    co_await SendStoppingError(aExchange, arrived);
+    co_return;
+  }
   co_await Serve(aExchange, arrived, nullptr);
 }
 
+asio::awaitable<void> GatewayFront::SendStoppingError(HttpExchange& aExchange,
+                                                      TimePoint aArrived)
+{
+  const std::string attemptId =
+    parts_.dialect_.ParseCallerRequest(aExchange.Request()).attemptId_;
+  RelayOutcome outcome;
+  outcome.error_ = MakeStoppingError();
+  RecordFailure(attemptId, {}, outcome.error_, aArrived, nullptr);
+  co_await SendErrorResponse(aExchange, attemptId, outcome, nullptr);
+}
+
 asio::awaitable<void> GatewayFront::HandleRelayed(HttpExchange& aExchange,
                                                   Relayed aRelayed)
 {
@@ -163,7 +199,8 @@
   CallerRequestMetadata facts =
     parts_.dialect_.ParseCallerRequest(aExchange.Request());
   const std::string attemptId = facts.attemptId_;
-  auto request = Resolve(aExchange.Request(), std::move(facts), aArrived);
+  auto request = Resolve(
+    aExchange.Request(), std::move(facts), aArrived, aExchange.LatestEnd());
   if (request && aRelayed != nullptr &&
       request.value().table_->Version() < aRelayed->terms_.generation_) {
     request = MakeNotConfiguredError();
--- a/test/integration/gooseberrylift-stop-connections-test.cc
+++ b/test/integration/gooseberrylift-stop-connections-test.cc
@@ -360,6 +360,24 @@
   LONGS_EQUAL(0, host->Handle().WaitForExit(kStopLimit));
 }
 
+// Guards against a request that begins late in a stop, reaches an endpoint and
+// is cut off.
+TEST(StopConnectionsTest, RefusesARequestThatMayOutlastTheStop)
+{
+  const auto host = StartHost(1s);
+  SendSigterm(*host);
+  std::this_thread::sleep_for(kLag - 100ms);
+  RawConnection wire(host->Port());
+  CHECK_FALSE(host->Handle().WaitForLine("\"event\":1017", kStopLimit).empty());
+  CHECK_TRUE(wire.Write(RawRequest("POST", "at-1", "a body")));
+  CHECK_TRUE(wire.ReadToEnd());
+  LONGS_EQUAL(503, wire.Status());
+  LONGS_EQUAL(64, wire.Code());
+  STRCMP_CONTAINS("Retry-After", wire.Received().c_str());
+  LONGS_EQUAL(0, deployment_.Count("arrived", "at-1"));
+  LONGS_EQUAL(0, host->Handle().WaitForExit(kStopLimit));
+}
+
 // Guards against a body that is cut off without an answer at the drain limit.
 TEST(StopConnectionsTest, Answers503ToABodyThatIsStillComingAtTheLimit)
 {
@@ -406,3 +424,18 @@
   CHECK_TRUE(wire.Received().find("HTTP/1.1", 1) != std::string::npos);
   LONGS_EQUAL(0, host->Handle().WaitForExit(kStopLimit));
 }
+
+// Guards against a refusal that does not say that the request has not run.
+TEST(StopConnectionsTest, RefusesARequestHeldByAHostThatHasJustStarted)
+{
+  deployment_.Store().Handle().Signal(SIGSTOP);
+  const auto host = StartUnreadyHost(deployment_, 10ms, 50ms);
+  RawConnection wire(host->Port());
+  CHECK_TRUE(wire.Write(RawRequest("GET", "at-1")));
+  host->Handle().Signal(SIGTERM);
+  CHECK_TRUE(wire.ReadToEnd());
+  deployment_.Store().Handle().Signal(SIGCONT);
+  LONGS_EQUAL(503, wire.Status());
+  STRCMP_CONTAINS("Retry-After", wire.Received().c_str());
+  LONGS_EQUAL(0, host->Handle().WaitForExit(kStopLimit));
+}
