--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -37,6 +37,8 @@
   kSettingsAwaited = 1008,
   kSettingsUnavailable = 1013,
   kSettingsNeedRestart = 1014,
+  kConnectionsClosing = 1017,
+  kConnectionsClosed = 1018,
   kConfigurationApplied = 1100,
   kConfigurationRejected = 1101,
   kStoreLost = 1102,
