--- a/src/cli/gooseberrylift-serve.cc
+++ b/src/cli/gooseberrylift-serve.cc
@@ -6,6 +6,7 @@
 #include <boost/leaf/error.hpp>
 
 #include "gooseberrylift/gooseberrylift-settings.h"
+#include "gooseberrylift/internal/gooseberrylift-descriptor-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-entry-host.h"
 #include "gooseberrylift/internal/gooseberrylift-gateway-host.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
@@ -29,6 +30,8 @@
 {
   BOOST_LEAF_AUTO(settings, Settings::Parse(aFile.text_));
   StartLogging(settings.logLevel_, settings.hostName_);
+  settings.caller_.maxConnections_ = BoundCallerConnections(
+    settings.caller_.maxConnections_, RaiseDescriptorLimit());
   const auto ended =
     settings.gateway_ ? GatewayHost(std::move(settings), std::move(aFile)).Run()
                       : EntryHost(std::move(settings)).Run();
--- a/src/core/gooseberrylift-json-spelling.cc
+++ b/src/core/gooseberrylift-json-spelling.cc
@@ -280,8 +280,14 @@
       }
       aValue = std::move(parts);
     }
-    if (aValue.is_array()) {
-      EraseEmpty(aValue);
+    if (!aValue.is_array()) {
+      return;
+    }
+    EraseEmpty(aValue);
+    if (aField.contains("items")) {
+      for (json& entry : aValue) {
+        NormalizeValue(entry, Resolve(aField.at("items")));
+      }
     }
   }
 
--- a/src/net/gooseberrylift-listener.h
+++ b/src/net/gooseberrylift-listener-close.h
@@ -1,8 +1,8 @@
 // Closing a listening socket without a loss of connections that callers take
 // for accepted.
 
-#ifndef GOOSEBERRYLIFT_NET_GOOSEBERRYLIFT_LISTENER_H_
-#define GOOSEBERRYLIFT_NET_GOOSEBERRYLIFT_LISTENER_H_
+#ifndef GOOSEBERRYLIFT_NET_GOOSEBERRYLIFT_LISTENER_CLOSE_H_
+#define GOOSEBERRYLIFT_NET_GOOSEBERRYLIFT_LISTENER_CLOSE_H_
 
 #include <functional>
 
@@ -25,4 +25,4 @@
 
 } // namespace gooseberrylift
 
-#endif // GOOSEBERRYLIFT_NET_GOOSEBERRYLIFT_LISTENER_H_
+#endif // GOOSEBERRYLIFT_NET_GOOSEBERRYLIFT_LISTENER_CLOSE_H_
