Give callers farther away, and kept connections, a moment as a stop closes

Handshakes now get 20 ms. The moment for a request counts from the beginning of the closing at the earliest, and the linger after it is 100 ms.

--- a/include/gooseberrylift/gooseberrylift-drain-policy.h
+++ b/include/gooseberrylift/gooseberrylift-drain-policy.h
@@ -28,7 +28,10 @@
 /// Returns when a connection without a request is closed; nothing if the drain
 /// sets no limit.
 /// @param aIdleSince when it was accepted or its last response ended
-std::optional<TimePoint> IdleLimit(DrainPhase aPhase, TimePoint aIdleSince);
+/// @param aClosingSince when the phase kClosing began; unused before
+std::optional<TimePoint> IdleLimit(DrainPhase aPhase,
+                                   TimePoint aIdleSince,
+                                   TimePoint aClosingSince);
 
 /// Returns how long a connection that the server has shut down waits for the
 /// caller to close it.
--- a/src/core/gooseberrylift-drain-policy.cc
+++ b/src/core/gooseberrylift-drain-policy.cc
@@ -1,5 +1,7 @@
 #include "gooseberrylift/gooseberrylift-drain-policy.h"
 
+#include <algorithm>
+
 namespace gooseberrylift {
 
 using std::chrono::milliseconds;
@@ -13,7 +15,7 @@
 constexpr milliseconds kLingerTime{ 1000 };
 // Callers that keep connections open until the process is gone would use the
 // whole time.
-constexpr milliseconds kClosingLingerTime{ 200 };
+constexpr milliseconds kClosingLingerTime{ 100 };
 constexpr milliseconds kEndingLingerTime{ 50 };
 
 } // namespace
@@ -24,11 +26,13 @@
          (aPhase != DrainPhase::kEnding && aMoreArrived);
 }
 
-std::optional<TimePoint> IdleLimit(DrainPhase aPhase, TimePoint aIdleSince)
+std::optional<TimePoint> IdleLimit(DrainPhase aPhase,
+                                   TimePoint aIdleSince,
+                                   TimePoint aClosingSince)
 {
   switch (aPhase) {
     case DrainPhase::kClosing:
-      return aIdleSince + kRequestWait;
+      return std::max(aIdleSince, aClosingSince) + kRequestWait;
     case DrainPhase::kEnding:
       return aIdleSince;
     default:
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -22,7 +22,7 @@
 
 // How long handshakes under way may take once new ones are dropped. Callers
 // whose handshakes are dropped try again after a second.
-constexpr std::chrono::milliseconds kHandshakeTime{ 2 };
+constexpr std::chrono::milliseconds kHandshakeTime{ 20 };
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
 constexpr std::chrono::milliseconds kRoomPollInterval{ 10 };
 
@@ -255,6 +255,7 @@
   if (aOptions.onClosing_) {
     aOptions.onClosing_(impl->CountSessions());
   }
+  impl->state_->closingSince_ = TimerService::Now();
   impl->SetPhase(DrainPhase::kClosing);
   co_await asio::co_spawn(
     impl->acceptor_.get_executor(), impl->CloseListener(), asio::use_awaitable);
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -236,8 +236,9 @@
   TimePoint IdleDeadline() const
   {
     const TimePoint limit = idleSince_ + server_->Limits().idleTimeout_;
-    return std::min(limit,
-                    IdleLimit(server_->phase_, idleSince_).value_or(limit));
+    const auto drainLimit =
+      IdleLimit(server_->phase_, idleSince_, server_->closingSince_);
+    return std::min(limit, drainLimit.value_or(limit));
   }
 
   // Sees a close even if unread bytes precede it.
--- a/src/net/gooseberrylift-http-session.h
+++ b/src/net/gooseberrylift-http-session.h
@@ -71,7 +71,9 @@
   HttpServer::Options options_; // immutable; limits_ overrides its limits
   HttpHandler handler_;
   std::atomic<DrainPhase> phase_ = DrainPhase::kServing;
-  std::atomic<TimePoint> drainLimit_{}; // written before the phase kClosing
+  // Written before the phase kClosing.
+  std::atomic<TimePoint> drainLimit_{};
+  std::atomic<TimePoint> closingSince_{};
   DrainCounts drainCounts_;
   std::atomic<std::ptrdiff_t> active_ = 0; // number of busy connections
   std::mutex mutex_;                       // guards sessions_ and limits_
--- a/test/core/gooseberrylift-drain-policy-test.cc
+++ b/test/core/gooseberrylift-drain-policy-test.cc
@@ -25,11 +25,20 @@
 // The whole stop is limited, so idle connections may not prolong it much.
 TEST(DrainPolicyTest, GivesANewConnectionAMomentForItsRequest)
 {
-  CHECK_FALSE(IdleLimit(DrainPhase::kLag, kStart).has_value());
-  const TimePoint limit = IdleLimit(DrainPhase::kClosing, kStart).value();
+  CHECK_FALSE(IdleLimit(DrainPhase::kLag, kStart, {}).has_value());
+  const TimePoint limit =
+    IdleLimit(DrainPhase::kClosing, kStart, kStart - 1s).value();
   CHECK_TRUE(limit >= kStart + 100ms);
   CHECK_TRUE(limit + LingerTime(DrainPhase::kClosing) <= kStart + 500ms);
-  CHECK_TRUE(IdleLimit(DrainPhase::kEnding, kStart) == kStart);
+  CHECK_TRUE(IdleLimit(DrainPhase::kEnding, kStart, kStart) == kStart);
+}
+
+// Guards against requests on kept connections that cross their common close.
+TEST(DrainPolicyTest, GivesAConnectionThatWasIdleTheSameMoment)
+{
+  const TimePoint limit =
+    IdleLimit(DrainPhase::kClosing, kStart - 1min, kStart).value();
+  CHECK_TRUE(limit >= kStart + 100ms);
 }
 
 TEST(DrainPolicyTest, LimitsRequestsThatArriveWhileItCloses)
