Retry a port that is held every 100 ms at most

A host that replaces another one on its ports was closed to callers for up to a second after those had become free, since the delay between attempts grew to a second.

--- a/src/host/gooseberrylift-listeners.cc
+++ b/src/host/gooseberrylift-listeners.cc
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr milliseconds kFirstRetryDelay{ 50 };
-constexpr milliseconds kMaxRetryDelay{ 1000 };
+constexpr milliseconds kMaxRetryDelay{ 100 };
 constexpr std::chrono::seconds kLogInterval{ 5 };
 
 // Attempts with a port chosen by the system, which may be in use for the other
