A failure to report or to drain ends neither the process nor its stop

Reporting an exception allocates, so that an exception for want of memory could end the process by a second one, and keep its task listed. A drain that threw left the host neither ready nor ending until SIGKILL.

--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -48,6 +48,7 @@
   void StartControllers();
   void AddRoutes();
   boost::asio::awaitable<void> WaitForStop();
+  boost::asio::awaitable<void> DrainOrFail();
   boost::asio::awaitable<void> Drain();
 
   Settings settings_;
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -73,6 +73,7 @@
   boost::asio::awaitable<void> HandleAdmin(HttpExchange& aExchange);
   boost::asio::awaitable<void> HandlePeer(HttpExchange& aExchange);
   boost::asio::awaitable<void> WaitForStop();
+  boost::asio::awaitable<void> DrainOrFail();
   boost::asio::awaitable<void> Drain();
 
   Settings settings_;
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -241,11 +241,21 @@
   co_await stopSignals_.async_wait(asio::use_awaitable);
   listeners_.Stop();
   if (callerServer_.Port() != 0) {
-    co_await Drain();
+    co_await DrainOrFail();
   }
   context_.stop();
 }
 
+// A drain that fails must not keep the host from ending.
+asio::awaitable<void> EntryHost::DrainOrFail()
+{
+  try {
+    co_await Drain();
+  } catch (...) {
+    ReportTaskFailure(context_, std::current_exception());
+  }
+}
+
 asio::awaitable<void> EntryHost::Drain()
 {
   Log(LogEvent::kDrainStarted);
--- a/src/net/gooseberrylift-tasks.cc
+++ b/src/net/gooseberrylift-tasks.cc
@@ -85,8 +85,8 @@
                    asio::bind_cancellation_slot(
                      task->signal_.slot(),
                      [this, position](const std::exception_ptr& aError) {
-                       Report(aError);
                        Remove(position);
+                       Report(aError);
                      }));
   }
 
@@ -117,16 +117,21 @@
     return tasks_.size();
   }
 
-  void Report(const std::exception_ptr& aError)
+  // Without memory, the failure is not reported.
+  void Report(const std::exception_ptr& aError) noexcept
   {
-    const std::string text = FailureText(aError);
-    TaskFailureHandler handler;
-    {
-      const std::lock_guard lock(mutex_);
-      handler = onFailure_;
-    }
-    if (!text.empty() && handler) {
-      handler(text);
+    try {
+      const std::string text = FailureText(aError);
+      TaskFailureHandler handler;
+      {
+        const std::lock_guard lock(mutex_);
+        handler = onFailure_;
+      }
+      if (!text.empty() && handler) {
+        handler(text);
+      }
+    } catch (...) {
+      return;
     }
   }
 
