Report exceptions at the start as a numbered error

Parts of a host that throw while it is put together, for want of descriptors or memory, ended the process by SIGABRT without a word.

--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -96,7 +96,7 @@
   return static_cast<int>(aError.code_);
 }
 
-int RunBody(const CommandBody& aBody, ErrorWriter aWrite)
+int HandleErrors(const CommandBody& aBody, ErrorWriter aWrite)
 {
   return boost::leaf::try_handle_all(
     [&]() -> boost::leaf::result<int> {
@@ -107,6 +107,17 @@
     [aWrite] { return Report({ .code_ = ResultCode::kInternal }, aWrite); });
 }
 
+// Without descriptors or memory, the parts of a host throw while it starts.
+int RunBody(const CommandBody& aBody, ErrorWriter aWrite)
+{
+  try {
+    return HandleErrors(aBody, aWrite);
+  } catch (const std::exception& error) {
+    return Report({ .code_ = ResultCode::kInternal, .text_ = error.what() },
+                  aWrite);
+  }
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
