--- a/test/integration/gooseberrylift-log-test.cc
+++ b/test/integration/gooseberrylift-log-test.cc
@@ -63,6 +63,7 @@
   std::atomic<bool> stops = false;
   std::atomic<int> ended = 0;
   std::vector<std::thread> writers;
+  writers.reserve(kWriters);
   for (int writer = 0; writer < kWriters; ++writer) {
     writers.emplace_back([&] {
       LogSink sink(pipe_.writer_.Number());
--- a/test/soak/gooseberrylift-process-soak-test.cc
+++ b/test/soak/gooseberrylift-process-soak-test.cc
@@ -26,8 +26,7 @@
 using namespace gooseberrylift::test;
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
-using tcp = boost::asio::ip::tcp;
-using udp = boost::asio::ip::udp;
+namespace ip = boost::asio::ip;
 
 namespace {
 
@@ -51,17 +50,17 @@
   {
     const auto address = boost::asio::ip::make_address("127.0.0.1");
     boost::system::error_code ignored; // the host may hold it by now
-    acceptor_.open(tcp::v4(), ignored);
+    acceptor_.open(ip::tcp::v4(), ignored);
     acceptor_.bind({ address, aPort }, ignored);
     acceptor_.listen(1, ignored);
-    socket_.open(udp::v4(), ignored);
+    socket_.open(ip::udp::v4(), ignored);
     socket_.bind({ address, aPort }, ignored);
   }
 
 private:
   boost::asio::io_context context_;
-  tcp::acceptor acceptor_;
-  udp::socket socket_;
+  ip::tcp::acceptor acceptor_;
+  ip::udp::socket socket_;
 };
 
 // Returns the first of a number of consecutive free ports.
@@ -73,9 +72,9 @@
     const auto first = static_cast<std::uint16_t>(12'000 + aRandom() % 18'000);
     bool free = true;
     for (std::uint16_t port = first; free && port < first + aCount; ++port) {
-      tcp::acceptor acceptor(context);
+      ip::tcp::acceptor acceptor(context);
       boost::system::error_code code;
-      acceptor.open(tcp::v4(), code);
+      acceptor.open(ip::tcp::v4(), code);
       acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), port }, code);
       free = !code;
     }
