Bound what a server keeps of trailers and chunk lines that don't end

A process ran out of memory: 8 clients that sent trailers, a chunk extension or a chunk size without end made a host grow to 286 MiB in a second, at each of its addresses and also in hosts that serve models (320 MiB).

The parser consumes trailers and the line that begins a chunk only once it has them whole, and its limit of the head doesn't count them; the buffer that it reads into had no maximum. The client had the same fault with endpoints' answers and a bound of its own. Now one bound serves both directions: 64 KiB, or the limit of heads where that is higher.

--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -8,6 +8,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include "gooseberrylift-unparsed-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-socket-deadline.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
 
@@ -22,9 +23,6 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
-// Of received bytes that can't be passed on yet: a head, the size of a chunk or
-// trailers that have not ended.
-constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
 
 struct Connection
 {
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -9,6 +9,7 @@
 #include <boost/beast.hpp>
 
 #include "gooseberrylift-http-message.h"
+#include "gooseberrylift-unparsed-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-socket-deadline.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -279,6 +280,11 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.maxHeaderBytes_);
     parser.body_limit(limits.maxBodyBytes_);
+    // The limit may have fallen since the buffered bytes were received.
+    buffer_.max_size(std::max({ kMaxUnparsedBytes,
+                                std::size_t{ limits.maxHeaderBytes_ },
+                                buffer_.size() }) +
+                     kReadBytes);
     const bool headerRead = co_await ReadHeader(parser);
     if (!headerRead) {
       co_return false;
