Share the body of a request among its attempts

A host held a body several times: the attempt at an endpoint copied the caller's request, each further attempt copied it again, and so did a relay to another host.

A body is now immutable and shared by the copies of its request, and the message to the endpoint refers to it instead of holding a text of its own.

--- a/bench/gooseberrylift-cost-bench.cc
+++ b/bench/gooseberrylift-cost-bench.cc
@@ -46,7 +46,7 @@
 HttpRequest EngineRequest(const HttpRequest& aRequest)
 {
   HttpRequest request = aRequest;
-  json body = json::parse(request.body_);
+  json body = json::parse(request.body_.Text());
   body["request_id"] = "bench";
   body["stream"] = true;
   request.body_ = body.dump();
--- a/fakes/gooseberrylift-fake-service.cc
+++ b/fakes/gooseberrylift-fake-service.cc
@@ -86,7 +86,7 @@
     const json answer = { { "service", name_ },
                           { "method", aRequest.method_ },
                           { "path", aRequest.target_ },
-                          { "body", aRequest.body_ },
+                          { "body", aRequest.body_.Text() },
                           { "tag", aRequest.Field("X-Tag") },
                           { "runs", aRuns } };
     HttpResponse response = JsonResponse(status_, answer.dump());
@@ -107,7 +107,7 @@
     ++total_;
     ++requests_[std::string(request.Field("X-Request-Id"))];
     const int runs = ++runs_[key];
-    bodies_[key] = request.body_;
+    bodies_[key] = request.body_.Text();
     while (hang_) {
       co_await TimerService::SleepFor(std::chrono::milliseconds(50));
     }
--- a/fakes/gooseberrylift-fake-store.cc
+++ b/fakes/gooseberrylift-fake-store.cc
@@ -191,7 +191,7 @@
                       const std::string& aKind,
                       std::string aName)
   {
-    json body = json::parse(aRequest.body_, nullptr, false);
+    json body = json::parse(aRequest.body_.Text(), nullptr, false);
     if (!body.is_object()) {
       body = json::object();
     }
--- a/fakes/gooseberrylift-fake.cc
+++ b/fakes/gooseberrylift-fake.cc
@@ -37,7 +37,7 @@
 
 json ParseJsonBody(const HttpRequest& aRequest)
 {
-  json body = json::parse(aRequest.body_, nullptr, false);
+  json body = json::parse(aRequest.body_.Text(), nullptr, false);
   return body.is_discarded() ? json::object() : body;
 }
 
--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -315,7 +315,7 @@
       answer.fields_.pop_back();
     }
     answer.body_ = request.method_ + " " + request.target_ + " " +
-                   request.body_ + " by " + id_;
+                   request.body_.Text() + " by " + id_;
     co_await aExchange.Send(std::move(answer));
   }
 
--- a/include/gooseberrylift/internal/gooseberrylift-http.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http.h
@@ -4,9 +4,12 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_HTTP_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_HTTP_H_
 
+#include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/outcome/basic_result.hpp>
@@ -36,12 +39,51 @@
 /// @return the value of the first such field, or an empty string
 std::string_view FindField(const HttpFields& aFields, std::string_view aName);
 
+// The body of a request, which can't be changed. Copies of the request, for
+// attempts at several endpoints or other hosts, share it.
+class HttpBody
+{
+public:
+  HttpBody() = default;
+
+  // Implicit, as for a text.
+  HttpBody(std::string aText)
+    : text_(aText.empty()
+              ? nullptr
+              : std::make_shared<const std::string>(std::move(aText)))
+  {
+  }
+  HttpBody(const char* aText)
+    : HttpBody(std::string(aText))
+  {
+  }
+
+  /// Takes a body that its owner frees together with what accounts for it.
+  explicit HttpBody(std::shared_ptr<const std::string> aText)
+    : text_(std::move(aText))
+  {
+  }
+
+  const std::string& Text() const
+  {
+    static const std::string kEmpty;
+    return text_ ? *text_ : kEmpty;
+  }
+  operator const std::string&() const { return Text(); }
+
+  bool empty() const { return Text().empty(); }
+  std::size_t size() const { return Text().size(); }
+
+private:
+  std::shared_ptr<const std::string> text_;
+};
+
 struct HttpRequest
 {
   std::string method_ = "GET";
   std::string target_ = "/";
   HttpFields fields_{};
-  std::string body_{};
+  HttpBody body_{};
 
   std::string_view Field(std::string_view aName) const
   {
--- a/include/gooseberrylift/internal/gooseberrylift-model-runner.h
+++ b/include/gooseberrylift/internal/gooseberrylift-model-runner.h
@@ -29,7 +29,7 @@
   std::string target_; // path in the engine's API
   RequestInfo info_;
   nlohmann::json body_; // as received; empty when text_ is set
-  std::string text_;    // the unparsed body, when fields can be appended to it
+  HttpBody text_;       // the unparsed body, when fields can be appended to it
   TimePoint arrived_;
 };
 
--- a/src/clients/gooseberrylift-peer-rpc.cc
+++ b/src/clients/gooseberrylift-peer-rpc.cc
@@ -84,7 +84,7 @@
 std::string RelayedText(std::string_view aEnvelope, const HttpRequest& aRequest)
 {
   return std::string(aEnvelope) + "\n" + aRequest.method_ + "\n" +
-         aRequest.target_ + "\n" + aRequest.body_;
+         aRequest.target_ + "\n" + aRequest.body_.Text();
 }
 
 // Header fields hold ASCII only.
@@ -230,7 +230,7 @@
   }
   byteCount_ += request.body_.size();
   // The parser of JSON-RPC throws beyond a thousand levels.
-  if (IsJsonTooDeep(request.body_)) {
+  if (IsJsonTooDeep(request.body_.Text())) {
     Log(LogEvent::kPeerRefused,
         { { "reason", "nested too deeply" }, { "peer", aExchange.Peer() } });
     co_await aExchange.Send(
--- a/src/front/gooseberrylift-caller-api.cc
+++ b/src/front/gooseberrylift-caller-api.cc
@@ -371,7 +371,7 @@
     .arrived_ = aRequest.arrived_,
   };
   // From here on only one copy of the body is kept, as text or as JSON.
-  std::string text = std::exchange(aExchange.MutableRequest().body_, {});
+  HttpBody text = std::exchange(aExchange.MutableRequest().body_, {});
   if (model.canAppendFields_) {
     generation.text_ = std::move(text);
     generation.body_ = {};
--- a/src/front/gooseberrylift-job-api.cc
+++ b/src/front/gooseberrylift-job-api.cc
@@ -76,7 +76,7 @@
 Outcome<JobRequest> ReadJobRequest(const HttpRequest& aRequest,
                                    const Configuration& aConfig)
 {
-  const json body = ParseJson(aRequest.body_);
+  const json body = ParseJson(aRequest.body_.Text());
   if (!body.is_object()) {
     return MakeError(ResultCode::kMalformedJson);
   }
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -114,7 +114,7 @@
     parts_.board_.gatewaySettings_.Read()->gatewaySettings_.zoneRegions_);
   request.features_ = MakeRequestFeatures(
     RequestFingerprint(
-      aRequest.target_, request.facts_.teamKey_, aRequest.body_),
+      aRequest.target_, request.facts_.teamKey_, aRequest.body_.Text()),
     request.facts_.promptParts_);
   request.identified_ = !aRequest.body_.empty();
   request.service_ = RouteTable::ChooseService(*request.route_, RandomNumber());
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -177,10 +177,18 @@
 
 namespace {
 
-http::request<http::string_body> MakeMessage(const std::string& aAddress,
-                                             HttpRequest&& aRequest)
+// A message that refers to a body without a copy of it.
+struct OutgoingRequest
 {
-  http::request<http::string_body> message;
+  HttpBody body_;
+  http::request<http::span_body<const char>> message_;
+};
+
+OutgoingRequest MakeMessage(const std::string& aAddress,
+                            const HttpRequest& aRequest)
+{
+  OutgoingRequest outgoing{ .body_ = aRequest.body_ };
+  auto& message = outgoing.message_;
   message.version(11);
   message.method_string(aRequest.method_);
   message.target(aRequest.target_);
@@ -190,9 +198,10 @@
   for (const HttpField& field : aRequest.fields_) {
     message.insert(field.name_, field.value_);
   }
-  message.body() = std::move(aRequest.body_);
+  const std::string& text = outgoing.body_.Text();
+  message.body() = { text.data(), text.size() };
   message.prepare_payload();
-  return message;
+  return outgoing;
 }
 
 } // namespace
@@ -232,17 +241,18 @@
   ClientCall(const ClientCall&) = delete;
   ClientCall& operator=(const ClientCall&) = delete;
 
-  asio::awaitable<Outcome<void>> Send(http::request<http::string_body> aMessage)
+  asio::awaitable<Outcome<void>> Send(OutgoingRequest aRequest)
   {
+    const auto& message = aRequest.message_;
     const SocketDeadline guard(
       connection_->socket_, co_await asio::this_coro::executor, deadline_);
     const auto [code, size] =
-      co_await http::async_write(connection_->socket_, aMessage, kAwait);
+      co_await http::async_write(connection_->socket_, message, kAwait);
     if (code) {
       // The server may have received and run what was passed to the socket.
       co_return MakeTransferError(code, guard.Expired());
     }
-    parser_.skip(aMessage.method() == http::verb::head);
+    parser_.skip(message.method() == http::verb::head);
     co_return boost::outcome_v2::success();
   }
 
@@ -387,8 +397,7 @@
                     std::move(aConnection),
                     ComputeIdleTimeout(aHead, impl->options_.idleTimeout_));
     });
-  const auto sent =
-    co_await call->Send(MakeMessage(aAddress, std::move(aRequest)));
+  const auto sent = co_await call->Send(MakeMessage(aAddress, aRequest));
   if (!sent) {
     co_return sent.error();
   }
--- a/src/runtime/gooseberrylift-model-runner.cc
+++ b/src/runtime/gooseberrylift-model-runner.cc
@@ -119,8 +119,9 @@
   }
   const std::string own = aOwn.dump();
   std::string text;
-  text.reserve(aGeneration.text_.size() + own.size());
-  text.append(aGeneration.text_, 0, aGeneration.text_.rfind('}'));
+  const std::string& received = aGeneration.text_;
+  text.reserve(received.size() + own.size());
+  text.append(received, 0, received.rfind('}'));
   text += ',';
   text.append(own, 1);
   return text;
--- a/src/runtime/gooseberrylift-once-runner.cc
+++ b/src/runtime/gooseberrylift-once-runner.cc
@@ -172,8 +172,9 @@
   const ServiceCall& call = attempt->call_;
   const std::string key =
     ComputeDigest({ call.info_.team_, call.info_.service_, aKey });
-  const std::string digest = ComputeDigest(
-    { call.request_.method_, call.request_.target_, call.request_.body_ });
+  const std::string digest = ComputeDigest({ call.request_.method_,
+                                             call.request_.target_,
+                                             call.request_.body_.Text() });
   const auto lease = attempt->deadline_ - TimerService::Now();
   attempt->bucket_ = BucketOf(key);
   attempt->intent_ = { .key_ = EncodeBase64(key),
--- a/test/integration/gooseberrylift-second-attempt-test.cc
+++ b/test/integration/gooseberrylift-second-attempt-test.cc
@@ -63,7 +63,7 @@
     text += field.name_ + ": " + field.value_ + "\r\n";
   }
   text += "Content-Length: " + std::to_string(request.body_.size()) +
-          "\r\n\r\n" + request.body_;
+          "\r\n\r\n" + request.body_.Text();
   RawConnection caller(deployment.At(0).Port());
   CHECK_TRUE(caller.Write(text));
   CHECK_TRUE(caller.ReadUntil("id: 3"));
--- a/test/integration/gooseberrylift-stop-connections-test.cc
+++ b/test/integration/gooseberrylift-stop-connections-test.cc
@@ -83,7 +83,7 @@
     text += field.name_ + ": " + field.value_ + "\r\n";
   }
   return text + "Content-Length: " + std::to_string(aRequest.body_.size()) +
-         "\r\n\r\n" + aRequest.body_;
+         "\r\n\r\n" + aRequest.body_.Text();
 }
 
 std::string RawRequest(const std::string& aMethod,
