Bound the bytes of all requests together

A process ran out of memory. Nothing bounded what all clients together made a host hold: each body, head and document up to its own limit, times the connections. 96 clients with bodies of 1 MiB that stop short, end slowly, are over the limit, have no valid key or no route brought a host to 102 to 205 MiB, and answers that repeat them to 143 MiB.

Requests now share a budget of bytes, a quarter of the machine's memory for callers and an eighth for the addresses of hosts and operators. A request takes its share before the bytes are received: its announced length, or the room for chunks as they come, besides unparsed bytes and its fields. What doesn't fit is refused at once with 503, code 77 and Retry-After, and has not run. The platform's settings tell the machine's memory (host.memory_mb); else the system does.

The server reads bodies by itself for this, into a text of the announced size, and the trailers of a request are no longer added to its fields.

--- a/include/gooseberrylift/gooseberrylift-result.h
+++ b/include/gooseberrylift/gooseberrylift-result.h
@@ -58,6 +58,7 @@
   kRelayFull = 74,
   kSuspectPart = 75,
   kConnectionLimit = 76,
+  kMemoryFull = 77,
   kStoreUnavailable = 90,
   kStoreConflict = 91,
   kStoreNotFound = 92,
--- a/include/gooseberrylift/gooseberrylift-settings.h
+++ b/include/gooseberrylift/gooseberrylift-settings.h
@@ -68,6 +68,8 @@
   std::string hostName_;
   std::string zone_;
   std::string region_;
+  // The memory of the machine; nothing: what the system reports.
+  std::optional<std::uint64_t> memoryBytes_{};
   ListenSettings caller_;
   std::uint64_t maxBodyBytes_ = 16 * 1024 * 1024;
   std::uint32_t maxHeaderBytes_ = 16 * 1024;
--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -14,6 +14,7 @@
 #include "gooseberrylift/internal/gooseberrylift-config-api.h"
 #include "gooseberrylift/internal/gooseberrylift-config-follower.h"
 #include "gooseberrylift/internal/gooseberrylift-endpoint-tracker.h"
+#include "gooseberrylift/internal/gooseberrylift-host-memory.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-job-api.h"
 #include "gooseberrylift/internal/gooseberrylift-job-runner.h"
@@ -58,6 +59,7 @@
   boost::asio::signal_set stopSignals_;
   Blackboard board_;
   Metrics metrics_;
+  HostMemory memory_;
   BurnRecorder burn_;
   HttpClient client_;
   RestStore store_;
--- a/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-host.h
@@ -15,6 +15,7 @@
 #include "gooseberrylift/internal/gooseberrylift-endpoint-rate-limiter.h"
 #include "gooseberrylift/internal/gooseberrylift-fleet.h"
 #include "gooseberrylift/internal/gooseberrylift-gateway-front.h"
+#include "gooseberrylift/internal/gooseberrylift-host-memory.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
 #include "gooseberrylift/internal/gooseberrylift-listeners.h"
@@ -82,6 +83,7 @@
   // stopping.
   boost::asio::signal_set stopSignals_;
   std::minstd_rand random_;
+  HostMemory memory_;
   GatewayBoard board_;
   Metrics metrics_;
   HttpClient client_;      // to endpoints
--- /dev/null
+++ b/include/gooseberrylift/internal/gooseberrylift-host-memory.h
@@ -0,0 +1,63 @@
+// The memory of this host's machine, and what requests may take of it.
+
+#ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_HOST_MEMORY_H_
+#define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_HOST_MEMORY_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include "gooseberrylift/internal/gooseberrylift-metrics.h"
+#include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+#include "gooseberrylift/limits/gooseberrylift-memory-budget.h"
+
+namespace gooseberrylift {
+
+// Divides the memory among the requests of callers and those of other hosts and
+// operators, and reports requests that don't fit.
+class HostMemory
+{
+public:
+  /// @param aBytes the memory of the machine; nothing: what the system reports
+  HostMemory(Metrics& aMetrics, std::optional<std::uint64_t> aBytes);
+
+  /// Returns the budget of callers' requests.
+  const std::shared_ptr<MemoryBudget>& Callers() const { return callers_; }
+
+  /// Returns the budget of requests at the addresses of hosts and operators.
+  const std::shared_ptr<MemoryBudget>& Hosts() const { return hosts_; }
+
+  /// Changes the size of the largest request of a caller, in bytes.
+  void SetLargest(std::uint64_t aBytes);
+
+  /// Returns a function for HttpServer::Options::onMemoryFull_.
+  std::function<void(const std::string& aPeer, bool aGaveWay)> Recorder();
+
+  void Start(const boost::asio::any_io_executor& aExecutor);
+
+private:
+  void Check();
+  void LogRefusals();
+
+  // Written by the servers' threads.
+  struct Refusals
+  {
+    std::atomic<std::uint64_t> refused_ = 0;
+    std::atomic<std::uint64_t> gaveWay_ = 0;
+  };
+
+  Metrics& metrics_;
+  std::shared_ptr<MemoryBudget> callers_;
+  std::shared_ptr<MemoryBudget> hosts_;
+  std::shared_ptr<Refusals> refusals_ = std::make_shared<Refusals>();
+  TimerSubscription timer_;
+};
+
+} // namespace gooseberrylift
+
+#endif // GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_HOST_MEMORY_H_
--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -20,6 +20,7 @@
 
 #include "gooseberrylift/gooseberrylift-endpoint.h"
 #include "gooseberrylift/internal/gooseberrylift-http.h"
+#include "gooseberrylift/limits/gooseberrylift-memory-budget.h"
 
 namespace gooseberrylift {
 
@@ -93,6 +94,12 @@
   /// outcome must be recorded once it has begun.
   virtual void KeepRunningWithoutCaller() = 0;
 
+  /// Counts bytes that the handler keeps for this request besides its body.
+  /// @param aBytes their number, instead of that of an earlier call
+  /// @return false if the host has no memory for them; the earlier number
+  /// stays counted
+  virtual bool TryHoldMemory(std::uint64_t aBytes) = 0;
+
   virtual AbortReason Reason() const = 0;
 
   /// Returns when the handler is cancelled because the host stops, if the
@@ -125,6 +132,13 @@
     std::chrono::milliseconds bodyTimeout_{ 60'000 };
     std::chrono::milliseconds idleTimeout_{ 75'000 };
     std::chrono::milliseconds writeTimeout_{ 30'000 };
+    // What requests may hold together, also with other servers; unlimited if
+    // there is none.
+    std::shared_ptr<MemoryBudget> budget_{};
+    // Is called for each request that is refused since its bytes don't fit, or
+    // since it gave way to others.
+    std::function<void(const std::string& aPeer, bool aGaveWay)>
+      onMemoryFull_{};
     // Is called for each connection that is closed while bytes of the caller
     // have got no answer.
     std::function<void()> onClosedUnread_{};
--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -39,6 +39,7 @@
   kSettingsNeedRestart = 1014,
   kConnectionsClosing = 1017,
   kConnectionsClosed = 1018,
+  kMemoryFull = 1019,
   kListenerAwaited = 1009,
   kAcceptFailed = 1015,
   kListenerOpened = 1016,
--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -162,6 +162,11 @@
               "connection-limit",
               503,
               "The host has as many callers' connections as it can serve." },
+  ResultInfo{ kMemoryFull,
+              "memory-full",
+              503,
+              "The request needs more memory than the host has left, or gave "
+              "way to others while it was received." },
   ResultInfo{ kStoreUnavailable,
               "store-unavailable",
               503,
--- a/src/core/gooseberrylift-settings-changes.cc
+++ b/src/core/gooseberrylift-settings-changes.cc
@@ -32,6 +32,7 @@
   RestartField{ "host.name", Equals<&Settings::hostName_> },
   RestartField{ "host.zone", Equals<&Settings::zone_> },
   RestartField{ "host.region", Equals<&Settings::region_> },
+  RestartField{ "host.memory_mb", Equals<&Settings::memoryBytes_> },
   RestartField{ "caller", Equals<&Settings::caller_> },
   RestartField{ "caller.max_body_bytes", Equals<&Settings::maxBodyBytes_> },
   RestartField{ "caller.max_header_bytes", Equals<&Settings::maxHeaderBytes_> },
--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -34,7 +34,9 @@
       "properties": {
         "name": { "type": "string", "minLength": 1, "maxLength": 128 },
         "zone": { "type": "string", "minLength": 1, "maxLength": 128 },
-        "region": { "type": "string", "maxLength": 128 }
+        "region": { "type": "string", "maxLength": 128 },
+        "memory_mb": { "type": "integer", "minimum": 16,
+                       "maximum": 16777216 }
       } },
     "caller": {
       "type": "object", "additionalProperties": false,
@@ -147,6 +149,8 @@
 constexpr int kLimitParts = 7;
 constexpr milliseconds kMaxDerivedLag{ 3'000 };
 
+constexpr std::uint64_t kBytesPerMb = 1024 * 1024;
+
 leaf::error_id InvalidSettings(std::string aText)
 {
   return leaf::new_error(
@@ -271,6 +275,10 @@
   settings.hostName_ = section("host").at("name");
   settings.zone_ = section("host").at("zone");
   settings.region_ = section("host").value("region", "");
+  if (section("host").contains("memory_mb")) {
+    settings.memoryBytes_ =
+      section("host").at("memory_mb").get<std::uint64_t>() * kBytesPerMb;
+  }
   ParseCaller(section("caller"), settings);
   settings.caller_.maxConnections_ = section("caller").value(
     "max_connections", settings.caller_.maxConnections_);
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -62,6 +62,7 @@
   : settings_(std::move(aSettings))
   , context_(settings_.threads_)
   , stopSignals_(context_, kStopSignals[0], kStopSignals[1], kStopSignals[2])
+  , memory_(metrics_, settings_.memoryBytes_)
   , burn_({ .settings_ = settings_, .board_ = board_, .metrics_ = metrics_ })
   , client_(context_.get_executor(), HttpClient::Options{})
   , store_(client_,
@@ -149,21 +150,29 @@
         .headerTimeout_ = settings_.headerTimeout_,
         .bodyTimeout_ = settings_.bodyTimeout_,
         .writeTimeout_ = settings_.writeTimeout_,
+        .budget_ = memory_.Callers(),
+        .onMemoryFull_ = memory_.Recorder(),
         .onClosedUnread_ = ClosedUnreadCounter(metrics_),
         .onAcceptError_ = AcceptErrorRecorder(metrics_) },
       [this](HttpExchange& aExchange) { return callerApi_.Handle(aExchange); })
   , adminServer_(
       context_.get_executor(),
       { .address_ = settings_.admin_.address_,
-        .port_ = settings_.admin_.port_ },
+        .port_ = settings_.admin_.port_,
+        .budget_ = memory_.Hosts(),
+        .onMemoryFull_ = memory_.Recorder() },
       [this](HttpExchange& aExchange) { return adminApi_.Handle(aExchange); })
   , peerServer_(
       context_.get_executor(),
-      { .address_ = settings_.peer_.address_, .port_ = settings_.peer_.port_ },
+      { .address_ = settings_.peer_.address_,
+        .port_ = settings_.peer_.port_,
+        .budget_ = memory_.Hosts(),
+        .onMemoryFull_ = memory_.Recorder() },
       [this](HttpExchange& aExchange) { return peers_.Handle(aExchange); })
   , listeners_({ .metrics_ = metrics_, .onServing_ = [this] { LogStarted(); } })
 {
   SetTaskFailureHandler(context_, TaskFailureRecorder(metrics_));
+  memory_.SetLargest(settings_.maxBodyBytes_ + settings_.maxHeaderBytes_);
   IgnoreReloadSignal();
   AddRoutes();
 }
@@ -190,6 +199,7 @@
   }
   SpawnLoop(context_.get_executor(), [this] { return listeners_.Run(); });
   StartControllers();
+  memory_.Start(context_.get_executor());
   SpawnLoop(context_.get_executor(), [this] { return WaitForStop(); });
   std::vector<std::thread> threads;
   for (int thread = 1; thread < settings_.threads_; ++thread) {
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -46,6 +46,7 @@
 // Upper bound of the header fields that accompany a relayed request.
 constexpr std::uint32_t kRelayFieldBytes = 4 * 1024;
 constexpr milliseconds kRelayDrainPoll{ 20 };
+constexpr std::uint64_t kMaxReadyBodyBytes = 64 * 1024;
 // RPC method that returns the store's objects that the calling host lacks.
 constexpr const char* kStoreMethod = "store";
 // RPC method that grants permits to send to endpoints with a rate limit.
@@ -78,6 +79,7 @@
   , context_(1)
   , stopSignals_(context_, kStopSignals[0], kStopSignals[1], kStopSignals[2])
   , random_(std::random_device{}())
+  , memory_(metrics_, settings_.memoryBytes_)
   , client_(context_.get_executor(), HttpClient::Options{})
   , storeClient_(context_.get_executor(),
                  { .connectTimeout_ = milliseconds(500) })
@@ -247,22 +249,32 @@
         .port_ = settings_.caller_.port_,
         .maxConnections_ = settings_.caller_.maxConnections_,
         .writeTimeout_ = settings_.writeTimeout_,
+        .budget_ = memory_.Callers(),
+        .onMemoryFull_ = memory_.Recorder(),
         .onClosedUnread_ = ClosedUnreadCounter(metrics_),
         .onAcceptError_ = AcceptErrorRecorder(metrics_) },
       [this](HttpExchange& aExchange) { return front_.Handle(aExchange); })
   , readyServer_(
       context_.get_executor(),
       { .address_ = settings_.ready_.address_,
-        .port_ = settings_.ready_.port_ },
+        .port_ = settings_.ready_.port_,
+        .maxBodyBytes_ = kMaxReadyBodyBytes,
+        .budget_ = memory_.Hosts(),
+        .onMemoryFull_ = memory_.Recorder() },
       [this](HttpExchange& aExchange) { return HandleReady(aExchange); })
   , adminServer_(
       context_.get_executor(),
       { .address_ = settings_.admin_.address_,
-        .port_ = settings_.admin_.port_ },
+        .port_ = settings_.admin_.port_,
+        .budget_ = memory_.Hosts(),
+        .onMemoryFull_ = memory_.Recorder() },
       [this](HttpExchange& aExchange) { return HandleAdmin(aExchange); })
   , peerServer_(
       context_.get_executor(),
-      { .address_ = settings_.peer_.address_, .port_ = settings_.peer_.port_ },
+      { .address_ = settings_.peer_.address_,
+        .port_ = settings_.peer_.port_,
+        .budget_ = memory_.Hosts(),
+        .onMemoryFull_ = memory_.Recorder() },
       [this](HttpExchange& aExchange) { return HandlePeer(aExchange); })
   , listeners_({ .metrics_ = metrics_, .onServing_ = [this] { LogStarted(); } })
 {
@@ -280,6 +292,7 @@
                               .maxBodyBytes_ = limits.maxBodyBytes_,
                               .headerTimeout_ = limits.headerTimeout_,
                               .idleTimeout_ = limits.idleTimeout_ });
+    memory_.SetLargest(limits.maxBodyBytes_ + limits.maxHeaderBytes_);
     peerServer_.SetLimits(
       { .maxHeaderBytes_ = limits.maxHeaderBytes_ + kRelayFieldBytes,
         .maxBodyBytes_ =
@@ -512,6 +525,7 @@
   SpawnLoop(context_.get_executor(), [this] { return storeFollower_.Run(); });
   settingsWatch_.Start();
   pauseMonitor_.Start(context_.get_executor());
+  memory_.Start(context_.get_executor());
   SpawnLoop(context_.get_executor(), [this] { return WaitForStop(); });
   ReleaseSignals();
   RunContext(context_);
--- /dev/null
+++ b/src/host/gooseberrylift-host-memory.cc
@@ -0,0 +1,82 @@
+#include "gooseberrylift/internal/gooseberrylift-host-memory.h"
+
+#include <sys/sysinfo.h>
+
+#include "gooseberrylift/internal/gooseberrylift-log.h"
+
+namespace gooseberrylift {
+
+namespace {
+
+// The parts of the machine's memory for requests of callers, and for those of
+// hosts and operators. The rest is for connections, state and answers.
+constexpr std::uint64_t kCallersPart = 4;
+constexpr std::uint64_t kHostsPart = 8;
+
+constexpr std::chrono::seconds kCheckInterval{ 1 };
+std::uint64_t SystemMemory()
+{
+  struct sysinfo info
+  {};
+  if (::sysinfo(&info) != 0) {
+    return UINT64_MAX;
+  }
+  return static_cast<std::uint64_t>(info.totalram) * info.mem_unit;
+}
+
+std::shared_ptr<MemoryBudget> MakeBudget(std::uint64_t aBytes)
+{
+  return std::make_shared<MemoryBudget>(
+    MemoryBudget::Options{ .bytes_ = aBytes });
+}
+
+} // namespace
+
+HostMemory::HostMemory(Metrics& aMetrics, std::optional<std::uint64_t> aBytes)
+  : metrics_(aMetrics)
+  , callers_(MakeBudget(aBytes.value_or(SystemMemory()) / kCallersPart))
+  , hosts_(MakeBudget(aBytes.value_or(SystemMemory()) / kHostsPart))
+{
+}
+
+void HostMemory::SetLargest(std::uint64_t aBytes)
+{
+  callers_->SetLargest(aBytes);
+  hosts_->SetLargest(aBytes);
+}
+
+std::function<void(const std::string& aPeer, bool aGaveWay)>
+HostMemory::Recorder()
+{
+  return
+    [this, refusals = refusals_](const std::string& /*aPeer*/, bool aGaveWay) {
+      ++(aGaveWay ? refusals->gaveWay_ : refusals->refused_);
+      metrics_.Count("gooseberrylift_memory_refusals_total",
+                     aGaveWay ? "gave_way=\"yes\"" : "gave_way=\"no\"");
+    };
+}
+
+void HostMemory::Start(const boost::asio::any_io_executor& aExecutor)
+{
+  timer_ = TimerService::Every(kCheckInterval, aExecutor, [this] { Check(); });
+}
+
+void HostMemory::Check()
+{
+  LogRefusals();
+}
+
+void HostMemory::LogRefusals()
+{
+  const std::uint64_t refused = refusals_->refused_.exchange(0);
+  const std::uint64_t gaveWay = refusals_->gaveWay_.exchange(0);
+  if (refused + gaveWay > 0) {
+    Log(LogEvent::kMemoryFull,
+        { { "refused", refused },
+          { "gave_way", gaveWay },
+          { "callers_bytes", callers_->Used() },
+          { "hosts_bytes", hosts_->Used() } });
+  }
+}
+
+} // namespace gooseberrylift
--- a/src/net/gooseberrylift-http-message.cc
+++ b/src/net/gooseberrylift-http-message.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/error.hpp>
 
 #include "gooseberrylift/gooseberrylift-drain-policy.h"
+#include "gooseberrylift/limits/gooseberrylift-memory-budget.h"
 
 namespace gooseberrylift {
 
@@ -15,6 +16,9 @@
   if (aTimedOut) {
     return MakeError(ResultCode::kCallerTooSlow);
   }
+  if (aCode == boost::asio::error::no_memory) {
+    return MakeMemoryFullError();
+  }
   if (aStopping && aCode == boost::asio::error::operation_aborted) {
     Error error = MakeError(ResultCode::kShuttingDown);
     error.retryAfter_ = kStopRetryDelay;
@@ -36,15 +40,14 @@
   return MakeError(ResultCode::kMalformedHttp, aCode.message());
 }
 
-HttpRequest ToHttpRequest(http::request<http::string_body>&& aMessage)
+HttpRequest ToHttpRequest(const http::request_header<>& aHead)
 {
-  HttpRequest request{ .method_ = std::string(aMessage.method_string()),
-                       .target_ = std::string(aMessage.target()) };
-  for (const auto& field : aMessage) {
+  HttpRequest request{ .method_ = std::string(aHead.method_string()),
+                       .target_ = std::string(aHead.target()) };
+  for (const auto& field : aHead) {
     request.fields_.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
   }
-  request.body_ = std::move(aMessage.body());
   return request;
 }
 
--- a/src/net/gooseberrylift-http-message.h
+++ b/src/net/gooseberrylift-http-message.h
@@ -19,8 +19,8 @@
                                    bool aTimedOut,
                                    bool aStopping);
 
-HttpRequest ToHttpRequest(
-  boost::beast::http::request<boost::beast::http::string_body>&& aMessage);
+/// Converts the head of a request.
+HttpRequest ToHttpRequest(const boost::beast::http::request_header<>& aHead);
 
 /// Copies the status and the header fields of a response.
 template<typename Body>
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -69,6 +69,10 @@
                         .headerTimeout_ = aOptions.headerTimeout_,
                         .idleTimeout_ = aOptions.idleTimeout_ };
     state_->options_ = std::move(aOptions);
+    if (!state_->options_.budget_) {
+      state_->options_.budget_ =
+        std::make_shared<MemoryBudget>(MemoryBudget::Options{});
+    }
     state_->handler_ = std::move(aHandler);
   }
 
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include <poll.h>
 
@@ -57,12 +58,14 @@
     bool hasRequest = co_await ReadRequest();
     while (hasRequest) {
       co_await Handle();
+      Release();
       SetBusy(false);
       hasRequest = reusable_;
       if (hasRequest) {
         hasRequest = co_await ReadRequest();
       }
     }
+    Release();
     SetBusy(false);
     co_await Linger();
   }
@@ -94,6 +97,14 @@
   std::optional<TimePoint> LatestEnd() const override { return latestEnd_; }
   void KeepRunningWithoutCaller() override { keepRunning_ = true; }
 
+  bool TryHoldMemory(std::uint64_t aBytes) override
+  {
+    const std::uint64_t before = std::exchange(held_.handler_, aBytes);
+    const bool fits = TryHold();
+    held_.handler_ = fits ? aBytes : before;
+    return fits;
+  }
+
   void Disconnect() override
   {
     started_ = true; // prevents further responses
@@ -264,6 +275,67 @@
     }
   }
 
+  using Parser = http::request_parser<http::buffer_body>;
+
+  // The bytes that are held for the present request.
+  struct HeldBytes
+  {
+    std::uint64_t buffer_ = 0; // received and not parsed yet
+    std::uint64_t fields_ = 0;
+    std::uint64_t body_ = 0;
+    std::uint64_t handler_ = 0;
+
+    std::uint64_t Sum() const { return buffer_ + fields_ + body_ + handler_; }
+  };
+
+  // A body that accounts for its bytes as long as it exists.
+  struct HeldBody
+  {
+    std::string text_;
+    std::shared_ptr<MemoryBudget::Share> share_;
+  };
+
+  bool TryHold() { return share_->TryHold(held_.Sum(), TimerService::Now()); }
+
+  bool TryHoldBody(std::uint64_t aBytes)
+  {
+    held_.body_ = aBytes;
+    return TryHold();
+  }
+
+  void OpenShare()
+  {
+    held_ = {};
+    share_ = server_->options_.budget_->Open(
+      TimerService::Now(),
+      [executor = socket_.get_executor(), self = weak_from_this()] {
+        asio::post(executor, [self] {
+          if (const auto session = self.lock()) {
+            session->GiveWay();
+          }
+        });
+      });
+  }
+
+  // Ends the reading of a request whose bytes others need.
+  void GiveWay()
+  {
+    if (stage_ == Stage::kReading) {
+      boost::system::error_code ignored;
+      socket_.cancel(ignored);
+    }
+  }
+
+  // Frees what was held for a request.
+  void Release()
+  {
+    request_ = {};
+    if (buffer_.size() == 0) {
+      buffer_.shrink_to_fit();
+    }
+    share_.reset();
+  }
+
   // Reads the next request. Returns false if the connection has to be closed.
   asio::awaitable<bool> ReadRequest()
   {
@@ -276,8 +348,9 @@
     SetBusy(true);
     stage_ = Stage::kReading;
     latestEnd_ = LatestEndOfNewRequest(server_->phase_, server_->drainLimit_);
+    OpenShare();
     const HttpServer::Limits limits = server_->Limits();
-    http::request_parser<http::string_body> parser;
+    Parser parser;
     parser.header_limit(limits.maxHeaderBytes_);
     parser.body_limit(limits.maxBodyBytes_);
     // The limit may have fallen since the buffered bytes were received.
@@ -295,7 +368,6 @@
     }
     stage_ = Stage::kHandling;
     keepAlive_ = parser.keep_alive();
-    request_ = ToHttpRequest(parser.release());
     started_ = false;
     reusable_ = false;
     keepRunning_ = false;
@@ -322,50 +394,196 @@
     }
   }
 
-  asio::awaitable<bool> ReadHeader(
-    http::request_parser<http::string_body>& aParser)
+  // Reads more bytes into the buffer, which may grow within its maximum.
+  asio::awaitable<boost::system::error_code> FillBuffer(
+    const SocketDeadline& aGuard)
+  {
+    if (buffer_.size() + kReadBytes > buffer_.max_size()) {
+      co_return http::error::buffer_overflow;
+    }
+    const std::size_t needed = buffer_.size() + kReadBytes;
+    if (needed > buffer_.capacity()) {
+      held_.buffer_ = std::max(2 * buffer_.size(), needed);
+      if (!TryHold()) {
+        co_return asio::error::no_memory;
+      }
+    }
+    // A deadline that passes while no operation is pending cancels none.
+    if (aGuard.Expired()) {
+      co_return asio::error::operation_aborted;
+    }
+    const auto [code, size] =
+      co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAwait);
+    buffer_.commit(size);
+    co_return code;
+  }
+
+  // Reads until the parser has consumed something it doesn't wait for the rest
+  // of, or has failed.
+  asio::awaitable<boost::system::error_code> Parse(Parser& aParser,
+                                                   const SocketDeadline& aGuard)
+  {
+    boost::system::error_code code = http::error::need_more;
+    while (code == http::error::need_more) {
+      if (buffer_.size() > 0) {
+        buffer_.consume(aParser.put(buffer_.data(), code));
+      }
+      if (code == http::error::need_more) {
+        const auto failed = co_await FillBuffer(aGuard);
+        if (failed == asio::error::eof) {
+          code = EndOfInput(aParser);
+        } else if (failed) {
+          code = failed;
+        }
+      }
+    }
+    co_return code;
+  }
+
+  // Returns the error for a connection whose sending half the caller has
+  // closed.
+  static boost::system::error_code EndOfInput(Parser& aParser)
+  {
+    if (!aParser.got_some()) {
+      return http::error::end_of_stream;
+    }
+    boost::system::error_code code;
+    aParser.put_eof(code);
+    return code;
+  }
+
+  asio::awaitable<bool> ReadHeader(Parser& aParser)
   {
     const SocketDeadline guard(socket_,
                                socket_.get_executor(),
                                TimerService::Now() +
                                  server_->Limits().headerTimeout_);
-    const auto [code, size] =
-      co_await http::async_read_header(socket_, buffer_, aParser, kAwait);
+    boost::system::error_code code;
+    while (!code && !aParser.is_header_done()) {
+      code = co_await Parse(aParser, guard);
+    }
+    if (!code) {
+      request_ = ToHttpRequest(aParser.get());
+      held_.fields_ = BytesOf(request_.fields_);
+      if (!TryHold()) {
+        code = asio::error::no_memory;
+      }
+    }
     if (code) {
       co_await RejectRequest(code, guard.Expired());
     }
     co_return !code;
   }
 
-  asio::awaitable<bool> ReadBody(
-    http::request_parser<http::string_body>& aParser)
+  asio::awaitable<bool> ReadBody(Parser& aParser)
   {
-    if (beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
-      http::response<http::empty_body> continueResponse(http::status::continue_,
-                                                        11);
-      co_await http::async_write(socket_, continueResponse, kAwait);
-    }
     const SocketDeadline guard(socket_,
                                socket_.get_executor(),
                                TimerService::Now() +
                                  server_->options_.bodyTimeout_);
-    const auto [code, size] =
-      co_await http::async_read(socket_, buffer_, aParser, kAwait);
+    const auto body = std::make_shared<HeldBody>();
+    body->share_ = share_;
+    boost::system::error_code code =
+      co_await ReadBodyText(aParser, body->text_, guard);
+    if (!code && buffer_.size() == 0) {
+      buffer_.shrink_to_fit();
+      held_.buffer_ = 0;
+    }
+    if (!code && (!TryHold() || !share_->Keep())) {
+      code = asio::error::no_memory;
+    }
     if (code) {
+      body->text_ = {};
       co_await RejectRequest(code, guard.Expired());
+      co_return false;
     }
-    co_return !code;
+    if (!body->text_.empty()) {
+      request_.body_ =
+        HttpBody(std::shared_ptr<const std::string>(body, &body->text_));
+    }
+    co_return true;
+  }
+
+  asio::awaitable<boost::system::error_code> ReadBodyText(
+    Parser& aParser,
+    std::string& aText,
+    const SocketDeadline& aGuard)
+  {
+    const auto length = static_cast<std::size_t>(
+      aParser.is_done() ? 0 : aParser.content_length().value_or(0));
+    if (!TryHoldBody(length)) {
+      co_return asio::error::no_memory;
+    }
+    aText.reserve(length);
+    if (beast::iequals(request_.Field("Expect"), "100-continue")) {
+      http::response<http::empty_body> continueResponse(http::status::continue_,
+                                                        11);
+      co_await http::async_write(socket_, continueResponse, kAwait);
+    }
+    aParser.eager(true);
+    while (!aParser.is_done()) {
+      const std::size_t filled = aText.size();
+      const std::size_t room = std::min(aText.capacity() - filled,
+                                        std::max(buffer_.size(), kReadBytes));
+      aText.resize(filled + room);
+      aParser.get().body().data = aText.data() + filled;
+      aParser.get().body().size = room;
+      boost::system::error_code code = co_await Parse(aParser, aGuard);
+      aText.resize(filled + room - aParser.get().body().size);
+      if (code == http::error::need_buffer) {
+        code = {};
+        if (room == 0 && !Grow(aText)) {
+          code = asio::error::no_memory;
+        }
+      }
+      if (code) {
+        co_return code;
+      }
+    }
+    co_return boost::system::error_code();
+  }
+
+  // Makes room in a body of unknown length. The text is held twice while it is
+  // copied.
+  bool Grow(std::string& aText)
+  {
+    const std::size_t capacity = std::min<std::uint64_t>(
+      std::max(2 * aText.capacity(), 2 * kReadBytes),
+      std::max<std::uint64_t>(server_->Limits().maxBodyBytes_,
+                              aText.size() + kReadBytes));
+    if (!TryHoldBody(aText.capacity() + capacity)) {
+      return false;
+    }
+    aText.reserve(capacity);
+    return TryHoldBody(aText.capacity());
+  }
+
+  static std::uint64_t BytesOf(const HttpFields& aFields)
+  {
+    std::uint64_t bytes = aFields.capacity() * sizeof(HttpField);
+    for (const HttpField& field : aFields) {
+      bytes += field.name_.size() + field.value_.size();
+    }
+    return kFieldCopies * bytes;
   }
 
   // Responds to a request that could not be read.
   asio::awaitable<void> RejectRequest(boost::system::error_code aCode,
                                       bool aTimedOut)
   {
+    if (share_->GaveWay()) {
+      aCode = asio::error::no_memory;
+      aTimedOut = false;
+    }
     keepAlive_ = false;
     request_ = {};
     stage_ = Stage::kHandling;
     const auto error =
       MakeReadError(aCode, aTimedOut, server_->phase_ == DrainPhase::kEnding);
+    if (error && error->code_ == ResultCode::kMemoryFull &&
+        server_->options_.onMemoryFull_) {
+      server_->options_.onMemoryFull_(peer_, share_->GaveWay());
+    }
     if (error) {
       co_await Send(ErrorResponse(*error, {}));
     }
@@ -449,6 +667,8 @@
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     const TimePoint start = TimerService::Now();
     bool unanswered = buffer_.size() > 0;
+    buffer_.clear();
+    buffer_.shrink_to_fit();
     std::array<char, kReadBytes> discarded;
     bool waits = true;
     while (waits) {
@@ -468,6 +688,8 @@
   }
 
   static constexpr std::size_t kReadBytes = 4096;
+  // The fields of a request are copied for the message to the endpoint.
+  static constexpr std::uint64_t kFieldCopies = 2;
   static constexpr std::chrono::milliseconds kDisconnectCheckInterval{ 100 };
 
   std::shared_ptr<HttpServerState> server_;
@@ -475,6 +697,8 @@
   std::string peer_;
   beast::flat_buffer buffer_;
   HttpRequest request_;
+  std::shared_ptr<MemoryBudget::Share> share_; // of the present request
+  HeldBytes held_;
   asio::cancellation_signal signal_;
   std::shared_ptr<bool> handlerToken_;
   TimerSubscription deadline_;
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -100,6 +100,12 @@
                 "accept-failed",
                 "Connections can't be accepted, for example because no "
                 "descriptors are left; they wait and the host tries again." },
+  LogEventInfo{ kMemoryFull,
+                LogLevel::kWarning,
+                "memory-full",
+                "Since the last such line, 'refused' requests did not fit into "
+                "the memory for requests, and 'gave_way' ended so that others "
+                "did; the other fields are what is held now." },
   LogEventInfo{ kListenerOpened,
                 LogLevel::kInfo,
                 "listener-opened",
--- a/test/crowd/crowd-host.cc
+++ b/test/crowd/crowd-host.cc
@@ -34,6 +34,7 @@
 
 std::unique_ptr<Process> StartCrowdedHost(json aSettings)
 {
+  aSettings["host"]["memory_mb"] = kMachineBytes / kMiB;
   return std::make_unique<Process>(
     "/bin/sh",
     std::vector<std::string>{ "-c",
--- a/test/crowd/gooseberrylift-entry-crowd-test.cc
+++ b/test/crowd/gooseberrylift-entry-crowd-test.cc
@@ -14,7 +14,8 @@
 Deployment::Options SmallHost()
 {
   return { .engines_ = 1,
-           .host_ = { { "caller",
+           .host_ = { { "host", { { "memory_mb", kMachineBytes / kMiB } } },
+                      { "caller",
                         { { "port", 0 },
                           { "max_body_bytes", kMaxBodyBytes },
                           { "max_header_bytes", kMaxHeadBytes } } } } };
--- a/test/crowd/gooseberrylift-relay-crowd-test.cc
+++ b/test/crowd/gooseberrylift-relay-crowd-test.cc
@@ -18,6 +18,7 @@
 {
   GatewayDeployment::Options options = ThreeHosts(1);
   options.hosts_ = 2;
+  options.host_ = { { "host", { { "memory_mb", kMachineBytes / kMiB } } } };
   options.engine_["work_ms"] = 1000;
   GatewayDeployment deployment(options);
   json document = deployment.Document();
