Return the memory of bodies to the system when they are freed

The size is now fixed at 64 KiB, and pages of smaller blocks are returned once a second where requests have let go of 4 MiB or more.

--- a/include/gooseberrylift/internal/gooseberrylift-host-memory.h
+++ b/include/gooseberrylift/internal/gooseberrylift-host-memory.h
@@ -18,8 +18,13 @@
 
 namespace gooseberrylift {
 
+/// Makes the allocator return the memory of large bodies to the system as soon
+/// as they are freed. Call before threads are started.
+void PrepareAllocator();
+
 // Divides the memory among the requests of callers and those of other hosts and
-// operators, and reports requests that don't fit.
+// operators, returns freed memory to the system, and reports requests that
+// don't fit.
 class HostMemory
 {
 public:
@@ -43,6 +48,7 @@
 private:
   void Check();
   void LogRefusals();
+  void Trim();
 
   // Written by the servers' threads.
   struct Refusals
@@ -55,6 +61,7 @@
   std::shared_ptr<MemoryBudget> callers_;
   std::shared_ptr<MemoryBudget> hosts_;
   std::shared_ptr<Refusals> refusals_ = std::make_shared<Refusals>();
+  std::uint64_t untrimmed_ = 0; // the most that was held since the last trim
   TimerSubscription timer_;
 };
 
--- a/src/cli/gooseberrylift-serve.cc
+++ b/src/cli/gooseberrylift-serve.cc
@@ -9,6 +9,7 @@
 #include "gooseberrylift/internal/gooseberrylift-descriptor-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-entry-host.h"
 #include "gooseberrylift/internal/gooseberrylift-gateway-host.h"
+#include "gooseberrylift/internal/gooseberrylift-host-memory.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-settings-file.h"
 
@@ -44,6 +45,7 @@
 leaf::result<void> Serve(const std::string& aPath)
 {
   PrepareToServe();
+  PrepareAllocator();
   if (!IsFile(aPath)) {
     BOOST_LEAF_AUTO(text, ReadTextFile(aPath, ResultCode::kSettingsUnreadable));
     return Run({ .text_ = std::move(text) });
--- a/src/host/gooseberrylift-host-memory.cc
+++ b/src/host/gooseberrylift-host-memory.cc
@@ -1,5 +1,8 @@
 #include "gooseberrylift/internal/gooseberrylift-host-memory.h"
 
+#include <algorithm>
+
+#include <malloc.h>
 #include <sys/sysinfo.h>
 
 #include "gooseberrylift/internal/gooseberrylift-log.h"
@@ -8,12 +11,19 @@
 
 namespace {
 
+// Blocks of this size or more are mapped each by itself. Smaller ones share
+// pages, which a single block in use keeps from being returned.
+constexpr int kMappedBytes = 64 * 1024;
+constexpr int kTrimBytes = 256 * 1024;
+
 // The parts of the machine's memory for requests of callers, and for those of
 // hosts and operators. The rest is for connections, state and answers.
 constexpr std::uint64_t kCallersPart = 4;
 constexpr std::uint64_t kHostsPart = 8;
 
 constexpr std::chrono::seconds kCheckInterval{ 1 };
+constexpr std::uint64_t kMinTrimmedBytes = 4 * 1024 * 1024;
+
 std::uint64_t SystemMemory()
 {
   struct sysinfo info
@@ -32,6 +42,13 @@
 
 } // namespace
 
+void PrepareAllocator()
+{
+  // The threshold rises by itself unless it is set.
+  ::mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kTrimBytes);
+}
+
 HostMemory::HostMemory(Metrics& aMetrics, std::optional<std::uint64_t> aBytes)
   : metrics_(aMetrics)
   , callers_(MakeBudget(aBytes.value_or(SystemMemory()) / kCallersPart))
@@ -64,6 +81,7 @@
 void HostMemory::Check()
 {
   LogRefusals();
+  Trim();
 }
 
 void HostMemory::LogRefusals()
@@ -79,4 +97,16 @@
   }
 }
 
+// Returns the pages of small bodies to the system once most of them are freed.
+void HostMemory::Trim()
+{
+  const std::uint64_t peak = callers_->TakePeak() + hosts_->TakePeak();
+  const std::uint64_t used = callers_->Used() + hosts_->Used();
+  untrimmed_ = std::max(untrimmed_, peak);
+  if (untrimmed_ - std::min(untrimmed_, used) >= kMinTrimmedBytes) {
+    ::malloc_trim(0);
+    untrimmed_ = used;
+  }
+}
+
 } // namespace gooseberrylift
