Count answers that are held back until they are whole

A host holds up to 256 KiB of an answer that isn't a stream, for each of its callers, until the endpoint has sent it whole. These bytes are now taken from the budget of callers; where they don't fit, the answer is passed on as it comes. Found by reading; no crowd here made a host exceed its memory in this way alone.

--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -249,7 +249,8 @@
   RequestAttempt& aAttempt)
 {
   while (!aAttempt.ended_) {
-    if (aAttempt.body_.size() > kMaxBufferedBytes) {
+    const std::uint64_t buffered = aAttempt.body_.capacity();
+    if (buffered > kMaxBufferedBytes || !exchange_.TryHoldMemory(buffered)) {
       const bool failed = aAttempt.call_->Head().status_ >= 500;
       if (failed && MayRetryElsewhere(aAttempt) && TryReserveRetry()) {
         co_return MakeOverlongError("a failure with a body over the limit");
