Refuse requests by their heads before their bodies are read

150 bodies of 4 MiB without a valid key, or for a path without a route, were read whole to be answered 401 or 404, and clients that asked by Expect: 100-continue were told to send what then was refused.

The server asks by the head whether a request is refused, if its body is over 64 KiB or of unknown length, and answers at once: unknown route, method or key, a host that stops. Smaller bodies are read as before, so that the connection stays open. A host that doesn't know its routes yet, or whose keys aren't proven, decides once the body is there.

--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -47,6 +47,13 @@
       signOutcome_;
   };
 
+  /// Decides whether a caller's request is refused without its body.
+  /// @param aLatestEnd see HttpExchange::LatestEnd
+  /// @return the response; nothing if the body may change the decision or what
+  /// is known of the routes is not current yet
+  std::optional<HttpResponse> CheckHead(const HttpRequest& aHead,
+                                        std::optional<TimePoint> aLatestEnd);
+
   /// Handles one request of a caller.
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
 
--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -111,6 +111,13 @@
 using HttpHandler =
   std::function<boost::asio::awaitable<void>(HttpExchange& aExchange)>;
 
+/// Decides by the head of a request whether it is refused, without its body.
+/// @param aLatestEnd see HttpExchange::LatestEnd
+/// @return the response that refuses it; nothing if its body is read
+using HttpHeadCheck = std::function<std::optional<HttpResponse>(
+  const HttpRequest& aHead,
+  std::optional<TimePoint> aLatestEnd)>;
+
 // Listens on one address. Each connection runs on its own strand of the
 // executor:
 //
@@ -135,6 +142,8 @@
     // What requests may hold together, also with other servers; unlimited if
     // there is none.
     std::shared_ptr<MemoryBudget> budget_{};
+    // Is called for requests whose bodies aren't small.
+    HttpHeadCheck checkHead_{};
     // Is called for each request that is refused since its bytes don't fit, or
     // since it gave way to others.
     std::function<void(const std::string& aPeer, bool aGaveWay)>
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -127,6 +127,23 @@
   return request;
 }
 
+std::optional<HttpResponse> GatewayFront::CheckHead(
+  const HttpRequest& aHead,
+  std::optional<TimePoint> aLatestEnd)
+{
+  const TimePoint now = TimerService::Now();
+  CallerRequestMetadata facts = parts_.dialect_.ParseCallerRequest(aHead);
+  const std::string attemptId = facts.attemptId_;
+  const auto request = Resolve(aHead, std::move(facts), now, aLatestEnd);
+  if (request || request.error().code_ == ResultCode::kNoConfiguration ||
+      request.error().code_ == ResultCode::kFreshnessLost) {
+    return std::nullopt;
+  }
+  RecordFailure(attemptId, {}, request.error(), now, nullptr);
+  return parts_.dialect_.MakeHostErrorResponse(
+    HttpStatusOf(request.error()), request.error(), attemptId);
+}
+
 // Applies what the caller was told if it was rejected before.
 void GatewayFront::ApplyPromise(RoutedRequest& aRequest)
 {
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -151,6 +151,11 @@
         .bodyTimeout_ = settings_.bodyTimeout_,
         .writeTimeout_ = settings_.writeTimeout_,
         .budget_ = memory_.Callers(),
+        .checkHead_ =
+          [this](const HttpRequest& aHead,
+                 std::optional<TimePoint> aLatestEnd) {
+            return callerApi_.CheckHead(aHead, aLatestEnd);
+          },
         .onMemoryFull_ = memory_.Recorder(),
         .onClosedUnread_ = ClosedUnreadCounter(metrics_),
         .onAcceptError_ = AcceptErrorRecorder(metrics_) },
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -250,6 +250,11 @@
         .maxConnections_ = settings_.caller_.maxConnections_,
         .writeTimeout_ = settings_.writeTimeout_,
         .budget_ = memory_.Callers(),
+        .checkHead_ =
+          [this](const HttpRequest& aHead,
+                 std::optional<TimePoint> aLatestEnd) {
+            return front_.CheckHead(aHead, aLatestEnd);
+          },
         .onMemoryFull_ = memory_.Recorder(),
         .onClosedUnread_ = ClosedUnreadCounter(metrics_),
         .onAcceptError_ = AcceptErrorRecorder(metrics_) },
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -362,6 +362,10 @@
     if (!headerRead) {
       co_return false;
     }
+    const bool accepted = co_await CheckHead(parser);
+    if (!accepted) {
+      co_return false;
+    }
     const bool bodyRead = co_await ReadBody(parser);
     if (!bodyRead) {
       co_return false;
@@ -475,6 +479,26 @@
     co_return !code;
   }
 
+  // Refuses a request whose head suffices for that. The body of a small one is
+  // read all the same, so that the connection stays open.
+  asio::awaitable<bool> CheckHead(const Parser& aParser)
+  {
+    const auto length = aParser.content_length();
+    const bool isSmall =
+      length ? *length <= kSmallBodyBytes : !aParser.chunked();
+    if (isSmall || !server_->options_.checkHead_) {
+      co_return true;
+    }
+    auto refusal = server_->options_.checkHead_(request_, latestEnd_);
+    if (!refusal) {
+      co_return true;
+    }
+    keepAlive_ = false;
+    stage_ = Stage::kHandling;
+    co_await Send(std::move(*refusal));
+    co_return false;
+  }
+
   asio::awaitable<bool> ReadBody(Parser& aParser)
   {
     const SocketDeadline guard(socket_,
@@ -688,6 +712,7 @@
   }
 
   static constexpr std::size_t kReadBytes = 4096;
+  static constexpr std::uint64_t kSmallBodyBytes = 64 * 1024;
   // The fields of a request are copied for the message to the endpoint.
   static constexpr std::uint64_t kFieldCopies = 2;
   static constexpr std::chrono::milliseconds kDisconnectCheckInterval{ 100 };
