Bound the connections of all addresses by the process's descriptors

Under 320 descriptors, 96 idle connections at each address left none for endpoints, and an ordinary request wasn't served within 20 s: only the callers' connections were bounded by the limit, hosts, operators and the balancer had 10,000 each.

What is kept from the callers is now divided: a quarter of it for connections of hosts, a sixth for operators, a sixteenth for the balancer; the rest is left for endpoints, the store and files. A host that reads its settings again applies the same bounds before it compares them, so that they aren't reported as changed.

--- a/include/gooseberrylift/internal/gooseberrylift-descriptor-limit.h
+++ b/include/gooseberrylift/internal/gooseberrylift-descriptor-limit.h
@@ -9,6 +9,7 @@
 
 #include <boost/system/error_code.hpp>
 
+#include "gooseberrylift/gooseberrylift-settings.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 
 namespace gooseberrylift {
@@ -18,12 +19,10 @@
 /// the process neither read nor raise it, which doesn't tell the real one
 std::optional<std::size_t> RaiseDescriptorLimit();
 
-/// Bounds the callers' connections so that descriptors are left for endpoints,
-/// other hosts, the store and files.
-/// @param aWanted the number in the settings
+/// Bounds the connections that are accepted at all addresses together, so that
+/// descriptors are left for endpoints, the store and files.
 /// @param aLimit the limit of descriptors, if any
-std::size_t BoundCallerConnections(std::size_t aWanted,
-                                   std::optional<std::size_t> aLimit);
+void BoundConnections(Settings& aSettings, std::optional<std::size_t> aLimit);
 
 /// Returns a function that counts connections that a server can't accept and
 /// logs them from time to time.
--- a/src/cli/gooseberrylift-serve.cc
+++ b/src/cli/gooseberrylift-serve.cc
@@ -31,8 +31,7 @@
 {
   BOOST_LEAF_AUTO(settings, Settings::Parse(aFile.text_));
   StartLogging(settings.logLevel_, settings.hostName_);
-  settings.caller_.maxConnections_ = BoundCallerConnections(
-    settings.caller_.maxConnections_, RaiseDescriptorLimit());
+  BoundConnections(settings, RaiseDescriptorLimit());
   const auto ended =
     settings.gateway_ ? GatewayHost(std::move(settings), std::move(aFile)).Run()
                       : EntryHost(std::move(settings)).Run();
--- a/src/host/gooseberrylift-descriptor-limit.cc
+++ b/src/host/gooseberrylift-descriptor-limit.cc
@@ -17,6 +17,12 @@
 // this many, but not more than half.
 constexpr std::size_t kMinReserve = 512;
 
+// The parts of these for connections of hosts, operators and the balancer.
+constexpr std::size_t kPeersPart = 4;
+constexpr std::size_t kAdminPart = 6;
+constexpr std::size_t kReadyPart = 16;
+constexpr std::size_t kMinConnections = 4;
+
 constexpr std::chrono::seconds kLogInterval{ 5 };
 
 } // namespace
@@ -39,15 +45,22 @@
   return static_cast<std::size_t>(limit.rlim_cur);
 }
 
-std::size_t BoundCallerConnections(std::size_t aWanted,
-                                   std::optional<std::size_t> aLimit)
+void BoundConnections(Settings& aSettings, std::optional<std::size_t> aLimit)
 {
   if (!aLimit) {
-    return aWanted;
+    return;
   }
   const std::size_t reserve =
     std::min(*aLimit / 2, std::max(*aLimit / 4, kMinReserve));
-  return std::clamp<std::size_t>(aWanted, 1, *aLimit - reserve);
+  const auto bound = [](ListenSettings& aListener, std::size_t aMost) {
+    aListener.maxConnections_ =
+      std::min(aListener.maxConnections_, std::max(aMost, kMinConnections));
+  };
+  aSettings.caller_.maxConnections_ = std::clamp<std::size_t>(
+    aSettings.caller_.maxConnections_, 1, *aLimit - reserve);
+  bound(aSettings.peer_, reserve / kPeersPart);
+  bound(aSettings.admin_, reserve / kAdminPart);
+  bound(aSettings.ready_, reserve / kReadyPart);
 }
 
 std::function<void(const boost::system::error_code& aError)>
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -164,6 +164,7 @@
       context_.get_executor(),
       { .address_ = settings_.admin_.address_,
         .port_ = settings_.admin_.port_,
+        .maxConnections_ = settings_.admin_.maxConnections_,
         .budget_ = memory_.Hosts(),
         .onMemoryFull_ = memory_.Recorder() },
       [this](HttpExchange& aExchange) { return adminApi_.Handle(aExchange); })
@@ -171,6 +172,7 @@
       context_.get_executor(),
       { .address_ = settings_.peer_.address_,
         .port_ = settings_.peer_.port_,
+        .maxConnections_ = settings_.peer_.maxConnections_,
         .budget_ = memory_.Hosts(),
         .onMemoryFull_ = memory_.Recorder() },
       [this](HttpExchange& aExchange) { return peers_.Handle(aExchange); })
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -264,6 +264,7 @@
       { .address_ = settings_.ready_.address_,
         .port_ = settings_.ready_.port_,
         .maxBodyBytes_ = kMaxReadyBodyBytes,
+        .maxConnections_ = settings_.ready_.maxConnections_,
         .budget_ = memory_.Hosts(),
         .onMemoryFull_ = memory_.Recorder() },
       [this](HttpExchange& aExchange) { return HandleReady(aExchange); })
@@ -271,6 +272,7 @@
       context_.get_executor(),
       { .address_ = settings_.admin_.address_,
         .port_ = settings_.admin_.port_,
+        .maxConnections_ = settings_.admin_.maxConnections_,
         .budget_ = memory_.Hosts(),
         .onMemoryFull_ = memory_.Recorder() },
       [this](HttpExchange& aExchange) { return HandleAdmin(aExchange); })
@@ -278,6 +280,7 @@
       context_.get_executor(),
       { .address_ = settings_.peer_.address_,
         .port_ = settings_.peer_.port_,
+        .maxConnections_ = settings_.peer_.maxConnections_,
         .budget_ = memory_.Hosts(),
         .onMemoryFull_ = memory_.Recorder() },
       [this](HttpExchange& aExchange) { return HandlePeer(aExchange); })
--- a/src/host/gooseberrylift-settings-watch.cc
+++ b/src/host/gooseberrylift-settings-watch.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-descriptor-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-process-signals.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
@@ -79,6 +80,7 @@
         return leaf::new_error(MakeError(ResultCode::kSettingsInvalid,
                                          "<root>: no 'gateway' section"));
       }
+      BoundConnections(settings, RaiseDescriptorLimit()); // as at the start
       parts_.apply_(settings);
       SetLogLevel("all", settings.logLevel_);
       Log(LogEvent::kSettingsReloaded, { { "path", parts_.file_.path_ } });
