Let idle and slow connections make room for new ones

A crowd that opened as many connections as a host may have, and left them idle, kept all other callers out until the idle time was over, and could come again at once: each further connection was rejected.

Where the number is reached, the connection that has been idle longest now closes for a new one, or else the one that has sent its request for longest without its end, which gets 503 with Retry-After; both only after a second. Without one, the new connection is rejected as before. No more than those that may be rejected at a time close in this way. ServesBesideIdleConnections, KeepsDescriptorsForEndpoints and BoundsSmallBodiesThatStopShort failed before and pass; ConnectionRoomTest tests the choice.

--- a/include/gooseberrylift/internal/gooseberrylift-listener.h
+++ b/include/gooseberrylift/internal/gooseberrylift-listener.h
@@ -10,6 +10,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "gooseberrylift/gooseberrylift-result.h"
+
 namespace gooseberrylift {
 
 /// Returns whether a port that can't be opened because of an error may be
@@ -26,6 +28,10 @@
   const std::string& aAddress,
   std::uint16_t aPort);
 
+/// Creates the error for a connection, or a request that is being received, for
+/// which a server has no room.
+Error MakeConnectionLimitError();
+
 /// Responds to a new connection with code connection-limit, once its request
 /// begins to arrive or after a short time, and closes it. The request is not
 /// executed.
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <vector>
 
 #include <boost/asio.hpp>
 
@@ -79,8 +80,10 @@
   boost::system::error_code Listen(std::uint16_t aPort);
   asio::awaitable<void> AcceptLoop();
   bool HasRoom();
-  asio::awaitable<void> WaitForRoom();
-  void ServeOrReject(tcp::socket aSocket);
+  bool MakeRoom();
+  std::size_t MaxRejections() const;
+  asio::awaitable<bool> WaitForRoom();
+  void Serve(tcp::socket aSocket);
   void StartRejection(tcp::socket aSocket);
   void StopAccepting();
   asio::awaitable<void> CloseListener();
@@ -126,8 +129,12 @@
       co_await TimerService::SleepFor(kAcceptRetryDelay);
       continue;
     }
-    co_await WaitForRoom();
-    ServeOrReject(std::move(socket));
+    const bool serves = co_await WaitForRoom();
+    if (serves) {
+      Serve(std::move(socket));
+    } else {
+      StartRejection(std::move(socket));
+    }
   }
 }
 
@@ -136,26 +143,58 @@
   return CountSessions() < state_->options_.maxConnections_;
 }
 
-// While the server neither serves nor rejects another connection, further ones
-// wait in the queue of the operating system, where they use no descriptors.
-asio::awaitable<void> HttpServer::Impl::WaitForRoom()
+// Lets a connection that waits for its client close. Returns false if there is
+// none, or if as many close already as may be open beyond the limit.
+bool HttpServer::Impl::MakeRoom()
 {
-  const std::size_t maxRejections =
-    std::clamp<std::size_t>(state_->options_.maxConnections_ / 4, 1, 16);
-  while (*rejections_ >= maxRejections && !HasRoom()) {
-    co_await TimerService::SleepFor(kRoomPollInterval);
+  if (state_->makingRoom_ >= MaxRejections()) {
+    return false;
   }
+  const std::lock_guard lock(state_->mutex_);
+  std::vector<HttpSession*> sessions;
+  std::vector<WaitingConnection> waiting;
+  for (HttpSession* session : state_->sessions_) {
+    if (const auto connection = session->Waiting()) {
+      sessions.push_back(session);
+      waiting.push_back(*connection);
+    }
+  }
+  const auto chosen = ChooseConnectionToClose(waiting, TimerService::Now());
+  if (!chosen) {
+    return false;
+  }
+  sessions[*chosen]->PostMakeRoom();
+  return true;
 }
 
-void HttpServer::Impl::ServeOrReject(tcp::socket aSocket)
+// The number of connections that may be open beyond the limit, to be rejected
+// or to be closed for others.
+std::size_t HttpServer::Impl::MaxRejections() const
 {
-  if (HasRoom()) {
-    StartHttpSession(state_, std::move(aSocket));
-  } else {
-    StartRejection(std::move(aSocket));
+  return std::clamp<std::size_t>(state_->options_.maxConnections_ / 4, 1, 16);
+}
+
+// Returns whether the next connection is served rather than rejected. While the
+// server can do neither, connections wait in the queue of the operating system,
+// where they use no descriptors.
+asio::awaitable<bool> HttpServer::Impl::WaitForRoom()
+{
+  while (true) {
+    if (HasRoom() || MakeRoom()) {
+      co_return true;
+    }
+    if (*rejections_ < MaxRejections()) {
+      co_return false;
+    }
+    co_await TimerService::SleepFor(kRoomPollInterval);
   }
 }
 
+void HttpServer::Impl::Serve(tcp::socket aSocket)
+{
+  StartHttpSession(state_, std::move(aSocket));
+}
+
 void HttpServer::Impl::StartRejection(tcp::socket aSocket)
 {
   const auto executor = aSocket.get_executor();
@@ -185,7 +224,13 @@
   AcceptQueued(
     acceptor_,
     [this] { return asio::make_strand(executor_); },
-    [this](tcp::socket aSocket) { ServeOrReject(std::move(aSocket)); });
+    [this](tcp::socket aSocket) {
+      if (HasRoom()) {
+        Serve(std::move(aSocket));
+      } else {
+        StartRejection(std::move(aSocket));
+      }
+    });
   boost::system::error_code ignored;
   acceptor_.close(ignored);
 }
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <optional>
 #include <utility>
 
 #include <poll.h>
@@ -11,6 +13,7 @@
 
 #include "gooseberrylift-http-message.h"
 #include "gooseberrylift-unparsed-limit.h"
+#include "gooseberrylift/internal/gooseberrylift-listener.h"
 #include "gooseberrylift/internal/gooseberrylift-socket-deadline.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -51,6 +54,7 @@
   {
     const std::lock_guard lock(server_->mutex_);
     server_->sessions_.erase(this);
+    server_->makingRoom_ -= makesRoom_ ? 1 : 0;
   }
 
   asio::awaitable<void> Run()
@@ -89,6 +93,27 @@
     });
   }
 
+  std::optional<WaitingConnection> Waiting() const override
+  {
+    const Stage stage = stage_;
+    if (makesRoom_ || (stage != Stage::kIdle && stage != Stage::kReading)) {
+      return std::nullopt;
+    }
+    return WaitingConnection{ .isIdle_ = stage == Stage::kIdle,
+                              .since_ = stageSince_ };
+  }
+
+  void PostMakeRoom() override
+  {
+    makesRoom_ = true;
+    ++server_->makingRoom_;
+    asio::post(socket_.get_executor(), [self = weak_from_this()] {
+      if (const auto session = self.lock()) {
+        session->MakeRoom();
+      }
+    });
+  }
+
   const HttpRequest& Request() const override { return request_; }
   HttpRequest& MutableRequest() override { return request_; }
   const std::string& Peer() const override { return peer_; }
@@ -206,6 +231,12 @@
     kLingering
   };
 
+  void SetStage(Stage aStage)
+  {
+    stage_ = aStage;
+    stageSince_ = TimerService::Now();
+  }
+
   // A connection is busy from the first byte of a request to the last byte of
   // its response, so that Drain waits for a body that is still being received
   // as well as for a running handler.
@@ -247,9 +278,10 @@
 
   TimePoint IdleDeadline() const
   {
-    const TimePoint limit = idleSince_ + server_->Limits().idleTimeout_;
+    const TimePoint idleSince = stageSince_;
+    const TimePoint limit = idleSince + server_->Limits().idleTimeout_;
     const auto drainLimit =
-      IdleLimit(server_->phase_, idleSince_, server_->closingSince_);
+      IdleLimit(server_->phase_, idleSince, server_->closingSince_);
     return std::min(limit, drainLimit.value_or(limit));
   }
 
@@ -326,6 +358,18 @@
     }
   }
 
+  // A request that is being read is refused, so that its caller knows when to
+  // return.
+  void MakeRoom()
+  {
+    boost::system::error_code ignored;
+    if (stage_ == Stage::kReading) {
+      socket_.cancel(ignored);
+    } else if (stage_ == Stage::kIdle && !HasUnreadBytes()) {
+      socket_.close(ignored);
+    }
+  }
+
   // Frees what was held for a request.
   void Release()
   {
@@ -346,7 +390,7 @@
       }
     }
     SetBusy(true);
-    stage_ = Stage::kReading;
+    SetStage(Stage::kReading);
     latestEnd_ = LatestEndOfNewRequest(server_->phase_, server_->drainLimit_);
     OpenShare();
     const HttpServer::Limits limits = server_->Limits();
@@ -370,7 +414,7 @@
     if (!bodyRead) {
       co_return false;
     }
-    stage_ = Stage::kHandling;
+    SetStage(Stage::kHandling);
     keepAlive_ = parser.keep_alive();
     started_ = false;
     reusable_ = false;
@@ -381,8 +425,7 @@
 
   asio::awaitable<void> WaitForBytes()
   {
-    stage_ = Stage::kIdle;
-    idleSince_ = TimerService::Now();
+    SetStage(Stage::kIdle);
     bool waits = true;
     while (waits) {
       const SocketDeadline guard(
@@ -494,7 +537,7 @@
       co_return true;
     }
     keepAlive_ = false;
-    stage_ = Stage::kHandling;
+    SetStage(Stage::kHandling);
     co_await Send(std::move(*refusal));
     co_return false;
   }
@@ -601,9 +644,12 @@
     }
     keepAlive_ = false;
     request_ = {};
-    stage_ = Stage::kHandling;
-    const auto error =
+    SetStage(Stage::kHandling);
+    auto error =
       MakeReadError(aCode, aTimedOut, server_->phase_ == DrainPhase::kEnding);
+    if (makesRoom_ && aCode == asio::error::operation_aborted && !aTimedOut) {
+      error = MakeConnectionLimitError();
+    }
     if (error && error->code_ == ResultCode::kMemoryFull &&
         server_->options_.onMemoryFull_) {
       server_->options_.onMemoryFull_(peer_, share_->GaveWay());
@@ -686,7 +732,7 @@
   // caller may lose a response that is in transit.
   asio::awaitable<void> Linger()
   {
-    stage_ = Stage::kLingering;
+    SetStage(Stage::kLingering);
     boost::system::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     const TimePoint start = TimerService::Now();
@@ -729,8 +775,10 @@
   TimerSubscription deadline_;
   TimerSubscription disconnectCheck_;
   AbortReason reason_ = AbortReason::kNone;
-  Stage stage_ = Stage::kIdle;
-  TimePoint idleSince_{};
+  // Read by other threads too.
+  std::atomic<Stage> stage_ = Stage::kIdle;
+  std::atomic<TimePoint> stageSince_ = TimerService::Now();
+  std::atomic<bool> makesRoom_ = false;
   std::optional<TimePoint> latestEnd_;
   bool busy_ = false;
   bool keepAlive_ = true;
--- a/src/net/gooseberrylift-http-session.h
+++ b/src/net/gooseberrylift-http-session.h
@@ -8,12 +8,14 @@
 #include <cstddef>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include "gooseberrylift/gooseberrylift-drain-policy.h"
 #include "gooseberrylift/internal/gooseberrylift-http-server.h"
+#include "gooseberrylift/limits/gooseberrylift-connection-room.h"
 
 namespace gooseberrylift {
 
@@ -29,6 +31,14 @@
   /// Applies the server's present phase; in the last one, cancels the running
   /// handler, if any. Thread-safe.
   virtual void PostPhase() = 0;
+
+  /// Returns what the connection awaits of its client; nothing if it awaits
+  /// nothing, or has been told to make room. Thread-safe.
+  virtual std::optional<WaitingConnection> Waiting() const = 0;
+
+  /// Closes the connection so that the server can serve another one, unless
+  /// bytes of a new request have arrived. Thread-safe; called once.
+  virtual void PostMakeRoom() = 0;
 };
 
 // Counts what a server does while it closes.
@@ -75,8 +85,9 @@
   std::atomic<TimePoint> drainLimit_{};
   std::atomic<TimePoint> closingSince_{};
   DrainCounts drainCounts_;
-  std::atomic<std::ptrdiff_t> active_ = 0; // number of busy connections
-  std::mutex mutex_;                       // guards sessions_ and limits_
+  std::atomic<std::ptrdiff_t> active_ = 0;  // number of busy connections
+  std::atomic<std::size_t> makingRoom_ = 0; // sessions that close for others
+  std::mutex mutex_;                        // guards sessions_ and limits_
   HttpServer::Limits limits_{};
   std::set<HttpSession*> sessions_{}; // sessions add and remove themselves
 
--- a/src/net/gooseberrylift-listener.cc
+++ b/src/net/gooseberrylift-listener.cc
@@ -36,9 +36,7 @@
 
 http::response<http::string_body> MakeRejection()
 {
-  Error error = MakeError(ResultCode::kConnectionLimit);
-  error.retryAfter_ = kRejectionRetryDelay;
-  HttpResponse response = ErrorResponse(error, {});
+  HttpResponse response = ErrorResponse(MakeConnectionLimitError(), {});
   http::response<http::string_body> message;
   message.version(11);
   message.result(static_cast<unsigned>(response.status_));
@@ -71,6 +69,13 @@
 
 } // namespace
 
+Error MakeConnectionLimitError()
+{
+  Error error = MakeError(ResultCode::kConnectionLimit);
+  error.retryAfter_ = kRejectionRetryDelay;
+  return error;
+}
+
 bool IsTransientListenError(const boost::system::error_code& aError)
 {
   return std::any_of(
