Free the parts of a prompt once its features are known

The head of a request lists the parts of its prompt, and 16 KiB of one-letter parts became 8,000 texts of 32 bytes that were kept as long as the request: 256 KiB each, which no budget counted. Only their features are used, 64 at most, so the list is freed once these are made. Found by reading; there is no test, since the crowd of the others stays under their bound in this way.

--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -1,6 +1,7 @@
 #include "gooseberrylift/internal/gooseberrylift-gateway-front.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/this_coro.hpp>
 #include <boost/system/system_error.hpp>
@@ -115,7 +116,7 @@
   request.features_ = MakeRequestFeatures(
     RequestFingerprint(
       aRequest.target_, request.facts_.teamKey_, aRequest.body_.Text()),
-    request.facts_.promptParts_);
+    std::exchange(request.facts_.promptParts_, {}));
   request.identified_ = !aRequest.body_.empty();
   request.service_ = RouteTable::ChooseService(*request.route_, RandomNumber());
   const milliseconds timeout =
