Count bytes behind a request, which the kernel holds

While a request is handled, what its client sends behind it stays in the socket: 67 KB for each of 96 connections in the test, more once the kernel has enlarged the window of a connection. A machine that counts received bytes counts these too, and a host with 2,000 connections of callers can have twice its memory in them.

The connection's check for a client that has left, every 100 ms while the socket is readable, now takes these bytes from the budget as well. Where they don't fit they are discarded, and the connection closes after the response; the requests in them were not read and have not run.

--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -176,7 +176,7 @@
     const auto [code, size] =
       co_await http::async_write(socket_, serializer, kAwait);
     RecordWriteTimeout(guard);
-    reusable_ = !code && message.keep_alive();
+    reusable_ = !code && message.keep_alive() && !discards_;
     co_return !code;
   }
 
@@ -217,7 +217,7 @@
     const auto [code, size] =
       co_await asio::async_write(socket_, http::make_chunk_last(), kAwait);
     RecordWriteTimeout(guard);
-    reusable_ = !code && streamKeepAlive_;
+    reusable_ = !code && streamKeepAlive_ && !discards_;
     co_return !code;
   }
 
@@ -271,7 +271,7 @@
   bool KeepsConnection() const
   {
     const DrainPhase phase = server_->phase_;
-    return keepAlive_ &&
+    return keepAlive_ && !discards_ &&
            gooseberrylift::KeepsConnection(
              phase, phase != DrainPhase::kServing && HasUnreadBytes());
   }
@@ -316,8 +316,12 @@
     std::uint64_t fields_ = 0;
     std::uint64_t body_ = 0;
     std::uint64_t handler_ = 0;
+    std::uint64_t unread_ = 0; // behind the request, in the socket
 
-    std::uint64_t Sum() const { return buffer_ + fields_ + body_ + handler_; }
+    std::uint64_t Sum() const
+    {
+      return buffer_ + fields_ + body_ + handler_ + unread_;
+    }
   };
 
   // A body that accounts for its bytes as long as it exists.
@@ -696,11 +700,31 @@
         if (self->IsClosedByCaller()) {
           self->Abort(AbortReason::kCallerLeft);
         } else {
+          self->HoldUnread();
           self->WatchAgainLater();
         }
       });
   }
 
+  // Bytes behind the request stay in the socket, where they take memory too. If
+  // that doesn't fit, they are discarded, and the connection closes after the
+  // response.
+  void HoldUnread()
+  {
+    boost::system::error_code code;
+    held_.unread_ = socket_.available(code);
+    if (!discards_ && TryHold()) {
+      return;
+    }
+    discards_ = true;
+    std::array<char, kReadBytes> discarded;
+    std::size_t left = std::exchange(held_.unread_, 0);
+    while (left > 0 && !code) {
+      left -= socket_.read_some(
+        asio::buffer(discarded.data(), std::min(left, discarded.size())), code);
+    }
+  }
+
   // Bytes of the next request keep the socket readable until they are read.
   void WatchAgainLater()
   {
@@ -786,6 +810,7 @@
   bool reusable_ = false;
   bool streamKeepAlive_ = false;
   bool keepRunning_ = false;
+  bool discards_ = false; // bytes behind a request, which thus got no answer
 };
 
 } // namespace
--- a/test/crowd/gooseberrylift-gateway-crowd-test.cc
+++ b/test/crowd/gooseberrylift-gateway-crowd-test.cc
@@ -5,6 +5,7 @@
 #include "crowd-host.h"
 #include "harness-gateway.h"
 
+#include <algorithm>
 #include <string>
 #include <thread>
 #include <vector>
@@ -221,6 +222,29 @@
   }));
 }
 
+// Guards against bytes after a request that the kernel holds until its answer
+// is sent.
+TEST(GatewayCrowdTest, BoundsUnreadBytesBehindRequests)
+{
+  deployment_.Board(0).Control({ { "fault", "hang" }, { "times", 1000 } });
+  deployment_.Board(1).Control({ { "fault", "hang" }, { "times", 1000 } });
+  CrowdScript script = SizedBody(SafePost(), kMaxBodyBytes / 16, 0);
+  script.end_ = std::string(8 * kMaxBodyBytes, 'a');
+  Crowd crowd(CallerPort(), kManyClients, script);
+  std::uint64_t unread = 0;
+  for (int round = 0; round < 4; ++round) {
+    crowd.Send(500ms);
+    unread = std::max(unread, UnreadBytes(CallerPort()));
+  }
+  CHECK_TRUE(unread > 0);
+  CHECK_COMPARE(
+    (unread + PeakMemory(host_->Pid())) / kMiB, <, kMachineBytes / kMiB);
+  deployment_.Board(0).Control({ { "fault", "" } });
+  deployment_.Board(1).Control({ { "fault", "" } });
+  CHECK_TRUE(IsOrdinaryServed());
+  CheckWithinMachine(*host_);
+}
+
 // Guards against holding the answers of clients that don't read: these repeat
 // the bodies.
 TEST(GatewayCrowdTest, BoundsUnreadAnswersToRequestsInSeries)
--- a/test/integration/harness-crowd.cc
+++ b/test/integration/harness-crowd.cc
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -179,6 +180,32 @@
   return StatusField(aProcess, "VmHWM:");
 }
 
+std::uint64_t UnreadBytes(std::uint16_t aPort)
+{
+  constexpr int kBase = 16;
+  std::ifstream file("/proc/net/tcp");
+  std::string line;
+  std::getline(file, line); // the header
+  std::uint64_t bytes = 0;
+  while (std::getline(file, line)) {
+    // slot, local address, remote address, state, queues
+    std::istringstream words(line);
+    std::string slot;
+    std::string local;
+    std::string remote;
+    std::string state;
+    std::string queues;
+    words >> slot >> local >> remote >> state >> queues;
+    const auto port =
+      std::stoul(local.substr(local.find(':') + 1), nullptr, kBase);
+    bytes +=
+      port == aPort
+        ? std::stoull(queues.substr(queues.find(':') + 1), nullptr, kBase)
+        : 0;
+  }
+  return bytes;
+}
+
 std::size_t CountDescriptors(int aProcess)
 {
   const std::filesystem::directory_iterator descriptors(
--- a/test/integration/harness-crowd.h
+++ b/test/integration/harness-crowd.h
@@ -68,6 +68,10 @@
 /// Returns the peak of a process's resident memory, in bytes.
 std::uint64_t PeakMemory(int aProcess);
 
+/// Returns the bytes that the kernel has received for connections of a local
+/// port and that have not been read yet.
+std::uint64_t UnreadBytes(std::uint16_t aPort);
+
 /// Returns the number of a process's open descriptors.
 std::size_t CountDescriptors(int aProcess);
 
