Keep the decisions of the memory budget free of locks

The core needs no threads, network or clock. The lock, the calls to those that give way and the shares stand in SharedMemoryBudget; MemoryBudget decides.

--- a/include/gooseberrylift/internal/gooseberrylift-host-memory.h
+++ b/include/gooseberrylift/internal/gooseberrylift-host-memory.h
@@ -13,8 +13,8 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
+#include "gooseberrylift/internal/gooseberrylift-shared-memory-budget.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
-#include "gooseberrylift/limits/gooseberrylift-memory-budget.h"
 
 namespace gooseberrylift {
 
@@ -32,10 +32,13 @@
   HostMemory(Metrics& aMetrics, std::optional<std::uint64_t> aBytes);
 
   /// Returns the budget of callers' requests.
-  const std::shared_ptr<MemoryBudget>& Callers() const { return callers_; }
+  const std::shared_ptr<SharedMemoryBudget>& Callers() const
+  {
+    return callers_;
+  }
 
   /// Returns the budget of requests at the addresses of hosts and operators.
-  const std::shared_ptr<MemoryBudget>& Hosts() const { return hosts_; }
+  const std::shared_ptr<SharedMemoryBudget>& Hosts() const { return hosts_; }
 
   /// Changes the size of the largest request of a caller, in bytes.
   void SetLargest(std::uint64_t aBytes);
@@ -58,8 +61,8 @@
   };
 
   Metrics& metrics_;
-  std::shared_ptr<MemoryBudget> callers_;
-  std::shared_ptr<MemoryBudget> hosts_;
+  std::shared_ptr<SharedMemoryBudget> callers_;
+  std::shared_ptr<SharedMemoryBudget> hosts_;
   std::shared_ptr<Refusals> refusals_ = std::make_shared<Refusals>();
   std::uint64_t untrimmed_ = 0; // the most that was held since the last trim
   TimerSubscription timer_;
--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -20,7 +20,7 @@
 
 #include "gooseberrylift/gooseberrylift-endpoint.h"
 #include "gooseberrylift/internal/gooseberrylift-http.h"
-#include "gooseberrylift/limits/gooseberrylift-memory-budget.h"
+#include "gooseberrylift/internal/gooseberrylift-shared-memory-budget.h"
 
 namespace gooseberrylift {
 
@@ -141,7 +141,7 @@
     std::chrono::milliseconds writeTimeout_{ 30'000 };
     // What requests may hold together, also with other servers; unlimited if
     // there is none.
-    std::shared_ptr<MemoryBudget> budget_{};
+    std::shared_ptr<SharedMemoryBudget> budget_{};
     // Is called for requests whose bodies aren't small.
     HttpHeadCheck checkHead_{};
     // Is called for each request that is refused since its bytes don't fit, or
--- a/include/gooseberrylift/limits/gooseberrylift-memory-budget.h
+++ b/include/gooseberrylift/limits/gooseberrylift-memory-budget.h
@@ -4,12 +4,8 @@
 #define GOOSEBERRYLIFT_LIMITS_GOOSEBERRYLIFT_MEMORY_BUDGET_H_
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
-#include <functional>
-#include <list>
-#include <memory>
-#include <mutex>
+#include <unordered_map>
 #include <vector>
 
 #include "gooseberrylift/gooseberrylift-endpoint.h"
@@ -21,8 +17,8 @@
 // share before the bytes are received. If the budget is used up, requests that
 // are still being received give way: those first that have held most for
 // longest. What doesn't fit even so is refused. A part of the budget is kept
-// for small requests. Thread-safe.
-class MemoryBudget : public std::enable_shared_from_this<MemoryBudget>
+// for small requests.
+class MemoryBudget
 {
 public:
   struct Options
@@ -37,24 +33,40 @@
     std::chrono::milliseconds minAge_{ 1000 };
   };
 
-  // The bytes of one request, returned to the budget by the destructor.
-  class Share;
+  using HolderId = std::uint64_t; // one request
+
+  struct Decision
+  {
+    bool fits_ = false;
+    std::vector<HolderId> givingWay_{}; // end now; their bytes don't count
+  };
 
   explicit MemoryBudget(const Options& aOptions);
 
-  /// Changes the size of the largest request. At least two of these fit,
-  /// whatever the options say.
-  /// @param aBytes the size
-  void SetLargest(std::uint64_t aBytes);
+  /// Changes the size of the largest request, in bytes. At least two of these
+  /// fit, whatever the options say.
+  void SetLargest(std::uint64_t aBytes) { largest_ = aBytes; }
+
+  /// Adds a request that begins to be received and holds nothing yet.
+  HolderId Open(TimePoint aNow);
+
+  /// Sets the number of bytes that a request holds.
+  /// @param aBytes the new number, more or less than before
+  /// @return whether they fit; if not, the number stays as it was
+  Decision TryHold(HolderId aHolder, std::uint64_t aBytes, TimePoint aNow);
+
+  /// Records that a request is received, so that it doesn't give way.
+  /// @return false if it already had to
+  bool Keep(HolderId aHolder);
 
-  /// Opens an empty share for a request that begins to be received.
-  /// @param aNow the present time
-  /// @param aGiveWay called once, on any thread, if the request has to end so
-  /// that others fit; its bytes no longer count then
-  std::unique_ptr<Share> Open(TimePoint aNow, std::function<void()> aGiveWay);
+  /// Returns whether a request had to give way.
+  bool GaveWay(HolderId aHolder) const;
+
+  /// Removes a request.
+  void Close(HolderId aHolder);
 
   /// Returns the number of bytes that are held.
-  std::uint64_t Used() const;
+  std::uint64_t Used() const { return used_; }
 
   /// Returns the largest number of bytes that were held since the last call.
   std::uint64_t TakePeak();
@@ -66,49 +78,19 @@
     TimePoint since_{};
     bool mayGiveWay_ = true;
     bool gaveWay_ = false;
-    std::function<void()> giveWay_{};
   };
-  using Holders = std::list<Holder>;
 
-  bool TryHold(Holder& aHolder, std::uint64_t aBytes, TimePoint aNow);
-  bool Keep(Holder& aHolder);
-  void Close(Holders::iterator aHolder);
   std::uint64_t LimitFor(std::uint64_t aBytes) const;
-  std::vector<Holder*> ChooseGivingWay(const Holder& aFor,
-                                       std::uint64_t aMissing,
-                                       TimePoint aNow);
+  std::vector<HolderId> ChooseGivingWay(HolderId aFor,
+                                        std::uint64_t aMissing,
+                                        TimePoint aNow) const;
 
   const Options options_;
-  mutable std::mutex mutex_;
   std::uint64_t largest_ = 0;
   std::uint64_t used_ = 0;
   std::uint64_t peak_ = 0; // since the last call of TakePeak
-  Holders holders_;
-};
-
-class MemoryBudget::Share
-{
-public:
-  Share(std::shared_ptr<MemoryBudget> aBudget, Holders::iterator aHolder);
-  ~Share();
-  Share(const Share&) = delete;
-  Share& operator=(const Share&) = delete;
-
-  /// Sets the number of bytes that the request holds.
-  /// @param aBytes the new number, more or less than before
-  /// @return false if they don't fit; the number stays as it was
-  bool TryHold(std::uint64_t aBytes, TimePoint aNow);
-
-  /// Records that the request is received, so that it doesn't give way.
-  /// @return false if it already had to
-  bool Keep();
-
-  /// Returns whether the request had to give way.
-  bool GaveWay() const;
-
-private:
-  std::shared_ptr<MemoryBudget> budget_;
-  Holders::iterator holder_;
+  HolderId lastId_ = 0;
+  std::unordered_map<HolderId, Holder> holders_;
 };
 
 /// Creates the error for a request that doesn't fit into a budget. It says when
--- a/src/core/limits/gooseberrylift-memory-budget.cc
+++ b/src/core/limits/gooseberrylift-memory-budget.cc
@@ -17,31 +17,10 @@
 {
 }
 
-void MemoryBudget::SetLargest(std::uint64_t aBytes)
+MemoryBudget::HolderId MemoryBudget::Open(TimePoint aNow)
 {
-  const std::lock_guard lock(mutex_);
-  largest_ = aBytes;
-}
-
-std::unique_ptr<MemoryBudget::Share> MemoryBudget::Open(
-  TimePoint aNow,
-  std::function<void()> aGiveWay)
-{
-  const std::lock_guard lock(mutex_);
-  holders_.push_back({ .since_ = aNow, .giveWay_ = std::move(aGiveWay) });
-  return std::make_unique<Share>(shared_from_this(), std::prev(holders_.end()));
-}
-
-std::uint64_t MemoryBudget::Used() const
-{
-  const std::lock_guard lock(mutex_);
-  return used_;
-}
-
-std::uint64_t MemoryBudget::TakePeak()
-{
-  const std::lock_guard lock(mutex_);
-  return std::exchange(peak_, used_);
+  holders_[++lastId_] = { .since_ = aNow };
+  return lastId_;
 }
 
 // Returns how many bytes may be in use once a request holds aBytes.
@@ -56,110 +35,83 @@
 
 // Returns the requests that give way so that aMissing bytes become free;
 // nothing if they don't suffice.
-std::vector<MemoryBudget::Holder*> MemoryBudget::ChooseGivingWay(
-  const Holder& aFor,
+std::vector<MemoryBudget::HolderId> MemoryBudget::ChooseGivingWay(
+  HolderId aFor,
   std::uint64_t aMissing,
-  TimePoint aNow)
-{
-  std::vector<Holder*> candidates;
-  for (Holder& holder : holders_) {
-    if (&holder != &aFor && holder.mayGiveWay_ && holder.bytes_ > 0 &&
-        aNow - holder.since_ >= options_.minAge_) {
-      candidates.push_back(&holder);
+  TimePoint aNow) const
+{
+  std::vector<std::pair<double, HolderId>> candidates; // by bytes x seconds
+  for (const auto& [id, holder] : holders_) {
+    const auto age = aNow - holder.since_;
+    if (id != aFor && holder.mayGiveWay_ && holder.bytes_ > 0 &&
+        age >= options_.minAge_) {
+      candidates.emplace_back(std::chrono::duration<double>(age).count() *
+                                static_cast<double>(holder.bytes_),
+                              id);
     }
   }
-  const auto cost = [aNow](const Holder& aHolder) {
-    return std::chrono::duration<double>(aNow - aHolder.since_).count() *
-           static_cast<double>(aHolder.bytes_);
-  };
-  std::sort(candidates.begin(),
-            candidates.end(),
-            [&cost](const Holder* aLeft, const Holder* aRight) {
-              return cost(*aLeft) > cost(*aRight);
-            });
+  std::sort(candidates.rbegin(), candidates.rend());
+  std::vector<HolderId> chosen;
   std::uint64_t freed = 0;
-  std::size_t count = 0;
-  while (count < candidates.size() && freed < aMissing) {
-    freed += candidates[count]->bytes_;
-    ++count;
+  for (const auto& [cost, id] : candidates) {
+    if (freed < aMissing) {
+      freed += holders_.at(id).bytes_;
+      chosen.push_back(id);
+    }
   }
-  candidates.resize(freed < aMissing ? 0 : count);
-  return candidates;
+  return freed < aMissing ? std::vector<HolderId>() : chosen;
 }
 
-bool MemoryBudget::TryHold(Holder& aHolder,
-                           std::uint64_t aBytes,
-                           TimePoint aNow)
+MemoryBudget::Decision MemoryBudget::TryHold(HolderId aHolder,
+                                             std::uint64_t aBytes,
+                                             TimePoint aNow)
 {
-  std::vector<std::function<void()>> calls;
-  {
-    const std::lock_guard lock(mutex_);
-    if (aHolder.gaveWay_) {
-      return false;
+  Holder& holder = holders_.at(aHolder);
+  if (holder.gaveWay_) {
+    return {};
+  }
+  Decision decision{ .fits_ = true };
+  const std::uint64_t needed = used_ - holder.bytes_ + aBytes;
+  const std::uint64_t limit = LimitFor(aBytes);
+  if (aBytes > holder.bytes_ && needed > limit) {
+    decision.givingWay_ = ChooseGivingWay(aHolder, needed - limit, aNow);
+    if (decision.givingWay_.empty()) {
+      return {};
     }
-    const std::uint64_t needed = used_ - aHolder.bytes_ + aBytes;
-    const std::uint64_t limit = LimitFor(aBytes);
-    if (aBytes > aHolder.bytes_ && needed > limit) {
-      const auto givingWay = ChooseGivingWay(aHolder, needed - limit, aNow);
-      if (givingWay.empty()) {
-        return false;
-      }
-      for (Holder* holder : givingWay) {
-        used_ -= std::exchange(holder->bytes_, 0);
-        holder->gaveWay_ = true;
-        calls.push_back(std::exchange(holder->giveWay_, nullptr));
-      }
+    for (const HolderId id : decision.givingWay_) {
+      Holder& other = holders_.at(id);
+      used_ -= std::exchange(other.bytes_, 0);
+      other.gaveWay_ = true;
     }
-    used_ += aBytes;
-    used_ -= std::exchange(aHolder.bytes_, aBytes);
-    peak_ = std::max(peak_, used_);
-  }
-  for (const auto& call : calls) {
-    call();
   }
-  return true;
+  used_ += aBytes;
+  used_ -= std::exchange(holder.bytes_, aBytes);
+  peak_ = std::max(peak_, used_);
+  return decision;
 }
 
-bool MemoryBudget::Keep(Holder& aHolder)
+bool MemoryBudget::Keep(HolderId aHolder)
 {
-  const std::lock_guard lock(mutex_);
-  aHolder.mayGiveWay_ = false;
-  return !aHolder.gaveWay_;
+  Holder& holder = holders_.at(aHolder);
+  holder.mayGiveWay_ = false;
+  return !holder.gaveWay_;
 }
 
-void MemoryBudget::Close(Holders::iterator aHolder)
+bool MemoryBudget::GaveWay(HolderId aHolder) const
 {
-  const std::lock_guard lock(mutex_);
-  used_ -= aHolder->bytes_;
-  holders_.erase(aHolder);
+  return holders_.at(aHolder).gaveWay_;
 }
 
-MemoryBudget::Share::Share(std::shared_ptr<MemoryBudget> aBudget,
-                           Holders::iterator aHolder)
-  : budget_(std::move(aBudget))
-  , holder_(aHolder)
+void MemoryBudget::Close(HolderId aHolder)
 {
+  const auto found = holders_.find(aHolder);
+  used_ -= found->second.bytes_;
+  holders_.erase(found);
 }
 
-MemoryBudget::Share::~Share()
-{
-  budget_->Close(holder_);
-}
-
-bool MemoryBudget::Share::TryHold(std::uint64_t aBytes, TimePoint aNow)
-{
-  return budget_->TryHold(*holder_, aBytes, aNow);
-}
-
-bool MemoryBudget::Share::Keep()
-{
-  return budget_->Keep(*holder_);
-}
-
-bool MemoryBudget::Share::GaveWay() const
+std::uint64_t MemoryBudget::TakePeak()
 {
-  const std::lock_guard lock(budget_->mutex_);
-  return holder_->gaveWay_;
+  return std::exchange(peak_, used_);
 }
 
 } // namespace gooseberrylift
--- a/src/host/gooseberrylift-host-memory.cc
+++ b/src/host/gooseberrylift-host-memory.cc
@@ -34,9 +34,9 @@
   return static_cast<std::uint64_t>(info.totalram) * info.mem_unit;
 }
 
-std::shared_ptr<MemoryBudget> MakeBudget(std::uint64_t aBytes)
+std::shared_ptr<SharedMemoryBudget> MakeBudget(std::uint64_t aBytes)
 {
-  return std::make_shared<MemoryBudget>(
+  return std::make_shared<SharedMemoryBudget>(
     MemoryBudget::Options{ .bytes_ = aBytes });
 }
 
--- a/src/net/gooseberrylift-http-server.cc
+++ b/src/net/gooseberrylift-http-server.cc
@@ -72,7 +72,7 @@
     state_->options_ = std::move(aOptions);
     if (!state_->options_.budget_) {
       state_->options_.budget_ =
-        std::make_shared<MemoryBudget>(MemoryBudget::Options{});
+        std::make_shared<SharedMemoryBudget>(MemoryBudget::Options{});
     }
     state_->handler_ = std::move(aHandler);
   }
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -328,10 +328,10 @@
   struct HeldBody
   {
     std::string text_;
-    std::shared_ptr<MemoryBudget::Share> share_;
+    std::shared_ptr<SharedMemoryBudget::Share> share_;
   };
 
-  bool TryHold() { return share_->TryHold(held_.Sum(), TimerService::Now()); }
+  bool TryHold() { return share_->TryHold(held_.Sum()); }
 
   bool TryHoldBody(std::uint64_t aBytes)
   {
@@ -343,7 +343,6 @@
   {
     held_ = {};
     share_ = server_->options_.budget_->Open(
-      TimerService::Now(),
       [executor = socket_.get_executor(), self = weak_from_this()] {
         asio::post(executor, [self] {
           if (const auto session = self.lock()) {
@@ -792,7 +791,7 @@
   std::string peer_;
   beast::flat_buffer buffer_;
   HttpRequest request_;
-  std::shared_ptr<MemoryBudget::Share> share_; // of the present request
+  std::shared_ptr<SharedMemoryBudget::Share> share_; // of the present request
   HeldBytes held_;
   asio::cancellation_signal signal_;
   std::shared_ptr<bool> handlerToken_;
