bad-input-test: a body over the limit comes with a valid key

RefusesABodyOverTheLimit sent a chunked body over the limit without a key and expected 413. Such a request is now refused by its head, with 401, before its body is read.

--- a/test/integration/gooseberrylift-bad-input-test.cc
+++ b/test/integration/gooseberrylift-bad-input-test.cc
@@ -128,11 +128,33 @@
     kBodyTooLarge);
   // A chunked body has no declared length, so reading must stop at the limit.
   const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
-  ExpectRefusal(
-    "POST /v1/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
-      chunk + chunk + chunk + chunk + chunk,
-    413,
-    kBodyTooLarge);
+  const std::string chunks = chunk + chunk + chunk + chunk + chunk;
+  ExpectRefusal("POST /v1/completions HTTP/1.1\r\n"
+                "Authorization: Bearer team-one-key\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n" +
+                  chunks,
+                413,
+                kBodyTooLarge);
+  ExpectServed();
+}
+
+// Guards against reading a body only to refuse its request by the head.
+TEST(BadInputTest, RefusesByTheHeadBeforeTheBody)
+{
+  ExpectRefusal("POST /v1/completions HTTP/1.1\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n",
+                401,
+                kMissingTeamKey);
+  ExpectRefusal("POST /v1/completions HTTP/1.1\r\n"
+                "Authorization: Bearer wrong\r\nExpect: 100-continue\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n",
+                403,
+                kUnknownTeamKey);
+  ExpectRefusal("POST /elsewhere HTTP/1.1\r\n"
+                "Authorization: Bearer team-one-key\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n",
+                404,
+                kUnknownRoute);
   ExpectServed();
 }
 
