Log the ids of requests that are refused for want of memory

A caller that gets 503 with code 77 could not be found in the log, which told only how many there were.

--- a/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
+++ b/include/gooseberrylift/internal/gooseberrylift-gateway-front.h
@@ -54,6 +54,9 @@
   std::optional<HttpResponse> CheckHead(const HttpRequest& aHead,
                                         std::optional<TimePoint> aLatestEnd);
 
+  /// Records a caller's request that is refused since its bytes don't fit.
+  void RecordMemoryFull(const HttpRequest& aHead);
+
   /// Handles one request of a caller.
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
 
--- a/include/gooseberrylift/internal/gooseberrylift-host-memory.h
+++ b/include/gooseberrylift/internal/gooseberrylift-host-memory.h
@@ -8,10 +8,10 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <string>
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-http.h"
 #include "gooseberrylift/internal/gooseberrylift-metrics.h"
 #include "gooseberrylift/internal/gooseberrylift-shared-memory-budget.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -43,8 +43,12 @@
   /// Changes the size of the largest request of a caller, in bytes.
   void SetLargest(std::uint64_t aBytes);
 
-  /// Returns a function for HttpServer::Options::onMemoryFull_.
-  std::function<void(const std::string& aPeer, bool aGaveWay)> Recorder();
+  /// Counts a request that is refused, see HttpServer::Options::onMemoryFull_.
+  /// Thread-safe.
+  void OnRefused(bool aGaveWay);
+
+  /// Returns a function that calls OnRefused.
+  std::function<void(const HttpRequest& aHead, bool aGaveWay)> Recorder();
 
   void Start(const boost::asio::any_io_executor& aExecutor);
 
@@ -53,17 +57,12 @@
   void LogRefusals();
   void Trim();
 
-  // Written by the servers' threads.
-  struct Refusals
-  {
-    std::atomic<std::uint64_t> refused_ = 0;
-    std::atomic<std::uint64_t> gaveWay_ = 0;
-  };
-
   Metrics& metrics_;
   std::shared_ptr<SharedMemoryBudget> callers_;
   std::shared_ptr<SharedMemoryBudget> hosts_;
-  std::shared_ptr<Refusals> refusals_ = std::make_shared<Refusals>();
+  // Since the last log line.
+  std::atomic<std::uint64_t> refused_ = 0;
+  std::atomic<std::uint64_t> gaveWay_ = 0;
   std::uint64_t untrimmed_ = 0; // the most that was held since the last trim
   TimerSubscription timer_;
 };
--- a/include/gooseberrylift/internal/gooseberrylift-http-server.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http-server.h
@@ -145,8 +145,8 @@
     // Is called for requests whose bodies aren't small.
     HttpHeadCheck checkHead_{};
     // Is called for each request that is refused since its bytes don't fit, or
-    // since it gave way to others.
-    std::function<void(const std::string& aPeer, bool aGaveWay)>
+    // since it gave way to others. The head is empty if it hasn't arrived.
+    std::function<void(const HttpRequest& aHead, bool aGaveWay)>
       onMemoryFull_{};
     // Is called for each connection that is closed while bytes of the caller
     // have got no answer.
--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -9,6 +9,7 @@
 #include "gooseberrylift-request-errors.h"
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+#include "gooseberrylift/limits/gooseberrylift-memory-budget.h"
 
 namespace gooseberrylift {
 
@@ -145,6 +146,15 @@
     HttpStatusOf(request.error()), request.error(), attemptId);
 }
 
+void GatewayFront::RecordMemoryFull(const HttpRequest& aHead)
+{
+  RecordFailure(parts_.dialect_.ParseCallerRequest(aHead).attemptId_,
+                {},
+                MakeMemoryFullError(),
+                TimerService::Now(),
+                nullptr);
+}
+
 // Applies what the caller was told if it was rejected before.
 void GatewayFront::ApplyPromise(RoutedRequest& aRequest)
 {
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -255,7 +255,11 @@
                  std::optional<TimePoint> aLatestEnd) {
             return front_.CheckHead(aHead, aLatestEnd);
           },
-        .onMemoryFull_ = memory_.Recorder(),
+        .onMemoryFull_ =
+          [this](const HttpRequest& aHead, bool aGaveWay) {
+            memory_.OnRefused(aGaveWay);
+            front_.RecordMemoryFull(aHead);
+          },
         .onClosedUnread_ = ClosedUnreadCounter(metrics_),
         .onAcceptError_ = AcceptErrorRecorder(metrics_) },
       [this](HttpExchange& aExchange) { return front_.Handle(aExchange); })
--- a/src/host/gooseberrylift-host-memory.cc
+++ b/src/host/gooseberrylift-host-memory.cc
@@ -62,15 +62,19 @@
   hosts_->SetLargest(aBytes);
 }
 
-std::function<void(const std::string& aPeer, bool aGaveWay)>
+void HostMemory::OnRefused(bool aGaveWay)
+{
+  ++(aGaveWay ? gaveWay_ : refused_);
+  metrics_.Count("gooseberrylift_memory_refusals_total",
+                 aGaveWay ? "gave_way=\"yes\"" : "gave_way=\"no\"");
+}
+
+std::function<void(const HttpRequest& aHead, bool aGaveWay)>
 HostMemory::Recorder()
 {
-  return
-    [this, refusals = refusals_](const std::string& /*aPeer*/, bool aGaveWay) {
-      ++(aGaveWay ? refusals->gaveWay_ : refusals->refused_);
-      metrics_.Count("gooseberrylift_memory_refusals_total",
-                     aGaveWay ? "gave_way=\"yes\"" : "gave_way=\"no\"");
-    };
+  return [this](const HttpRequest& /*aHead*/, bool aGaveWay) {
+    OnRefused(aGaveWay);
+  };
 }
 
 void HostMemory::Start(const boost::asio::any_io_executor& aExecutor)
@@ -86,8 +90,8 @@
 
 void HostMemory::LogRefusals()
 {
-  const std::uint64_t refused = refusals_->refused_.exchange(0);
-  const std::uint64_t gaveWay = refusals_->gaveWay_.exchange(0);
+  const std::uint64_t refused = refused_.exchange(0);
+  const std::uint64_t gaveWay = gaveWay_.exchange(0);
   if (refused + gaveWay > 0) {
     Log(LogEvent::kMemoryFull,
         { { "refused", refused },
--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -646,7 +646,6 @@
       aTimedOut = false;
     }
     keepAlive_ = false;
-    request_ = {};
     SetStage(Stage::kHandling);
     auto error =
       MakeReadError(aCode, aTimedOut, server_->phase_ == DrainPhase::kEnding);
@@ -655,8 +654,9 @@
     }
     if (error && error->code_ == ResultCode::kMemoryFull &&
         server_->options_.onMemoryFull_) {
-      server_->options_.onMemoryFull_(peer_, share_->GaveWay());
+      server_->options_.onMemoryFull_(request_, share_->GaveWay());
     }
+    request_ = {};
     if (error) {
       co_await Send(ErrorResponse(*error, {}));
     }
