Free the place of a connection that was to make room and went on

A connection that was chosen to close for another one may receive its request at that moment, and is served. It stayed counted as one that closes, so that after 16 of these (the most at a time) none was chosen any more and new connections were rejected as before. It is now counted no longer once its request is there. A request that has to end is also noticed where no read was pending as it was told. Found by reading; the moment can't be met in a test on purpose.

--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -54,7 +54,7 @@
   {
     const std::lock_guard lock(server_->mutex_);
     server_->sessions_.erase(this);
-    server_->makingRoom_ -= makesRoom_ ? 1 : 0;
+    StopMakingRoom();
   }
 
   asio::awaitable<void> Run()
@@ -370,6 +370,16 @@
       socket_.cancel(ignored);
     } else if (stage_ == Stage::kIdle && !HasUnreadBytes()) {
       socket_.close(ignored);
+    } else {
+      StopMakingRoom();
+    }
+  }
+
+  // Lets the server choose another connection.
+  void StopMakingRoom()
+  {
+    if (makesRoom_.exchange(false)) {
+      --server_->makingRoom_;
     }
   }
 
@@ -418,6 +428,7 @@
       co_return false;
     }
     SetStage(Stage::kHandling);
+    StopMakingRoom(); // the request was received in time
     keepAlive_ = parser.keep_alive();
     started_ = false;
     reusable_ = false;
@@ -458,8 +469,8 @@
         co_return asio::error::no_memory;
       }
     }
-    // A deadline that passes while no operation is pending cancels none.
-    if (aGuard.Expired()) {
+    // What ends the reading while no operation is pending cancels none.
+    if (aGuard.Expired() || makesRoom_ || share_->GaveWay()) {
       co_return asio::error::operation_aborted;
     }
     const auto [code, size] =
@@ -468,8 +479,8 @@
     co_return code;
   }
 
-  // Reads until the parser has consumed something it doesn't wait for the rest
-  // of, or has failed.
+  // Lets the parser consume bytes, and reads more as long as it needs them.
+  // Ends with the first part that the parser has consumed, or with an error.
   asio::awaitable<boost::system::error_code> Parse(Parser& aParser,
                                                    const SocketDeadline& aGuard)
   {
@@ -479,11 +490,11 @@
         buffer_.consume(aParser.put(buffer_.data(), code));
       }
       if (code == http::error::need_more) {
-        const auto failed = co_await FillBuffer(aGuard);
-        if (failed == asio::error::eof) {
+        const auto readCode = co_await FillBuffer(aGuard);
+        if (readCode == asio::error::eof) {
           code = EndOfInput(aParser);
-        } else if (failed) {
-          code = failed;
+        } else if (readCode) {
+          code = readCode;
         }
       }
     }
