--- a/test/crowd/crowd-host.cc
+++ b/test/crowd/crowd-host.cc
@@ -32,6 +32,16 @@
 
 } // namespace
 
+json WithLimits(json aDocument)
+{
+  aDocument["version"] = 2;
+  aDocument["limits"] = { { "maxHeaderBytes", kMaxHeadBytes },
+                          { "maxBodyBytes", kMaxBodyBytes },
+                          { "headerTimeoutMs", 5000 },
+                          { "idleTimeoutMs", 60'000 } };
+  return aDocument;
+}
+
 std::unique_ptr<Process> StartCrowdedHost(json aSettings)
 {
   aSettings["host"]["memory_mb"] = kMachineBytes / kMiB;
@@ -88,6 +98,20 @@
            .unitBytes_ = aBytes - aMissing };
 }
 
+CrowdScript RepeatedText(const std::string& aHead,
+                         const std::string& aBegin,
+                         const std::string& aUnit,
+                         std::uint64_t aBytes,
+                         const std::string& aEnd)
+{
+  const std::uint64_t length = aBegin.size() + aBytes + aEnd.size();
+  return { .begin_ = aHead + "Content-Length: " + std::to_string(length) +
+                     "\r\n\r\n" + aBegin,
+           .unit_ = aUnit,
+           .unitBytes_ = aBytes,
+           .end_ = aEnd };
+}
+
 CrowdScript ChunkedBody(const std::string& aHead,
                         std::uint64_t aBytes,
                         const std::string& aEnd)
--- a/test/crowd/crowd-host.h
+++ b/test/crowd/crowd-host.h
@@ -25,6 +25,9 @@
 constexpr std::uint64_t kEndlessBytes = 32 * kMiB;
 constexpr std::chrono::seconds kSendLimit{ 20 };
 
+/// Returns a route document with the limits of callers' requests.
+json WithLimits(json aDocument);
+
 /// Starts a host with the limits of the machine.
 std::unique_ptr<Process> StartCrowdedHost(json aSettings);
 
@@ -47,6 +50,13 @@
                       std::uint64_t aBytes,
                       std::uint64_t aMissing);
 
+/// A request whose whole body is aBegin, aBytes of a repeated text, and aEnd.
+CrowdScript RepeatedText(const std::string& aHead,
+                         const std::string& aBegin,
+                         const std::string& aUnit,
+                         std::uint64_t aBytes,
+                         const std::string& aEnd);
+
 /// A request whose body is sent in chunks of 64 KiB.
 /// @param aEnd sent after the last whole chunk
 CrowdScript ChunkedBody(const std::string& aHead,
--- a/test/crowd/gooseberrylift-entry-crowd-test.cc
+++ b/test/crowd/gooseberrylift-entry-crowd-test.cc
@@ -78,31 +78,23 @@
 // Guards against documents that need many times their text once parsed.
 TEST(EntryCrowdTest, BoundsParsedNumbers)
 {
-  const std::string begin = R"({"model":"m","prompt":"a","x":[1)";
-  const std::string end = R"(,1],"max_tokens":100000})";
-  const std::uint64_t numbers = 900 * 1024;
-  const CrowdScript script{ .begin_ = ModelPost() + "Content-Length: " +
-                                      std::to_string(begin.size() + numbers +
-                                                     end.size()) +
-                                      "\r\n\r\n" + begin,
-                            .unit_ = ",1",
-                            .unitBytes_ = numbers,
-                            .end_ = end };
-  CheckHolds("caller_port", kManyClients, script);
+  CheckHolds("caller_port",
+             kManyClients,
+             RepeatedText(ModelPost(),
+                          R"({"model":"m","prompt":"a","x":[1)",
+                          ",1",
+                          900 * 1024,
+                          R"(,1],"max_tokens":100000})"));
 }
 
 // Guards against holding many whole prompts while engines are at work.
 TEST(EntryCrowdTest, BoundsWholePrompts)
 {
-  const std::string begin = R"({"model":"m","prompt":")";
-  const std::string end = R"(","max_tokens":100000})";
-  const std::uint64_t prompt = kMaxBodyBytes - 1024;
-  const CrowdScript script{ .begin_ = ModelPost() + "Content-Length: " +
-                                      std::to_string(begin.size() + prompt +
-                                                     end.size()) +
-                                      "\r\n\r\n" + begin,
-                            .unit_ = "word ",
-                            .unitBytes_ = prompt,
-                            .end_ = end };
-  CheckHolds("caller_port", kManyClients, script);
+  CheckHolds("caller_port",
+             kManyClients,
+             RepeatedText(ModelPost(),
+                          R"({"model":"m","prompt":")",
+                          "word ",
+                          kMaxBodyBytes - 1024,
+                          R"(","max_tokens":100000})"));
 }
--- a/test/crowd/gooseberrylift-gateway-crowd-test.cc
+++ b/test/crowd/gooseberrylift-gateway-crowd-test.cc
@@ -50,13 +50,7 @@
 
   void setup() override
   {
-    json document = deployment_.Document();
-    document["version"] = 2;
-    document["limits"] = { { "maxHeaderBytes", kMaxHeadBytes },
-                           { "maxBodyBytes", kMaxBodyBytes },
-                           { "headerTimeoutMs", 5000 },
-                           { "idleTimeoutMs", 60'000 } };
-    deployment_.PutDocument(document);
+    deployment_.PutDocument(WithLimits(deployment_.Document()));
     host_ = StartCrowdedHost(deployment_.HostSettings("host-0"));
     CHECK_TRUE(IsOrdinaryServed());
     ResetPeakMemory(host_->Pid());
--- a/test/crowd/gooseberrylift-relay-crowd-test.cc
+++ b/test/crowd/gooseberrylift-relay-crowd-test.cc
@@ -21,13 +21,7 @@
   options.host_ = { { "host", { { "memory_mb", kMachineBytes / kMiB } } } };
   options.engine_["work_ms"] = 1000;
   GatewayDeployment deployment(options);
-  json document = deployment.Document();
-  document["version"] = 2;
-  document["limits"] = { { "maxHeaderBytes", kMaxHeadBytes },
-                         { "maxBodyBytes", kMaxBodyBytes },
-                         { "headerTimeoutMs", 5000 },
-                         { "idleTimeoutMs", 20'000 } };
-  deployment.PutDocument(document);
+  deployment.PutDocument(WithLimits(deployment.Document()));
   CutOff(deployment, 1);
   const HttpRequest ordinary = MakeSafeRequest("ordinary");
   CHECK_TRUE(IsServed(deployment.At(0).Port(), ordinary));
