--- a/src/host/gooseberrylift-host-memory.cc
+++ b/src/host/gooseberrylift-host-memory.cc
@@ -11,10 +11,11 @@
 
 namespace {
 
-// Blocks of this size or more are mapped each by itself. Smaller ones share
-// pages, which a single block in use keeps from being returned.
-constexpr int kMappedBytes = 64 * 1024;
-constexpr int kTrimBytes = 256 * 1024;
+// Blocks of this size or more are mapped each by itself. The pages of smaller
+// ones, such as documents of the store, stay in use until Trim: to map or return
+// them each time costs processor time.
+constexpr int kMappedBytes = 256 * 1024;
+constexpr int kTrimBytes = 4 * 1024 * 1024;
 
 // The parts of the machine's memory for requests of callers, and for those of
 // hosts and operators. The rest is for connections, state and answers.
