--- a/src/host/gooseberrylift-host-memory.cc
+++ b/src/host/gooseberrylift-host-memory.cc
@@ -12,8 +12,8 @@
 namespace {
 
 // Blocks of this size or more are mapped each by itself. The pages of smaller
-// ones, such as documents of the store, stay in use until Trim: to map or return
-// them each time costs processor time.
+// ones, such as documents of the store, stay in use until Trim: to map or
+// return them each time costs processor time.
 constexpr int kMappedBytes = 256 * 1024;
 constexpr int kTrimBytes = 4 * 1024 * 1024;
 
