--- a/test/crowd/gooseberrylift-gateway-crowd-test.cc
+++ b/test/crowd/gooseberrylift-gateway-crowd-test.cc
@@ -156,8 +156,7 @@
              ChunkedBody(SafePost(), kMaxBodyBytes, "0\r\n"));
 }
 
-// Guards against holding many small bodies that stop short, also after larger
-// ones have filled the memory.
+// Guards against small bodies that stop short beside large ones.
 TEST(GatewayCrowdTest, BoundsSmallBodiesThatStopShort)
 {
   Crowd large(
@@ -204,8 +203,7 @@
     SizedBody(SafePost() + "Expect: 100-continue\r\n", kMaxBodyBytes, 1));
 }
 
-// Guards against holding many whole bodies while endpoints are at work, and
-// against keeping the memory afterwards.
+// Guards against holding many whole bodies, and keeping their memory.
 TEST(GatewayCrowdTest, BoundsWholeBodiesAndReturnsTheirMemory)
 {
   CheckHolds(
@@ -216,8 +214,7 @@
   }));
 }
 
-// Guards against bytes after a request that the kernel holds until its answer
-// is sent.
+// Guards against bytes behind requests, which the kernel holds.
 TEST(GatewayCrowdTest, BoundsUnreadBytesBehindRequests)
 {
   deployment_.Board(0).Control({ { "fault", "hang" }, { "times", 1000 } });
@@ -239,8 +236,7 @@
   CheckWithinMachine(*host_);
 }
 
-// Guards against holding the answers of clients that don't read: these repeat
-// the bodies.
+// Guards against holding answers that clients don't read.
 TEST(GatewayCrowdTest, BoundsUnreadAnswersToRequestsInSeries)
 {
   CrowdScript script = SizedBody(SafePost(), kMaxBodyBytes / 8, 0);
@@ -271,8 +267,7 @@
   CheckHolds("caller_port", 2 * kManyClients, script);
 }
 
-// Guards against connections of all addresses together that leave no
-// descriptors for endpoints.
+// Guards against connections that leave no descriptors for endpoints.
 TEST(GatewayCrowdTest, KeepsDescriptorsForEndpoints)
 {
   const CrowdScript script{ .begin_ =
