harness: raw endpoints that change their answer, answer early, report load

Tests of broken answers need an endpoint that answers before it reads a body, whose answer changes from one request to the next, and whose load reports are sound, since hosts send nothing to an endpoint without them. The entry of an endpoint in the store and the unsafe request of the relay tests stood in two files each; now in one.

--- a/test/integration/gooseberrylift-close-delimited-test.cc
+++ b/test/integration/gooseberrylift-close-delimited-test.cc
@@ -14,7 +14,6 @@
 using namespace gooseberrylift;
 using namespace gooseberrylift::test;
 using namespace std::chrono_literals;
-namespace names = gooseberrylift::platform;
 
 namespace {
 
@@ -48,14 +47,8 @@
                     .engine_ = { { "events", kEvents }, { "event_ms", 20 } } })
     , raw_(std::move(aAnswer))
   {
-    deployment_.Put(std::string(names::kEndpointsKind) + "/raw",
-                    { { "service", aService },
-                      { "address", raw_.Address() },
-                      { "zone", "zone-a" },
-                      { "version", "v1" },
-                      { "slots", 16 },
-                      { "sequence", 1 },
-                      { "state", "ready" } });
+    deployment_.Put(EndpointKey("raw"),
+                    EndpointEntry(raw_.Address(), aService));
     CHECK_FALSE(deployment_.At(0).Handle().WaitForLine("\"raw\"", 5s).empty());
   }
 
--- a/test/integration/gooseberrylift-endless-response-test.cc
+++ b/test/integration/gooseberrylift-endless-response-test.cc
@@ -13,7 +13,6 @@
 using namespace gooseberrylift;
 using namespace gooseberrylift::test;
 using namespace std::chrono_literals;
-namespace names = gooseberrylift::platform;
 
 namespace {
 
@@ -46,14 +45,7 @@
       .boards_ = 1,
       .engine_ = { { "events", kEvents }, { "event_ms", 20 } } });
   RawEndpoint raw(std::move(aAnswer));
-  deployment.Put(std::string(names::kEndpointsKind) + "/raw",
-                 { { "service", aService },
-                   { "address", raw.Address() },
-                   { "zone", "zone-a" },
-                   { "version", "v1" },
-                   { "slots", 16 },
-                   { "sequence", 1 },
-                   { "state", "ready" } });
+  deployment.Put(EndpointKey("raw"), EndpointEntry(raw.Address(), aService));
   Process& host = deployment.At(0).Handle();
   CHECK_FALSE(host.WaitForLine("\"raw\"", 5s).empty());
   const std::string kind = aService == "board" ? "safe" : "stream";
--- a/test/integration/gooseberrylift-relay-test.cc
+++ b/test/integration/gooseberrylift-relay-test.cc
@@ -18,13 +18,6 @@
 
 constexpr int kLinksLostCode = 73;
 
-HttpRequest MakeUnsafeRequest(const std::string& aAttempt)
-{
-  HttpRequest request = RouteRequest("POST", "/unsafe/stamp?now=1", aAttempt);
-  request.body_ = "a stamp";
-  return request;
-}
-
 } // namespace
 
 TEST_GROUP(RelayTest){};
--- a/test/integration/harness-callers.cc
+++ b/test/integration/harness-callers.cc
@@ -23,6 +23,13 @@
   return RouteRequest("GET", "/safe/a", aAttempt);
 }
 
+HttpRequest MakeUnsafeRequest(const std::string& aAttempt)
+{
+  HttpRequest request = RouteRequest("POST", "/unsafe/stamp?now=1", aAttempt);
+  request.body_ = "a stamp";
+  return request;
+}
+
 HttpRequest MakeShortPrompt(const std::string& aAttempt)
 {
   return StreamRequest(aAttempt);
--- a/test/integration/harness-callers.h
+++ b/test/integration/harness-callers.h
@@ -20,6 +20,9 @@
 /// Creates a request of the route /safe/.
 HttpRequest MakeSafeRequest(const std::string& aAttempt);
 
+/// Creates a request of the route /unsafe/ with a short body.
+HttpRequest MakeUnsafeRequest(const std::string& aAttempt);
+
 /// Creates a streaming request with a short prompt.
 HttpRequest MakeShortPrompt(const std::string& aAttempt);
 
--- a/test/integration/harness-gateway.cc
+++ b/test/integration/harness-gateway.cc
@@ -20,16 +20,6 @@
            { "maxAttempts", 2 } };
 }
 
-json EndpointEntry(const std::string& aAddress,
-                   const std::string& aService,
-                   const std::string& aState,
-                   const std::string& aZone)
-{
-  return { { "service", aService }, { "address", aAddress }, { "zone", aZone },
-           { "version", "v1" },     { "slots", 16 },         { "sequence", 1 },
-           { "state", aState } };
-}
-
 json DefaultDocument()
 {
   json stream = RouteOf("stream", "streaming", "engines");
@@ -148,7 +138,7 @@
                              const std::string& aState,
                              const std::string& aZone)
 {
-  const std::string key = std::string(names::kEndpointsKind) + "/" + aId;
+  const std::string key = EndpointKey(aId);
   json entry = EndpointEntry(aFake.Address(), aService, aState, aZone);
   store_->Control({ { "put", { { key, entry } } } });
   if (linkStore_) {
@@ -160,8 +150,7 @@
 void GatewayDeployment::SetEngineState(std::size_t aIndex,
                                        const std::string& aState)
 {
-  const std::string key =
-    std::string(names::kEndpointsKind) + "/engines-" + std::to_string(aIndex);
+  const std::string key = EndpointKey("engines-" + std::to_string(aIndex));
   json entry =
     EndpointEntry(Engine(aIndex).Address(), "engines", aState, "zone-a");
   store_->Control({ { "put", { { key, entry } } } });
@@ -198,6 +187,21 @@
   return Send(At(0).Port(), std::move(aRequest));
 }
 
+json EndpointEntry(const std::string& aAddress,
+                   const std::string& aService,
+                   const std::string& aState,
+                   const std::string& aZone)
+{
+  return { { "service", aService }, { "address", aAddress }, { "zone", aZone },
+           { "version", "v1" },     { "slots", 16 },         { "sequence", 1 },
+           { "state", aState } };
+}
+
+std::string EndpointKey(const std::string& aId)
+{
+  return std::string(names::kEndpointsKind) + "/" + aId;
+}
+
 HttpRequest RouteRequest(const std::string& aMethod,
                          const std::string& aPath,
                          const std::string& aAttemptId,
--- a/test/integration/harness-gateway.h
+++ b/test/integration/harness-gateway.h
@@ -92,6 +92,15 @@
   std::vector<std::unique_ptr<Host>> hosts_;
 };
 
+/// Creates the store's entry of an endpoint.
+json EndpointEntry(const std::string& aAddress,
+                   const std::string& aService,
+                   const std::string& aState = "ready",
+                   const std::string& aZone = "zone-a");
+
+/// Returns the key of an endpoint's entry in the store.
+std::string EndpointKey(const std::string& aId);
+
 /// Creates a caller's request.
 /// @param aAttemptId the request's ID, which the response echoes
 HttpRequest RouteRequest(const std::string& aMethod,
--- a/test/integration/harness-raw-endpoint.cc
+++ b/test/integration/harness-raw-endpoint.cc
@@ -34,8 +34,9 @@
   return aRequest.substr(begin, aRequest.find("\r\n", begin) - begin);
 }
 
-// Reads a request with its body; empty if the connection was closed.
-std::string ReadRequest(tcp::socket& aSocket)
+// Reads a request, with its body unless it is answered early; empty if the
+// connection was closed.
+std::string ReadRequest(tcp::socket& aSocket, bool aEarly)
 {
   std::string text;
   boost::system::error_code code;
@@ -46,7 +47,7 @@
   }
   const std::size_t size =
     std::strtoul(FieldOf(text, "Content-Length").c_str(), nullptr, 10);
-  if (text.size() < head + size) {
+  if (!aEarly && text.size() < head + size) {
     const std::size_t missing = head + size - text.size();
     asio::read(aSocket,
                asio::dynamic_buffer(text),
@@ -56,6 +57,23 @@
   return text;
 }
 
+// Returns an answer without its endless part.
+std::string TextOf(const RawEndpoint::Answer& aAnswer,
+                   const std::string& aRequest)
+{
+  const std::string& reportPath = aAnswer.reportPath_;
+  if (!reportPath.empty() && aRequest.starts_with("GET " + reportPath + " ")) {
+    return "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+           R"({"state":"live"})";
+  }
+  const std::string head = aAnswer.start_.value_or(
+    "HTTP/1.1 " + aAnswer.status_ + "\r\n" + names::kAttemptId + ": " +
+    FieldOf(aRequest, names::kAttemptId) +
+    "\r\nX-Request-Id: " + FieldOf(aRequest, "X-Request-Id") + "\r\n" +
+    names::kResponseStamp + ": raw\r\n" + aAnswer.fields_ + "\r\n");
+  return head + aAnswer.body_;
+}
+
 } // namespace
 
 RawEndpoint::RawEndpoint(Answer aAnswer)
@@ -77,15 +95,27 @@
          std::to_string(impl_->acceptor_.local_endpoint().port());
 }
 
-void RawEndpoint::SendEndless()
+void RawEndpoint::SetAnswer(Answer aAnswer)
+{
+  const std::lock_guard lock(mutex_);
+  answer_ = std::move(aAnswer);
+}
+
+RawEndpoint::Answer RawEndpoint::CurrentAnswer() const
+{
+  const std::lock_guard lock(mutex_);
+  return answer_;
+}
+
+void RawEndpoint::SendEndless(const Answer& aAnswer)
 {
   ++sending_;
   std::size_t sent = 0;
   boost::system::error_code code;
   while (!stop_ && !code) {
-    sent += asio::write(impl_->socket_, asio::buffer(answer_.endless_), code);
+    sent += asio::write(impl_->socket_, asio::buffer(aAnswer.endless_), code);
     mostSent_ = std::max(mostSent_.load(), sent);
-    std::this_thread::sleep_for(answer_.pause_);
+    std::this_thread::sleep_for(aAnswer.pause_);
   }
   --sending_;
 }
@@ -104,27 +134,24 @@
       continue;
     }
     socket.non_blocking(false);
-    const std::string request = ReadRequest(socket);
+    const Answer answer = CurrentAnswer();
+    const std::string request = ReadRequest(socket, answer.early_);
     if (request.empty()) {
       continue;
     }
     ++received_;
-    const std::string head = answer_.start_.value_or(
-      "HTTP/1.1 " + answer_.status_ + "\r\n" + names::kAttemptId + ": " +
-      FieldOf(request, names::kAttemptId) + "\r\n" + names::kResponseStamp +
-      ": raw\r\n" + answer_.fields_ + "\r\n");
-    asio::write(socket, asio::buffer(head + answer_.body_), code);
-    if (!answer_.endless_.empty()) {
-      SendEndless();
+    asio::write(socket, asio::buffer(TextOf(answer, request)), code);
+    if (!answer.endless_.empty()) {
+      SendEndless(answer);
     }
     ++answered_;
     // What was sent must have arrived before a reset discards it.
     std::this_thread::sleep_for(std::chrono::milliseconds(30));
-    reused_ += socket.available(code) > 0 ? 1 : 0;
-    if (answer_.end_ == End::kReset) {
+    reused_ += !answer.early_ && socket.available(code) > 0 ? 1 : 0;
+    if (answer.end_ == End::kReset) {
       socket.set_option(asio::socket_base::linger(true, 0), code);
     }
-    const bool exits = answer_.end_ == End::kExited;
+    const bool exits = answer.end_ == End::kExited;
     if (exits) {
       impl_->acceptor_.close(code);
     }
--- a/test/integration/harness-raw-endpoint.h
+++ b/test/integration/harness-raw-endpoint.h
@@ -1,5 +1,6 @@
 // An endpoint whose answers a conforming HTTP server would not send: they have
-// neither a length nor chunks and end with their connection, or don't end.
+// neither a length nor chunks and end with their connection, don't end, or have
+// an invalid head.
 
 #ifndef GOOSEBERRYLIFT_TEST_INTEGRATION_HARNESS_RAW_ENDPOINT_H_
 #define GOOSEBERRYLIFT_TEST_INTEGRATION_HARNESS_RAW_ENDPOINT_H_
@@ -9,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -38,6 +40,9 @@
     // this pause in between.
     std::string endless_{};
     std::chrono::milliseconds pause_{ 1 };
+    bool early_ = false; // sent before the body of the request is read
+    // The path of load reports, which are sound.
+    std::string reportPath_{};
   };
 
   explicit RawEndpoint(Answer aAnswer);
@@ -47,6 +52,9 @@
 
   std::string Address() const;
 
+  /// Changes the answer to requests that are received from now on.
+  void SetAnswer(Answer aAnswer);
+
   /// Returns how many requests were received.
   int Received() const { return received_; }
 
@@ -66,9 +74,11 @@
 private:
   class Impl;
   void Run();
-  void SendEndless();
+  void SendEndless(const Answer& aAnswer);
+  Answer CurrentAnswer() const;
 
-  Answer answer_;
+  mutable std::mutex mutex_;
+  Answer answer_; // guarded by mutex_
   std::unique_ptr<Impl> impl_;
   std::atomic<bool> stop_ = false;
   std::atomic<int> received_ = 0;
