Reject answers whose status HTTP does not define

What callers saw: an engine in trouble answered with status 000, and its caller got that number with the body as an answer.

Cause: the parser takes any three digits for a status, and the client passed them on. The readers behind it compare with one bound (500 and above, below 500, below 300), so that a status outside 100 to 599 counted as a sound answer of a route, as the outcome of a plain service's call, which is stored for its key, as proof that a write to the store had no effect, and as success of a command. A host that relays a request signed it onward.

The client now checks the status before anything else of the head is read (RFC 9110, 15). All readers of answers are behind it: routes, relays, the own interface, both stores, load reports, orders, probes, peers and the command line.

Evidence: gooseberrylift-broken-answer-test, six tests.

--- a/include/gooseberrylift/internal/gooseberrylift-http.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http.h
@@ -105,6 +105,10 @@
   }
 };
 
+/// Returns whether a status is one that HTTP defines: 100 to 599 (RFC 9110,
+/// section 15).
+bool IsValidStatus(int aStatus);
+
 /// Parses a field value as a decimal number.
 /// @return nothing if it is not a finite number of zero or more
 std::optional<double> ParseDecimal(std::string_view aText);
--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -8,6 +8,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include "gooseberrylift-response-head.h"
 #include "gooseberrylift-unparsed-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-socket-deadline.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
@@ -265,6 +266,9 @@
     if (code) {
       co_return MakeTransferError(code, guard.Expired());
     }
+    if (auto fault = CheckResponseHead(parser_.get())) {
+      co_return *fault;
+    }
     head_.status_ = static_cast<int>(parser_.get().result_int());
     for (const auto& field : parser_.get()) {
       head_.fields_.push_back(
--- a/src/net/gooseberrylift-http.cc
+++ b/src/net/gooseberrylift-http.cc
@@ -58,6 +58,11 @@
   return {};
 }
 
+bool IsValidStatus(int aStatus)
+{
+  return aStatus >= 100 && aStatus <= 599;
+}
+
 std::optional<double> ParseDecimal(std::string_view aText)
 {
   double number = 0;
--- /dev/null
+++ b/src/net/gooseberrylift-response-head.cc
@@ -0,0 +1,21 @@
+#include "gooseberrylift-response-head.h"
+
+#include <string>
+
+#include "gooseberrylift/internal/gooseberrylift-http.h"
+
+namespace gooseberrylift {
+
+std::optional<Error> CheckResponseHead(
+  const boost::beast::http::response_header<>& aHead)
+{
+  const int status = static_cast<int>(aHead.result_int());
+  if (!IsValidStatus(status)) {
+    return Error{ .code_ = ResultCode::kEndpointBroken,
+                  .text_ = "invalid status " + std::to_string(status),
+                  .ran_ = RanState::kUnknown };
+  }
+  return std::nullopt;
+}
+
+} // namespace gooseberrylift
--- /dev/null
+++ b/test/integration/gooseberrylift-broken-answer-test.cc
@@ -0,0 +1,272 @@
+// Tests of answers with an invalid head.
+
+#include "harness-callers.h"
+#include "harness-links.h"
+#include "harness-raw-endpoint.h"
+#include "once-calls.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "gooseberrylift/internal/gooseberrylift-http-client.h"
+#include "gooseberrylift/internal/gooseberrylift-rest-store.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gooseberrylift;
+using namespace gooseberrylift::test;
+using namespace std::chrono_literals;
+namespace names = gooseberrylift::platform;
+
+namespace {
+
+constexpr int kBroken = static_cast<int>(ResultCode::kEndpointBroken);
+
+const std::vector<std::string> kInvalidStatuses = {
+  "000 Trouble", "001 Trouble", "099 Trouble", "600 Trouble", "999 Trouble",
+};
+
+RawEndpoint::Answer MakeInvalidStatus(const std::string& aStatus)
+{
+  return { .fields_ = "Content-Length: 5\r\n",
+           .body_ = "whole",
+           .status_ = aStatus };
+}
+
+// Makes the load reports of an endpoint sound, without which it gets no
+// request.
+RawEndpoint::Answer WithReports(RawEndpoint::Answer aAnswer,
+                                const std::string& aPath)
+{
+  aAnswer.reportPath_ = aPath;
+  return aAnswer;
+}
+
+// Checks that an answer is an error of the host and bears no endpoint's mark.
+void CheckIsError(const Outcome<HttpResponse>& aAnswer, int aCode)
+{
+  CHECK_TRUE(aAnswer.has_value());
+  LONGS_EQUAL(502, aAnswer.value().status_);
+  LONGS_EQUAL(aCode, ErrorResponseCode(aAnswer.value()));
+  CHECK_TRUE(aAnswer.value().Field(names::kResponseStamp).empty());
+}
+
+// A host that serves routes and knows one endpoint, which is that of both
+// services.
+class RawDeployment
+{
+public:
+  RawDeployment()
+    : deployment_({ .engines_ = 0, .boards_ = 0 })
+    , raw_({})
+  {
+    for (const char* service : { "board", "engines" }) {
+      const std::string id = std::string("raw-") + service;
+      deployment_.Put(EndpointKey(id), EndpointEntry(raw_.Address(), service));
+      CHECK_FALSE(
+        deployment_.At(0).Handle().WaitForLine("\"" + id + "\"", 5s).empty());
+    }
+  }
+
+  void SetAnswer(RawEndpoint::Answer aAnswer)
+  {
+    raw_.SetAnswer(WithReports(std::move(aAnswer), names::kReportPath));
+  }
+
+  Outcome<HttpResponse> Send(HttpRequest aRequest)
+  {
+    return deployment_.SendToFirstHost(std::move(aRequest));
+  }
+
+  /// Checks that the callers of all kinds of routes get an error instead of an
+  /// answer.
+  void CheckRejects(RawEndpoint::Answer aAnswer, int aCode)
+  {
+    SetAnswer(std::move(aAnswer));
+    for (const auto make :
+         { MakeSafeRequest, MakeUnsafeRequest, MakeShortPrompt }) {
+      CheckIsError(Send(make(AttemptIdOf(0, ++requests_))), aCode);
+    }
+  }
+
+private:
+  GatewayDeployment deployment_;
+  // After the other processes, which would inherit its listening socket.
+  RawEndpoint raw_;
+  int requests_ = 0;
+};
+
+// Makes a given endpoint the only board endpoint of all hosts but the first,
+// which has lost its links and relays its requests to them.
+void ListForRelays(GatewayDeployment& aDeployment, const RawEndpoint& aRaw)
+{
+  CutOff(aDeployment, 1);
+  json change = { { "remove", json::array() } };
+  for (const char* board : { "board-0", "board-1", "board-2" }) {
+    change["remove"].push_back(EndpointKey(board));
+  }
+  change["put"][EndpointKey("raw")] = EndpointEntry(aRaw.Address(), "board");
+  aDeployment.Store().Control(change);
+  for (const std::size_t host : { 1, 2 }) {
+    CHECK_TRUE(WaitUntil(10s, [&] {
+      const auto answer =
+        Send(aDeployment.At(host).Port(), MakeSafeRequest("find out"));
+      return answer && answer.value().status_ != 200 &&
+             answer.value().status_ != 503;
+    }));
+  }
+}
+
+// A host of the own interface that knows one endpoint of the service "board".
+class RawBoard
+{
+public:
+  RawBoard()
+    : deployment_({ .engines_ = 1, .services_ = 0 })
+    , raw_(WithReports({}, "/load"))
+  {
+    json hosts = deployment_.HostList();
+    hosts.push_back({ { "name", "raw" },
+                      { "address", raw_.Address() },
+                      { "pool", "board" },
+                      { "zone", "zone-a" },
+                      { "kind", "service" },
+                      { "incarnation", 1 } });
+    deployment_.List().Control({ { "hosts", hosts } });
+    CHECK_TRUE(WaitUntil(5s, [this] { return raw_.Received() > 1; }));
+  }
+
+  void SetAnswer(RawEndpoint::Answer aAnswer)
+  {
+    raw_.SetAnswer(WithReports(std::move(aAnswer), "/load"));
+  }
+
+  std::uint16_t Port() { return deployment_.At(0).Port(); }
+
+private:
+  Deployment deployment_;
+  RawEndpoint raw_;
+};
+
+// Runs a call of a client in this process to its end.
+template<typename Value>
+Outcome<Value> RunCall(
+  const std::function<boost::asio::awaitable<Outcome<Value>>(HttpClient&)>&
+    aCall)
+{
+  boost::asio::io_context context(1);
+  HttpClient client(context.get_executor(), HttpClient::Options{});
+  std::optional<Outcome<Value>> result;
+  boost::asio::co_spawn(
+    context,
+    [&]() -> boost::asio::awaitable<void> { result = co_await aCall(client); },
+    boost::asio::detached);
+  context.run();
+  return *result;
+}
+
+// Reads an answer as every reader of answers does.
+Outcome<HttpResponse> FetchFrom(const RawEndpoint& aRaw)
+{
+  return RunCall<HttpResponse>(
+    [&aRaw](
+      HttpClient& aClient) -> boost::asio::awaitable<Outcome<HttpResponse>> {
+      co_return co_await aClient.Fetch(
+        aRaw.Address(), MakeRequest("/"), TimerService::Now() + 5s);
+    });
+}
+
+void CheckIsNotRead(const RawEndpoint::Answer& aAnswer, ResultCode aCode)
+{
+  const RawEndpoint raw(aAnswer);
+  const auto answer = FetchFrom(raw);
+  CHECK_TRUE(answer.has_error());
+  CHECK_TRUE(answer.error().code_ == aCode);
+  CHECK_TRUE(answer.error().ran_ == RanState::kUnknown);
+}
+
+// Writes an object to the store at an address.
+Outcome<StoreObject> CreateAt(const std::string& aAddress)
+{
+  return RunCall<StoreObject>(
+    [&aAddress](
+      HttpClient& aClient) -> boost::asio::awaitable<Outcome<StoreObject>> {
+      RestStore store(aClient, { .addresses_ = { aAddress } });
+      StoreObject object{ .kind_ = "notes", .name_ = "a" };
+      co_return co_await store.Create(std::move(object),
+                                      TimerService::Now() + 5s);
+    });
+}
+
+} // namespace
+
+TEST_GROUP(BrokenAnswerTest){};
+
+TEST(BrokenAnswerTest, PassesOnNoInvalidStatus)
+{
+  RawDeployment deployment;
+  for (const std::string& status : kInvalidStatuses) {
+    deployment.CheckRejects(MakeInvalidStatus(status), kBroken);
+  }
+}
+
+// Guards against a host that signs another endpoint's invalid status onward.
+TEST(BrokenAnswerTest, PassesOnNoInvalidStatusOverAnotherHost)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  RawEndpoint raw(
+    WithReports(MakeInvalidStatus("000 Trouble"), names::kReportPath));
+  ListForRelays(deployment, raw);
+  CheckIsError(deployment.SendToFirstHost(MakeSafeRequest("at-1")), kBroken);
+  CheckIsError(deployment.SendToFirstHost(MakeUnsafeRequest("at-2")), kBroken);
+  CHECK_FALSE(
+    deployment.At(0).Handle().WaitForLine("relay-failed", 1s).empty());
+}
+
+// Guards against an invalid status that is stored as the outcome of a call.
+TEST(BrokenAnswerTest, PassesOnNoInvalidStatusOfPlainServices)
+{
+  RawBoard board;
+  for (const std::string& status : kInvalidStatuses) {
+    board.SetAnswer(MakeInvalidStatus(status));
+    CheckIsError(Send(board.Port(), BoardRequest("GET", "/a")), kBroken);
+    CheckIsError(Send(board.Port(), BoardRequest("POST", "/a", "b")), kBroken);
+    const OnceAnswer once = CallOnce(board.Port(), status.substr(0, 3));
+    LONGS_EQUAL(502, once.status_);
+    STRCMP_EQUAL("unknown", once.ran_.c_str());
+  }
+}
+
+// Guards against a write that ran and is reported as not run.
+TEST(BrokenAnswerTest, TakesNoInvalidStatusForAWriteThatDidNotRun)
+{
+  for (const std::string& status : kInvalidStatuses) {
+    RawEndpoint raw(MakeInvalidStatus(status));
+    const auto written = CreateAt(raw.Address());
+    CHECK_TRUE(written.has_error());
+    CHECK_TRUE(written.error().ran_ == RanState::kUnknown);
+  }
+}
+
+// Guards against a command that reports success for such a status.
+TEST(BrokenAnswerTest, CommandsTakeNoInvalidStatusForSuccess)
+{
+  for (const std::string& status : kInvalidStatuses) {
+    RawEndpoint raw({ .body_ = "{}", .status_ = status });
+    Process command(PRODUCT_BINARY, { "drain", "--hosts", raw.Address() });
+    CHECK_TRUE(command.WaitForExit(10s) > 0);
+  }
+}
+
+TEST(BrokenAnswerTest, ReadsNoInvalidStatus)
+{
+  for (const std::string& status : kInvalidStatuses) {
+    CheckIsNotRead(MakeInvalidStatus(status), ResultCode::kEndpointBroken);
+  }
+}
