Replay no stored outcome whose status HTTP does not define

What callers would see: a host that took status 000 for the outcome of a call with an Idempotency-Key stored it, and each repeat of the call gets it from the store, at any host and also from hosts that no longer take such an answer themselves.

Cause: a stored outcome is an answer that was read earlier, and its status was used as it stands. It is now checked as that of any answer; the repeat gets code 174, which says that the call ran and that its answer was not kept, since neither is known better.

Evidence: ReplaysNoStoredOutcomeWithAnInvalidStatus changes the stored status of a call to 0 and repeats the call at another host. On the code before it failed: the stored answer was replayed.

--- a/src/runtime/gooseberrylift-once-runner.cc
+++ b/src/runtime/gooseberrylift-once-runner.cc
@@ -62,6 +62,9 @@
   }
   HttpResponse response{ .status_ = result.value("status", 200),
                          .body_ = std::move(*body) };
+  if (!IsValidStatus(response.status_)) {
+    return std::nullopt;
+  }
   for (const json& field : result.value("fields", json::array())) {
     response.fields_.push_back({ field.at(0), field.at(1) });
   }
--- a/test/integration/gooseberrylift-broken-answer-test.cc
+++ b/test/integration/gooseberrylift-broken-answer-test.cc
@@ -14,6 +14,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "gooseberrylift/internal/gooseberrylift-encoding.h"
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 #include "gooseberrylift/internal/gooseberrylift-rest-store.h"
 
@@ -204,6 +205,31 @@
     });
 }
 
+// Changes the status in the stored outcome of the only keyed call. Returns
+// whether it was stored yet.
+bool ChangeStoredStatus(Fake& aStore, int aStatus)
+{
+  const std::string path =
+    std::string("/apis/gooseberrylift.dev/v1/") + kOnceKind;
+  const auto list = Send(aStore.Port(), MakeRequest(std::string(path)));
+  json items = json::parse(list.value().body_).at("items");
+  const json::json_pointer records("/0/spec/records");
+  if (!items.contains(records) || items.at(records).empty() ||
+      !items.at(records).front().contains("r")) {
+    return false;
+  }
+  json& outcome = items.at(records).front().at("r");
+  const std::string text = outcome;
+  const std::size_t dot = text.find('.');
+  json head = json::parse(DecodeBase64(text.substr(0, dot)).value());
+  head["status"] = aStatus;
+  outcome = EncodeBase64(head.dump()) + text.substr(dot);
+  const std::string name = items.at(0).at("metadata").at("name");
+  const auto written = Send(
+    aStore.Port(), MakeRequest("PUT", path + "/" + name, items.at(0).dump()));
+  return written.value().status_ == 200;
+}
+
 } // namespace
 
 TEST_GROUP(BrokenAnswerTest){};
@@ -243,6 +269,20 @@
   }
 }
 
+// Guards against outcomes that were stored before statuses were checked.
+TEST(BrokenAnswerTest, ReplaysNoStoredOutcomeWithAnInvalidStatus)
+{
+  Deployment deployment({ .engines_ = 0 });
+  LONGS_EQUAL(200, CallOnce(deployment.At(0).Port(), "key").status_);
+  CHECK_TRUE(
+    WaitUntil(5s, [&] { return ChangeStoredStatus(deployment.Store(), 0); }));
+  Host& other = deployment.AddHost();
+  CHECK_TRUE(other.WaitReady());
+  const OnceAnswer answer = CallOnce(other.Port(), "key");
+  LONGS_EQUAL(static_cast<int>(ResultCode::kOnceResultDropped), answer.code_);
+  STRCMP_EQUAL("yes", answer.ran_.c_str());
+}
+
 // Guards against a write that ran and is reported as not run.
 TEST(BrokenAnswerTest, TakesNoInvalidStatusForAWriteThatDidNotRun)
 {
