Take no informational response for an answer

What callers saw: an engine answered with 100, 101 or 199 alone, with the signed fields, and its caller got that status and an empty body as a complete answer.

Cause: an informational response ends with its head, so that the parser is done with it, and the client took the first head for that of the final response. The connection counted as idle again although the final response may still come; on the own interface and in store calls nothing but the order of answers says which request one belongs to (by reading, no run shows such a mix-up).

The check of the head now also asks for a final status. Hosts never ask for an upgrade or an informational response, so one means that no answer of this request can be read: code 129, may have run, and the connection is closed. Stored outcomes are held to the same.

Evidence: two tests of gooseberrylift-broken-answer-test, on routes and at the client, with 100, 101, 103 and 199; and 101 as a stored outcome in a third.

--- a/include/gooseberrylift/internal/gooseberrylift-http.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http.h
@@ -109,6 +109,10 @@
 /// section 15).
 bool IsValidStatus(int aStatus);
 
+/// Returns whether a status is that of a final response, rather than of an
+/// informational one, which precedes it and has no body (RFC 9110, 15.2).
+bool IsFinalStatus(int aStatus);
+
 /// Parses a field value as a decimal number.
 /// @return nothing if it is not a finite number of zero or more
 std::optional<double> ParseDecimal(std::string_view aText);
--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -250,7 +250,8 @@
   ResultInfo{ kEndpointCrossed,
               "endpoint-crossed",
               502,
-              "The endpoint answered with another request's answer." },
+              "The endpoint answered with another request's answer, or with "
+              "an informational one only." },
   ResultInfo{ kStreamCut,
               "stream-cut",
               502,
--- a/src/net/gooseberrylift-http.cc
+++ b/src/net/gooseberrylift-http.cc
@@ -63,6 +63,11 @@
   return aStatus >= 100 && aStatus <= 599;
 }
 
+bool IsFinalStatus(int aStatus)
+{
+  return IsValidStatus(aStatus) && aStatus >= 200;
+}
+
 std::optional<double> ParseDecimal(std::string_view aText)
 {
   double number = 0;
--- a/src/net/gooseberrylift-response-head.cc
+++ b/src/net/gooseberrylift-response-head.cc
@@ -15,6 +15,13 @@
                   .text_ = "invalid status " + std::to_string(status),
                   .ran_ = RanState::kUnknown };
   }
+  // The final response may follow, where that to the next request is expected.
+  if (!IsFinalStatus(status)) {
+    return Error{ .code_ = ResultCode::kEndpointCrossed,
+                  .text_ = "informational status " + std::to_string(status) +
+                           " in place of an answer",
+                  .ran_ = RanState::kUnknown };
+  }
   return std::nullopt;
 }
 
--- a/src/net/gooseberrylift-response-head.h
+++ b/src/net/gooseberrylift-response-head.h
@@ -11,8 +11,8 @@
 
 namespace gooseberrylift {
 
-/// Checks what the parser leaves to its user: whether the status is one that
-/// HTTP defines (RFC 9110, section 15).
+/// Checks what the parser leaves to its user: whether the status is that of a
+/// final response.
 /// @return why the response is rejected, with ran_ kUnknown; nothing if it may
 /// be read
 std::optional<Error> CheckResponseHead(
--- a/src/runtime/gooseberrylift-once-runner.cc
+++ b/src/runtime/gooseberrylift-once-runner.cc
@@ -62,7 +62,7 @@
   }
   HttpResponse response{ .status_ = result.value("status", 200),
                          .body_ = std::move(*body) };
-  if (!IsValidStatus(response.status_)) {
+  if (!IsFinalStatus(response.status_)) {
     return std::nullopt;
   }
   for (const json& field : result.value("fields", json::array())) {
--- a/test/integration/gooseberrylift-broken-answer-test.cc
+++ b/test/integration/gooseberrylift-broken-answer-test.cc
@@ -28,11 +28,19 @@
 namespace {
 
 constexpr int kBroken = static_cast<int>(ResultCode::kEndpointBroken);
+constexpr int kCrossed = static_cast<int>(ResultCode::kEndpointCrossed);
 
 const std::vector<std::string> kInvalidStatuses = {
   "000 Trouble", "001 Trouble", "099 Trouble", "600 Trouble", "999 Trouble",
 };
 
+const std::vector<std::string> kInformationalStatuses = {
+  "100 Continue",
+  "101 Switching Protocols",
+  "103 Early Hints",
+  "199 Trouble",
+};
+
 RawEndpoint::Answer MakeInvalidStatus(const std::string& aStatus)
 {
   return { .fields_ = "Content-Length: 5\r\n",
@@ -274,13 +282,15 @@
 {
   Deployment deployment({ .engines_ = 0 });
   LONGS_EQUAL(200, CallOnce(deployment.At(0).Port(), "key").status_);
-  CHECK_TRUE(
-    WaitUntil(5s, [&] { return ChangeStoredStatus(deployment.Store(), 0); }));
-  Host& other = deployment.AddHost();
-  CHECK_TRUE(other.WaitReady());
-  const OnceAnswer answer = CallOnce(other.Port(), "key");
-  LONGS_EQUAL(static_cast<int>(ResultCode::kOnceResultDropped), answer.code_);
-  STRCMP_EQUAL("yes", answer.ran_.c_str());
+  for (const int status : { 0, 101 }) {
+    CHECK_TRUE(WaitUntil(
+      5s, [&] { return ChangeStoredStatus(deployment.Store(), status); }));
+    Host& other = deployment.AddHost();
+    CHECK_TRUE(other.WaitReady());
+    const OnceAnswer answer = CallOnce(other.Port(), "key");
+    LONGS_EQUAL(static_cast<int>(ResultCode::kOnceResultDropped), answer.code_);
+    STRCMP_EQUAL("yes", answer.ran_.c_str());
+  }
 }
 
 // Guards against a write that ran and is reported as not run.
@@ -310,3 +320,20 @@
     CheckIsNotRead(MakeInvalidStatus(status), ResultCode::kEndpointBroken);
   }
 }
+
+// Guards against an informational response that is passed on as a complete
+// answer without a body.
+TEST(BrokenAnswerTest, PassesOnNoInformationalResponse)
+{
+  RawDeployment deployment;
+  for (const std::string& status : kInformationalStatuses) {
+    deployment.CheckRejects({ .status_ = status }, kCrossed);
+  }
+}
+
+TEST(BrokenAnswerTest, ReadsNoInformationalResponse)
+{
+  for (const std::string& status : kInformationalStatuses) {
+    CheckIsNotRead({ .status_ = status }, ResultCode::kEndpointCrossed);
+  }
+}
