Reject bodies in a transfer coding other than chunks

What callers saw: an engine sent a body in chunks under `Transfer-Encoding: xchunked`, `gzip` or `chunked, identity`, and its caller got 200 with the sizes of the chunks in the body; the field that says so was gone.

Cause: the parser undoes chunks where "chunked" is the last coding. Any other field it ignores and reads the body up to the close of the connection, or by Content-Length (RFC 9112, 6.3), and a coding below the chunks it doesn't see at all. The field concerns one connection and isn't passed on, so that nobody after this host can tell.

The check of the head now wants no coding but one "chunked", over all fields of that name; hosts never offer another one.

Evidence: ReadsNoBodyInAnotherTransferCoding and PassesOnNoBodyInAnotherTransferCoding.

--- a/src/core/gooseberrylift-result.cc
+++ b/src/core/gooseberrylift-result.cc
@@ -242,7 +242,8 @@
   ResultInfo{ kEndpointBroken,
               "endpoint-broken",
               502,
-              "The endpoint's answer was cut or is not HTTP." },
+              "The endpoint's answer was cut, is not HTTP, or has an invalid "
+              "status or an unsupported transfer coding." },
   ResultInfo{ kEndpointRefused,
               "endpoint-refused",
               503,
--- a/src/net/gooseberrylift-response-head.h
+++ b/src/net/gooseberrylift-response-head.h
@@ -12,7 +12,7 @@
 namespace gooseberrylift {
 
 /// Checks what the parser leaves to its user: whether the status is that of a
-/// final response.
+/// final response, and whether its body comes in no transfer coding but chunks.
 /// @return why the response is rejected, with ran_ kUnknown; nothing if it may
 /// be read
 std::optional<Error> CheckResponseHead(
--- a/test/integration/gooseberrylift-broken-answer-test.cc
+++ b/test/integration/gooseberrylift-broken-answer-test.cc
@@ -41,6 +41,23 @@
   "199 Trouble",
 };
 
+// Under these fields a body in chunks is in another coding, or not in chunks.
+const std::vector<std::string> kOtherCodings = {
+  "Transfer-Encoding: gzip\r\n",
+  "Transfer-Encoding: identity\r\n",
+  "Transfer-Encoding: xchunked\r\n",
+  "Transfer-Encoding: gzip, chunked\r\n",
+  "Transfer-Encoding: chunked, identity\r\n",
+  "Transfer-Encoding: chunked;q=1\r\n",
+  "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+  "Transfer-Encoding: gzip\r\nContent-Length: 15\r\n",
+};
+
+RawEndpoint::Answer MakeCoded(const std::string& aCoding)
+{
+  return { .fields_ = aCoding, .body_ = "5\r\nwhole\r\n0\r\n\r\n" };
+}
+
 RawEndpoint::Answer MakeInvalidStatus(const std::string& aStatus)
 {
   return { .fields_ = "Content-Length: 5\r\n",
@@ -337,3 +354,31 @@
     CheckIsNotRead({ .status_ = status }, ResultCode::kEndpointCrossed);
   }
 }
+
+// Guards against the sizes of chunks, or a body in another coding, as the body.
+TEST(BrokenAnswerTest, PassesOnNoBodyInAnotherTransferCoding)
+{
+  RawDeployment deployment;
+  for (const std::string& coding : kOtherCodings) {
+    deployment.CheckRejects(MakeCoded(coding), kBroken);
+  }
+}
+
+TEST(BrokenAnswerTest, ReadsNoBodyInAnotherTransferCoding)
+{
+  for (const std::string& coding : kOtherCodings) {
+    CheckIsNotRead(MakeCoded(coding), ResultCode::kEndpointBroken);
+  }
+}
+
+TEST(BrokenAnswerTest, ReadsChunksHoweverTheirCodingIsSpelled)
+{
+  for (const char* name :
+       { "chunked", "Chunked", " CHUNKED ", "chunked,", ", chunked" }) {
+    const RawEndpoint raw(
+      MakeCoded(std::string("Transfer-Encoding:") + name + "\r\n"));
+    const auto answer = FetchFrom(raw);
+    CHECK_TRUE(answer.has_value());
+    STRCMP_EQUAL("whole", answer.value().body_.c_str());
+  }
+}
