Test that answers with invalid header fields are rejected

Other systems passed on answers in whose head the name of a field held a blank or a control byte. Here they get 502 with code 127 already: the parser accepts no such head. Twelve heads on all kinds of routes and at the client that all readers use: a blank or a tab in a name or before the colon, control bytes, NUL, DEL and 0x80 in a name, other characters that are no token, no name, no colon, control bytes and a bare CR in a value.

--- a/test/integration/gooseberrylift-broken-answer-test.cc
+++ b/test/integration/gooseberrylift-broken-answer-test.cc
@@ -53,6 +53,13 @@
   "Transfer-Encoding: gzip\r\nContent-Length: 15\r\n",
 };
 
+const std::vector<std::string> kInvalidFields = {
+  "X Bad: a\r\n",      "X-Bad : a\r\n",   "X\tBad: a\r\n",
+  "X\x01: a\r\n",      "X\x7f: a\r\n",    "X\x80: a\r\n",
+  "X(Bad: a\r\n",      ": a\r\n",         "no colon\r\n",
+  "X-Bad: a\x01z\r\n", "X-Bad: a\rz\r\n", std::string("X\0: a\r\n", 7),
+};
+
 RawEndpoint::Answer MakeCoded(const std::string& aCoding)
 {
   return { .fields_ = aCoding, .body_ = "5\r\nwhole\r\n0\r\n\r\n" };
@@ -382,3 +389,20 @@
     STRCMP_EQUAL("whole", answer.value().body_.c_str());
   }
 }
+
+// Guards against header fields that a later reader splits elsewhere.
+TEST(BrokenAnswerTest, PassesOnNoInvalidHeaderField)
+{
+  RawDeployment deployment;
+  for (const std::string& field : kInvalidFields) {
+    deployment.CheckRejects({ .fields_ = field, .body_ = "whole" }, kBroken);
+  }
+}
+
+TEST(BrokenAnswerTest, ReadsNoInvalidHeaderField)
+{
+  for (const std::string& field : kInvalidFields) {
+    CheckIsNotRead({ .fields_ = field, .body_ = "whole" },
+                   ResultCode::kEndpointBroken);
+  }
+}
