Test that an answer that is reset during its upload is no whole one

On other systems an engine answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written; the client got that part as a complete answer. A failed write takes the reset from the socket, and whoever then reads on finds what has arrived and a plain end of the connection.

Here a call ends with its failed write, so that callers get 502 or a cut stream. The test sends 70 KB, 700 KB and 6 MB on all kinds of routes to an endpoint that reads the head only, answers without a length and resets the connection.

--- a/test/integration/gooseberrylift-broken-answer-test.cc
+++ b/test/integration/gooseberrylift-broken-answer-test.cc
@@ -1,4 +1,5 @@
-// Tests of answers with an invalid head.
+// Tests of answers with an invalid head, and of answers that are cut while the
+// request is still being sent.
 
 #include "harness-callers.h"
 #include "harness-links.h"
@@ -406,3 +407,23 @@
                    ResultCode::kEndpointBroken);
   }
 }
+
+// Guards against a part of an answer that is reset while its request is still
+// being sent and looks whole.
+TEST(BrokenAnswerTest, TakesNoResetDuringAnUploadForTheEndOfAnAnswer)
+{
+  RawDeployment deployment;
+  deployment.SetAnswer({ .body_ = "id: 1\ndata: piece\n\n",
+                         .end_ = RawEndpoint::End::kReset,
+                         .early_ = true });
+  int number = 0;
+  for (const std::size_t size : { 70'000, 700'000, 6'000'000 }) {
+    for (const char* path : { "/safe/a", "/unsafe/a", "/stream/a" }) {
+      HttpRequest request =
+        RouteRequest("POST", path, AttemptIdOf(0, ++number));
+      request.body_ = std::string(size, 'a');
+      const auto answer = deployment.Send(std::move(request));
+      CHECK_FALSE(answer && answer.value().status_ < 300);
+    }
+  }
+}
