Take only a rejection for proof that a store write did not run

What callers would see: a write that the store answered with 202, 204 or a redirect was told on as not run, on which a call with an Idempotency-Key or a job may run again.

Cause: the store of the own interface took each status below 500 that it doesn't know for a rejection. A status of 2xx or 3xx rejects nothing; now only 4xx counts as proof, and others leave open whether the write ran.

Evidence: TakesOnlyARejectionForAWriteThatDidNotRun failed on the code before with 202, the first; no store was seen to answer so.

--- a/src/clients/gooseberrylift-rest-store.cc
+++ b/src/clients/gooseberrylift-rest-store.cc
@@ -52,11 +52,12 @@
            .retryAfter_ = std::chrono::milliseconds(1000) };
 }
 
-// A status below 500 proves that a rejected write had no effect. A 5xx status
-// does not, because it may come from a proxy in between.
+// A 4xx status proves that a rejected write had no effect. A 5xx status does
+// not, because it may come from a proxy in between, and others reject nothing.
 std::optional<Error> ErrorFromStatus(const HttpResponse& aResponse)
 {
-  switch (aResponse.status_) {
+  const int status = aResponse.status_;
+  switch (status) {
     case 200:
     case 201:
       return std::nullopt;
@@ -70,8 +71,8 @@
       return StoreUnavailable("the store limits the call rate", RanState::kNo);
     default:
       return StoreUnavailable(
-        "the store responded with status " + std::to_string(aResponse.status_),
-        aResponse.status_ < 500 ? RanState::kNo : RanState::kUnknown);
+        "the store responded with status " + std::to_string(status),
+        status >= 400 && status < 500 ? RanState::kNo : RanState::kUnknown);
   }
 }
 
--- a/test/integration/gooseberrylift-broken-answer-test.cc
+++ b/test/integration/gooseberrylift-broken-answer-test.cc
@@ -329,6 +329,18 @@
   }
 }
 
+TEST(BrokenAnswerTest, TakesOnlyARejectionForAWriteThatDidNotRun)
+{
+  for (const char* status : { "202 Accepted", "204 No Content", "302 Found" }) {
+    const RawEndpoint raw({ .status_ = status });
+    const auto written = CreateAt(raw.Address());
+    CHECK_TRUE(written.has_error());
+    CHECK_TRUE(written.error().ran_ == RanState::kUnknown);
+  }
+  const RawEndpoint raw({ .status_ = "422 Unprocessable" });
+  CHECK_TRUE(CreateAt(raw.Address()).error().ran_ == RanState::kNo);
+}
+
 // Guards against a command that reports success for such a status.
 TEST(BrokenAnswerTest, CommandsTakeNoInvalidStatusForSuccess)
 {
