broken-answer-test: one check for answers over a relaying host

The two tests repeated each other's set-up. Both now send a safe and an unsafe request and want the relay reported and no failed task.

--- a/test/integration/gooseberrylift-broken-answer-test.cc
+++ b/test/integration/gooseberrylift-broken-answer-test.cc
@@ -158,6 +158,23 @@
   }
 }
 
+// Checks that the callers of a host that relays their requests get an error
+// instead of an answer, which the other host has reported.
+void CheckRejectsOverAnotherHost(RawEndpoint::Answer aAnswer)
+{
+  GatewayDeployment deployment(ThreeHosts(1));
+  RawEndpoint raw(WithReports(std::move(aAnswer), names::kReportPath));
+  ListForRelays(deployment, raw);
+  CheckIsError(deployment.SendToFirstHost(MakeSafeRequest("at-1")), kBroken);
+  CheckIsError(deployment.SendToFirstHost(MakeUnsafeRequest("at-2")), kBroken);
+  CHECK_FALSE(
+    deployment.At(0).Handle().WaitForLine("relay-failed", 1s).empty());
+  for (const std::size_t host : { 1, 2 }) {
+    CHECK_TRUE(
+      deployment.At(host).Handle().WaitForLine("task-failed", 1s).empty());
+  }
+}
+
 // A host of the own interface that knows one endpoint of the service "board".
 class RawBoard
 {
@@ -279,14 +296,7 @@
 // Guards against a host that signs another endpoint's invalid status onward.
 TEST(BrokenAnswerTest, PassesOnNoInvalidStatusOverAnotherHost)
 {
-  GatewayDeployment deployment(ThreeHosts(1));
-  RawEndpoint raw(
-    WithReports(MakeInvalidStatus("000 Trouble"), names::kReportPath));
-  ListForRelays(deployment, raw);
-  CheckIsError(deployment.SendToFirstHost(MakeSafeRequest("at-1")), kBroken);
-  CheckIsError(deployment.SendToFirstHost(MakeUnsafeRequest("at-2")), kBroken);
-  CHECK_FALSE(
-    deployment.At(0).Handle().WaitForLine("relay-failed", 1s).empty());
+  CheckRejectsOverAnotherHost(MakeInvalidStatus("000 Trouble"));
 }
 
 // Guards against an invalid status that is stored as the outcome of a call.
@@ -389,15 +399,7 @@
 // relayed the request, since header fields hold ASCII only.
 TEST(BrokenAnswerTest, ReportsAnotherTransferCodingOverAnotherHost)
 {
-  GatewayDeployment deployment(ThreeHosts(1));
-  RawEndpoint raw(
-    WithReports(MakeCoded("Transfer-Encoding: \x80\r\n"), names::kReportPath));
-  ListForRelays(deployment, raw);
-  CheckIsError(deployment.SendToFirstHost(MakeUnsafeRequest("at-1")), kBroken);
-  for (const std::size_t host : { 1, 2 }) {
-    CHECK_TRUE(
-      deployment.At(host).Handle().WaitForLine("task-failed", 1s).empty());
-  }
+  CheckRejectsOverAnotherHost(MakeCoded("Transfer-Encoding: \x80\r\n"));
 }
 
 TEST(BrokenAnswerTest, ReadsNoBodyInAnotherTransferCoding)
