broken-answer-test: read answers with the harness's Send

The test had a function of its own that sends a request with the product's client and reads the answer, which is what Send does, and a template for it that one caller is left of. RawEndpoint now tells its port. Assertions are the same.

--- a/test/integration/gooseberrylift-broken-answer-test.cc
+++ b/test/integration/gooseberrylift-broken-answer-test.cc
@@ -6,7 +6,6 @@
 #include "harness-raw-endpoint.h"
 #include "once-calls.h"
 
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -206,38 +205,16 @@
   RawEndpoint raw_;
 };
 
-// Runs a call of a client in this process to its end.
-template<typename Value>
-Outcome<Value> RunCall(
-  const std::function<boost::asio::awaitable<Outcome<Value>>(HttpClient&)>&
-    aCall)
+// Reads an answer with the product's client, as every reader of answers does.
+Outcome<HttpResponse> ReadFrom(const RawEndpoint& aRaw)
 {
-  boost::asio::io_context context(1);
-  HttpClient client(context.get_executor(), HttpClient::Options{});
-  std::optional<Outcome<Value>> result;
-  boost::asio::co_spawn(
-    context,
-    [&]() -> boost::asio::awaitable<void> { result = co_await aCall(client); },
-    boost::asio::detached);
-  context.run();
-  return *result;
-}
-
-// Reads an answer as every reader of answers does.
-Outcome<HttpResponse> FetchFrom(const RawEndpoint& aRaw)
-{
-  return RunCall<HttpResponse>(
-    [&aRaw](
-      HttpClient& aClient) -> boost::asio::awaitable<Outcome<HttpResponse>> {
-      co_return co_await aClient.Fetch(
-        aRaw.Address(), MakeRequest("/"), TimerService::Now() + 5s);
-    });
+  return Send(aRaw.Port(), MakeRequest("/"), 5s);
 }
 
 void CheckIsNotRead(const RawEndpoint::Answer& aAnswer, ResultCode aCode)
 {
   const RawEndpoint raw(aAnswer);
-  const auto answer = FetchFrom(raw);
+  const auto answer = ReadFrom(raw);
   CHECK_TRUE(answer.has_error());
   CHECK_TRUE(answer.error().code_ == aCode);
   CHECK_TRUE(answer.error().ran_ == RanState::kUnknown);
@@ -246,14 +223,20 @@
 // Writes an object to the store at an address.
 Outcome<StoreObject> CreateAt(const std::string& aAddress)
 {
-  return RunCall<StoreObject>(
-    [&aAddress](
-      HttpClient& aClient) -> boost::asio::awaitable<Outcome<StoreObject>> {
-      RestStore store(aClient, { .addresses_ = { aAddress } });
+  boost::asio::io_context context(1);
+  HttpClient client(context.get_executor(), HttpClient::Options{});
+  RestStore store(client, { .addresses_ = { aAddress } });
+  std::optional<Outcome<StoreObject>> written;
+  boost::asio::co_spawn(
+    context,
+    [&]() -> boost::asio::awaitable<void> {
       StoreObject object{ .kind_ = "notes", .name_ = "a" };
-      co_return co_await store.Create(std::move(object),
-                                      TimerService::Now() + 5s);
-    });
+      written =
+        co_await store.Create(std::move(object), TimerService::Now() + 5s);
+    },
+    boost::asio::detached);
+  context.run();
+  return *written;
 }
 
 // Changes the status in the stored outcome of the only keyed call. Returns
@@ -262,7 +245,7 @@
 {
   const std::string path =
     std::string("/apis/gooseberrylift.dev/v1/") + kOnceKind;
-  const auto list = Send(aStore.Port(), MakeRequest(std::string(path)));
+  const auto list = Send(aStore.Port(), MakeRequest(path));
   json items = json::parse(list.value().body_).at("items");
   const json::json_pointer records("/0/spec/records");
   if (!items.contains(records) || items.at(records).empty() ||
@@ -415,7 +398,7 @@
        { "chunked", "Chunked", " CHUNKED ", "chunked,", ", chunked" }) {
     const RawEndpoint raw(
       MakeCoded(std::string("Transfer-Encoding:") + name + "\r\n"));
-    const auto answer = FetchFrom(raw);
+    const auto answer = ReadFrom(raw);
     CHECK_TRUE(answer.has_value());
     STRCMP_EQUAL("whole", answer.value().body_.c_str());
   }
--- a/test/integration/harness-raw-endpoint.cc
+++ b/test/integration/harness-raw-endpoint.cc
@@ -89,10 +89,14 @@
   thread_.join();
 }
 
+std::uint16_t RawEndpoint::Port() const
+{
+  return impl_->acceptor_.local_endpoint().port();
+}
+
 std::string RawEndpoint::Address() const
 {
-  return "127.0.0.1:" +
-         std::to_string(impl_->acceptor_.local_endpoint().port());
+  return "127.0.0.1:" + std::to_string(Port());
 }
 
 void RawEndpoint::SetAnswer(Answer aAnswer)
--- a/test/integration/harness-raw-endpoint.h
+++ b/test/integration/harness-raw-endpoint.h
@@ -50,6 +50,7 @@
   RawEndpoint(const RawEndpoint&) = delete;
   RawEndpoint& operator=(const RawEndpoint&) = delete;
 
+  std::uint16_t Port() const;
   std::string Address() const;
 
   /// Changes the answer to requests that are received from now on.
