--- a/test/integration/gooseberrylift-unreadable-entry-test.cc
+++ b/test/integration/gooseberrylift-unreadable-entry-test.cc
@@ -53,15 +53,6 @@
   }
 }
 
-// Returns the settings of a host with a seed address on which no host listens,
-// so that it learns its peers only from the store.
-json LoneSettings(const GatewayDeployment& aDeployment)
-{
-  json settings = aDeployment.HostSettings("host-late");
-  settings["peer"] = { { "port", 0 }, { "seeds", { "127.0.0.1:1" } } };
-  return settings;
-}
-
 bool Logged(Host& aHost, const std::string& aText)
 {
   return !aHost.Handle().WaitForLine(aText, 5s).empty();
@@ -170,7 +161,7 @@
   GatewayDeployment deployment({});
   deployment.Store().Control(
     { { "outage_kinds", { names::kEndpointsKind, "members" } } });
-  Host late(LoneSettings(deployment));
+  Host late(deployment.LoneHostSettings("host-late"));
   CHECK_TRUE(late.WaitReady(10s));
   deployment.Store().Control({ { "outage_kinds", json::array() } });
   CHECK_TRUE(WaitUntil(5s, [&] {
@@ -190,7 +181,7 @@
   deployment.Put(
     "members/aa-item",
     { { "members", { 7, { { "host", 7 }, { "address", {} } } } } });
-  Host late(LoneSettings(deployment));
+  Host late(deployment.LoneHostSettings("host-late"));
   CHECK_TRUE(WaitUntil(10s, [&] {
     const auto members =
       Send(deployment.Store().Port(), MakeRequest("/-/objects/members"));
--- a/test/integration/harness-gateway.cc
+++ b/test/integration/harness-gateway.cc
@@ -117,6 +117,13 @@
   return settings;
 }
 
+json GatewayDeployment::LoneHostSettings(const std::string& aName) const
+{
+  json settings = HostSettings(aName);
+  settings["peer"] = { { "port", 0 }, { "seeds", { "127.0.0.1:1" } } };
+  return settings;
+}
+
 void GatewayDeployment::PutDocument(const json& aDocument)
 {
   const std::string key =
--- a/test/integration/harness-gateway.h
+++ b/test/integration/harness-gateway.h
@@ -72,6 +72,10 @@
   /// Returns the settings of a host.
   json HostSettings(const std::string& aName, bool aLinked = false) const;
 
+  /// Returns the settings of a host with a seed address on which no host
+  /// listens, so that it learns its peers only from the store.
+  json LoneHostSettings(const std::string& aName) const;
+
   /// Sums a counter for one request ID, such as arrivals or runs, over all
   /// endpoints.
   int Count(const std::string& aCount, const std::string& aAttemptId);
