Percent-encode names and versions in the targets of calls to the stores

Callers got nothing served: an entry of another writer stood in the list of engines, which had several pages, under a name with characters such as '&', '+', '#', '%' or a blank. After a restart of all hosts almost each request was rejected for as long as the entry stood.

Cause: the client of the platform's store put the last name of a page into the query of the call for the next page as it was. With a blank or a control character the call was no valid request, '%zz' no valid encoding, and each list failed; '&' and '#' ended the name, and '%7A' and (in stores that read queries as forms) '+' made another one of it, so that a page came again or entries were skipped. The same function wrote names into the paths of single objects, and the client of the own interface's store did both alike.

Now one function (EncodeUriComponent, of Boost.URL, which comes with the Boost that is used already) encodes whatever is no unreserved character of RFC 3986. Every server decodes the result to the same bytes, whether it reads a '+' as a blank or not, and engines' own names stay as they were.

The fake stores took targets as the product wrote them, without decoding them, and so hid this. They now answer 400 to a target that is no URI and decode the others, the platform's on request with '+' as a blank. HttpRequest's QueryParameter decodes as well; it serves the fakes and the admin API.

Evidence, with the new fakes, on the code before: - HostsStartBesideEntriesWithSuchNames, HostsStartBesideConfigurations...: with 29 of 35 names a host that starts does not serve each of nine requests. - AllHostsStartBesideAllSuchNames: 0 of 9 requests at the first of three hosts. - HostsFollowChangesBesideEntriesWithSuchNames: a drain is not noticed in 5 s. - ListsGoOnAfterANameThatIsNotUtf8, and both tests of gooseberrylift-object- name-test: red. All pass now. - AHostTakesOverEntriesBesideSuchNamesFromAnother passed before too: what hosts send to each other is JSON, which carries any name.

--- a/fakes/gooseberrylift-fake-engine.cc
+++ b/fakes/gooseberrylift-fake-engine.cc
@@ -338,8 +338,8 @@
 
   json Events(const HttpRequest& aRequest) const
   {
-    const std::uint64_t after = std::strtoull(
-      std::string(aRequest.QueryParameter("after")).c_str(), nullptr, 10);
+    const std::uint64_t after =
+      std::strtoull(aRequest.QueryParameter("after").c_str(), nullptr, 10);
     json events = json::array();
     for (const json& event : events_) {
       if (event.at("seq") > after) {
--- a/fakes/gooseberrylift-fake-store.cc
+++ b/fakes/gooseberrylift-fake-store.cc
@@ -19,6 +19,7 @@
 
 #include "gooseberrylift-fake.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+#include "gooseberrylift/internal/gooseberrylift-uri.h"
 
 namespace gooseberrylift::fakes {
 
@@ -80,6 +81,11 @@
       co_await SendJson(aExchange, 200, json(counts_));
       co_return;
     }
+    if (!HasValidTarget(aExchange.Request())) {
+      ++counts_["invalid"];
+      co_await SendJson(aExchange, 400, json::object());
+      co_return;
+    }
     while (hang_) {
       co_await TimerService::SleepFor(std::chrono::milliseconds(20));
     }
@@ -151,7 +157,9 @@
     const std::size_t slash = aPath.find('/');
     const std::string kind = aPath.substr(0, slash);
     const bool isCollection = slash == std::string::npos;
-    const std::string name = isCollection ? "" : aPath.substr(slash + 1);
+    const std::string name =
+      isCollection ? ""
+                   : DecodeUriComponent(aPath.substr(slash + 1)).value_or("");
     const bool isRead = aRequest.method_ == "GET";
     ++counts_[!isRead ? "write" : isCollection ? "list" : "read"];
     if (!isRead) {
@@ -262,9 +270,7 @@
   {
     const HttpRequest& request = aExchange.Request();
     std::uint64_t lastSentVersion = std::strtoull(
-      std::string(request.QueryParameter("resourceVersion")).c_str(),
-      nullptr,
-      10);
+      request.QueryParameter("resourceVersion").c_str(), nullptr, 10);
     const std::uint64_t oldest =
       history_.empty() ? version_ : history_.front().version_ - 1;
     if (lastSentVersion < oldest) {
@@ -273,7 +279,7 @@
       co_return;
     }
     const int initialCutCount = watchCutCount_;
-    const std::string limit(request.QueryParameter("timeoutSeconds"));
+    const std::string limit = request.QueryParameter("timeoutSeconds");
     const TimePoint end =
       TimerService::Now() +
       std::chrono::seconds(limit.empty() ? 300 : std::atoi(limit.c_str()));
--- a/fakes/gooseberrylift-fake.cc
+++ b/fakes/gooseberrylift-fake.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/url/parse.hpp>
 
 namespace gooseberrylift::fakes {
 
@@ -35,6 +36,11 @@
   co_return co_await aExchange.Send(JsonResponse(aStatus, aBody.dump()));
 }
 
+bool HasValidTarget(const HttpRequest& aRequest)
+{
+  return boost::urls::parse_origin_form(aRequest.target_).has_value();
+}
+
 json ParseJsonBody(const HttpRequest& aRequest)
 {
   json body = json::parse(aRequest.body_.Text(), nullptr, false);
--- a/fakes/gooseberrylift-fake.h
+++ b/fakes/gooseberrylift-fake.h
@@ -32,6 +32,10 @@
                                       int aStatus,
                                       const json& aBody);
 
+/// Returns whether a request's target is a path with an optional query as RFC
+/// 3986 defines them, without a fragment.
+bool HasValidTarget(const HttpRequest& aRequest);
+
 /// Parses a request body as JSON. Returns an empty object if it is invalid.
 json ParseJsonBody(const HttpRequest& aRequest);
 
--- a/fakes/platform/gooseberrylift-fake-fleet-store.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-store.cc
@@ -8,7 +8,8 @@
 //                   "put": {"KIND/NAME": spec}, "remove": ["KIND/NAME"],
 //                   "outage_kinds": ["KIND"] (calls for these get 503),
 //                   "replace": {"PLACEHOLDER": text} (in all objects sent, for
-//                   text that no JSON value represents)}
+//                   text that no JSON value represents),
+//                   "form_query": true (a '+' in a query stands for a blank)}
 //   GET  /stats    number of calls by type
 // The text kInvalidUtf8Placeholder in an object is sent as invalid UTF-8. A
 // replacement may contain the quotes of a string and so stand for any value.
@@ -21,6 +22,7 @@
 #include "gooseberrylift-fake.h"
 #include "gooseberrylift-fleet-names.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+#include "gooseberrylift/internal/gooseberrylift-uri.h"
 
 namespace gooseberrylift::fakes {
 
@@ -70,6 +72,11 @@
       co_await SendJson(aExchange, 200, json(counts_));
       co_return;
     }
+    if (!HasValidTarget(request)) {
+      ++counts_["invalid"];
+      co_await SendJson(aExchange, 400, json::object());
+      co_return;
+    }
     ++counts_[request.method_];
     if (delay_.count() > 0) {
       co_await TimerService::SleepFor(delay_);
@@ -91,7 +98,9 @@
     const std::size_t slash = aKey.find('/');
     const std::string kind = aKey.substr(0, slash);
     const std::string name =
-      slash == std::string::npos ? "" : aKey.substr(slash + 1);
+      slash == std::string::npos
+        ? ""
+        : DecodeUriComponent(aKey.substr(slash + 1)).value_or("");
     if (request.method_ == "GET" && !request.QueryParameter("watch").empty()) {
       co_await Watch(aExchange, kind);
       co_return;
@@ -129,7 +138,7 @@
     const bool allowStale =
       !aRequest.QueryParameter(names::kAllowStale).empty();
     ++counts_[(allowStale ? "list-any-age " : "list ") + aKind];
-    const std::string after(aRequest.QueryParameter("after"));
+    const std::string after = ParameterOf(aRequest, "after");
     json items = json::array();
     bool more = false;
     const std::uint64_t lag = allowStale ? NextLag() : 0;
@@ -150,6 +159,14 @@
     return 200;
   }
 
+  std::string ParameterOf(HttpRequest aRequest, const char* aName) const
+  {
+    if (isFormQuery_) {
+      ReplaceAll(aRequest.target_, "+", "%20");
+    }
+    return aRequest.QueryParameter(aName);
+  }
+
   std::uint64_t NextLag()
   {
     return anyAgeLags_.empty()
@@ -222,10 +239,8 @@
   asio::awaitable<void> Watch(HttpExchange& aExchange, std::string aKind)
   {
     const HttpRequest& request = aExchange.Request();
-    const auto from =
-      std::stoull("0" + std::string(request.QueryParameter("watch")));
-    const auto wait =
-      std::atoi(std::string(request.QueryParameter("waitMs")).c_str());
+    const auto from = std::stoull("0" + request.QueryParameter("watch"));
+    const auto wait = std::atoi(request.QueryParameter("waitMs").c_str());
     const TimePoint end = TimerService::Now() + milliseconds(wait);
     while (TimerService::Now() < end &&
            (AreWatchesMuted() || !HasChanges(aKind, from))) {
@@ -307,6 +322,7 @@
       const std::size_t slash = key.find('/');
       Remove(key.substr(0, slash), key.substr(slash + 1));
     }
+    isFormQuery_ = aBody.value("form_query", isFormQuery_);
     outageKinds_ = aBody.value("outage_kinds", outageKinds_);
     const json replacements = aBody.value("replace", json::object());
     for (const auto& [placeholder, text] : replacements.items()) {
@@ -335,6 +351,7 @@
   milliseconds delay_{ 0 };
   int loseAnswers_ = 0;
   std::size_t pageSize_ = 500;
+  bool isFormQuery_ = false;
   TimePoint muteUntil_{};
 };
 
--- a/include/gooseberrylift/internal/gooseberrylift-http.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http.h
@@ -89,8 +89,9 @@
   /// Returns the target without its query.
   std::string_view Path() const;
 
-  /// Returns a query parameter without decoding it, or an empty string.
-  std::string_view QueryParameter(std::string_view aName) const;
+  /// Returns the decoded value of a query parameter, or an empty string. A
+  /// value whose percent-encoding is malformed is returned as it is.
+  std::string QueryParameter(std::string_view aName) const;
 };
 
 struct HttpResponse
--- a/src/clients/gooseberrylift-rest-store.cc
+++ b/src/clients/gooseberrylift-rest-store.cc
@@ -2,6 +2,7 @@
 
 #include "gooseberrylift/gooseberrylift-json-text.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+#include "gooseberrylift/internal/gooseberrylift-uri.h"
 
 namespace gooseberrylift {
 
@@ -19,7 +20,7 @@
 
 std::string ResourcePath(const std::string& aKind, const std::string& aName)
 {
-  return ResourcePath(aKind) + "/" + aName;
+  return ResourcePath(aKind) + "/" + EncodeUriComponent(aName);
 }
 
 StoreObject ToStoreObject(const json& aBody)
@@ -179,11 +180,12 @@
                                                  TimePoint aDeadline)
 {
   ReportCall("write");
-  const auto body = co_await Call(
-    MakeRequest("DELETE",
-                ResourcePath(aKind, aName) + "?resourceVersion=" + aVersion,
-                {}),
-    aDeadline);
+  const auto body =
+    co_await Call(MakeRequest("DELETE",
+                              ResourcePath(aKind, aName) + "?resourceVersion=" +
+                                EncodeUriComponent(aVersion),
+                              {}),
+                  aDeadline);
   if (!body) {
     co_return body.error();
   }
@@ -199,9 +201,10 @@
 {
   ReportCall("watch");
   const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(aWait);
-  HttpRequest request = MakeRequest(
-    ResourcePath(aKind) + "?watch=true&resourceVersion=" + aVersion +
-    "&timeoutSeconds=" + std::to_string(seconds.count()));
+  HttpRequest request =
+    MakeRequest(ResourcePath(aKind) +
+                "?watch=true&resourceVersion=" + EncodeUriComponent(aVersion) +
+                "&timeoutSeconds=" + std::to_string(seconds.count()));
   const HttpClient::CallOptions options;
   auto call =
     co_await client_.Start(Address(), std::move(request), aDeadline, options);
--- a/src/front/gooseberrylift-config-api.cc
+++ b/src/front/gooseberrylift-config-api.cc
@@ -150,7 +150,7 @@
   const auto accepted =
     co_await ApplyChange(ParseNumber(request.QueryParameter("base")),
                          request.body_,
-                         std::string(request.QueryParameter("author")));
+                         request.QueryParameter("author"));
   if (!accepted) {
     co_await aExchange.Send(ErrorResponse(accepted.error(), {}));
     co_return;
--- a/src/net/gooseberrylift-http.cc
+++ b/src/net/gooseberrylift-http.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "gooseberrylift/internal/gooseberrylift-uri.h"
+
 namespace gooseberrylift {
 
 namespace {
@@ -41,7 +43,7 @@
   return target.substr(0, target.find('?'));
 }
 
-std::string_view HttpRequest::QueryParameter(std::string_view aName) const
+std::string HttpRequest::QueryParameter(std::string_view aName) const
 {
   std::string_view query = target_;
   const std::size_t queryStart = query.find('?');
@@ -52,7 +54,9 @@
     query.remove_prefix(std::min(query.size(), pair.size() + 1));
     const std::size_t equals = pair.find('=');
     if (pair.substr(0, equals) == aName) {
-      return equals == std::string_view::npos ? "" : pair.substr(equals + 1);
+      const std::string_view value =
+        equals == std::string_view::npos ? "" : pair.substr(equals + 1);
+      return DecodeUriComponent(value).value_or(std::string(value));
     }
   }
   return {};
