Cut the texts of a log line that is too long instead of dropping the line

An operator found no line on an entry with a long name, nor on the change of the list that it came with: 1202, 1201 and 1213 were missing, and only "unwritten" of the next line told that something was.

Cause: a line over PIPE_BUF (4,096 bytes) is not written, since it could block or be written in part, and names of objects of another writer are as long as their writer likes.

Now the texts in the fields of such a line are cut to 64 bytes each, and the line is written.

--- a/include/gooseberrylift/internal/gooseberrylift-log.h
+++ b/include/gooseberrylift/internal/gooseberrylift-log.h
@@ -146,8 +146,9 @@
 
 /// Writes an event, unless it is below its component's minimum level or over
 /// its rate limit. The field "left_out" of the next event with the same number
-/// counts those suppressed by the rate limit. A line is dropped if the reader
-/// of standard output is too slow; the field "unwritten" of the next line
+/// counts those suppressed by the rate limit. The texts of a line that would be
+/// too long are cut. A line is dropped if the reader of standard output is too
+/// slow; the field "unwritten" of the next line
 /// counts the dropped lines.
 /// @param aEvent the event
 /// @param aFields a JSON object with the fields of this occurrence
--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -438,6 +438,35 @@
   }
 };
 
+// Cuts the texts in a value.
+void ShortenTexts(nlohmann::json& aValue)
+{
+  constexpr std::size_t kMaxTextBytes = 64;
+  if (aValue.is_structured()) {
+    for (nlohmann::json& value : aValue) {
+      ShortenTexts(value);
+    }
+  } else if (aValue.is_string()) {
+    auto& text = aValue.get_ref<std::string&>();
+    text.resize(std::min(text.size(), kMaxTextBytes));
+  }
+}
+
+// Names of objects of another writer can be of any length.
+std::string FormatLine(nlohmann::json aFields)
+{
+  const auto format = [&aFields] {
+    return aFields.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  };
+  std::string line = format();
+  if (line.size() >= kMaxLogLineBytes) {
+    ShortenTexts(aFields);
+    line = format();
+  }
+  return line;
+}
+
 const LogEventInfo& InfoOf(LogEvent aEvent)
 {
   return *std::find_if(
@@ -537,8 +566,7 @@
   aFields["event"] = static_cast<int>(aEvent);
   aFields["name"] = info.name_;
   aFields["host"] = sHost;
-  const std::string line =
-    aFields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  const std::string line = FormatLine(std::move(aFields));
   switch (info.level_) {
     case LogLevel::kError:
       LOG(ERROR) << line;
--- a/test/integration/gooseberrylift-entry-name-test.cc
+++ b/test/integration/gooseberrylift-entry-name-test.cc
@@ -190,6 +190,16 @@
   CHECK_TRUE(Logged(late, "\"source\":\"host-0\""));
 }
 
+// Guards against log lines that are dropped because a name makes them too long.
+TEST(EntryNameTest, ChangesAreLoggedBesideAnEntryWithALongName)
+{
+  GatewayDeployment deployment({});
+  deployment.Put(EndpointKey(std::string(20'000, 'z')), json::object());
+  deployment.List("board-1", deployment.Board(1), "board", "draining");
+  CHECK_TRUE(Logged(deployment.At(0), "\"endpoint\":\"zzz"));
+  CHECK_TRUE(Logged(deployment.At(0), "\"leaving\":[\"board-1\"]"));
+}
+
 // Guards against lists that end at a name that can't be read, where it is alone
 // on its page.
 TEST(EntryNameTest, ListsGoOnAfterANameThatIsNotUtf8)
