Use no entry whose name can't be the ID of an endpoint

The users say that such an entry names no engine to use.

Cause: of a name only U+FFFD was looked for.

Now an ID has 1 to 256 unreserved characters (RFC 3986, 2.3), which mean the same in a path, a query and a field. Another entry is refused where it is read, with event 1202, as one that lacks a field is, and the others hold. The bound of 256 bytes keeps the field from filling the head of each request.

--- a/test/integration/gooseberrylift-dialect-test.cc
+++ b/test/integration/gooseberrylift-dialect-test.cc
@@ -2,6 +2,7 @@
 
 #include "gooseberrylift-fleet-dialect.h"
 #include "gooseberrylift-fleet-names.h"
+#include "harness-odd-names.h"
 
 #include <chrono>
 #include <string>
@@ -11,6 +12,7 @@
 
 using namespace gooseberrylift;
 using namespace gooseberrylift::platform;
+using namespace gooseberrylift::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -54,6 +56,14 @@
   DOUBLES_EQUAL(aPerSecond, rateLimit.perSecond_, 1e-9);
 }
 
+nlohmann::json SoundEntry()
+{
+  return { { "service", "s" },  { "address", "127.0.0.1:80" },
+           { "zone", "z" },     { "version", "v1" },
+           { "slots", 1 },      { "sequence", 1 },
+           { "state", "ready" } };
+}
+
 } // namespace
 
 TEST_GROUP(DialectTest){};
@@ -163,12 +173,26 @@
   LONGS_EQUAL(0, document.services_.at(2).coldStart_.count());
 }
 
+TEST(DialectTest, AcceptsOnlyEntriesWhoseNamesAreIds)
+{
+  const auto parse = [](const std::string& aName) {
+    return FleetDialect().ParseListedEndpoint(
+      { .kind_ = kEndpointsKind, .name_ = aName, .spec_ = SoundEntry() });
+  };
+  for (const std::string& name : kOddNames) {
+    const auto entry = parse(name);
+    CHECK_TRUE(entry.has_error());
+    CHECK_TRUE(entry.error().code_ == ResultCode::kEntryInvalid);
+  }
+  CHECK_FALSE(parse(""));
+  for (const char* id : { "i-7f3a91c2", "0", "A.b_c~d-e" }) {
+    STRCMP_EQUAL(id, parse(id).value().id_.c_str());
+  }
+}
+
 TEST(DialectTest, TellsAnEntryWithoutRemainingColdTimeFromOneThatIsWarm)
 {
-  nlohmann::json spec = { { "service", "s" },  { "address", "127.0.0.1:80" },
-                          { "zone", "z" },     { "version", "v1" },
-                          { "slots", 1 },      { "sequence", 1 },
-                          { "state", "ready" } };
+  nlohmann::json spec = SoundEntry();
   const auto parse = [&spec] {
     return FleetDialect().ParseListedEndpoint(
       { .kind_ = kEndpointsKind, .name_ = "e", .spec_ = spec });
--- a/test/integration/gooseberrylift-entry-name-test.cc
+++ b/test/integration/gooseberrylift-entry-name-test.cc
@@ -3,6 +3,7 @@
 
 #include "harness-gateway.h"
 #include "harness-odd-names.h"
+#include "harness-raw-endpoint.h"
 
 #include <memory>
 #include <string>
@@ -200,6 +201,29 @@
   CHECK_TRUE(Logged(deployment.At(0), "\"leaving\":[\"board-1\"]"));
 }
 
+// Guards against requests to an address that no endpoint registered, and
+// against names that add header fields to them.
+TEST(EntryNameTest, NoRequestIsSentToTheAddressOfAnEntryWithSuchAName)
+{
+  GatewayDeployment deployment({});
+  RawEndpoint other({ .body_ = "not an endpoint" });
+  for (const std::string& name : kOddNames) {
+    deployment.Put(EndpointKey(name), EndpointEntry(other.Address(), "board"));
+    deployment.Put(EndpointKey("board-0" + name),
+                   EndpointEntry(other.Address(), "engines"));
+  }
+  deployment.List("board-1", deployment.Board(1), "board", "draining");
+  CHECK_TRUE(Logged(deployment.At(0), "\"event\":1202"));
+  CHECK_TRUE(Logged(deployment.At(0), "\"leaving\":[\"board-1\"]"));
+  Host late(deployment.HostSettings("host-late"));
+  CHECK_TRUE(late.WaitReady(5s));
+  for (int round = 0; round < 10; ++round) {
+    LONGS_EQUAL(kAllServed, CountServed(deployment.At(0)));
+    LONGS_EQUAL(kAllServed, CountServed(late));
+  }
+  LONGS_EQUAL(0, other.Received());
+}
+
 // Guards against lists that end at a name that can't be read, where it is alone
 // on its page.
 TEST(EntryNameTest, ListsGoOnAfterANameThatIsNotUtf8)
