Send no request whose head the server would read as something else

The HTTP client wrote the method, the target and the fields of a request as they were. Texts from documents of other writers are among them: names of objects, IDs of endpoints, names of teams and zones, versions. A line end in one of them added a field or a request of that writer's choice to a caller's request.

Now the client, which sends all requests, rejects control characters (but for a tab in a value), blanks in targets, and methods and field names that are no tokens, with code 1 and "not run", before it opens a connection. Other bytes pass as before, since callers' targets are sent on unchanged. Entries and calls to the stores can't lead there any more; this closes the class.

gooseberrylift-request-head-test: RejectsCharactersThatEndALineOrAPartOfIt failed on the code before (the endpoint received the first of its requests) and passes now; SendsOtherCharactersAsTheyAre passes on both.

--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -8,6 +8,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include "gooseberrylift-request-head.h"
 #include "gooseberrylift-response-head.h"
 #include "gooseberrylift-unparsed-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-socket-deadline.h"
@@ -363,6 +364,9 @@
   TimePoint aDeadline,
   CallOptions aOptions)
 {
+  if (const auto error = CheckRequestHead(aRequest)) {
+    co_return *error;
+  }
   const std::shared_ptr<Impl> impl = impl_;
   std::unique_ptr<Connection> connection;
   if (!aOptions.forceNewConnection_) {
