--- a/fakes/platform/gooseberrylift-fake-fleet-store.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-store.cc
@@ -9,7 +9,9 @@
 //                   "outage_kinds": ["KIND"] (calls for these get 503),
 //                   "replace": {"PLACEHOLDER": text} (in all objects sent, for
 //                   text that no JSON value represents),
-//                   "form_query": true (a '+' in a query stands for a blank)}
+//                   "form_query": true (a '+' in a query stands for a blank),
+//                   "strict_after": true (a list that continues after a name
+//                   that needs percent-encoding gets 400)}
 //   GET  /stats    number of calls by type
 // The text kInvalidUtf8Placeholder in an object is sent as invalid UTF-8. A
 // replacement may contain the quotes of a string and so stand for any value.
@@ -139,6 +141,9 @@
       !aRequest.QueryParameter(names::kAllowStale).empty();
     ++counts_[(allowStale ? "list-any-age " : "list ") + aKind];
     const std::string after = ParameterOf(aRequest, "after");
+    if (isAfterStrict_ && !IsUnreserved(after)) {
+      return 400;
+    }
     json items = json::array();
     bool more = false;
     const std::uint64_t lag = allowStale ? NextLag() : 0;
@@ -322,6 +327,7 @@
       const std::size_t slash = key.find('/');
       Remove(key.substr(0, slash), key.substr(slash + 1));
     }
+    isAfterStrict_ = aBody.value("strict_after", isAfterStrict_);
     isFormQuery_ = aBody.value("form_query", isFormQuery_);
     outageKinds_ = aBody.value("outage_kinds", outageKinds_);
     const json replacements = aBody.value("replace", json::object());
@@ -352,6 +358,7 @@
   int loseAnswers_ = 0;
   std::size_t pageSize_ = 500;
   bool isFormQuery_ = false;
+  bool isAfterStrict_ = false;
   TimePoint muteUntil_{};
 };
 
--- a/test/integration/gooseberrylift-entry-name-test.cc
+++ b/test/integration/gooseberrylift-entry-name-test.cc
@@ -233,3 +233,14 @@
   deployment.Put(EndpointKey("board-0ODD-BYTES"), json::object());
   CHECK_TRUE(Starts(deployment));
 }
+
+// Guards against lists that fail where the store rejects such a name.
+TEST(EntryNameTest, ListsGoOnAfterANameThatEveryStoreAccepts)
+{
+  GatewayDeployment deployment({ .hosts_ = 0 });
+  deployment.Store().Control({ { "page", 2 }, { "strict_after", true } });
+  for (const char* name : { "board-0&", "board-1 b", "engines-0#" }) {
+    deployment.Put(EndpointKey(name), json::object());
+  }
+  CHECK_TRUE(Starts(deployment));
+}
