Use what was read of a list that can't be continued

A host that started beside one entry under a name that can't be continued after (null, a number, one that the store rejects), alone on its page, served nothing for as long as the entry stood: each list failed, and with it all entries that had been read. Hosts that ran followed no entry any more, also none before it.

Cause: a list is complete or an error. It may not pass for complete without its rest, since what is missing in a complete list counts as removed.

Now such a list says that it is incomplete. Its objects are added and changed in the view, none is removed, and the view's revision stays; the read counts as failed and is repeated, as before. Of the configurations only one object is used, so that one is read by itself if the list ends before it, and likewise the object of a host's own zone among the members. Event 1112 names the object after which the list ends, and why.

What remains: entries behind such an entry are not known to a host that has just started and has no peer that knows them, and entries that vanish without a notice stay in use until the entry is gone.

--- a/include/gooseberrylift/internal/gooseberrylift-store-follower.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-follower.h
@@ -58,6 +58,10 @@
 // A paused host or a late response only shortens the lease. A proof that
 // arrives unrequested has no such bound and is ignored.
 //
+// A list that can't be completed changes and adds objects but proves nothing:
+// the read counts as failed, and is repeated. Of the routes only one object is
+// used, which is then read by itself.
+//
 // Everything runs on one executor, on which the owner must make its calls too.
 class StoreFollower
 {
@@ -100,6 +104,7 @@
   struct Options
   {
     std::string routesKind_;
+    std::string routesName_; // of the only object of that kind that is used
     std::string endpointsKind_;
     std::string evacuationsKind_; // empty if not followed
     // Of one read of the store. A healthy store answers in a few ms, and one
@@ -161,19 +166,28 @@
   bool IsStoreUnavailable() const { return readSchedule_.IsStoreUnavailable(); }
 
 private:
+  enum class ListResult
+  {
+    kFailed,
+    kIncomplete, // applied, but objects may be missing
+    kComplete
+  };
+
   boost::asio::awaitable<void> Read();
   boost::asio::awaitable<void> ReadAllowStale();
   // Returns when the read started, or nothing if it failed.
   boost::asio::awaitable<std::optional<BootTime>> ReadRoutes();
-  boost::asio::awaitable<bool> ReadKind(std::string aKind, StoreView& aView);
+  boost::asio::awaitable<Outcome<StoreList>> ListRoutes();
+  boost::asio::awaitable<ListResult> ReadKind(std::string aKind,
+                                              StoreView& aView);
   boost::asio::awaitable<bool> ReadChanges(BootTime aRoutesReadStart);
   bool AwaitsPeerUpdates() const;
   bool FollowsEvacuations() const { return !options_.evacuationsKind_.empty(); }
   boost::asio::awaitable<void> Fetch(PeerMember aPeer);
-  void ApplyList(const std::string& aKind,
-                 StoreView& aView,
-                 StoreList aList,
-                 BootTime aReadStart);
+  ListResult ApplyList(const std::string& aKind,
+                       StoreView& aView,
+                       StoreList aList,
+                       BootTime aReadStart);
   nlohmann::json FetchParams() const;
   void ApplyAnswer(const nlohmann::json& aAnswer,
                    const std::string& aPeer,
--- a/include/gooseberrylift/internal/gooseberrylift-store.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store.h
@@ -34,6 +34,9 @@
   // Numbers of items that were read at once, in the order of items_; empty if
   // all were.
   std::vector<std::size_t> pageSizes_{};
+  // Whether the list has all objects. If not, it can't be continued because of
+  // one of them, and the absence of others means nothing.
+  bool complete_ = true;
 };
 
 struct StoreEvent
@@ -66,7 +69,7 @@
     co_return co_await Read(std::move(aKind), std::move(aName), aDeadline);
   }
 
-  /// Reads all objects of a kind.
+  /// Reads all objects of a kind, unless the result is marked as incomplete.
   virtual boost::asio::awaitable<Outcome<StoreList>> List(
     std::string aKind,
     TimePoint aDeadline) = 0;
--- a/include/gooseberrylift/membership/gooseberrylift-store-view.h
+++ b/include/gooseberrylift/membership/gooseberrylift-store-view.h
@@ -100,6 +100,14 @@
   ViewUpdate OnList(std::vector<CachedObject> aObjects,
                     std::uint64_t aRevision);
 
+  /// Applies a list from which objects may be missing: adds and changes
+  /// objects, and removes none. The revision stays, since other changes are
+  /// unknown.
+  /// @param aRevision the store's when the list was read
+  /// @return what changed in this view
+  ViewUpdate OnIncompleteList(std::vector<CachedObject> aObjects,
+                              std::uint64_t aRevision);
+
   /// Applies changes from another host that were requested since this view's
   /// revision.
   /// @return what changed in this view
--- a/src/clients/gooseberrylift-member-list.cc
+++ b/src/clients/gooseberrylift-member-list.cc
@@ -102,16 +102,27 @@
   return aMembers;
 }
 
-StoreObject ZoneObject(const StoreList& aList, const std::string& aZone)
+// Returns the object of a zone; one without a version if there is none.
+asio::awaitable<Outcome<StoreObject>> ZoneObject(ObjectStore& aStore,
+                                                 const StoreList& aList,
+                                                 std::string aZone,
+                                                 TimePoint aDeadline)
 {
   const auto found = std::find_if(
     aList.items_.begin(), aList.items_.end(), [&](const StoreObject& aObject) {
       return aObject.name_ == aZone;
     });
   if (found != aList.items_.end()) {
-    return *found;
+    co_return *found;
   }
-  return { .kind_ = kMembersKind, .name_ = aZone };
+  if (!aList.complete_) {
+    auto object = co_await aStore.Read(kMembersKind, aZone, aDeadline);
+    if (object || object.error().code_ != ResultCode::kStoreNotFound) {
+      co_return object;
+    }
+  }
+  StoreObject object{ .kind_ = kMembersKind, .name_ = aZone };
+  co_return object;
 }
 
 std::vector<PeerMember> AllMembers(const StoreList& aList)
@@ -149,7 +160,12 @@
     if (!list) {
       co_return list.error();
     }
-    StoreObject object = ZoneObject(list.value(), aSelf.zone_);
+    const auto read =
+      co_await ZoneObject(aStore, list.value(), aSelf.zone_, aDeadline);
+    if (!read) {
+      co_return read.error();
+    }
+    StoreObject object = read.value();
     const std::vector<PeerMember> members = ParseMembers(object);
     if (IsRegistered(members, aSelf)) {
       co_return AllMembers(list.value());
--- a/src/core/membership/gooseberrylift-store-view.cc
+++ b/src/core/membership/gooseberrylift-store-view.cc
@@ -49,6 +49,19 @@
   return update;
 }
 
+ViewUpdate StoreView::OnIncompleteList(std::vector<CachedObject> aObjects,
+                                       std::uint64_t aRevision)
+{
+  ViewUpdate update;
+  if (aRevision < revision_) {
+    return update;
+  }
+  for (CachedObject& object : aObjects) {
+    Upsert(std::move(object), aRevision, update);
+  }
+  return update;
+}
+
 ViewUpdate StoreView::ApplyDelta(StoreDelta aChanges)
 {
   ViewUpdate update;
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -92,6 +92,14 @@
   return cached;
 }
 
+bool HasObject(const StoreList& aList, const std::string& aName)
+{
+  return std::any_of(
+    aList.items_.begin(), aList.items_.end(), [&](const StoreObject& aObject) {
+      return aObject.name_ == aName;
+    });
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(Parts aParts, Options aOptions)
@@ -128,12 +136,12 @@
   const TimePoint limit = TimerService::Now() + options_.callTimeout_;
   auto endpoints =
     co_await parts_.store_.ListAllowStale(options_.endpointsKind_, limit);
-  if (!endpoints) {
+  if (!endpoints || !endpoints.value().complete_) {
     co_return;
   }
   auto routes =
     co_await parts_.store_.ListAllowStale(options_.routesKind_, limit);
-  if (!routes) {
+  if (!routes || !routes.value().complete_) {
     co_return;
   }
   auto listed = ToCachedObjects(std::move(endpoints.value().items_));
@@ -184,10 +192,14 @@
   // first. In the opposite order its first callers were refused.
   bool read = true;
   if (endpoints_.Revision() == 0) {
-    read = co_await ReadKind(options_.endpointsKind_, endpoints_);
+    const ListResult result =
+      co_await ReadKind(options_.endpointsKind_, endpoints_);
+    read = result == ListResult::kComplete;
   }
   if (read && FollowsEvacuations() && evacuations_.Revision() == 0) {
-    read = co_await ReadKind(options_.evacuationsKind_, evacuations_);
+    const ListResult result =
+      co_await ReadKind(options_.evacuationsKind_, evacuations_);
+    read = result == ListResult::kComplete;
   }
   const bool wasUnavailable = readSchedule_.IsStoreUnavailable();
   // A list that fails again and again must not keep the routes from this host,
@@ -213,8 +225,7 @@
 asio::awaitable<std::optional<BootTime>> StoreFollower::ReadRoutes()
 {
   const BootTime readStart = TimerService::BootNow();
-  auto list = co_await parts_.store_.List(
-    options_.routesKind_, TimerService::Now() + options_.callTimeout_);
+  auto list = co_await ListRoutes();
   if (!list) {
     co_return std::nullopt;
   }
@@ -225,6 +236,27 @@
   co_return readStart;
 }
 
+// Returns a list that has the routes if they exist, and is marked as complete.
+asio::awaitable<Outcome<StoreList>> StoreFollower::ListRoutes()
+{
+  const TimePoint limit = TimerService::Now() + options_.callTimeout_;
+  auto list = co_await parts_.store_.List(options_.routesKind_, limit);
+  if (!list || list.value().complete_) {
+    co_return list;
+  }
+  list.value().complete_ = true;
+  if (!HasObject(list.value(), options_.routesName_)) {
+    auto routes = co_await parts_.store_.Read(
+      options_.routesKind_, options_.routesName_, limit);
+    if (routes) {
+      list.value().items_.push_back(std::move(routes.value()));
+    } else if (routes.error().code_ != ResultCode::kStoreNotFound) {
+      co_return routes.error();
+    }
+  }
+  co_return list;
+}
+
 // Lists endpoints and evacuations if the store has changed. Evacuations are
 // read before the endpoints and applied after them, so that when an evacuation
 // ends, the entries of the zone's engines, which may be cold, are up to date.
@@ -241,45 +273,52 @@
   }
   const bool isBehind = endpoints_.Revision() < routes_.Revision();
   const bool awaitsPeerUpdates = isBehind && AwaitsPeerUpdates();
+  bool complete = true;
   if (isBehind && !awaitsPeerUpdates) {
-    const bool read = co_await ReadKind(options_.endpointsKind_, endpoints_);
-    if (!read) {
+    const ListResult result =
+      co_await ReadKind(options_.endpointsKind_, endpoints_);
+    if (result == ListResult::kFailed) {
       co_return false;
     }
+    complete = result == ListResult::kComplete;
   }
   if (evacuations) {
-    ApplyList(options_.evacuationsKind_,
-              evacuations_,
-              std::move(*evacuations),
-              aRoutesReadStart);
+    const ListResult result = ApplyList(options_.evacuationsKind_,
+                                        evacuations_,
+                                        std::move(*evacuations),
+                                        aRoutesReadStart);
+    complete = complete && result == ListResult::kComplete;
   }
-  if (!awaitsPeerUpdates) {
+  if (complete && !awaitsPeerUpdates) {
     OnEndpointsRead(aRoutesReadStart);
   }
-  co_return true;
+  co_return complete;
 }
 
-asio::awaitable<bool> StoreFollower::ReadKind(std::string aKind,
-                                              StoreView& aView)
+asio::awaitable<StoreFollower::ListResult> StoreFollower::ReadKind(
+  std::string aKind,
+  StoreView& aView)
 {
   const BootTime readStart = TimerService::BootNow();
   auto list = co_await parts_.store_.List(
     aKind, TimerService::Now() + options_.callTimeout_);
   if (!list) {
-    co_return false;
+    co_return ListResult::kFailed;
   }
-  ApplyList(aKind, aView, std::move(list.value()), readStart);
-  co_return true;
+  co_return ApplyList(aKind, aView, std::move(list.value()), readStart);
 }
 
-void StoreFollower::ApplyList(const std::string& aKind,
-                              StoreView& aView,
-                              StoreList aList,
-                              BootTime aReadStart)
+StoreFollower::ListResult StoreFollower::ApplyList(const std::string& aKind,
+                                                   StoreView& aView,
+                                                   StoreList aList,
+                                                   BootTime aReadStart)
 {
   const std::uint64_t revisionBefore = aView.Revision();
-  const ViewUpdate update = aView.OnList(
-    ToCachedObjects(std::move(aList.items_)), RevisionOf(aList.version_));
+  const std::uint64_t revision = RevisionOf(aList.version_);
+  auto objects = ToCachedObjects(std::move(aList.items_));
+  const ViewUpdate update =
+    aList.complete_ ? aView.OnList(std::move(objects), revision)
+                    : aView.OnIncompleteList(std::move(objects), revision);
   if (aKind == options_.endpointsKind_) {
     PublishEndpoints(update, kOriginStore, revisionBefore, aReadStart);
   } else {
@@ -288,6 +327,7 @@
   if (!update.Empty()) {
     parts_.onNewData_();
   }
+  return aList.complete_ ? ListResult::kComplete : ListResult::kIncomplete;
 }
 
 StoreStatus StoreFollower::CurrentStatus() const
--- a/src/host/gooseberrylift-gateway-host.cc
+++ b/src/host/gooseberrylift-gateway-host.cc
@@ -488,6 +488,7 @@
 {
   const StoreKinds kinds = dialect_->Kinds();
   return { .routesKind_ = kinds.routes_,
+           .routesName_ = kinds.routesName_,
            .endpointsKind_ = kinds.endpoints_,
            .evacuationsKind_ = settings_.gateway_->evacuations_
                                  ? kinds.evacuations_
--- a/test/core/gooseberrylift-store-view-test.cc
+++ b/test/core/gooseberrylift-store-view-test.cc
@@ -53,6 +53,25 @@
   LONGS_EQUAL(10, changes.revision_);
 }
 
+TEST(StoreViewTest, AppliesOnlyTheObjectsOfAnIncompleteList)
+{
+  view_.OnList({ Object("a", "3"), Object("b", "7") }, 10);
+  const ViewUpdate update =
+    view_.OnIncompleteList({ Object("a", "12"), Object("c", "11") }, 13);
+  LONGS_EQUAL(2, update.objects_.size());
+  LONGS_EQUAL(0, update.removed_.size());
+  LONGS_EQUAL(10, view_.Revision());
+  const StoreDelta changes = view_.Since(10);
+  LONGS_EQUAL(10, changes.revision_);
+  LONGS_EQUAL(2, changes.objects_.size());
+  CHECK_FALSE(changes.names_.has_value());
+  CHECK_TRUE(
+    view_.OnIncompleteList({ Object("a", "2"), Object("d", "9") }, 9).Empty());
+  const ViewUpdate next = view_.OnList({ Object("a", "12") }, 14);
+  LONGS_EQUAL(0, next.objects_.size());
+  LONGS_EQUAL(2, next.removed_.size());
+}
+
 TEST(StoreViewTest, ReturnsOnlyChangesSinceARevision)
 {
   view_.OnList({ Object("a", "3"), Object("b", "7") }, 10);
--- a/test/integration/gooseberrylift-entry-name-test.cc
+++ b/test/integration/gooseberrylift-entry-name-test.cc
@@ -101,6 +101,15 @@
   STRCMP_EQUAL("[]", failed.dump().c_str());
 }
 
+// Makes the store send null as the names of objects whose names end with
+// "unnamed".
+void ReplaceNamesByNull(GatewayDeployment& aDeployment)
+{
+  aDeployment.Store().Control(
+    { { "replace",
+        { { "\"aa-unnamed\"", "null" }, { "\"zz-unnamed\"", "null" } } } });
+}
+
 bool Logged(Host& aHost, const std::string& aText)
 {
   return !aHost.Handle().WaitForLine(aText, 5s).empty();
@@ -244,3 +253,57 @@
   }
   CHECK_TRUE(Starts(deployment));
 }
+
+// Guards against lists that never end, or count as complete, where the store
+// does not continue them.
+TEST(EntryNameTest, EntriesBeforeANameThatTheStoreRejectsAreUsed)
+{
+  GatewayDeployment deployment({ .hosts_ = 0 });
+  deployment.Store().Control(
+    { { "page", kSmallestPage }, { "strict_after", true } });
+  deployment.Put(EndpointKey("zz &"), json::object());
+  deployment.Put(EndpointKey("zz-behind"), json::object());
+  CHECK_TRUE(Starts(deployment));
+}
+
+// Guards against hosts that use no endpoint, or no routes, while a list can't
+// be continued.
+TEST(EntryNameTest, EntriesBeforeOneWithoutANameAreUsed)
+{
+  GatewayDeployment deployment({ .hosts_ = 0 });
+  deployment.Store().Control({ { "page", kSmallestPage } });
+  ReplaceNamesByNull(deployment);
+  for (const char* name : { "zz-unnamed", "zzz-behind" }) {
+    deployment.Put(EndpointKey(name), json::object());
+  }
+  deployment.Put(std::string(names::kRoutesKind) + "/aa-unnamed",
+                 json::object());
+  deployment.Put("members/aa-unnamed", json::object());
+  CHECK_TRUE(Starts(deployment));
+}
+
+// Guards against a list that ends early and is taken for the whole.
+TEST(EntryNameTest, EntriesBehindOneWithoutANameStayInUse)
+{
+  GatewayDeployment deployment({});
+  deployment.Store().Control({ { "page", kSmallestPage } });
+  ReplaceNamesByNull(deployment);
+  deployment.Put(EndpointKey("aa-unnamed"), json::object());
+  CHECK_TRUE(Logged(deployment.At(0), "\"event\":1112"));
+  CHECK_FALSE(WaitUntil(
+    2500ms, [&] { return CountServed(deployment.At(0)) < kAllServed; }));
+}
+
+// Guards against entries before such an entry that hosts no longer follow.
+TEST(EntryNameTest, ChangesBeforeOneWithoutANameAreFollowed)
+{
+  GatewayDeployment deployment({});
+  deployment.Store().Control({ { "page", kSmallestPage } });
+  ReplaceNamesByNull(deployment);
+  for (const char* name : { "zz-unnamed", "zzz-behind" }) {
+    deployment.Put(EndpointKey(name), json::object());
+  }
+  deployment.List("board-1", deployment.Board(1), "board", "draining");
+  CHECK_TRUE(Logged(deployment.At(0), "\"leaving\":[\"board-1\"]"));
+  LONGS_EQUAL(kAllServed, CountServed(deployment.At(0)));
+}
