Read the lists of the own interface's store item by item if one can't be read

Jobs of a host that died were not taken over, and hosts found no peers in the member list, while one object of another writer in that list could not be read: here one nested 100 deep, and by the same path one with a number out of range or text that is no UTF-8.

Cause: the client of the own interface's store parsed a list as a whole, and took a fault anywhere in it for a store that doesn't answer.

Now the items of such a list are parsed one by one.

TakesOverJobsBesideObjectsOfAnotherWriter failed on the code before: the job was not done 15 s after another host had started, and with the deep object among the members alone the job was, but two hosts found no peer in 15 s. It passes now.

--- a/include/gooseberrylift/internal/gooseberrylift-entry-host.h
+++ b/include/gooseberrylift/internal/gooseberrylift-entry-host.h
@@ -26,6 +26,7 @@
 #include "gooseberrylift/internal/gooseberrylift-pool-broker.h"
 #include "gooseberrylift/internal/gooseberrylift-rest-store.h"
 #include "gooseberrylift/internal/gooseberrylift-service-runner.h"
+#include "gooseberrylift/internal/gooseberrylift-unreadable-object-recorder.h"
 
 namespace gooseberrylift {
 
@@ -59,6 +60,7 @@
   boost::asio::signal_set stopSignals_;
   Blackboard board_;
   Metrics metrics_;
+  UnreadableObjectRecorder unreadableObjects_{ metrics_ };
   HostMemory memory_;
   BurnRecorder burn_;
   HttpClient client_;
--- a/include/gooseberrylift/internal/gooseberrylift-rest-store.h
+++ b/include/gooseberrylift/internal/gooseberrylift-rest-store.h
@@ -26,6 +26,11 @@
     // Called before each request with its type: "read", "list", "write" or
     // "watch".
     std::function<void(std::string_view aKind)> onCall_;
+    // Called for each object of a list that can't be read, each time that it is
+    // received, with what can be read of it and the reason. The list has the
+    // others.
+    std::function<void(const StoreObject& aObject, const std::string& aFault)>
+      onUnreadable_{};
   };
 
   RestStore(HttpClient& aClient, Options aOptions);
@@ -52,10 +57,14 @@
     TimePoint aDeadline) override;
 
 private:
+  boost::asio::awaitable<Outcome<std::string>> Fetch(HttpRequest aRequest,
+                                                     TimePoint aDeadline);
   boost::asio::awaitable<Outcome<nlohmann::json>> Call(HttpRequest aRequest,
                                                        TimePoint aDeadline);
   const std::string& Address() const;
   void ReportCall(std::string_view aKind) const;
+  nlohmann::json ParseReadableList(const std::string& aKind,
+                                   const std::string& aText) const;
 
   HttpClient& client_;
   Options options_;
--- a/src/clients/gooseberrylift-rest-store.cc
+++ b/src/clients/gooseberrylift-rest-store.cc
@@ -53,6 +53,43 @@
            .retryAfter_ = std::chrono::milliseconds(1000) };
 }
 
+Error NotJsonError()
+{
+  return StoreUnavailable("the response of the store is not JSON",
+                          RanState::kUnknown);
+}
+
+// Returns the text of an object's member; empty if there is none.
+std::string_view FindMember(std::string_view aText, std::string_view aName)
+{
+  const auto members = SplitJson(aText);
+  if (members) {
+    for (const JsonPart& member : *members) {
+      if (ParseJson(member.name_) == aName) {
+        return member.value_;
+      }
+    }
+  }
+  return {};
+}
+
+// Parses an object without the members that can't be read.
+json ParseReadableMembers(std::string_view aText)
+{
+  json object = json::object();
+  const auto members = SplitJson(aText);
+  if (members) {
+    for (const JsonPart& member : *members) {
+      const json name = ParseJson(member.name_);
+      json value = ParseJson(member.value_);
+      if (name.is_string() && !value.is_discarded()) {
+        object[name.get<std::string>()] = std::move(value);
+      }
+    }
+  }
+  return object;
+}
+
 // A 4xx status proves that a rejected write had no effect. A 5xx status does
 // not, because it may come from a proxy in between, and others reject nothing.
 std::optional<Error> ErrorFromStatus(const HttpResponse& aResponse)
@@ -97,8 +134,8 @@
   }
 }
 
-asio::awaitable<Outcome<json>> RestStore::Call(HttpRequest aRequest,
-                                               TimePoint aDeadline)
+asio::awaitable<Outcome<std::string>> RestStore::Fetch(HttpRequest aRequest,
+                                                       TimePoint aDeadline)
 {
   auto response =
     co_await client_.Fetch(Address(), std::move(aRequest), aDeadline);
@@ -109,10 +146,19 @@
   if (const auto error = ErrorFromStatus(response.value())) {
     co_return *error;
   }
-  json body = ParseJson(response.value().body_);
+  co_return std::move(response.value().body_);
+}
+
+asio::awaitable<Outcome<json>> RestStore::Call(HttpRequest aRequest,
+                                               TimePoint aDeadline)
+{
+  const auto text = co_await Fetch(std::move(aRequest), aDeadline);
+  if (!text) {
+    co_return text.error();
+  }
+  json body = ParseJson(text.value());
   if (body.is_discarded()) {
-    co_return StoreUnavailable("the response of the store is not JSON",
-                               RanState::kUnknown);
+    co_return NotJsonError();
   }
   co_return body;
 }
@@ -134,18 +180,51 @@
                                                     TimePoint aDeadline)
 {
   ReportCall("list");
-  const auto body = co_await Call(MakeRequest(ResourcePath(aKind)), aDeadline);
-  if (!body) {
-    co_return body.error();
+  const auto text = co_await Fetch(MakeRequest(ResourcePath(aKind)), aDeadline);
+  if (!text) {
+    co_return text.error();
+  }
+  json body = ParseJson(text.value());
+  if (body.is_discarded()) {
+    body = ParseReadableList(aKind, text.value());
+  }
+  if (body.is_discarded()) {
+    co_return NotJsonError();
   }
   StoreList list;
-  list.version_ = ToStoreObject(body.value()).version_;
-  for (const json& item : JsonFieldOr(body.value(), "items", json::array())) {
+  list.version_ = ToStoreObject(body).version_;
+  for (const json& item : JsonFieldOr(body, "items", json::array())) {
     list.items_.push_back(ToStoreObject(item));
   }
   co_return list;
 }
 
+// Parses a list item by item, without those that can't be read.
+// @return discarded if the list itself can't be read
+json RestStore::ParseReadableList(const std::string& aKind,
+                                  const std::string& aText) const
+{
+  const std::string_view itemsText = FindMember(aText, "items");
+  const auto parts = SplitJson(itemsText);
+  if (!parts || !itemsText.starts_with('[')) {
+    return json(json::value_t::discarded);
+  }
+  json list = ParseReadableMembers(aText);
+  json& items = list["items"] = json::array();
+  for (const JsonPart& part : *parts) {
+    std::string fault;
+    json item = ParseJson(part.value_, &fault);
+    if (!item.is_discarded()) {
+      items.push_back(std::move(item));
+    } else if (options_.onUnreadable_) {
+      StoreObject object = ToStoreObject(ParseReadableMembers(part.value_));
+      object.kind_ = aKind;
+      options_.onUnreadable_(object, fault);
+    }
+  }
+  return list;
+}
+
 asio::awaitable<Outcome<StoreObject>> RestStore::Create(StoreObject aObject,
                                                         TimePoint aDeadline)
 {
--- a/src/host/gooseberrylift-entry-host.cc
+++ b/src/host/gooseberrylift-entry-host.cc
@@ -71,6 +71,10 @@
                [this](std::string_view aKind) {
                  metrics_.Count("gooseberrylift_store_calls_total",
                                 "kind=\"" + std::string(aKind) + "\"");
+               },
+             .onUnreadable_ =
+               [this](const StoreObject& aObject, const std::string& aFault) {
+                 unreadableObjects_.Record(aObject, aFault);
                } })
   , configFollower_(store_,
                     board_,
--- a/test/integration/gooseberrylift-job-test.cc
+++ b/test/integration/gooseberrylift-job-test.cc
@@ -101,6 +101,49 @@
 }
 ;
 
+// Guards against jobs of a host that died, which no other host takes over while
+// the store holds objects of another writer.
+TEST(JobCallTest, TakesOverJobsBesideObjectsOfAnotherWriter)
+{
+  Deployment deployment(
+    { .engine_ = { { "decode_us", 100'000 } }, .host_ = ShortLease() });
+  json deep = json::array();
+  for (int level = 0; level < 100; ++level) {
+    deep = json::array({ deep });
+  }
+  deployment.Store().Control(
+    { { "replace",
+        { { "jobs/a b?c#d", { { "spec", { { "state", "queued" } } } } },
+          { "jobs/deep", { { "spec", { { "note", deep } } } } },
+          { "members/deep", { { "spec", { { "note", deep } } } } } } } });
+  const std::string id = AddJob(deployment.At(0).Port(), "a season review");
+  CHECK_FALSE(id.empty());
+  deployment.At(0).Handle().Signal(SIGKILL);
+  Host& next = deployment.AddHost();
+  CHECK_TRUE(next.WaitReady());
+  CHECK_TRUE(WaitUntil(seconds(15), [&] {
+    const auto view =
+      BodyOf(Send(next.Port(), MakeJobAccessRequest("GET", id)));
+    return view.value("state", "") == "done";
+  }));
+  Host& other = deployment.AddHost();
+  CHECK_TRUE(WaitUntil(seconds(15), [&] {
+    return other.Status().value("peers", json::array()).size() == 1;
+  }));
+}
+
+// Guards against requests without an ID that are taken for one of all jobs.
+TEST(JobCallTest, FindsNoJobWithoutAnId)
+{
+  Deployment deployment({});
+  for (const char* method : { "GET", "DELETE" }) {
+    const auto answer =
+      Send(deployment.At(0).Port(), MakeJobAccessRequest(method, ""));
+    LONGS_EQUAL(static_cast<int>(ResultCode::kMethodNotAllowed),
+                ErrorResponseCode(answer.value()));
+  }
+}
+
 TEST(JobCallTest, RunsAJobAndShowsItsResultAtEveryHost)
 {
   Deployment deployment({ .hosts_ = 2 });
