Reject addresses with anything but an IP and a port

An address is a text of another writer where it comes from an object among the members, and the HTTP client sends it as it is in the field Host. The port was read up to the first character that is no digit, and an IPv6 scope may be any text, so that a line end in either added lines to the head of the request.

Entries of endpoints hold no such address since they are checked where they are read.

RejectsAddressesWithOtherTexts failed on the code before for a line end behind the port, and, with that mended, for one in a scope; it passes now. The harness's Send takes addresses as well for it.

--- a/src/net/gooseberrylift-http-client.cc
+++ b/src/net/gooseberrylift-http-client.cc
@@ -1,5 +1,8 @@
 #include "gooseberrylift/internal/gooseberrylift-http-client.h"
 
+#include <algorithm>
+#include <cctype>
+#include <charconv>
 #include <cstdlib>
 #include <deque>
 #include <map>
@@ -79,11 +82,21 @@
   }
   boost::system::error_code code;
   const auto ip = asio::ip::make_address(aAddress.substr(0, colon), code);
-  const int port = std::atoi(aAddress.c_str() + colon + 1);
-  if (code || port <= 0 || port > 65'535) {
+  std::uint16_t port = 0;
+  const char* const end = aAddress.data() + aAddress.size();
+  const auto parsed = std::from_chars(aAddress.data() + colon + 1, end, port);
+  if (code || parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
     return error;
   }
-  return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+  // The text is sent in the field Host, and an IPv6 scope may be any text.
+  const bool isPrintable =
+    std::all_of(aAddress.begin(), aAddress.end(), [](unsigned char aCharacter) {
+      return std::isgraph(aCharacter) != 0;
+    });
+  if (!isPrintable) {
+    return error;
+  }
+  return tcp::endpoint(ip, port);
 }
 
 } // namespace
--- a/test/integration/gooseberrylift-request-head-test.cc
+++ b/test/integration/gooseberrylift-request-head-test.cc
@@ -48,6 +48,23 @@
   CheckRejected({ .method_ = "" });
 }
 
+// Guards against the same through an address, which becomes the field Host.
+TEST(RequestHeadTest, RejectsAddressesWithOtherTexts)
+{
+  RawEndpoint endpoint({ .body_ = "received" });
+  const std::string port = std::to_string(endpoint.Port());
+  for (const std::string& address :
+       { endpoint.Address() + "\r\nX-A",
+         endpoint.Address() + " ",
+         endpoint.Address() + "x",
+         "::ffff:127.0.0.1%1\r\nX-A: b:" + port }) {
+    const auto answer = Send(address, HttpRequest{});
+    CHECK_TRUE(answer.has_error());
+    CHECK_TRUE(answer.error().code_ == ResultCode::kEndpointUnreachable);
+  }
+  LONGS_EQUAL(0, endpoint.Received());
+}
+
 TEST(RequestHeadTest, SendsOtherCharactersAsTheyAre)
 {
   RawEndpoint endpoint(
--- a/test/integration/harness.cc
+++ b/test/integration/harness.cc
@@ -155,25 +155,32 @@
   return true;
 }
 
-Outcome<HttpResponse> Send(std::uint16_t aPort,
+Outcome<HttpResponse> Send(const std::string& aAddress,
                            HttpRequest aRequest,
                            milliseconds aLimit)
 {
   asio::io_context context(1);
   HttpClient client(context.get_executor(), HttpClient::Options{});
   std::optional<Outcome<HttpResponse>> result;
-  const std::string address = "127.0.0.1:" + std::to_string(aPort);
   asio::co_spawn(
     context,
     [&]() -> asio::awaitable<void> {
       result = co_await client.Fetch(
-        address, std::move(aRequest), TimerService::Now() + aLimit);
+        aAddress, std::move(aRequest), TimerService::Now() + aLimit);
     },
     asio::detached);
   context.run();
   return *result;
 }
 
+Outcome<HttpResponse> Send(std::uint16_t aPort,
+                           HttpRequest aRequest,
+                           milliseconds aLimit)
+{
+  return Send(
+    "127.0.0.1:" + std::to_string(aPort), std::move(aRequest), aLimit);
+}
+
 Fake::Fake(const std::string& aKind, const json& aSettings)
   : process_(std::make_unique<Process>(
       FAKES_BINARY,
--- a/test/integration/harness.h
+++ b/test/integration/harness.h
@@ -55,7 +55,14 @@
 bool WaitUntil(std::chrono::milliseconds aLimit,
                const std::function<bool()>& aCondition);
 
-/// Sends a request and reads the complete response. Blocks; thread-safe.
+/// Sends a request to an address, IP:port, and reads the complete response.
+/// Blocks; thread-safe.
+Outcome<HttpResponse> Send(
+  const std::string& aAddress,
+  HttpRequest aRequest,
+  std::chrono::milliseconds aLimit = std::chrono::seconds(20));
+
+/// Sends a request to a port on the loopback interface in the same way.
 Outcome<HttpResponse> Send(
   std::uint16_t aPort,
   HttpRequest aRequest,
