--- a/src/runtime/gooseberrylift-log.cc
+++ b/src/runtime/gooseberrylift-log.cc
@@ -163,8 +163,9 @@
   LogEventInfo{ kStoreObjectUnreadable,
                 LogLevel::kWarning,
                 "store-object-unreadable",
-                "An object of the store can't be read, for the reason in "
-                "'fault'; the others stay in use." },
+                "An object of the store can't be read, or a list of objects "
+                "ends after it, for the reason in 'fault'; the others stay in "
+                "use." },
   LogEventInfo{
     kHostListLost,
     LogLevel::kWarning,
