evacuation-test: check the share of a zone that returns, not one of 20 calls

Cause: the check asked for one arrival among 20 calls. By design (docs/design/endpoint-pressure.md) an endpoint that returns ramps for 2 s from a quarter of its equal share: each request counts nothing there with the chance 2f / candidates, 0.25 and more for two. The logs of 96 runs show the rest: such a request ("pressed":0) then chooses between two equal boards, 186 times the returned one, 179 times the other. So a call arrives there with a chance of an eighth and more, and 20 calls miss it in about 3 of 100 runs.

The check was wrong about what is allowed: any single draw may go elsewhere. It is replaced, not relaxed: 400 calls, all answered with 200 (not checked before), at least 33 of them in the returned zone, two thirds of an eighth.

--- a/test/integration/gooseberrylift-evacuation-test.cc
+++ b/test/integration/gooseberrylift-evacuation-test.cc
@@ -38,6 +38,19 @@
 {
   int calls_ = 0;
 
+  // Sends plain requests.
+  // @return how many were answered with status 200
+  int AskPlain(Host & aHost, int aCount)
+  {
+    int served = 0;
+    for (int call = 0; call < aCount; ++call) {
+      const std::string id = "plain-" + std::to_string(++calls_);
+      const auto plain = Send(aHost.Port(), RouteRequest("GET", "/safe/a", id));
+      served += plain && plain.value().status_ == 200 ? 1 : 0;
+    }
+    return served;
+  }
+
   // Sends aCount plain requests and aCount prompts.
   // @return how many were answered with status 200
   int Ask(Host & aHost, int aCount)
@@ -80,8 +93,11 @@
   for (std::size_t host = 0; host < 2; ++host) {
     WaitForEvacuationState(deployment.At(host), false);
   }
-  (void)Ask(deployment.At(0), 20);
-  CHECK_TRUE(ArrivalsAt(deployment.Board(0)) > 0);
+  // Each request is drawn to a zone that returns with a chance of at least one
+  // in eight. Chance alone doesn't leave it less than two thirds of that.
+  constexpr int kCalls = 400;
+  LONGS_EQUAL(kCalls, AskPlain(deployment.At(0), kCalls));
+  CHECK_TRUE(ArrivalsAt(deployment.Board(0)) >= kCalls / 12);
 }
 
 TEST(EvacuationTest, SendsNothingToAnEvacuatedZoneFromAHostThatStartsLater)
