--- a/test/integration/gooseberrylift-entry-name-test.cc
+++ b/test/integration/gooseberrylift-entry-name-test.cc
@@ -294,6 +294,18 @@
     2500ms, [&] { return CountServed(deployment.At(0)) < kAllServed; }));
 }
 
+// Guards against a page without objects that is taken for the last although it
+// promises more.
+TEST(EntryNameTest, EntriesStayInUseBehindAnEmptyPage)
+{
+  GatewayDeployment deployment({});
+  deployment.Store().Control({ { "page", 0 } });
+  deployment.Put(EndpointKey("zz-changed"), json::object());
+  CHECK_TRUE(Logged(deployment.At(0), "\"event\":1112"));
+  CHECK_FALSE(WaitUntil(
+    2500ms, [&] { return CountServed(deployment.At(0)) < kAllServed; }));
+}
+
 // Guards against entries before such an entry that hosts no longer follow.
 TEST(EntryNameTest, ChangesBeforeOneWithoutANameAreFollowed)
 {
