Log events of the own interface's store that can't be read

Operators saw nothing when a watch of the own interface's store brought an event that could not be read, here a job nested 100 deep: the host skipped it, and the object was logged only when the list was read again, up to a minute later.

Cause: the line was parsed as a whole, and a line that isn't JSON was dropped. Lists have told of such objects (1112) since, watches have not.

Now the watch tells of it in the same way, with what can be read of the object. Jobs went on beside such an object before too; the test checks that they do.

--- a/include/gooseberrylift/internal/gooseberrylift-rest-store.h
+++ b/include/gooseberrylift/internal/gooseberrylift-rest-store.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,9 +27,9 @@
     // Called before each request with its type: "read", "list", "write" or
     // "watch".
     std::function<void(std::string_view aKind)> onCall_;
-    // Called for each object of a list that can't be read, each time that it is
-    // received, with what can be read of it and the reason. The list has the
-    // others.
+    // Called for each object of a list, and each event of a watch, that can't
+    // be read, each time that it is received, with what can be read of the
+    // object and the reason. The list or watch has the others.
     std::function<void(const StoreObject& aObject, const std::string& aFault)>
       onUnreadable_{};
   };
@@ -65,6 +66,11 @@
   void ReportCall(std::string_view aKind) const;
   nlohmann::json ParseReadableList(const std::string& aKind,
                                    const std::string& aText) const;
+  void ReportUnreadable(const std::string& aKind,
+                        std::string_view aText,
+                        const std::string& aFault) const;
+  std::optional<StoreEvent> ParseEvent(const std::string& aKind,
+                                       std::string_view aLine) const;
 
   HttpClient& client_;
   Options options_;
--- a/src/clients/gooseberrylift-rest-store.cc
+++ b/src/clients/gooseberrylift-rest-store.cc
@@ -214,17 +214,27 @@
   for (const JsonPart& part : *parts) {
     std::string fault;
     json item = ParseJson(part.value_, &fault);
-    if (!item.is_discarded()) {
+    if (item.is_discarded()) {
+      ReportUnreadable(aKind, part.value_, fault);
+    } else {
       items.push_back(std::move(item));
-    } else if (options_.onUnreadable_) {
-      StoreObject object = ToStoreObject(ParseReadableMembers(part.value_));
-      object.kind_ = aKind;
-      options_.onUnreadable_(object, fault);
     }
   }
   return list;
 }
 
+// @param aText the text of an object
+void RestStore::ReportUnreadable(const std::string& aKind,
+                                 std::string_view aText,
+                                 const std::string& aFault) const
+{
+  if (options_.onUnreadable_) {
+    StoreObject object = ToStoreObject(ParseReadableMembers(aText));
+    object.kind_ = aKind;
+    options_.onUnreadable_(object, aFault);
+  }
+}
+
 asio::awaitable<Outcome<StoreObject>> RestStore::Create(StoreObject aObject,
                                                         TimePoint aDeadline)
 {
@@ -306,17 +316,33 @@
     text += *piece.value();
     std::size_t end = 0;
     while ((end = text.find('\n')) != std::string::npos) {
-      const json event = ParseJson(std::string_view(text).substr(0, end));
+      const auto event =
+        ParseEvent(aKind, std::string_view(text).substr(0, end));
       text.erase(0, end + 1);
-      if (event.is_object() && event.contains("object")) {
-        StoreObject object = ToStoreObject(event.at("object"));
-        aVersion = object.version_;
-        aSink(
-          { .deleted_ = JsonFieldOr(event, "type", std::string()) == "DELETED",
-            .object_ = std::move(object) });
+      if (event) {
+        aVersion = event->object_.version_;
+        aSink(*event);
       }
     }
   }
 }
 
+// @param aLine a line of a watch
+// @return no event if it can't be read
+std::optional<StoreEvent> RestStore::ParseEvent(const std::string& aKind,
+                                                std::string_view aLine) const
+{
+  std::string fault;
+  const json event = ParseJson(aLine, &fault);
+  if (event.is_discarded()) {
+    ReportUnreadable(aKind, FindMember(aLine, "object"), fault);
+  }
+  if (!event.is_object() || !event.contains("object")) {
+    return std::nullopt;
+  }
+  return StoreEvent{ .deleted_ =
+                       JsonFieldOr(event, "type", std::string()) == "DELETED",
+                     .object_ = ToStoreObject(event.at("object")) };
+}
+
 } // namespace gooseberrylift
--- a/test/integration/gooseberrylift-job-test.cc
+++ b/test/integration/gooseberrylift-job-test.cc
@@ -20,6 +20,7 @@
 
 constexpr seconds kJobTimeout{ 120 };
 constexpr int kTokens = 20;
+constexpr int kWatchedKinds = 2; // configurations and jobs
 
 HttpRequest MakeJobRequest(const std::string& aPrompt,
                            const std::string& aKey = {})
@@ -90,6 +91,16 @@
   return { { "jobs", { { "lease_ms", 1500 } } } };
 }
 
+// Returns an object that is nested too deeply to be read.
+json DeepObject()
+{
+  json deep = json::array();
+  for (int level = 0; level < 100; ++level) {
+    deep = json::array({ deep });
+  }
+  return { { "spec", { { "note", deep } } } };
+}
+
 } // namespace
 
 TEST_GROUP(JobCallTest){
@@ -107,15 +118,11 @@
 {
   Deployment deployment(
     { .engine_ = { { "decode_us", 100'000 } }, .host_ = ShortLease() });
-  json deep = json::array();
-  for (int level = 0; level < 100; ++level) {
-    deep = json::array({ deep });
-  }
   deployment.Store().Control(
     { { "replace",
         { { "jobs/a b?c#d", { { "spec", { { "state", "queued" } } } } },
-          { "jobs/deep", { { "spec", { { "note", deep } } } } },
-          { "members/deep", { { "spec", { { "note", deep } } } } } } } });
+          { "jobs/deep", DeepObject() },
+          { "members/deep", DeepObject() } } } });
   const std::string id = AddJob(deployment.At(0).Port(), "a season review");
   CHECK_FALSE(id.empty());
   deployment.At(0).Handle().Signal(SIGKILL);
@@ -132,6 +139,21 @@
   }));
 }
 
+// Guards against changes that a host drops without a log line.
+TEST(JobCallTest, LogsAChangeThatItCanNotRead)
+{
+  Deployment deployment({});
+  Host& host = deployment.At(0);
+  CHECK_TRUE(WaitUntil(seconds(5), [&] {
+    return deployment.Store().Stats().value("watch", 0) >= kWatchedKinds;
+  }));
+  deployment.Store().Control(
+    { { "replace", { { "jobs/deep", DeepObject() } } } });
+  CHECK_FALSE(host.Handle().WaitForLine("\"event\":1112", seconds(5)).empty());
+  const std::string id = AddJob(host.Port(), "a season review");
+  CheckDone(WaitForEnd(host.Port(), id), "a season review");
+}
+
 // Guards against requests without an ID that are taken for one of all jobs.
 TEST(JobCallTest, FindsNoJobWithoutAnId)
 {
