Search a store's list by name in one place

The follower of the store and the member list each had a search of their own. Behaviour is unchanged; the tests of lists, peers, members and jobs pass.

--- a/include/gooseberrylift/internal/gooseberrylift-store.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_STORE_H_
 #define GOOSEBERRYLIFT_INTERNAL_GOOSEBERRYLIFT_STORE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <string>
@@ -37,6 +38,16 @@
   // Whether the list has all objects. If not, it can't be continued because of
   // one of them, and the absence of others means nothing.
   bool complete_ = true;
+
+  /// Returns the object of a name; null if the list has none.
+  const StoreObject* Find(const std::string& aName) const
+  {
+    const auto found = std::find_if(
+      items_.begin(), items_.end(), [&](const StoreObject& aObject) {
+        return aObject.name_ == aName;
+      });
+    return found == items_.end() ? nullptr : &*found;
+  }
 };
 
 struct StoreEvent
--- a/src/clients/gooseberrylift-member-list.cc
+++ b/src/clients/gooseberrylift-member-list.cc
@@ -108,11 +108,7 @@
                                                  std::string aZone,
                                                  TimePoint aDeadline)
 {
-  const auto found = std::find_if(
-    aList.items_.begin(), aList.items_.end(), [&](const StoreObject& aObject) {
-      return aObject.name_ == aZone;
-    });
-  if (found != aList.items_.end()) {
+  if (const StoreObject* found = aList.Find(aZone)) {
     co_return *found;
   }
   if (!aList.complete_) {
--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -92,14 +92,6 @@
   return cached;
 }
 
-bool HasObject(const StoreList& aList, const std::string& aName)
-{
-  return std::any_of(
-    aList.items_.begin(), aList.items_.end(), [&](const StoreObject& aObject) {
-      return aObject.name_ == aName;
-    });
-}
-
 } // namespace
 
 StoreFollower::StoreFollower(Parts aParts, Options aOptions)
@@ -245,7 +237,7 @@
     co_return list;
   }
   list.value().complete_ = true;
-  if (!HasObject(list.value(), options_.routesName_)) {
+  if (list.value().Find(options_.routesName_) == nullptr) {
     auto routes = co_await parts_.store_.Read(
       options_.routesKind_, options_.routesName_, limit);
     if (routes) {
