Follow the endpoints although the list of evacuations fails

While the list of evacuations failed, or could only be read in part, a host learned of no endpoint that joined or left: callers' requests still went to endpoints that were leaving, and a host that had started served with the endpoints of its first list for as long as that lasted.

Read() listed the endpoints after its first list only in ReadChanges(), which it didn't reach until the evacuations had been listed once, and ReadChanges() ended at the first list that failed, that of the evacuations. Now a failed list of evacuations makes the read incomplete, so that it proves nothing for the age of the endpoints and is repeated, but the endpoints are listed and applied nonetheless.

--- a/src/gateway/gooseberrylift-store-follower.cc
+++ b/src/gateway/gooseberrylift-store-follower.cc
@@ -182,12 +182,13 @@
 {
   // A host accepts requests as soon as it has routes, so the endpoints are read
   // first. In the opposite order its first callers were refused.
-  bool read = true;
+  bool hasEndpoints = true;
   if (endpoints_.Revision() == 0) {
     const ListResult result =
       co_await ReadKind(options_.endpointsKind_, endpoints_);
-    read = result == ListResult::kComplete;
+    hasEndpoints = result == ListResult::kComplete;
   }
+  bool read = hasEndpoints;
   if (read && FollowsEvacuations() && evacuations_.Revision() == 0) {
     const ListResult result =
       co_await ReadKind(options_.evacuationsKind_, evacuations_);
@@ -198,8 +199,9 @@
   // which may get the endpoints from its peers.
   if (read || wasUnavailable) {
     const auto readStart = co_await ReadRoutes();
-    if (read && readStart) {
-      read = co_await ReadChanges(*readStart);
+    if (hasEndpoints && readStart) {
+      const bool changesRead = co_await ReadChanges(*readStart);
+      read = read && changesRead;
     }
     read = read && readStart;
   }
@@ -252,27 +254,32 @@
 // Lists endpoints and evacuations if the store has changed. Evacuations are
 // read before the endpoints and applied after them, so that when an evacuation
 // ends, the entries of the zone's engines, which may be cold, are up to date.
+// If they can't be listed, the endpoints are followed nonetheless: others leave
+// or join meanwhile.
 asio::awaitable<bool> StoreFollower::ReadChanges(BootTime aRoutesReadStart)
 {
   const TimePoint limit = TimerService::Now() + options_.callTimeout_;
+  bool complete = true;
   std::optional<StoreList> evacuations;
-  if (FollowsEvacuations() && evacuations_.Revision() < routes_.Revision()) {
+  // Without a revision, the list has just failed.
+  if (FollowsEvacuations() && evacuations_.Revision() > 0 &&
+      evacuations_.Revision() < routes_.Revision()) {
     auto list = co_await parts_.store_.List(options_.evacuationsKind_, limit);
-    if (!list) {
-      co_return false;
+    if (list) {
+      evacuations = std::move(list.value());
+    } else {
+      complete = false;
     }
-    evacuations = std::move(list.value());
   }
   const bool isBehind = endpoints_.Revision() < routes_.Revision();
   const bool awaitsPeerUpdates = isBehind && AwaitsPeerUpdates();
-  bool complete = true;
   if (isBehind && !awaitsPeerUpdates) {
     const ListResult result =
       co_await ReadKind(options_.endpointsKind_, endpoints_);
     if (result == ListResult::kFailed) {
       co_return false;
     }
-    complete = result == ListResult::kComplete;
+    complete = complete && result == ListResult::kComplete;
   }
   if (evacuations) {
     const ListResult result = ApplyList(options_.evacuationsKind_,
--- a/test/integration/gooseberrylift-evacuation-test.cc
+++ b/test/integration/gooseberrylift-evacuation-test.cc
@@ -141,3 +141,25 @@
   LONGS_EQUAL(200, stream.value().status_);
   CHECK_TRUE(stream.value().body_.find("id: 5") != std::string::npos);
 }
+
+// Guards against hosts that learn of no endpoint that joins or leaves, from
+// their start on too, while the list of evacuations fails.
+TEST(EvacuationTest, FollowsTheEndpointsAlthoughTheListOfEvacuationsFails)
+{
+  GatewayDeployment deployment(WithEvacuations(1));
+  LONGS_EQUAL(6, AskPlain(deployment.At(0), 6));
+  deployment.Store().Control(
+    { { "outage_kinds", { names::kEvacuationsKind } } });
+  Host late(deployment.LoneHostSettings("host-late"));
+  CHECK_TRUE(late.WaitReady(10s));
+  LONGS_EQUAL(6, AskPlain(late, 6));
+  deployment.List("board-0", deployment.Board(0), "board", "draining");
+  for (Host* host : { &deployment.At(0), &late }) {
+    CHECK_FALSE(
+      host->Handle().WaitForLine("\"state\":\"leaving\"", 5s).empty());
+    LONGS_EQUAL(6, AskPlain(*host, 6));
+  }
+  const std::size_t before = ArrivalsAt(deployment.Board(0));
+  LONGS_EQUAL(6, AskPlain(late, 6));
+  LONGS_EQUAL(before, ArrivalsAt(deployment.Board(0)));
+}
