Record a deadline as such when it cancels a write or read

A response whose deadline passed while it was written to its caller, or read from its endpoint, was recorded as that of a caller that had left: code 42, status 499, and `ran: no` although an endpoint had answered. A caller without any part of it yet could get the 499.

The deadline cancels the pending operation. Such an operation throws, or it ends with an error, which the writing and reading code reports as kCallerLeft since it can't know who cancelled it. RunRequest looked at the reason of the exchange only in the first case, or if the host was stopping. Now an error of that kind gets its code from the reason too, and `ran` from whether anything was sent. Where the caller did leave, the reason says so, and the code stays.

--- a/src/gateway/gooseberrylift-gateway-front.cc
+++ b/src/gateway/gooseberrylift-gateway-front.cc
@@ -43,6 +43,11 @@
   return error;
 }
 
+bool IsCancellation(const Outcome<void>& aDone)
+{
+  return !aDone && aDone.error().code_ == ResultCode::kCallerLeft;
+}
+
 Error MakeStoppingError()
 {
   Error error = MakeError(ResultCode::kShuttingDown);
@@ -288,7 +293,10 @@
   }
   co_await asio::this_coro::reset_cancellation_state();
   const bool stopped = aExchange.Reason() == AbortReason::kStopping;
-  if (!aborted && (done || !stopped)) {
+  // An operation that is cancelled may also end with an error, which doesn't
+  // tell what cancelled it.
+  const bool cancelled = aborted || stopped || IsCancellation(done);
+  if (!aborted && (done || !cancelled)) {
     co_return done;
   }
   Error error =
