Take no list from a peer with store_relay off

With `gateway.store_relay` off, each host is to read the store for itself. A host still sent its status to others at each change that it had read, and handled theirs, so that it took lists from them. Hosts that share peers but not a store then dropped endpoints that they could reach: callers got 503, "no endpoint" (code 60).

StoreStatusExchange handled datagrams and SendRequestNow() also before Start(), which a host without store_relay never calls. Both now do nothing until then.

--- a/include/gooseberrylift/internal/gooseberrylift-store-status-exchange.h
+++ b/include/gooseberrylift/internal/gooseberrylift-store-status-exchange.h
@@ -53,11 +53,12 @@
 
   StoreStatusExchange(Parts aParts, Options aOptions);
 
-  /// Starts to send requests.
+  /// Starts to send requests and to handle those of other hosts.
   void Start();
 
   /// Sends a request at once, because a change should reach other hosts soon.
-  void SendRequestNow() { SendRequests(); }
+  /// Does nothing before Start().
+  void SendRequestNow();
 
 private:
   void SendRequests();
@@ -70,6 +71,7 @@
   Options options_;
   std::mt19937_64 random_;
   std::map<std::uint64_t, BootTime> sentAt_; // by request identifier
+  bool started_ = false;
   TimerSubscription timer_;
 };
 
--- a/src/clients/gooseberrylift-store-status-exchange.cc
+++ b/src/clients/gooseberrylift-store-status-exchange.cc
@@ -18,10 +18,18 @@
 
 void StoreStatusExchange::Start()
 {
+  started_ = true;
   timer_ = TimerService::Every(
     options_.interval_, parts_.executor_, [this] { SendRequests(); });
 }
 
+void StoreStatusExchange::SendRequestNow()
+{
+  if (started_) {
+    SendRequests();
+  }
+}
+
 // Each request has a random identifier, so that a recorded response cannot be
 // replayed as the response to a later request.
 void StoreStatusExchange::SendRequests()
@@ -56,6 +64,9 @@
 void StoreStatusExchange::HandleDatagram(std::string_view aBytes,
                                          const PeerAddress& aFrom)
 {
+  if (!started_) {
+    return;
+  }
   const auto message = DecodeStoreStatusMessage(aBytes);
   if (!message) {
     return;
