Renew no memory that has lapsed

A reservation now knows when it was renewed last, on a clock that counts suspension. Once its duration is over it is renewed no more, and its attempt ends, so that the caller, or the host that relayed the request, gets to know at once.

--- a/include/gooseberrylift/internal/gooseberrylift-memory-reservation.h
+++ b/include/gooseberrylift/internal/gooseberrylift-memory-reservation.h
@@ -26,7 +26,8 @@
 // is disconnected, the engines release it themselves, because a reservation is
 // short and renewed while the request runs. It is not renewed without a sign of
 // life of the engine that uses the memory: if that one is lost, so is the
-// request, although its connection stays open.
+// request, although its connection stays open. Once it has lapsed it is never
+// renewed, since the engines have cut off the request.
 class MemoryReservation
 {
 public:
@@ -75,6 +76,10 @@
   /// at two consecutive renewals.
   bool IsUserLost() const { return missedSigns_ >= kMaxMissedSigns; }
 
+  /// Returns whether the engines have released the memory because it wasn't
+  /// renewed in time. The request that used it is lost then.
+  bool HasLapsed() const;
+
 private:
   MemoryReservation(Parts aParts,
                     std::string aTicketId,
@@ -99,7 +104,8 @@
   Options options_;
   std::vector<ListedEndpoint> endpoints_; // where memory may be reserved
   TimerSubscription renewal_;
-  int missedSigns_ = 0; // since the last sign of life of the user
+  int missedSigns_ = 0;  // since the last sign of life of the user
+  BootTime renewedAt_{}; // or reserved
   // Expires with this object, for calls that are awaited meanwhile.
   std::shared_ptr<MemoryReservation*> self_;
 };
--- a/src/gateway/gooseberrylift-memory-reservation.cc
+++ b/src/gateway/gooseberrylift-memory-reservation.cc
@@ -48,6 +48,7 @@
             });
   std::unique_ptr<MemoryReservation> reservation(
     new MemoryReservation(aParts, std::move(aTicketId), aTokens, aOptions));
+  const BootTime start = TimerService::BootNow();
   for (const ListedEndpoint& endpoint : aEndpoints) {
     // Recorded before the call, which may take effect even if its response is
     // lost.
@@ -62,6 +63,7 @@
       co_return refusal;
     }
   }
+  reservation->renewedAt_ = start;
   MemoryReservation* self = reservation.get();
   reservation->renewal_ = TimerService::Every(
     aOptions.renewInterval_, aParts.executor_, [self] { self->Renew(); });
@@ -92,8 +94,16 @@
   co_return boost::outcome_v2::success();
 }
 
+bool MemoryReservation::HasLapsed() const
+{
+  return TimerService::BootNow() - renewedAt_ > options_.duration_;
+}
+
 void MemoryReservation::Renew()
 {
+  if (HasLapsed()) {
+    return;
+  }
   if (parts_.userSilence_() < options_.renewInterval_) {
     missedSigns_ = 0;
     SendRenewals();
@@ -117,7 +127,7 @@
   if (!self) {
     co_return;
   }
-  if (report) {
+  if (report && !(*self)->HasLapsed()) {
     missedSigns_ = 0;
     SendRenewals();
   } else {
@@ -127,6 +137,7 @@
 
 void MemoryReservation::SendRenewals()
 {
+  renewedAt_ = TimerService::BootNow();
   const TimePoint deadline = TimerService::Now() + options_.callTimeout_;
   for (const ListedEndpoint& endpoint : endpoints_) {
     SpawnTask(parts_.executor_,
--- a/src/gateway/gooseberrylift-request-replacement.cc
+++ b/src/gateway/gooseberrylift-request-replacement.cc
@@ -78,8 +78,10 @@
 asio::awaitable<void> RequestRun::OnStallTimeout(RequestAttempt& aAttempt)
 {
   aAttempt.call_->SetDeadline(NextStallCheck());
+  const bool hasLapsed =
+    aAttempt.reservation_ && aAttempt.reservation_->HasLapsed();
   const bool isLost =
-    aAttempt.reservation_ && aAttempt.reservation_->IsUserLost();
+    hasLapsed || (aAttempt.reservation_ && aAttempt.reservation_->IsUserLost());
   if (!isLost && !aAttempt.Target().IsStalled()) {
     co_return;
   }
@@ -90,8 +92,8 @@
     RecordStalled(aAttempt, mayReplace ? "replace" : "no-attempt-left");
   }
   aAttempt.isStalled_ = true;
-  if (isLost && mayReplace) {
-    // The next attempt needs the memory that this one holds.
+  if (hasLapsed || (isLost && mayReplace)) {
+    // It can't go on, or the next attempt needs the memory that it holds.
     aAttempt.failure_ = MakeStallError();
     co_return;
   }
--- a/test/integration/gooseberrylift-lost-reader-test.cc
+++ b/test/integration/gooseberrylift-lost-reader-test.cc
@@ -20,12 +20,13 @@
 constexpr auto kMaxUnusedMemory = 4s;
 
 // Callers of the stream route wait long enough for the whole prompt.
-json PatientDocument(const GatewayDeployment& aDeployment)
+json PatientDocument(const GatewayDeployment& aDeployment, int aMaxAttempts)
 {
   json document = aDeployment.Document();
   document["version"] = 2;
   document["routes"][0]["targetLatencyMs"] = 3'000;
   document["routes"][0]["timeoutMs"] = 15'000;
+  document["routes"][0]["maxAttempts"] = aMaxAttempts;
   return document;
 }
 
@@ -72,9 +73,9 @@
   std::size_t reader_ = 0;
 
   // Sends a long prompt to an engine that doesn't answer it.
-  void StartReading()
+  void StartReading(int aMaxAttempts = 2)
   {
-    deployment_.PutDocument(PatientDocument(deployment_));
+    deployment_.PutDocument(PatientDocument(deployment_, aMaxAttempts));
     CHECK_TRUE(WaitUntil(5s, [this] {
       return deployment_.At(0).Status().value("generation", 0) == 2;
     }));
@@ -120,3 +121,20 @@
   deployment_.Engine(reader_).Handle().Signal(SIGKILL);
   (void)answer_.get();
 }
+
+// Guards against memory that is reserved again for a request that was cut off
+// when its memory lapsed, and against a caller that waits for it.
+TEST(LostReaderTest, ReservesNoMemoryAgainForARequestWhoseMemoryHasLapsed)
+{
+  StartReading(1);
+  deployment_.Engine(reader_).Handle().Signal(SIGSTOP);
+  CHECK_TRUE(WaitUntil(kMaxUnusedMemory, [this] {
+    return !HoldsMemory(deployment_, reader_, "at-1-host-0-1-1");
+  }));
+  deployment_.Engine(reader_).Handle().Signal(SIGCONT);
+  CHECK_FALSE(WaitUntil(kMaxUnusedMemory, [this] {
+    return HoldsMemory(deployment_, reader_, "at-1-host-0-1-1");
+  }));
+  CHECK_TRUE(answer_.wait_for(0s) == std::future_status::ready);
+  CHECK_TRUE(answer_.get().value().status_ >= 500);
+}
