relay-test: wait until the links to all services are lost

RelayTest, EndsTheWorkOfCallersWhoLeave failed now and then: the other host showed no caller that left. CutOff() returned as soon as the links to one service were found lost. The request could come before those to the engines were, was refused at the only one (503, not run), and no host relayed it, so that there was no work to end.

CutOff() now waits for the links to all services that have endpoints, as its comment said. No check or bound changes.

--- a/test/integration/harness-gateway.h
+++ b/test/integration/harness-gateway.h
@@ -44,6 +44,12 @@
 
   std::size_t CountLinks() const { return links_.size(); }
 
+  /// Returns the number of services that have endpoints.
+  std::size_t CountServices() const
+  {
+    return (engines_.empty() ? 0U : 1U) + (boards_.empty() ? 0U : 1U);
+  }
+
   /// Returns the initial route document. A test may change the copy and pass it
   /// to PutDocument().
   json Document() const { return document_; }
--- a/test/integration/harness-links.cc
+++ b/test/integration/harness-links.cc
@@ -23,12 +23,12 @@
   return json::array();
 }
 
-// Waits until a host has found its links to all services with requests lost.
-bool WaitUntilLinksAreLost(Host& aHost)
+// Waits until a host has found its links to a number of services lost.
+bool WaitUntilLinksAreLost(Host& aHost, std::size_t aServices)
 {
-  return WaitUntil(std::chrono::seconds(10), [&aHost] {
+  return WaitUntil(std::chrono::seconds(10), [&aHost, aServices] {
     const json status = aHost.Status();
-    return status.is_object() && !status.at("links_lost").empty();
+    return status.is_object() && status.at("links_lost").size() == aServices;
   });
 }
 
@@ -75,7 +75,8 @@
   for (std::size_t host = 0; host < aLinked; ++host) {
     (void)Send(aDeployment.At(host).Port(), MakeSafeRequest("find out"));
     (void)Send(aDeployment.At(host).Port(), MakeShortPrompt("find out"));
-    CHECK_TRUE(WaitUntilLinksAreLost(aDeployment.At(host)));
+    CHECK_TRUE(
+      WaitUntilLinksAreLost(aDeployment.At(host), aDeployment.CountServices()));
   }
 }
 
--- a/test/integration/harness-links.h
+++ b/test/integration/harness-links.h
@@ -31,7 +31,8 @@
 /// Returns options of three hosts, of which the first ones are linked.
 GatewayDeployment::Options ThreeHosts(int aLinked);
 
-/// Cuts all links and checks that each linked host finds that they are lost.
+/// Cuts all links and checks that each linked host finds that those to all
+/// services are lost.
 void CutOff(GatewayDeployment& aDeployment,
             std::size_t aLinked,
             LinkFault aFault = LinkFault::kReset);
