settings-template-test: expect the shorter lag of a stop

Two of its tests still expected the lag of 3000 ms and the limit of 4200 ms that a grace period of 8 s gave before the lag was shortened. They expect 2800 and 4400 ms now, as strictly; the sum is the same.

--- a/test/integration/gooseberrylift-settings-template-test.cc
+++ b/test/integration/gooseberrylift-settings-template-test.cc
@@ -75,8 +75,8 @@
   LONGS_EQUAL(7340, settings.peer_.port_);
   LONGS_EQUAL(2, settings.peerSeeds_.size());
   LONGS_EQUAL(1, settings.storeAddresses_.size());
-  LONGS_EQUAL(3000, settings.drainLag_.count());
-  LONGS_EQUAL(4200, settings.drainLimit_.count());
+  LONGS_EQUAL(2800, settings.drainLag_.count());
+  LONGS_EQUAL(4400, settings.drainLimit_.count());
   LONGS_EQUAL(2, gateway.zoneRegions_.size());
   LONGS_EQUAL(6000, gateway.retryWindow_.count());
   LONGS_EQUAL(10'000, gateway.maxHold_.count());
@@ -127,6 +127,6 @@
   const Settings settings = Render(With("/bounds", json::object()));
   CHECK_TRUE(settings.gateway_->strictRevocation_);
   CHECK_FALSE(settings.gateway_->coldSlack_.has_value());
-  LONGS_EQUAL(3000, settings.drainLag_.count());
-  LONGS_EQUAL(4200, settings.drainLimit_.count());
+  LONGS_EQUAL(2800, settings.drainLag_.count());
+  LONGS_EQUAL(4400, settings.drainLimit_.count());
 }
