--- a/review/stand-ins-2.cc
+++ b/review/stand-ins-2.cc
@@ -53,10 +53,6 @@
 constexpr const char* kKey = "n2ctnfzs989anu6wsjnb";
 constexpr const char* kTenant = "hule930";
 constexpr const char* kWeightVersion = "1"; // of all engines
-// Of a request for a long answer.
-constexpr const char* kLongStreamFields =
-  "\r\nGooseberrylift-Model: m\r\nGooseberrylift-Token-Usage: 1000,9000"
-  "\r\nContent-Length: 6\r\n\r\n";
 constexpr int kHeld = 0;
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
@@ -629,68 +625,32 @@
   return body;
 }
 
-// Writes a stream of 25 s, an event each 200 ms, that stops at the deadline
-// that the engine was given.
-bool WriteLongStream(const Wire& aWire,
-                     const std::string& aEngine,
-                     const Message& aRequest)
-{
-  constexpr int kEvents = 125;
-  const auto begin = Clock::now();
-  const std::string given = aRequest.Field("Gooseberrylift-Deadline-Ms");
-  const milliseconds deadline(std::strtoll(given.c_str(), nullptr, 10));
-  Note("deadline that " + aEngine + " was given for " +
-       aRequest.Field("Gooseberrylift-Attempt-Id") + ": " + given + " ms");
-  bool open = aWire.Write(AnswerHead(
-    aEngine,
-    aRequest,
-    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
-  for (int number = 1;
-       open && number <= kEvents && Clock::now() - begin < deadline;
-       ++number) {
-    const std::string event =
-      "id: " + std::to_string(number) + "\ndata: piece\n\n";
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
-    open = aWire.Write(size.data() + event + "\r\n");
-    std::this_thread::sleep_for(milliseconds(200));
-  }
-  return open && Clock::now() - begin < deadline && aWire.Write("0\r\n\r\n");
-}
-
 // A sound engine of this process. It answers streams with three events and
-// other requests, after the given time, with 800 bytes.
+// other requests with 800 bytes, both after the given time.
+// @param aNotice header fields of all its answers
 void StartEngine(Store& aStore,
                  Runs& aRuns,
                  const std::string& aId,
                  const std::string& aService,
-                 milliseconds aWork)
+                 milliseconds aWork,
+                 const std::string& aNotice = {})
 {
   const auto [descriptor, port] = Listen(0);
-  Serve(
-    descriptor,
-    [&aRuns, aId, aWork, port = port](Wire& aWire, const Message& aRequest) {
-      if (const auto own = AnswerOfItsOwn(aId, port, aRequest)) {
-        return aWire.Write(*own);
-      }
-      aRuns.Add(aId, aRequest);
-      if (aRequest.Word(1).starts_with("/note/long")) {
-        return WriteLongStream(aWire, aId, aRequest);
-      }
-      if (aRequest.Word(1).starts_with("/note/")) {
-        const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
-                                   "id: 3\ndata: c\n\n";
-        return aWire.Write(AnswerHead(aId,
-                                      aRequest,
-                                      "Content-Type: text/event-stream\r\n" +
-                                        WithLength(events)) +
-                           events);
-      }
-      std::this_thread::sleep_for(aWork);
-      const std::string body =
-        BodyOf(aRequest.Field("Gooseberrylift-Attempt-Id"));
-      return aWire.Write(AnswerHead(aId, aRequest, WithLength(body)) + body);
-    });
+  Serve(descriptor,
+        [&aRuns, aId, aWork, aNotice, port = port](Wire& aWire,
+                                                   const Message& aRequest) {
+          if (const auto own = AnswerOfItsOwn(aId, port, aRequest)) {
+            return aWire.Write(*own);
+          }
+          aRuns.Add(aId, aRequest);
+          std::this_thread::sleep_for(aWork);
+          const bool isStream = aRequest.Word(1).starts_with("/note/");
+          const std::string body =
+            isStream ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+                     : BodyOf(aRequest.Field("Gooseberrylift-Attempt-Id"));
+          return aWire.Write(
+            AnswerHead(aId, aRequest, aNotice + WithLength(body)) + body);
+        });
   aStore.Put("servers",
              aId,
              { { "service", aService },
@@ -848,16 +808,20 @@
 
   int Port() const { return callerPort_; }
 
+  void Signal(int aSignal) const { ::kill(process_, aSignal); }
+
   // Returns how the process ended; empty if it runs.
   std::string End() const
   {
-    int status = 0;
-    if (::waitpid(process_, &status, WNOHANG) == 0) {
+    siginfo_t ended{};
+    const int options = WEXITED | WNOHANG | WNOWAIT;
+    if (::waitid(P_PID, static_cast<id_t>(process_), &ended, options) != 0 ||
+        ended.si_pid == 0) {
       return {};
     }
-    return WIFSIGNALED(status)
-             ? "ended by signal " + std::to_string(WTERMSIG(status))
-             : "ended with status " + std::to_string(WEXITSTATUS(status));
+    return (ended.si_code == CLD_EXITED ? "ended with status "
+                                        : "ended by signal ") +
+           std::to_string(ended.si_status);
   }
 
   // Copies the last lines of what the host printed into the record.
@@ -1017,7 +981,126 @@
   }
 }
 
-// ---------------------------------------------------- case 4: a host that ends
+// --------------------------------------- case 4: a host that hears no other
+// one
+
+// What happened to the requests of clients that keep their connections.
+struct Losses
+{
+  std::mutex mutex_;
+  std::vector<std::string> unanswered_;
+};
+
+// Sends one request after the other on a kept connection until it ends or the
+// time has come.
+void KeepAsking(const Host& aHost,
+                int aClient,
+                const std::atomic<bool>& aStops,
+                Losses& aLosses)
+{
+  const auto wire = ConnectTo(aHost);
+  for (int number = 0; wire && !aStops; ++number) {
+    const std::string id =
+      Join({ "flag", std::to_string(aClient), "x", std::to_string(number) });
+    if (!Ask(*wire, id, RequestOf("POST", "/flag/1", id, "checkout"))) {
+      const std::lock_guard lock(aLosses.mutex_);
+      aLosses.unanswered_.push_back(id);
+      return;
+    }
+  }
+}
+
+// Sends short prompts, each on a new connection.
+void KeepPrompting(const Host& aHost,
+                   int aClient,
+                   const std::atomic<bool>& aStops)
+{
+  for (int number = 0; !aStops; ++number) {
+    const std::string id =
+      Join({ "note", std::to_string(aClient), "x", std::to_string(number) });
+    if (const auto wire = ConnectTo(aHost)) {
+      Ask(*wire,
+          id,
+          RequestOf("POST",
+                    "/note/1",
+                    id,
+                    "prompt",
+                    "Gooseberrylift-Model: m\r\n"
+                    "Gooseberrylift-Token-Usage: 4960,35\r\n"));
+    }
+    std::this_thread::sleep_for(milliseconds(40));
+  }
+}
+
+int PlayBlind(bool aTrouble)
+{
+  constexpr int kPoolEngines = 12;
+  constexpr int kBoardEngines = 3;
+  constexpr int kClients = 10;
+  constexpr int kPrompters = 3;
+  constexpr std::size_t kMaxLost = 3; // LOST: "more than three times"
+  Store store;
+  Runs runs;
+  store.Put("config", "main", Configuration());
+  for (int engine = 0; engine < kPoolEngines; ++engine) {
+    StartEngine(store,
+                runs,
+                "i-pool" + std::to_string(engine),
+                "lift-pool",
+                milliseconds(40),
+                "Server-Limit: 20\r\n");
+  }
+  for (int engine = 0; engine < kBoardEngines; ++engine) {
+    StartEngine(store,
+                runs,
+                "i-board" + std::to_string(engine),
+                "board-api",
+                milliseconds(700));
+  }
+  const std::vector<int> seeds = { FreePort(), FreePort() };
+  const Host first(store, seeds, 0);
+  const Host second(store, seeds, 1);
+  CheckServes(first);
+  std::this_thread::sleep_for(milliseconds(4000)); // calm
+  store.Beat();
+  std::atomic<bool> stops = false;
+  Losses losses;
+  std::vector<std::thread> threads;
+  threads.reserve(kClients + kPrompters);
+  for (int client = 0; client < kClients; ++client) {
+    threads.emplace_back(
+      [&, client] { KeepAsking(first, client, stops, losses); });
+  }
+  for (int client = 0; client < kPrompters; ++client) {
+    threads.emplace_back([&, client] { KeepPrompting(first, client, stops); });
+  }
+  std::this_thread::sleep_for(milliseconds(3000));
+  if (aTrouble) {
+    Note("the second host is lost for good (SIGKILL)");
+    second.Signal(SIGKILL);
+  }
+  const auto limit = Clock::now() + std::chrono::seconds(12);
+  while (Clock::now() < limit && first.End().empty()) {
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  stops = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  const std::string end = first.End();
+  Note("first host: " + (end.empty() ? "runs" : end));
+  first.NoteLastLines();
+  std::size_t lost = 0;
+  for (const std::string& id : losses.unanswered_) {
+    lost += runs.Has(id) ? 1 : 0;
+  }
+  Note("requests that a sound engine had and whose connection was closed "
+       "without an answer: " +
+       std::to_string(lost) + ", allowed: " + std::to_string(kMaxLost));
+  return lost > kMaxLost || !end.empty() ? kBroken : kHeld;
+}
+
+// ------------------------------------- case 5: a host that one request ends
 
 // A client of an ordinary kind on a kept connection: one request that is
 // answered, then one that is at work when the other client comes.
@@ -1115,7 +1198,7 @@
   return lost > kMaxLost || !end.empty() ? kBroken : kHeld;
 }
 
-// ------------------------------------ case 6: a request that another one holds
+// ------------------------------------ case 7: a request that another one holds
 
 int PlaySmuggled(bool aTrouble)
 {
@@ -1268,7 +1351,7 @@
   return broken ? kBroken : kHeld;
 }
 
-// ---------------------------- case 5: engines that one client makes unusable
+// ---------------------------- case 6: engines that one client makes unusable
 
 // How often the requests of a span of time were served.
 struct Served
@@ -1371,83 +1454,19 @@
   return after.Share() < kLeast * before.Share() ? kBroken : kHeld;
 }
 
-// --------------------------------------------- case 8: answers without an end
-
-int PlayDeadline(bool aTrouble)
-{
-  constexpr int kRequests = 10;
-  constexpr int kMost = 7;                  // CONFIG: "eight or more of them"
-  constexpr milliseconds kTimeout{ 15000 }; // timeoutMs of the route
-  constexpr milliseconds kSlack{ 500 };     // "0.5 s after it"
-  Store store;
-  Runs runs;
-  store.Put("config", "main", Configuration());
-  for (int engine = 0; engine < 3; ++engine) {
-    const std::string number = std::to_string(engine);
-    StartEngine(store, runs, "i-pool" + number, "lift-pool", milliseconds(20));
-    StartEngine(store, runs, "i-board" + number, "board-api", milliseconds(15));
-  }
-  const Host host(store);
-  CheckServes(host);
-  std::this_thread::sleep_for(milliseconds(3000)); // calm
-  const std::string given = aTrouble ? "9223372037854775808" : "60000";
-  std::atomic<int> unanswered = 0;
-  std::vector<std::thread> threads;
-  threads.reserve(kRequests);
-  for (int number = 0; number < kRequests; ++number) {
-    threads.emplace_back([&, number] {
-      const std::string id = "long" + std::to_string(number);
-      const auto wire = ConnectTo(host);
-      if (!wire) {
-        return;
-      }
-      const std::string request = Join({ "POST /note/long HTTP/1.1\r\nHost: ",
-                                         kRouteHost,
-                                         "\r\nGooseberrylift-Attempt-Id: ",
-                                         id,
-                                         "\r\nGooseberrylift-Deadline-Ms: ",
-                                         given,
-                                         "\r\nAuthorization: Bearer ",
-                                         kKey,
-                                         kLongStreamFields,
-                                         "prompt" });
-      const auto sent = Clock::now();
-      Note(Join({ "sent ", id, " with a deadline of ", given, " ms" }));
-      wire->Write(request);
-      const auto answer = ReadHead(*wire);
-      bool open = answer.has_value();
-      while (open && Clock::now() - sent <= kTimeout + kSlack) {
-        open = wire->ReadLine().has_value();
-      }
-      const auto lasted =
-        std::chrono::duration_cast<milliseconds>(Clock::now() - sent);
-      Note(id + (open ? " has no final answer after " : " ended after ") +
-           std::to_string(lasted.count()) +
-           " ms, answer: " + (answer ? answer->start_ : "none"));
-      unanswered += open ? 1 : 0;
-    });
-  }
-  for (std::thread& thread : threads) {
-    thread.join();
-  }
-  Note("no final answer 0.5 s after the route's timeoutMs of 15,000: " +
-       std::to_string(unanswered) + " of " + std::to_string(kRequests));
-  return unanswered > kMost ? kBroken : kHeld;
-}
-
 int Play(int aCase, bool aTrouble)
 {
   switch (aCase) {
     case 4:
-      return PlayCrash(aTrouble);
+      return PlayBlind(aTrouble);
     case 5:
-      return PlayOutage(aTrouble);
+      return PlayCrash(aTrouble);
     case 6:
-      return PlaySmuggled(aTrouble);
+      return PlayOutage(aTrouble);
     case 7:
-      return PlayTruncated(aTrouble);
+      return PlaySmuggled(aTrouble);
     case 8:
-      return PlayDeadline(aTrouble);
+      return PlayTruncated(aTrouble);
     default:
       throw Failure{ "no such case" };
   }
