--- a/review/stand-ins-2.cc
+++ b/review/stand-ins-2.cc
@@ -2,9 +2,10 @@
 // review/8, and the steps of each script. Starts the project's host as a
 // process of its own.
 //
-//   stand-ins-2 CASE RECORD     plays a script; 0: the rule held, 1: it was
-//                               broken, 2: the script could not run
-//   stand-ins-2 engine ID PORT  an engine that runs as a process of its own
+//   stand-ins-2 CASE RECORD
+//
+// Returns 0 if the rule held, 1 if it was broken, 2 if the script could not
+// run.
 
 #include <algorithm>
 #include <array>
@@ -52,7 +53,10 @@
 constexpr const char* kRouteHost = "ficu95.example";
 constexpr const char* kKey = "n2ctnfzs989anu6wsjnb";
 constexpr const char* kTenant = "hule930";
-constexpr const char* kWeightVersion = "1"; // of all engines
+// Of a request for a long answer.
+constexpr const char* kLongStreamFields =
+  "\r\nGooseberrylift-Model: m\r\nGooseberrylift-Token-Usage: 1000,9000"
+  "\r\nContent-Length: 6\r\n\r\n";
 constexpr int kHeld = 0;
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
@@ -602,9 +606,7 @@
            "\r\nContent-Length: 0\r\n\r\n";
   }
   const std::string instance = aRequest.Field("Gooseberrylift-Expect-Instance");
-  const std::string version = aRequest.Field("Gooseberrylift-Expect-Version");
-  const bool isOther = (!instance.empty() && instance != aEngine) ||
-                       (!version.empty() && version != kWeightVersion);
+  const bool isOther = !instance.empty() && instance != aEngine;
   if (isOther) {
     return "HTTP/1.1 421 -\r\nGooseberrylift-Attempt-Id: " +
            aRequest.Field("Gooseberrylift-Attempt-Id") +
@@ -625,6 +627,35 @@
   return body;
 }
 
+// Writes a stream of 25 s, an event each 200 ms, that stops at the deadline
+// that the engine was given.
+bool WriteLongStream(const Wire& aWire,
+                     const std::string& aEngine,
+                     const Message& aRequest)
+{
+  constexpr int kEvents = 125;
+  const auto begin = Clock::now();
+  const std::string given = aRequest.Field("Gooseberrylift-Deadline-Ms");
+  const milliseconds deadline(std::strtoll(given.c_str(), nullptr, 10));
+  Note("deadline that " + aEngine + " was given for " +
+       aRequest.Field("Gooseberrylift-Attempt-Id") + ": " + given + " ms");
+  bool open = aWire.Write(AnswerHead(
+    aEngine,
+    aRequest,
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+  for (int number = 1;
+       open && number <= kEvents && Clock::now() - begin < deadline;
+       ++number) {
+    const std::string event =
+      "id: " + std::to_string(number) + "\ndata: piece\n\n";
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
+    open = aWire.Write(size.data() + event + "\r\n");
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  return open && Clock::now() - begin < deadline && aWire.Write("0\r\n\r\n");
+}
+
 // A sound engine of this process. It answers streams with three events and
 // other requests with 800 bytes, both after the given time.
 // @param aNotice header fields of all its answers
@@ -643,13 +674,18 @@
             return aWire.Write(*own);
           }
           aRuns.Add(aId, aRequest);
+          if (aRequest.Word(1).starts_with("/note/long")) {
+            return WriteLongStream(aWire, aId, aRequest);
+          }
           std::this_thread::sleep_for(aWork);
+          const bool isHead = aRequest.Word(0) == "HEAD";
           const bool isStream = aRequest.Word(1).starts_with("/note/");
           const std::string body =
             isStream ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
                      : BodyOf(aRequest.Field("Gooseberrylift-Attempt-Id"));
           return aWire.Write(
-            AnswerHead(aId, aRequest, aNotice + WithLength(body)) + body);
+            AnswerHead(aId, aRequest, aNotice + WithLength(body)) +
+            (isHead ? "" : body));
         });
   aStore.Put("servers",
              aId,
@@ -1198,7 +1234,7 @@
   return lost > kMaxLost || !end.empty() ? kBroken : kHeld;
 }
 
-// ------------------------------------ case 7: a request that another one holds
+// ------------------------------------ case 6: a request that another one holds
 
 int PlaySmuggled(bool aTrouble)
 {
@@ -1243,215 +1279,117 @@
   return broken ? kBroken : kHeld;
 }
 
-// ------------------------------------------- case 7: half an answer for a
-// whole
-
-// An engine that is a process of its own. Its answers have neither a length nor
-// chunks and end with their connection. It writes them in two parts, and a line
-// to its standard output between them.
-int RunEngine(const std::string& aId, int aPort)
-{
-  const auto [descriptor, port] = Listen(aPort);
-  Serve(descriptor, [aId, aPort](Wire& aWire, const Message& aRequest) {
-    if (const auto own = AnswerOfItsOwn(aId, aPort, aRequest)) {
-      return aWire.Write(*own);
-    }
-    const std::string id = aRequest.Field("Gooseberrylift-Attempt-Id");
-    const std::string body = BodyOf(id);
-    aWire.Write(AnswerHead(aId, aRequest, "Connection: close\r\n") +
-                body.substr(0, body.size() / 2));
-    const std::string line = aId + " " + id + "\n";
-    const ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
-    std::this_thread::sleep_for(milliseconds(written > 0 ? 400 : 0));
-    aWire.Write(body.substr(body.size() / 2));
-    return false;
-  });
-  while (true) {
-    ::pause();
-  }
-}
+// --------------------------------------------- case 7: answers without an end
 
-int PlayTruncated(bool aTrouble)
+int PlayDeadline(bool aTrouble)
 {
-  constexpr int kEngines = 6; // of which one crashes: a share of 0.167
-  constexpr int kRequests = 8;
-  constexpr int kStruck = 3; // the request at whose answer an engine crashes
+  constexpr int kRequests = 10;
+  constexpr int kMost = 7;                  // CONFIG: "eight or more of them"
+  constexpr milliseconds kTimeout{ 15000 }; // timeoutMs of the route
+  constexpr milliseconds kSlack{ 500 };     // "0.5 s after it"
   Store store;
+  Runs runs;
   store.Put("config", "main", Configuration());
-  std::array<int, 2> lines{};
-  if (::pipe(lines.data()) != 0) {
-    throw Failure{ "can't make a pipe" };
-  }
-  std::map<std::string, pid_t> engines;
-  for (int number = 0; number < kEngines; ++number) {
-    const std::string id = "i-board" + std::to_string(number);
-    const int port = FreePort();
-    engines[id] = Start(
-      { "/proc/self/exe", "engine", id, std::to_string(port) }, {}, lines[1]);
-    store.Put("servers",
-              id,
-              { { "service", "board-api" },
-                { "address", "127.0.0.1:" + std::to_string(port) },
-                { "zone", "vantaa-a" },
-                { "version", "1" },
-                { "slots", 6 },
-                { "state", "ready" },
-                { "coldRemainingMs", 0 },
-                { "sequence", 1 },
-                { "born", 1796000000000 } });
+  for (int engine = 0; engine < 3; ++engine) {
+    const std::string number = std::to_string(engine);
+    StartEngine(store, runs, "i-pool" + number, "lift-pool", milliseconds(20));
+    StartEngine(store, runs, "i-board" + number, "board-api", milliseconds(15));
   }
   const Host host(store);
   CheckServes(host);
-  std::FILE* reports = ::fdopen(lines[0], "r");
-  std::array<char, 200> line{};
-  if (std::fgets(line.data(), line.size(), reports) == nullptr) {
-    throw Failure{ "no engine has run the first request" };
-  }
-  bool broken = false;
+  std::this_thread::sleep_for(milliseconds(3000)); // calm
+  const std::string given = aTrouble ? "9223372037854775808" : "60000";
+  std::atomic<int> unanswered = 0;
+  std::vector<std::thread> threads;
+  threads.reserve(kRequests);
   for (int number = 0; number < kRequests; ++number) {
-    const std::string id = "flag" + std::to_string(number);
-    const auto wire = ConnectTo(host);
-    if (!wire) {
-      throw Failure{ "can't connect" };
-    }
-    Note("sent " + id);
-    wire->Write(RequestOf("POST", "/flag/1", id, "checkout"));
-    if (std::fgets(line.data(), line.size(), reports) != nullptr) {
-      std::string report(line.data());
-      report.pop_back();
-      Note("ran, half of the answer is written (engine, request): " + report);
-      if (aTrouble && number == kStruck) {
-        const std::string engine = report.substr(0, report.find(' '));
-        std::this_thread::sleep_for(milliseconds(100));
-        Note("crash (SIGKILL) of " + engine);
-        ::kill(engines.at(engine), SIGKILL);
+    threads.emplace_back([&, number] {
+      const std::string id = "long" + std::to_string(number);
+      const auto wire = ConnectTo(host);
+      if (!wire) {
+        return;
       }
-    }
-    const auto answer = ReadMessage(*wire);
-    const std::string status = answer ? answer->Word(1) : "none";
-    Note(Join({ "answer to ",
-                id,
-                ": ",
-                status,
-                ", body of ",
-                std::to_string(answer ? answer->body_.size() : 0),
-                " bytes, whole: ",
-                std::to_string(BodyOf(id).size()),
-                ", stamp '",
-                answer ? answer->Field("Gooseberrylift-Response-Stamp") : "",
-                "'" }));
-    if (status == "200" && answer->body_ != BodyOf(id)) {
-      Note("broken: a success whose body isn't the engine's whole body");
-      broken = true;
-    }
-    if (!aTrouble && status != "200") {
-      throw Failure{ "not served in calm" };
-    }
+      const std::string request = Join({ "POST /note/long HTTP/1.1\r\nHost: ",
+                                         kRouteHost,
+                                         "\r\nGooseberrylift-Attempt-Id: ",
+                                         id,
+                                         "\r\nGooseberrylift-Deadline-Ms: ",
+                                         given,
+                                         "\r\nAuthorization: Bearer ",
+                                         kKey,
+                                         kLongStreamFields,
+                                         "prompt" });
+      const auto sent = Clock::now();
+      Note(Join({ "sent ", id, " with a deadline of ", given, " ms" }));
+      wire->Write(request);
+      const auto answer = ReadHead(*wire);
+      bool open = answer.has_value();
+      while (open && Clock::now() - sent <= kTimeout + kSlack) {
+        open = wire->ReadLine().has_value();
+      }
+      const auto lasted =
+        std::chrono::duration_cast<milliseconds>(Clock::now() - sent);
+      Note(id + (open ? " has no final answer after " : " ended after ") +
+           std::to_string(lasted.count()) +
+           " ms, answer: " + (answer ? answer->start_ : "none"));
+      unanswered += open ? 1 : 0;
+    });
   }
-  return broken ? kBroken : kHeld;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  Note("no final answer 0.5 s after the route's timeoutMs of 15,000: " +
+       std::to_string(unanswered) + " of " + std::to_string(kRequests));
+  return unanswered > kMost ? kBroken : kHeld;
 }
 
-// ---------------------------- case 6: engines that one client makes unusable
-
-// How often the requests of a span of time were served.
-struct Served
+// ------------------------------------------ case 8: bytes behind a HEAD answer
+int PlayHead(bool aTrouble)
 {
-  int read_ = 0;
-  int served_ = 0;
-
-  double Share() const
-  {
-    return read_ == 0 ? 1 : static_cast<double>(served_) / read_;
+  Store store;
+  Runs runs;
+  store.Put("config", "main", Configuration());
+  for (int engine = 0; engine < 3; ++engine) {
+    const std::string number = std::to_string(engine);
+    StartEngine(store, runs, "i-pool" + number, "lift-pool", milliseconds(20));
+    StartEngine(store, runs, "i-board" + number, "board-api", milliseconds(15));
   }
-};
-
-// Sends a request of an ordinary client on a new connection.
-void SendOrdinary(const Host& aHost, const std::string& aId, Served& aServed)
-{
-  const auto wire = ConnectTo(aHost);
+  const Host host(store);
+  CheckServes(host);
+  const auto wire = ConnectTo(host);
   if (!wire) {
-    return; // a connection that is refused doesn't count
+    throw Failure{ "can't connect" };
   }
-  wire->Write(RequestOf("POST",
+  const std::string method = aTrouble ? "HEAD" : "GET";
+  Note("sent note: " + method + " /note/1");
+  wire->Write(RequestOf(method,
                         "/note/1",
-                        aId,
-                        "prompt",
+                        "note",
+                        "",
                         "Gooseberrylift-Model: m\r\n"
-                        "Gooseberrylift-Token-Usage: 4960,35\r\n"));
-  const auto answer = ReadMessage(*wire);
-  Note("sent " + aId + ", answer: " + (answer ? answer->start_ : "none"));
-  ++aServed.read_;
-  aServed.served_ += answer && answer->Word(1) == "200" ? 1 : 0;
-}
-
-int PlayOutage(bool aTrouble)
-{
-  constexpr int kPoolEngines = 23;
-  constexpr int kBefore = 60;  // requests of 6 s, to both hosts by turns
-  constexpr int kFunnel = 100; // requests of 10 s, most to the first host
-  constexpr int kOthers = 20;  // requests of the client that isn't controlled
-  constexpr double kLeast = 0.75; // RECOVER: "three quarters"
-  constexpr milliseconds kPace{ 100 };
-  constexpr milliseconds kStableWindow{ 3000 };
-  Store store;
-  Runs runs;
-  store.Put("config", "main", Configuration());
-  for (int engine = 0; engine < kPoolEngines; ++engine) {
-    StartEngine(store,
-                runs,
-                "i-pool" + std::to_string(engine),
-                "lift-pool",
-                milliseconds(20));
+                        "Gooseberrylift-Token-Usage: 1000,50\r\n"));
+  auto answer = ReadHead(*wire);
+  if (answer && !aTrouble) {
+    ReadBody(*wire, *answer);
   }
-  StartEngine(store, runs, "i-board0", "board-api", milliseconds(15));
-  const std::vector<int> seeds = { FreePort(), FreePort() };
-  const Host first(store, seeds, 0);
-  const Host second(store, seeds, 1);
-  CheckServes(first);
-  CheckServes(second);
-  std::this_thread::sleep_for(kStableWindow);
-  Served before;
-  for (int number = 0; number < kBefore; ++number) {
-    SendOrdinary(number % 2 == 0 ? first : second,
-                 "before" + std::to_string(number),
-                 before);
-    std::this_thread::sleep_for(kPace);
+  Note("answer to note: " + (answer ? answer->start_ : "none"));
+  if (!answer || answer->Word(1) != "200") {
+    throw Failure{ "the stream was not answered" };
   }
-  store.Beat();
-  Note("from now on nine of ten new connections go to the first host");
-  const auto begin = Clock::now();
-  for (int number = 0; number < kOthers; ++number) {
-    const std::string id = "other" + std::to_string(number);
-    if (const auto wire = ConnectTo(first)) {
-      Ask(
-        *wire,
-        id,
-        RequestOf("POST",
-                  "/note/2",
-                  id,
-                  "prompt",
-                  std::string("Gooseberrylift-Model: m\r\n"
-                              "Gooseberrylift-Token-Usage: 4960,35\r\n") +
-                    (aTrouble ? "Gooseberrylift-Expect-Version: 2\r\n" : "")));
-    }
+  std::this_thread::sleep_for(milliseconds(100));
+  Note("sent flag on the same connection");
+  wire->SetTimeout(milliseconds(1500));
+  wire->Write(RequestOf("POST", "/flag/2", "flag", "checkout"));
+  const std::string bytes = wire->ReadAll();
+  Note("bytes where the answer to flag is due: " + bytes.substr(0, 120));
+  if (bytes.empty()) {
+    throw Failure{ "the connection was not kept" };
+  }
+  const bool broken = !bytes.starts_with("HTTP/1.1 ");
+  if (broken) {
+    Note("broken: bytes that are no answer in the protocol");
   }
-  Served after;
-  for (int number = 0; number < kFunnel; ++number) {
-    Served ignored;
-    const bool counts = Clock::now() - begin >= kStableWindow;
-    SendOrdinary(number % 10 == 9 ? second : first,
-                 "funnel" + std::to_string(number),
-                 counts ? after : ignored);
-    std::this_thread::sleep_for(kPace);
-  }
-  Note("served before: " + std::to_string(before.served_) + " of " +
-       std::to_string(before.read_) + "; from 3 s on, while most connections " +
-       "go to one host: " + std::to_string(after.served_) + " of " +
-       std::to_string(after.read_));
-  if (before.Share() < kLeast) {
-    throw Failure{ "not served in calm" };
-  }
-  return after.Share() < kLeast * before.Share() ? kBroken : kHeld;
+  return broken ? kBroken : kHeld;
 }
 
 int Play(int aCase, bool aTrouble)
@@ -1462,11 +1400,11 @@
     case 5:
       return PlayCrash(aTrouble);
     case 6:
-      return PlayOutage(aTrouble);
-    case 7:
       return PlaySmuggled(aTrouble);
+    case 7:
+      return PlayDeadline(aTrouble);
     case 8:
-      return PlayTruncated(aTrouble);
+      return PlayHead(aTrouble);
     default:
       throw Failure{ "no such case" };
   }
@@ -1507,9 +1445,6 @@
 {
   const std::vector<std::string> arguments(aArguments + 1, aArguments + aCount);
   ::signal(SIGPIPE, SIG_IGN);
-  if (arguments.size() == 3 && arguments[0] == "engine") {
-    return RunEngine(arguments[1], std::atoi(arguments[2].c_str()));
-  }
   if (arguments.size() != 2) {
     std::fprintf(stderr, "usage: stand-ins-2 CASE RECORD\n");
     return kCouldNotRun;
