--- a/review/stand-ins-2.cc
+++ b/review/stand-ins-2.cc
@@ -53,6 +53,7 @@
 constexpr const char* kRouteHost = "ficu95.example";
 constexpr const char* kKey = "n2ctnfzs989anu6wsjnb";
 constexpr const char* kTenant = "hule930";
+constexpr const char* kWeightVersion = "1"; // of all engines
 // Of a request for a long answer.
 constexpr const char* kLongStreamFields =
   "\r\nGooseberrylift-Model: m\r\nGooseberrylift-Token-Usage: 1000,9000"
@@ -606,7 +607,9 @@
            "\r\nContent-Length: 0\r\n\r\n";
   }
   const std::string instance = aRequest.Field("Gooseberrylift-Expect-Instance");
-  const bool isOther = !instance.empty() && instance != aEngine;
+  const std::string version = aRequest.Field("Gooseberrylift-Expect-Version");
+  const bool isOther = (!instance.empty() && instance != aEngine) ||
+                       (!version.empty() && version != kWeightVersion);
   if (isOther) {
     return "HTTP/1.1 421 -\r\nGooseberrylift-Attempt-Id: " +
            aRequest.Field("Gooseberrylift-Attempt-Id") +
@@ -678,14 +681,12 @@
             return WriteLongStream(aWire, aId, aRequest);
           }
           std::this_thread::sleep_for(aWork);
-          const bool isHead = aRequest.Word(0) == "HEAD";
           const bool isStream = aRequest.Word(1).starts_with("/note/");
           const std::string body =
             isStream ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
                      : BodyOf(aRequest.Field("Gooseberrylift-Attempt-Id"));
           return aWire.Write(
-            AnswerHead(aId, aRequest, aNotice + WithLength(body)) +
-            (isHead ? "" : body));
+            AnswerHead(aId, aRequest, aNotice + WithLength(body)) + body);
         });
   aStore.Put("servers",
              aId,
@@ -1234,7 +1235,110 @@
   return lost > kMaxLost || !end.empty() ? kBroken : kHeld;
 }
 
-// ------------------------------------ case 6: a request that another one holds
+// ---------------------------- case 6: engines that one client makes unusable
+
+// How often the requests of a span of time were served.
+struct Served
+{
+  int read_ = 0;
+  int served_ = 0;
+
+  double Share() const
+  {
+    return read_ == 0 ? 1 : static_cast<double>(served_) / read_;
+  }
+};
+
+// Sends a request of an ordinary client on a new connection.
+void SendOrdinary(const Host& aHost, const std::string& aId, Served& aServed)
+{
+  const auto wire = ConnectTo(aHost);
+  if (!wire) {
+    return; // a connection that is refused doesn't count
+  }
+  wire->Write(RequestOf("POST",
+                        "/note/1",
+                        aId,
+                        "prompt",
+                        "Gooseberrylift-Model: m\r\n"
+                        "Gooseberrylift-Token-Usage: 4960,35\r\n"));
+  const auto answer = ReadMessage(*wire);
+  Note("sent " + aId + ", answer: " + (answer ? answer->start_ : "none"));
+  ++aServed.read_;
+  aServed.served_ += answer && answer->Word(1) == "200" ? 1 : 0;
+}
+
+int PlayOutage(bool aTrouble)
+{
+  constexpr int kPoolEngines = 23;
+  constexpr int kBefore = 60;  // requests of 6 s, to both hosts by turns
+  constexpr int kFunnel = 100; // requests of 10 s, most to the first host
+  constexpr int kOthers = 20;  // requests of the client that isn't controlled
+  constexpr double kLeast = 0.75; // RECOVER: "three quarters"
+  constexpr milliseconds kPace{ 100 };
+  constexpr milliseconds kStableWindow{ 3000 };
+  Store store;
+  Runs runs;
+  store.Put("config", "main", Configuration());
+  for (int engine = 0; engine < kPoolEngines; ++engine) {
+    StartEngine(store,
+                runs,
+                "i-pool" + std::to_string(engine),
+                "lift-pool",
+                milliseconds(20));
+  }
+  StartEngine(store, runs, "i-board0", "board-api", milliseconds(15));
+  const std::vector<int> seeds = { FreePort(), FreePort() };
+  const Host first(store, seeds, 0);
+  const Host second(store, seeds, 1);
+  CheckServes(first);
+  CheckServes(second);
+  std::this_thread::sleep_for(kStableWindow);
+  Served before;
+  for (int number = 0; number < kBefore; ++number) {
+    SendOrdinary(number % 2 == 0 ? first : second,
+                 "before" + std::to_string(number),
+                 before);
+    std::this_thread::sleep_for(kPace);
+  }
+  store.Beat();
+  Note("from now on nine of ten new connections go to the first host");
+  const auto begin = Clock::now();
+  for (int number = 0; number < kOthers; ++number) {
+    const std::string id = "other" + std::to_string(number);
+    if (const auto wire = ConnectTo(first)) {
+      Ask(
+        *wire,
+        id,
+        RequestOf("POST",
+                  "/note/2",
+                  id,
+                  "prompt",
+                  std::string("Gooseberrylift-Model: m\r\n"
+                              "Gooseberrylift-Token-Usage: 4960,35\r\n") +
+                    (aTrouble ? "Gooseberrylift-Expect-Version: 2\r\n" : "")));
+    }
+  }
+  Served after;
+  for (int number = 0; number < kFunnel; ++number) {
+    Served ignored;
+    const bool counts = Clock::now() - begin >= kStableWindow;
+    SendOrdinary(number % 10 == 9 ? second : first,
+                 "funnel" + std::to_string(number),
+                 counts ? after : ignored);
+    std::this_thread::sleep_for(kPace);
+  }
+  Note("served before: " + std::to_string(before.served_) + " of " +
+       std::to_string(before.read_) + "; from 3 s on, while most connections " +
+       "go to one host: " + std::to_string(after.served_) + " of " +
+       std::to_string(after.read_));
+  if (before.Share() < kLeast) {
+    throw Failure{ "not served in calm" };
+  }
+  return after.Share() < kLeast * before.Share() ? kBroken : kHeld;
+}
+
+// ------------------------------------ case 7: a request that another one holds
 
 int PlaySmuggled(bool aTrouble)
 {
@@ -1279,7 +1383,7 @@
   return broken ? kBroken : kHeld;
 }
 
-// --------------------------------------------- case 7: answers without an end
+// --------------------------------------------- case 8: answers without an end
 
 int PlayDeadline(bool aTrouble)
 {
@@ -1343,55 +1447,6 @@
   return unanswered > kMost ? kBroken : kHeld;
 }
 
-// ------------------------------------------ case 8: bytes behind a HEAD answer
-int PlayHead(bool aTrouble)
-{
-  Store store;
-  Runs runs;
-  store.Put("config", "main", Configuration());
-  for (int engine = 0; engine < 3; ++engine) {
-    const std::string number = std::to_string(engine);
-    StartEngine(store, runs, "i-pool" + number, "lift-pool", milliseconds(20));
-    StartEngine(store, runs, "i-board" + number, "board-api", milliseconds(15));
-  }
-  const Host host(store);
-  CheckServes(host);
-  const auto wire = ConnectTo(host);
-  if (!wire) {
-    throw Failure{ "can't connect" };
-  }
-  const std::string method = aTrouble ? "HEAD" : "GET";
-  Note("sent note: " + method + " /note/1");
-  wire->Write(RequestOf(method,
-                        "/note/1",
-                        "note",
-                        "",
-                        "Gooseberrylift-Model: m\r\n"
-                        "Gooseberrylift-Token-Usage: 1000,50\r\n"));
-  auto answer = ReadHead(*wire);
-  if (answer && !aTrouble) {
-    ReadBody(*wire, *answer);
-  }
-  Note("answer to note: " + (answer ? answer->start_ : "none"));
-  if (!answer || answer->Word(1) != "200") {
-    throw Failure{ "the stream was not answered" };
-  }
-  std::this_thread::sleep_for(milliseconds(100));
-  Note("sent flag on the same connection");
-  wire->SetTimeout(milliseconds(1500));
-  wire->Write(RequestOf("POST", "/flag/2", "flag", "checkout"));
-  const std::string bytes = wire->ReadAll();
-  Note("bytes where the answer to flag is due: " + bytes.substr(0, 120));
-  if (bytes.empty()) {
-    throw Failure{ "the connection was not kept" };
-  }
-  const bool broken = !bytes.starts_with("HTTP/1.1 ");
-  if (broken) {
-    Note("broken: bytes that are no answer in the protocol");
-  }
-  return broken ? kBroken : kHeld;
-}
-
 int Play(int aCase, bool aTrouble)
 {
   switch (aCase) {
@@ -1400,11 +1455,11 @@
     case 5:
       return PlayCrash(aTrouble);
     case 6:
-      return PlaySmuggled(aTrouble);
+      return PlayOutage(aTrouble);
     case 7:
-      return PlayDeadline(aTrouble);
+      return PlaySmuggled(aTrouble);
     case 8:
-      return PlayHead(aTrouble);
+      return PlayDeadline(aTrouble);
     default:
       throw Failure{ "no such case" };
   }
