Divide only the unlimited engines into lanes

Cause: the short lane was a share of all engines, and the number of the limited ones, which are moved to its front, was added. The sum could exceed the engines. A host with known load starts at the first engine, so that a lane too large did no harm there; one without starts at a random place of the lane, and its index passed the end of the list. Nothing stated that the lane had to fit.

Now the lanes divide the engines without a limit, for short requests as they did for long ones, and the limited ones come in addition. That is at most all engines, and the boundary no longer depends on which permits a host holds. To limit the sum to the number of engines would give short requests the engines that are left for long prompts.

--- a/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
+++ b/include/gooseberrylift/routing/gooseberrylift-fleet-placement.h
@@ -184,10 +184,18 @@
 private:
   struct Task;
 
+  std::optional<PlacementChoice> PlaceShort(
+    const Task& aTask,
+    std::vector<const PlacementCandidate*> aCandidates) const;
+  std::optional<PlacementChoice> PlaceLong(
+    const Task& aTask,
+    const std::vector<const PlacementCandidate*>& aCandidates) const;
   struct LaneSplit;
   LaneSplit SplitLanes(
     const Task& aTask,
     const std::vector<const PlacementCandidate*>& aCandidates) const;
+  // Chooses among the first aLaneSize candidates, at least one and at most all,
+  // and among the others if these are too slow.
   std::optional<PlacementChoice> ChooseShort(
     const Task& aTask,
     const std::vector<const PlacementCandidate*>& aCandidates,
--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -28,10 +28,7 @@
   return unlimited;
 }
 
-// Moves limited engines to the front, into the short lane, and returns their
-// number. A limited engine is a candidate for a single request, by a permit
-// that is lost if it is not used; and only an answer shows that the limit has
-// ended.
+// Moves limited engines to the front and returns their number.
 std::size_t MoveLimitedFirst(
   std::vector<const PlacementCandidate*>& aCandidates)
 {
@@ -90,8 +87,10 @@
 // and long requests.
 struct EnginePlacement::LaneSplit
 {
-  std::size_t shortCount_ = 0; // leading engines that take short requests
-  bool hasSpare_ = false;      // spare engines extend the short lane
+  // Leading engines that take short requests: at most all, and at least one
+  // unless there are none.
+  std::size_t shortCount_ = 0;
+  bool hasSpare_ = false; // spare engines extend the short lane
 };
 
 std::size_t EnginePlacement::EnginesNeeded(
@@ -195,27 +194,12 @@
                    .isLong_ = read > Scaled(gap, options_.longPrefillShare_),
                    .totalTokens_ =
                      aRequest.promptTokens_ + aRequest.answerTokens_ };
-  std::vector<const PlacementCandidate*> candidates =
-    PreferredCandidates(aCandidates);
-  std::size_t maxEngines = static_cast<std::size_t>(options_.maxEngines_);
-  if (task.isLong_) {
-    const auto unlimited = WithoutLimited(candidates);
-    if (unlimited.empty()) {
-      maxEngines = 1;
-    } else {
-      candidates = unlimited;
-    }
-  }
-  LaneSplit lanes = SplitLanes(task, candidates);
-  if (!task.isLong_) {
-    lanes.shortCount_ += MoveLimitedFirst(candidates);
-  }
-  auto choice = task.isLong_ ? ChooseLong(task, candidates, lanes, maxEngines)
-                             : ChooseShort(task, candidates, lanes.shortCount_);
-  if (!choice && task.isLong_) {
-    // The prompt also needs the memory of engines in the short lane.
-    choice = ChooseLong(task, candidates, {}, maxEngines);
+  const auto candidates = PreferredCandidates(aCandidates);
+  if (candidates.empty()) {
+    return std::nullopt;
   }
+  auto choice =
+    task.isLong_ ? PlaceLong(task, candidates) : PlaceShort(task, candidates);
   if (choice) {
     choice->cost_.tightGap_ =
       aRequest.maxGap_.count() > 0 && aRequest.maxGap_ <= aGaps.shortest_;
@@ -227,6 +211,39 @@
   return choice;
 }
 
+// The lanes divide the engines without a rate limit, as for long prompts, so
+// that all hosts divide the same engines whatever permits they hold. Limited
+// engines come in addition to the short lane: a permit is lost if it is not
+// used, and only an answer shows that the limit has ended.
+std::optional<PlacementChoice> EnginePlacement::PlaceShort(
+  const Task& aTask,
+  std::vector<const PlacementCandidate*> aCandidates) const
+{
+  const std::size_t limited = MoveLimitedFirst(aCandidates);
+  const std::vector<const PlacementCandidate*> unlimited(
+    aCandidates.begin() + static_cast<std::ptrdiff_t>(limited),
+    aCandidates.end());
+  return ChooseShort(
+    aTask, aCandidates, limited + SplitLanes(aTask, unlimited).shortCount_);
+}
+
+std::optional<PlacementChoice> EnginePlacement::PlaceLong(
+  const Task& aTask,
+  const std::vector<const PlacementCandidate*>& aCandidates) const
+{
+  const auto unlimited = WithoutLimited(aCandidates);
+  const auto& candidates = unlimited.empty() ? aCandidates : unlimited;
+  const std::size_t maxEngines =
+    unlimited.empty() ? 1 : static_cast<std::size_t>(options_.maxEngines_);
+  auto choice =
+    ChooseLong(aTask, candidates, SplitLanes(aTask, candidates), maxEngines);
+  if (!choice) {
+    // The prompt also needs the memory of engines in the short lane.
+    choice = ChooseLong(aTask, candidates, {}, maxEngines);
+  }
+  return choice;
+}
+
 EnginePlacement::LaneSplit EnginePlacement::SplitLanes(
   const Task& aTask,
   const std::vector<const PlacementCandidate*>& aCandidates) const
@@ -235,8 +252,8 @@
   if (aTask.request_.peerLoadUnknown_) {
     const double part =
       static_cast<double>(all) * options_.unknownLoadLaneShare_;
-    return { .shortCount_ =
-               std::max<std::size_t>(static_cast<std::size_t>(part), 1) };
+    const auto count = std::max<std::size_t>(static_cast<std::size_t>(part), 1);
+    return { .shortCount_ = std::min(count, all) };
   }
   int tight = 0;
   std::size_t longEngines = 0; // engines used by long prompts
--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -6,6 +6,8 @@
 #include "gooseberrylift/routing/gooseberrylift-priority-class.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 #include <CppUTest/TestHarness.h>
 
@@ -190,6 +192,25 @@
   LONGS_EQUAL(0, alone->helpers_.size());
 }
 
+// Guards against a short lane that counts limited engines twice and so exceeds
+// the number of engines.
+TEST(FleetPlacementTest, DividesTheUnlimitedEnginesWhenMostAreLimited)
+{
+  AddEngines(20);
+  for (std::size_t index = 0; index < 15; ++index) {
+    candidates_[index].limited_ = true;
+    candidates_[index].load_.backlog_ = 2s;
+  }
+  std::set<std::string> chosen;
+  for (std::uint64_t draw = 0; draw < 100; ++draw) {
+    PlacementRequest request = ShortRequest();
+    request.peerLoadUnknown_ = true;
+    request.draw_ = draw;
+    chosen.insert(Choose(request)->endpoint_->id_);
+  }
+  CHECK_TRUE(chosen == (std::set<std::string>{ "15", "16" }));
+}
+
 TEST(FleetPlacementTest, UsesAColdEngineOnlyWhereItServesCallersBetter)
 {
   AddEngines(4);
