Draw once among the engines of the lane

A host that knows no load of other hosts sent short requests to every second engine of the short lane alone, where the lane has an even number of engines that look alike.

Cause: the same random number chose the place where the host began in the lane and then the engine among those collected from there, so that the index was twice the number, modulo the lane.

Now it begins at the first engine and draws once.

FleetPlacementTest SpreadsShortRequestsEvenlyWithoutTheLoadOfOtherHosts: 8 idle engines, 400 draws; failed on the code before, passes now (100 requests at each engine of the lane).

--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -305,12 +305,7 @@
     Scaled(objective, options_.acceptableWaitShare_);
   std::vector<ShortCandidate> shortCandidates;
   microseconds bestFirst = microseconds::max();
-  // Without the load of other hosts, all hosts would start at the first engine.
-  const std::size_t start =
-    aTask.request_.peerLoadUnknown_ ? aTask.request_.draw_ % aLaneSize : 0;
-  for (std::size_t number = 0; number < aCandidates.size(); ++number) {
-    const std::size_t index =
-      number < aLaneSize ? (start + number) % aLaneSize : number;
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
     const EndpointLoad& load = aCandidates[index]->load_;
     if (!HasMemory(aTask, load, 1)) {
       continue;
--- a/test/core/gooseberrylift-fleet-placement-test.cc
+++ b/test/core/gooseberrylift-fleet-placement-test.cc
@@ -211,6 +211,23 @@
   CHECK_TRUE(chosen == (std::set<std::string>{ "15", "16" }));
 }
 
+// Guards against a host that knows no other host's load and uses only every
+// second engine of the short lane.
+TEST(FleetPlacementTest, SpreadsShortRequestsEvenlyWithoutTheLoadOfOtherHosts)
+{
+  AddEngines(8);
+  std::map<std::string, int> chosen;
+  for (std::uint64_t draw = 0; draw < 400; ++draw) {
+    PlacementRequest request = ShortRequest();
+    request.peerLoadUnknown_ = true;
+    request.draw_ = draw;
+    ++chosen[Choose(request)->endpoint_->id_];
+  }
+  CHECK_TRUE(chosen ==
+             (std::map<std::string, int>{
+               { "0", 100 }, { "1", 100 }, { "2", 100 }, { "3", 100 } }));
+}
+
 TEST(FleetPlacementTest, UsesAColdEngineOnlyWhereItServesCallersBetter)
 {
   AddEngines(4);
