Encode the caller's attempt ID in that of a reservation

Cause: the reservation's ID began with the caller's bytes. The order to reserve is JSON, whose serializer throws on them, and while that exception unwound, the destructor of the reservation made the order that releases the memory and threw too.

Now the attempt ID is percent-encoded there: an ID of letters and digits looks as before, and no caller's text is read as structure. The order that releases the memory is made with the reservation, where an exception is handled.

The fakes print such IDs in their statistics now.

--- a/fakes/gooseberrylift-fake.cc
+++ b/fakes/gooseberrylift-fake.cc
@@ -33,7 +33,8 @@
                                int aStatus,
                                const json& aBody)
 {
-  co_return co_await aExchange.Send(JsonResponse(aStatus, aBody.dump()));
+  co_return co_await aExchange.Send(JsonResponse(
+    aStatus, aBody.dump(-1, ' ', false, json::error_handler_t::replace)));
 }
 
 bool HasValidTarget(const HttpRequest& aRequest)
--- a/include/gooseberrylift/internal/gooseberrylift-memory-reservation.h
+++ b/include/gooseberrylift/internal/gooseberrylift-memory-reservation.h
@@ -52,8 +52,8 @@
   };
 
   /// Reserves memory.
-  /// @param aTicketId identifies the reservation; unique to the request, and
-  /// the same at all engines
+  /// @param aTicketId identifies the reservation; unique to the request, the
+  /// same at all engines, and of characters that need no encoding in a URI
   /// @param aEndpoints the engines
   /// @param aTokens the amount at each engine
   /// @return the reservation; or kEndpointRefused or kEndpointWithdrawn with
@@ -100,6 +100,8 @@
 
   Parts parts_;
   std::string reservationId_;
+  // Made with the reservation, since making it can throw.
+  HttpRequest release_;
   std::uint64_t tokens_;
   Options options_;
   std::vector<ListedEndpoint> endpoints_; // where memory may be reserved
--- a/src/gateway/gooseberrylift-memory-reservation.cc
+++ b/src/gateway/gooseberrylift-memory-reservation.cc
@@ -14,6 +14,7 @@
                                      Options aOptions)
   : parts_(std::move(aParts))
   , reservationId_(std::move(aTicketId))
+  , release_(parts_.dialect_.MakeReleaseRequest(reservationId_))
   , tokens_(aTokens)
   , options_(aOptions)
   , self_(std::make_shared<MemoryReservation*>(this))
@@ -25,12 +26,8 @@
   renewal_.Cancel();
   const TimePoint deadline = TimerService::Now() + options_.callTimeout_;
   for (const ListedEndpoint& endpoint : endpoints_) {
-    SpawnCleanup(
-      parts_.executor_,
-      SendBestEffort(parts_,
-                     endpoint,
-                     parts_.dialect_.MakeReleaseRequest(reservationId_),
-                     deadline));
+    SpawnCleanup(parts_.executor_,
+                 SendBestEffort(parts_, endpoint, release_, deadline));
   }
 }
 
--- a/src/gateway/gooseberrylift-request-attempt.cc
+++ b/src/gateway/gooseberrylift-request-attempt.cc
@@ -6,6 +6,7 @@
 #include "gooseberrylift/internal/gooseberrylift-log.h"
 #include "gooseberrylift/internal/gooseberrylift-tasks.h"
 #include "gooseberrylift/internal/gooseberrylift-timer-service.h"
+#include "gooseberrylift/internal/gooseberrylift-uri.h"
 #include "gooseberrylift/limits/gooseberrylift-stall-timeout.h"
 #include "gooseberrylift/routing/gooseberrylift-priority-class.h"
 
@@ -233,11 +234,13 @@
 }
 
 // Attempts of one request may be open at the same time, at several hosts too,
-// and the end of one releases its own reservation only.
+// and the end of one releases its own reservation only. The caller's attempt ID
+// may have any characters, the reservation's stands in a header field and in
+// JSON.
 std::string RequestRun::MakeReservationId() const
 {
-  return request_.facts_.attemptId_ + "-" + parts_.host_ + "-" +
-         std::to_string(request_.id_) + "-" + std::to_string(opened_);
+  return EncodeUriComponent(request_.facts_.attemptId_) + "-" + parts_.host_ +
+         "-" + std::to_string(request_.id_) + "-" + std::to_string(opened_);
 }
 
 // Reserves memory at the helpers if the prompt doesn't fit into the memory of
--- a/test/integration/gooseberrylift-gateway-test.cc
+++ b/test/integration/gooseberrylift-gateway-test.cc
@@ -3,6 +3,7 @@
 
 #include "harness-gateway.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -293,6 +294,28 @@
   }));
 }
 
+// Guards against a host that ends, or names other helpers, because of what a
+// caller puts into the attempt ID.
+TEST(GatewayTest, ReservesMemoryForAnAttemptIdOfAnyCharacters)
+{
+  GatewayDeployment deployment({ .engines_ = 3 });
+  const auto stream =
+    deployment.SendToFirstHost(StreamRequest("\xff\xfe,/at", 600'000));
+  CHECK_TRUE(stream.has_value());
+  STRCMP_EQUAL(EventsText(1, 5).c_str(), stream.value().body_.c_str());
+  std::string helpers;
+  for (std::size_t engine = 0; engine < 3; ++engine) {
+    const json stats = deployment.Engine(engine).Stats();
+    for (const json& named : stats.at("helpers")) {
+      helpers += named.get<std::string>();
+    }
+  }
+  CHECK_TRUE(helpers.ends_with("/%FF%FE%2C%2Fat-host-0-1-1"));
+  LONGS_EQUAL(1, std::count(helpers.begin(), helpers.end(), '/'));
+  LONGS_EQUAL(
+    200, deployment.SendToFirstHost(StreamRequest("at-2")).value().status_);
+}
+
 // An engine refuses a prompt because one of its helpers failed. The second
 // attempt must use other engines and leave that helper out.
 TEST(GatewayTest, AsksNoHelperAgainThatWasAtFault)
