Report errors that quote what is not UTF-8 to other hosts

Callers: none got a wrong answer. A relaying host whose endpoint answered with an attempt ID that is not UTF-8 failed to report it (event 1007, task-failed), so that the first host had no reason to log.

Cause: the error's text quotes the ID, and the report is JSON in a header field, whose serializer throws. Of the other calls of dump in src/gateway, src/clients and platform, by reading, none has texts that aren't checked for UTF-8 when parsed.

Now such bytes are replaced.

--- a/src/clients/gooseberrylift-peer-rpc.cc
+++ b/src/clients/gooseberrylift-peer-rpc.cc
@@ -87,10 +87,11 @@
          aRequest.target_ + "\n" + aRequest.body_.Text();
 }
 
-// Header fields hold ASCII only.
+// Header fields hold ASCII only. Texts of errors may quote what an endpoint
+// sent, which need not be UTF-8.
 std::string ToHeaderValue(const json& aValue)
 {
-  return aValue.dump(-1, ' ', true);
+  return aValue.dump(-1, ' ', true, json::error_handler_t::replace);
 }
 
 } // namespace
--- a/test/integration/gooseberrylift-broken-answer-test.cc
+++ b/test/integration/gooseberrylift-broken-answer-test.cc
@@ -159,13 +159,13 @@
 
 // Checks that the callers of a host that relays their requests get an error
 // instead of an answer, which the other host has reported.
-void CheckRejectsOverAnotherHost(RawEndpoint::Answer aAnswer)
+void CheckRejectsOverAnotherHost(RawEndpoint::Answer aAnswer, int aCode)
 {
   GatewayDeployment deployment(ThreeHosts(1));
   RawEndpoint raw(WithReports(std::move(aAnswer), names::kReportPath));
   ListForRelays(deployment, raw);
-  CheckIsError(deployment.SendToFirstHost(MakeSafeRequest("at-1")), kBroken);
-  CheckIsError(deployment.SendToFirstHost(MakeUnsafeRequest("at-2")), kBroken);
+  CheckIsError(deployment.SendToFirstHost(MakeSafeRequest("at-1")), aCode);
+  CheckIsError(deployment.SendToFirstHost(MakeUnsafeRequest("at-2")), aCode);
   CHECK_FALSE(
     deployment.At(0).Handle().WaitForLine("relay-failed", 1s).empty());
   for (const std::size_t host : { 1, 2 }) {
@@ -279,7 +279,7 @@
 // Guards against a host that signs another endpoint's invalid status onward.
 TEST(BrokenAnswerTest, PassesOnNoInvalidStatusOverAnotherHost)
 {
-  CheckRejectsOverAnotherHost(MakeInvalidStatus("000 Trouble"));
+  CheckRejectsOverAnotherHost(MakeInvalidStatus("000 Trouble"), kBroken);
 }
 
 // Guards against an invalid status that is stored as the outcome of a call.
@@ -382,7 +382,16 @@
 // relayed the request, since header fields hold ASCII only.
 TEST(BrokenAnswerTest, ReportsAnotherTransferCodingOverAnotherHost)
 {
-  CheckRejectsOverAnotherHost(MakeCoded("Transfer-Encoding: \x80\r\n"));
+  CheckRejectsOverAnotherHost(MakeCoded("Transfer-Encoding: \x80\r\n"),
+                              kBroken);
+}
+
+// Guards against a relaying host that can't report an answer with an attempt ID
+// that is not UTF-8.
+TEST(BrokenAnswerTest, ReportsAnAttemptIdThatIsNotUtf8OverAnotherHost)
+{
+  CheckRejectsOverAnotherHost({ .attemptId_ = "\xff\xfe", .body_ = "whole" },
+                              kCrossed);
 }
 
 TEST(BrokenAnswerTest, ReadsNoBodyInAnotherTransferCoding)
--- a/test/integration/harness-raw-endpoint.cc
+++ b/test/integration/harness-raw-endpoint.cc
@@ -68,7 +68,8 @@
   }
   const std::string head = aAnswer.start_.value_or(
     "HTTP/1.1 " + aAnswer.status_ + "\r\n" + names::kAttemptId + ": " +
-    FieldOf(aRequest, names::kAttemptId) +
+    (aAnswer.attemptId_.empty() ? FieldOf(aRequest, names::kAttemptId)
+                                : aAnswer.attemptId_) +
     "\r\nX-Request-Id: " + FieldOf(aRequest, "X-Request-Id") + "\r\n" +
     names::kResponseStamp + ": raw\r\n" + aAnswer.fields_ + "\r\n");
   return head + aAnswer.body_;
--- a/test/integration/harness-raw-endpoint.h
+++ b/test/integration/harness-raw-endpoint.h
@@ -31,6 +31,8 @@
   struct Answer
   {
     std::string fields_; // further header lines, each terminated by CR LF
+    // Of another request; that of the request if empty.
+    std::string attemptId_;
     std::string body_;
     End end_ = End::kClosed;
     std::string status_ = "200 OK";
