Tell a version that a caller expects from a replaced engine

Cause: the caller's field goes on to the engine, as the platform asks. Engines answer 421 to a version that they don't have, and 421 to a request that is meant for another incarnation. The host took any 421 for the latter and marked the engine as gone, for good.

Now a 421 means that the engine was replaced if it names another instance than the one that was asked. If it names none, it does so only where the request has no expectation of its caller. Neither counts as a sign of a full engine, as before.

--- a/fakes/platform/gooseberrylift-fake-fleet-engine.cc
+++ b/fakes/platform/gooseberrylift-fake-fleet-engine.cc
@@ -102,6 +102,7 @@
     faultsRemaining_ = aBody.value("times", 1);
     afterEvents_ = aBody.value("after_events", 2);
     id_ = aBody.value("id", id_);
+    namesItself_ = aBody.value("names_itself", namesItself_);
   }
 
   json Stats()
@@ -158,7 +159,9 @@
     HttpResponse refusal = MakeResponseHead(aStatus, aRequest);
     refusal.fields_.pop_back(); // drops the response stamp
     refusal.fields_.push_back({ names::kNotExecuted, "1" });
-    refusal.fields_.push_back({ names::kInstanceId, id_ });
+    if (namesItself_) {
+      refusal.fields_.push_back({ names::kInstanceId, id_ });
+    }
     return refusal;
   }
 
@@ -232,7 +235,9 @@
     for (const HttpField& field : request.fields_) {
       fields_[field.name_] = field.value_;
     }
-    if (request.Field(names::kExpectInstance) != id_) {
+    const std::string_view version = request.Field(names::kExpectVersion);
+    if (request.Field(names::kExpectInstance) != id_ ||
+        (!version.empty() && version != kVersion)) {
       HttpResponse refusal = MakeNotExecutedResponse(421, request);
       co_await aExchange.Send(std::move(refusal));
       co_return;
@@ -349,7 +354,10 @@
     }
   }
 
+  static constexpr std::string_view kVersion = "1"; // of the model's weights
+
   std::string id_;
+  bool namesItself_ = true; // in refusals
   int events_;
   milliseconds eventInterval_;
   milliseconds serviceTime_;
--- a/include/gooseberrylift/internal/gooseberrylift-http.h
+++ b/include/gooseberrylift/internal/gooseberrylift-http.h
@@ -34,6 +34,9 @@
 
 using HttpFields = std::vector<HttpField>;
 
+/// Returns whether a header field has this case-insensitive name.
+bool IsNamed(const HttpField& aField, std::string_view aName);
+
 /// Finds a header field by its case-insensitive name.
 /// @return the value of the first such field, or an empty string
 std::string_view FindField(const HttpFields& aFields, std::string_view aName);
--- a/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
+++ b/include/gooseberrylift/internal/gooseberrylift-wire-dialect.h
@@ -60,8 +60,10 @@
   bool hasResponseStamp_ = false; // has the response stamp of the endpoint
   // Whether the endpoint guarantees that the request did not run.
   bool notExecuted_ = false;
-  // Whether the address belongs to another incarnation now.
-  bool instanceReplaced_ = false;
+  // Whether the endpoint is not the one that the request is meant for: another
+  // incarnation at its address, or one that doesn't meet what the caller
+  // expects.
+  bool misdirected_ = false;
   std::string instanceId_;          // of the endpoint; empty if not stated
   std::string failedHelperAddress_; // IP:port; empty if no helper failed
   EndpointNotice notice_;
@@ -104,6 +106,10 @@
   virtual EndpointResponseMetadata ParseEndpointResponse(
     const HttpResponse& aHead) const = 0;
 
+  /// Returns whether a request to an endpoint has a caller's field that makes
+  /// the endpoint refuse it like one that is meant for another incarnation.
+  virtual bool HasCallerExpectation(const HttpRequest& aRequest) const = 0;
+
   /// Creates the status and header fields that the caller receives from those
   /// of an endpoint's response.
   virtual HttpResponse MakeCallerResponse(const HttpResponse& aHead) const = 0;
--- a/src/gateway/gooseberrylift-endpoint-client.cc
+++ b/src/gateway/gooseberrylift-endpoint-client.cc
@@ -31,11 +31,13 @@
                EndpointClient::Parts aParts,
                ListedEndpoint aEndpoint,
                std::string aRequestId,
+               bool aHasCallerExpectation,
                TimePoint aSentAt)
     : call_(std::move(aCall))
     , parts_(aParts)
     , endpoint_(std::move(aEndpoint))
     , requestId_(std::move(aRequestId))
+    , hasCallerExpectation_(aHasCallerExpectation)
     , sentAt_(aSentAt)
   {
   }
@@ -74,7 +76,7 @@
   {
     const EndpointResponseMetadata facts =
       parts_.dialect_.ParseEndpointResponse(call_->Head());
-    if (facts.instanceReplaced_) {
+    if (IsReplaced(facts)) {
       parts_.fleet_.Access().OnReplaced(endpoint_);
       return;
     }
@@ -98,6 +100,17 @@
     }
   }
 
+  // Returns whether the address belongs to another incarnation now. One that
+  // names none may have refused what the caller expects.
+  bool IsReplaced(const EndpointResponseMetadata& aFacts) const
+  {
+    if (!aFacts.misdirected_) {
+      return false;
+    }
+    return aFacts.instanceId_.empty() ? !hasCallerExpectation_
+                                      : aFacts.instanceId_ != endpoint_.id_;
+  }
+
   void LogNotice(const EndpointNotice& aNotice,
                  const NoticeEffect& aEffect) const
   {
@@ -120,6 +133,7 @@
   EndpointClient::Parts parts_;
   ListedEndpoint endpoint_;
   std::string requestId_;
+  bool hasCallerExpectation_;
   TimePoint sentAt_;
 };
 
@@ -165,6 +179,8 @@
       aOptions.http_.onConnected_();
     }
   };
+  const bool hasCallerExpectation =
+    parts_.dialect_.HasCallerExpectation(aRequest);
   const TimePoint sentAt = TimerService::Now();
   auto call = co_await parts_.client_.Send(
     aEndpoint.address_, std::move(aRequest), aDeadline, std::move(http));
@@ -178,6 +194,7 @@
                                            parts_,
                                            std::move(aEndpoint),
                                            std::move(aOptions.requestId_),
+                                           hasCallerExpectation,
                                            sentAt);
 }
 
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -215,13 +215,13 @@
 }
 
 // Counts the rejection at the endpoint or helper that is full. An endpoint that
-// leaves, was replaced or states a rate limit has another reason.
+// leaves, is not meant or states a rate limit has another reason.
 void RequestRun::RecordRejection(const EndpointResponseMetadata& aFacts,
                                  const Fleet::ActiveRequest& aActiveRequest)
 {
   const FleetPlacement& placement = aActiveRequest.Placement();
   const EndpointNotice& notice = aFacts.notice_;
-  if (aFacts.instanceReplaced_ || notice.leaving_ ||
+  if (aFacts.misdirected_ || notice.leaving_ ||
       notice.rateLimit_.kind_ == AdvertisedRateLimit::Kind::kSpecified) {
     return;
   }
--- a/src/net/gooseberrylift-http.cc
+++ b/src/net/gooseberrylift-http.cc
@@ -11,26 +11,26 @@
 
 namespace {
 
-bool EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight)
+// Longer backoffs are shortened to this, so that times don't overflow.
+constexpr std::chrono::duration<double> kMaxBackoff = std::chrono::hours(24);
+
+} // namespace
+
+bool IsNamed(const HttpField& aField, std::string_view aName)
 {
-  return std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    aRight.end(),
+  return std::equal(aField.name_.begin(),
+                    aField.name_.end(),
+                    aName.begin(),
+                    aName.end(),
                     [](unsigned char aOne, unsigned char aTwo) {
                       return std::tolower(aOne) == std::tolower(aTwo);
                     });
 }
 
-// Longer backoffs are shortened to this, so that times don't overflow.
-constexpr std::chrono::duration<double> kMaxBackoff = std::chrono::hours(24);
-
-} // namespace
-
 std::string_view FindField(const HttpFields& aFields, std::string_view aName)
 {
   for (const HttpField& field : aFields) {
-    if (EqualsIgnoringCase(field.name_, aName)) {
+    if (IsNamed(field, aName)) {
       return field.value_;
     }
   }
@@ -92,8 +92,7 @@
     return backoff;
   }
   for (const HttpField& field : aHead.fields_) {
-    if (!EqualsIgnoringCase(field.name_, "Retry-After") ||
-        field.value_.empty()) {
+    if (!IsNamed(field, "Retry-After") || field.value_.empty()) {
       continue;
     }
     const auto seconds = ParseDecimal(field.value_);
--- a/test/integration/gooseberrylift-gateway-test.cc
+++ b/test/integration/gooseberrylift-gateway-test.cc
@@ -316,6 +316,25 @@
     200, deployment.SendToFirstHost(StreamRequest("at-2")).value().status_);
 }
 
+// Guards against sound engines that are taken for replaced because of a version
+// that a caller expects.
+TEST(GatewayTest, UsesEnginesThatRefusedTheVersionThatACallerExpects)
+{
+  GatewayDeployment deployment({ .engines_ = 2 });
+  for (const bool namesItself : { true, false }) {
+    for (std::size_t engine = 0; engine < 2; ++engine) {
+      deployment.Engine(engine).Control({ { "names_itself", namesItself } });
+    }
+    for (const char* attempt : { "at-1", "at-2" }) {
+      HttpRequest request = StreamRequest(attempt);
+      request.fields_.push_back({ names::kExpectVersion, "2" });
+      LONGS_EQUAL(503, deployment.SendToFirstHost(request).value().status_);
+    }
+    LONGS_EQUAL(
+      200, deployment.SendToFirstHost(StreamRequest("at-3")).value().status_);
+  }
+}
+
 // An engine refuses a prompt because one of its helpers failed. The second
 // attempt must use other engines and leave that helper out.
 TEST(GatewayTest, AsksNoHelperAgainThatWasAtFault)
