Refuse requests in a transfer coding that isn't read

Cause: the parser decodes "chunked" alone and reads no body of a request with another coding, so that the bytes of the body came next. RFC 9112, section 6.3, has a server refuse such a request.

Such a request gets 400, and its connection is closed unread.

--- a/src/net/gooseberrylift-http-session.cc
+++ b/src/net/gooseberrylift-http-session.cc
@@ -12,6 +12,7 @@
 #include <boost/beast.hpp>
 
 #include "gooseberrylift-http-message.h"
+#include "gooseberrylift-transfer-coding.h"
 #include "gooseberrylift-unparsed-limit.h"
 #include "gooseberrylift/internal/gooseberrylift-listener.h"
 #include "gooseberrylift/internal/gooseberrylift-socket-deadline.h"
@@ -523,6 +524,10 @@
     while (!code && !aParser.is_header_done()) {
       code = co_await Parse(aParser, guard);
     }
+    // Bytes after such a head would be read as further requests.
+    if (!code && !IsTransferCodingSupported(aParser.get())) {
+      code = http::error::bad_transfer_encoding;
+    }
     if (!code) {
       request_ = ToHttpRequest(aParser.get());
       held_.fields_ = BytesOf(request_.fields_);
--- a/test/integration/gooseberrylift-bad-input-test.cc
+++ b/test/integration/gooseberrylift-bad-input-test.cc
@@ -83,6 +83,32 @@
                 kMalformedHttp);
 }
 
+// Guards against a body that is read as further requests, because the parser
+// doesn't know its coding.
+TEST(BadInputTest, RefusesABodyInAnotherTransferCoding)
+{
+  for (const char* coding : { "identity",
+                              "gzip",
+                              "xchunked",
+                              "gzip, chunked",
+                              "chunked, identity",
+                              "chunked, chunked",
+                              "chunked;q=1",
+                              "" }) {
+    RawConnection wire(deployment_.At(0).Port());
+    wire.Write("POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+               "Transfer-Encoding: " +
+               std::string(coding) +
+               "\r\n\r\nGET /v1/inner HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(wire.ReadToEnd());
+    LONGS_EQUAL(400, wire.Status());
+    LONGS_EQUAL(static_cast<int>(kMalformedHttp), wire.Code());
+    LONGS_EQUAL(wire.Received().find("HTTP/1.1"),
+                wire.Received().rfind("HTTP/1.1"));
+  }
+  ExpectServed();
+}
+
 TEST(BadInputTest, RefusesMalformedJsonAndBadFields)
 {
   ExpectBodyRefusal("{\"model\":", kMalformedJson);
