--- a/test/integration/gooseberrylift-dialect-test.cc
+++ b/test/integration/gooseberrylift-dialect-test.cc
@@ -49,6 +49,14 @@
   return FleetDialect().ParseEndpointResponse(head).notice_.leaving_;
 }
 
+CallerRequestMetadata ParseCallerField(const char* aName,
+                                       const std::string& aValue)
+{
+  HttpRequest request{ .method_ = "POST", .target_ = "/" };
+  request.fields_.push_back({ aName, aValue });
+  return FleetDialect().ParseCallerRequest(request);
+}
+
 void CheckSpecified(double aPerSecond, const std::string& aText)
 {
   const AdvertisedRateLimit rateLimit = ParseRateLimit(aText);
@@ -134,6 +142,28 @@
   }
 }
 
+// Guards against a caller's deadline that overflows, and so lifts the timeout
+// of the route.
+TEST(DialectTest, LimitsTheDeadlineOfACaller)
+{
+  const auto parse = [](const std::string& aText) {
+    return ParseCallerField(kDeadlineMs, aText).callerTimeout_;
+  };
+  CHECK_TRUE(parse("60000") == 60s);
+  CHECK_TRUE(parse("0") == 0s);
+  for (const char* text : { "86400001",
+                            "9223372036854",
+                            "9223372036854775807",
+                            "9223372036854775808",
+                            "18446744073709551615",
+                            "18446744073709551616" }) {
+    CHECK_TRUE(parse(text) == 24h);
+  }
+  for (const char* text : { "", "-1", "1e3", " 5", "5 ", "soon" }) {
+    CHECK_FALSE(parse(text).has_value());
+  }
+}
+
 TEST(DialectTest, ReadsThatAnEndpointIsLeavingFromAnyResponse)
 {
   for (const int status : { 200, 409, 421, 429, 500, 503 }) {
