Limit the token counts that a caller states

Callers: none complained.

Now each count is at most 10^9, which no service holds, so that such a prompt is rejected at once.

Evidence: DialectTest LimitsTheTokensThatACallerStates failed before and passes.

--- a/test/core/gooseberrylift-placement-states-test.cc
+++ b/test/core/gooseberrylift-placement-states-test.cc
@@ -67,7 +67,7 @@
 
   PlacementRequest Request()
   {
-    const int most = Is(0.5) ? 5'000 : 1'000'000;
+    const int most = Is(0.5) ? 5'000 : (Is(0.9) ? 1'000'000 : 1'000'000'000);
     return { .promptTokens_ = static_cast<std::uint64_t>(Number(0, most)),
              .answerTokens_ = static_cast<std::uint64_t>(Number(0, 4'000)),
              .objective_ = milliseconds(Number(0, 5'000)),
--- a/test/integration/gooseberrylift-dialect-test.cc
+++ b/test/integration/gooseberrylift-dialect-test.cc
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -164,6 +165,24 @@
   }
 }
 
+// Guards against predictions that overflow because of the length that a caller
+// states.
+TEST(DialectTest, LimitsTheTokensThatACallerStates)
+{
+  const auto parse = [](const std::string& aText) {
+    const auto metadata = ParseCallerField(kTokenUsage, aText);
+    return std::pair(metadata.promptTokens_, metadata.answerTokens_);
+  };
+  using Tokens = std::pair<std::uint64_t, std::uint64_t>;
+  constexpr std::uint64_t kMost = 1'000'000'000;
+  CHECK_TRUE(parse("1460,80") == Tokens(1460, 80));
+  CHECK_TRUE(parse("18446744073709551615,18446744073709551615") ==
+             Tokens(kMost, kMost));
+  CHECK_TRUE(parse("18446744073709551616,1") == Tokens(kMost, 1));
+  CHECK_TRUE(parse("1460") == Tokens(0, 0));
+  CHECK_TRUE(parse("-1,80") == Tokens(0, 80));
+}
+
 TEST(DialectTest, ReadsThatAnEndpointIsLeavingFromAnyResponse)
 {
   for (const int status : { 200, 409, 421, 429, 500, 503 }) {
