--- a/src/clients/gooseberrylift-peer-rpc.cc
+++ b/src/clients/gooseberrylift-peer-rpc.cc
@@ -73,9 +73,7 @@
 void RemovePeerFields(HttpFields& aFields)
 {
   std::erase_if(aFields, [](const HttpField& aField) {
-    const HttpFields one{ aField };
-    return !FindField(one, kRelayField).empty() ||
-           !FindField(one, kSignatureField).empty();
+    return IsNamed(aField, kRelayField) || IsNamed(aField, kSignatureField);
   });
 }
 
--- a/test/integration/gooseberrylift-gateway-test.cc
+++ b/test/integration/gooseberrylift-gateway-test.cc
@@ -71,6 +71,22 @@
   CHECK_TRUE(std::stoi(fields.value(names::kDeadlineMs, "0")) <= 2500);
 }
 
+// Guards against an empty field of a caller that goes on beside the host's own.
+TEST(GatewayTest, RemovesTheFieldsThatItSetsItselfHoweverTheyAreSpelled)
+{
+  GatewayDeployment deployment({ .boards_ = 1 });
+  HttpRequest request = RouteRequest("GET", "/safe/a", "at-1");
+  request.fields_.push_back({ "gooseberrylift-tenant", "" });
+  request.fields_.push_back({ "gooseberrylift-helpers", "" });
+  request.fields_.push_back({ "GOOSEBERRYLIFT-EXPECT-INSTANCE", "" });
+  LONGS_EQUAL(200, deployment.SendToFirstHost(request).value().status_);
+  const json fields = deployment.Board(0).Stats().at("fields");
+  CHECK_FALSE(fields.contains("gooseberrylift-tenant"));
+  CHECK_FALSE(fields.contains("gooseberrylift-helpers"));
+  CHECK_FALSE(fields.contains("GOOSEBERRYLIFT-EXPECT-INSTANCE"));
+  STRCMP_EQUAL("porters", fields.value(names::kTenant, "").c_str());
+}
+
 TEST(GatewayTest, TellsEnginesHowUrgentARequestIs)
 {
   GatewayDeployment deployment({ .engines_ = 1 });
