--- a/test/integration/gooseberrylift-lost-reader-test.cc
+++ b/test/integration/gooseberrylift-lost-reader-test.cc
@@ -18,6 +18,7 @@
 constexpr std::size_t kEngines = 6;
 constexpr std::uint64_t kLongPrompt = 600'000; // beyond one engine's memory
 constexpr auto kMaxUnusedMemory = 4s;
+constexpr auto kMaxIdleMemory = 9s; // reserved and never used
 
 // Callers of the stream route wait long enough for the whole prompt.
 json PatientDocument(const GatewayDeployment& aDeployment, int aMaxAttempts)
@@ -122,6 +123,19 @@
   (void)answer_.get();
 }
 
+// Guards against memory that stays reserved for an engine that hangs but
+// reports, and against another attempt that is held back meanwhile.
+TEST(LostReaderTest, ReleasesTheMemoryThatAHangingEngineDoesNotUse)
+{
+  StartReading();
+  SetFault("hang");
+  CHECK_TRUE(WaitUntil(kMaxIdleMemory, [this] {
+    return !HoldsMemory(deployment_, kEngines, "at-1-host-0-1-1");
+  }));
+  CHECK_TRUE(HoldsMemory(deployment_, kEngines, "at-1-host-0-1-2"));
+  (void)answer_.get();
+}
+
 // Guards against memory that is reserved again for a request that was cut off
 // when its memory lapsed, and against a caller that waits for it.
 TEST(LostReaderTest, ReservesNoMemoryAgainForARequestWhoseMemoryHasLapsed)
