--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -227,6 +227,8 @@
     aTask, aCandidates, limited + SplitLanes(aTask, unlimited).shortCount_);
 }
 
+// Limited engines prefill no parts. One of them runs a prompt alone if there
+// are no others.
 std::optional<PlacementChoice> EnginePlacement::PlaceLong(
   const Task& aTask,
   const std::vector<const PlacementCandidate*>& aCandidates) const
--- a/src/gateway/gooseberrylift-request-attempt.cc
+++ b/src/gateway/gooseberrylift-request-attempt.cc
@@ -235,8 +235,8 @@
 
 // Attempts of one request may be open at the same time, at several hosts too,
 // and the end of one releases its own reservation only. The caller's attempt ID
-// may have any characters, the reservation's stands in a header field and in
-// JSON.
+// may have any characters, so it is encoded: the reservation's stands in a list
+// in a header field, and in JSON.
 std::string RequestRun::MakeReservationId() const
 {
   return EncodeUriComponent(request_.facts_.attemptId_) + "-" + parts_.host_ +
