Size the lane for the load of all engines where it is known

With known load, the lane is sized for the short requests that run, and those at limited engines, such as cold ones after a scale-out, no longer counted: the lane was too short just then.

PlacementStatesTest (2) and the two tests of FleetPlacementTest on hosts without known load pass.

--- a/src/core/routing/gooseberrylift-fleet-placement.cc
+++ b/src/core/routing/gooseberrylift-fleet-placement.cc
@@ -211,20 +211,24 @@
   return choice;
 }
 
-// The lanes divide the engines without a rate limit, as for long prompts, so
-// that all hosts divide the same engines whatever permits they hold. Limited
-// engines come in addition to the short lane: a permit is lost if it is not
-// used, and only an answer shows that the limit has ended.
+// Limited engines come in addition to the short lane: a permit is lost if it is
+// not used, and only an answer shows that the limit has ended. The lane is
+// sized for the load of all engines; where that is unknown, it is a share of
+// the engines without a limit.
 std::optional<PlacementChoice> EnginePlacement::PlaceShort(
   const Task& aTask,
   std::vector<const PlacementCandidate*> aCandidates) const
 {
+  std::size_t count = SplitLanes(aTask, aCandidates).shortCount_;
   const std::size_t limited = MoveLimitedFirst(aCandidates);
-  const std::vector<const PlacementCandidate*> unlimited(
-    aCandidates.begin() + static_cast<std::ptrdiff_t>(limited),
-    aCandidates.end());
+  if (aTask.request_.peerLoadUnknown_) {
+    const std::vector<const PlacementCandidate*> unlimited(
+      aCandidates.begin() + static_cast<std::ptrdiff_t>(limited),
+      aCandidates.end());
+    count = SplitLanes(aTask, unlimited).shortCount_;
+  }
   return ChooseShort(
-    aTask, aCandidates, limited + SplitLanes(aTask, unlimited).shortCount_);
+    aTask, aCandidates, std::min(limited + count, aCandidates.size()));
 }
 
 // Limited engines prefill no parts. One of them runs a prompt alone if there
