--- a/include/gooseberrylift/gooseberrylift-settings.h
+++ b/include/gooseberrylift/gooseberrylift-settings.h
@@ -46,8 +46,6 @@
   double retryAllowance_ = 100; // retries per window on top of the ratio
   // The longest time for which an engine reserves memory.
   std::chrono::milliseconds maxHold_{ 20'000 };
-  // The longest time for which reserved memory may be unused.
-  std::chrono::milliseconds maxIdleHold_{ 9'000 };
   // Whether in large zones a few hosts read the store and relay it to the
   // others. Otherwise every host reads the store itself.
   bool relaysStore_ = true;
--- a/include/gooseberrylift/internal/gooseberrylift-memory-reservation.h
+++ b/include/gooseberrylift/internal/gooseberrylift-memory-reservation.h
@@ -76,16 +76,10 @@
   /// at two consecutive renewals.
   bool IsUserLost() const { return missedSigns_ >= kMaxMissedSigns; }
 
-  /// Returns whether the engines have released the memory, because it wasn't
-  /// renewed in time or by Release(). The request that used it is lost then.
+  /// Returns whether the engines have released the memory because it wasn't
+  /// renewed in time. The request that used it is lost then.
   bool HasLapsed() const;
 
-  /// Returns the time since the first engine was asked for memory.
-  std::chrono::milliseconds Age() const;
-
-  /// Releases the memory before this object is destroyed.
-  void Release();
-
 private:
   MemoryReservation(Parts aParts,
                     std::string aTicketId,
@@ -112,10 +106,8 @@
   Options options_;
   std::vector<ListedEndpoint> endpoints_; // where memory may be reserved
   TimerSubscription renewal_;
-  int missedSigns_ = 0; // since the last sign of life of the user
-  BootTime startedAt_{};
+  int missedSigns_ = 0;  // since the last sign of life of the user
   BootTime renewedAt_{}; // or reserved
-  bool released_ = false;
   // Expires with this object, for calls that are awaited meanwhile.
   std::shared_ptr<MemoryReservation*> self_;
 };
--- a/include/gooseberrylift/internal/gooseberrylift-request-run.h
+++ b/include/gooseberrylift/internal/gooseberrylift-request-run.h
@@ -181,7 +181,6 @@
   TimePoint NextStallCheck() const;
   bool IsStallTimeout(const Error& aError) const;
   boost::asio::awaitable<void> OnStallTimeout(RequestAttempt& aAttempt);
-  bool ReleaseIdleMemory(RequestAttempt& aStalled);
   boost::asio::awaitable<void> AwaitOrReplace(RequestAttempt& aStalled);
   void Exclude(const RequestAttempt& aAttempt);
   void Include(const RequestAttempt& aAttempt);
@@ -193,8 +192,6 @@
   std::optional<Error> CheckBody(const RequestAttempt& aAttempt);
   void RecordStalled(const RequestAttempt& aAttempt,
                      std::string_view aDecision);
-  void LogStalled(const RequestAttempt& aAttempt,
-                  std::string_view aDecision) const;
 
   bool MustAwaitLinkState() const;
   bool MustAwaitCrashCheck();
--- a/src/core/gooseberrylift-settings.cc
+++ b/src/core/gooseberrylift-settings.cc
@@ -71,7 +71,6 @@
         "retry_window_ms": { "$ref": "#/definitions/ms" },
         "retry_allowance": { "type": "number", "minimum": 0 },
         "hold_max_ms": { "$ref": "#/definitions/ms" },
-        "idle_hold_max_ms": { "$ref": "#/definitions/ms" },
         "store_relay": { "type": "boolean" },
         "evacuations": { "type": "boolean" },
         "cold_overshoot": { "type": "number", "minimum": 0 },
@@ -257,8 +256,6 @@
     aSection.value("retry_allowance", gateway.retryAllowance_);
   gateway.maxHold_ =
     ParseMilliseconds(aSection, "hold_max_ms", gateway.maxHold_);
-  gateway.maxIdleHold_ =
-    ParseMilliseconds(aSection, "idle_hold_max_ms", gateway.maxIdleHold_);
   gateway.relaysStore_ = aSection.value("store_relay", gateway.relaysStore_);
   gateway.evacuations_ = aSection.value("evacuations", gateway.evacuations_);
   if (aSection.contains("cold_overshoot")) {
--- a/src/gateway/gooseberrylift-memory-reservation.cc
+++ b/src/gateway/gooseberrylift-memory-reservation.cc
@@ -22,20 +22,13 @@
 }
 
 MemoryReservation::~MemoryReservation()
-{
-  Release();
-}
-
-void MemoryReservation::Release()
 {
   renewal_.Cancel();
-  released_ = true;
   const TimePoint deadline = TimerService::Now() + options_.callTimeout_;
   for (const ListedEndpoint& endpoint : endpoints_) {
     SpawnCleanup(parts_.executor_,
                  SendBestEffort(parts_, endpoint, release_, deadline));
   }
-  endpoints_.clear();
 }
 
 asio::awaitable<Outcome<std::unique_ptr<MemoryReservation>>>
@@ -53,7 +46,6 @@
   std::unique_ptr<MemoryReservation> reservation(
     new MemoryReservation(aParts, std::move(aTicketId), aTokens, aOptions));
   const BootTime start = TimerService::BootNow();
-  reservation->startedAt_ = start;
   for (const ListedEndpoint& endpoint : aEndpoints) {
     // Recorded before the call, which may take effect even if its response is
     // lost.
@@ -101,13 +93,7 @@
 
 bool MemoryReservation::HasLapsed() const
 {
-  return released_ || TimerService::BootNow() - renewedAt_ > options_.duration_;
-}
-
-std::chrono::milliseconds MemoryReservation::Age() const
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-    TimerService::BootNow() - startedAt_);
+  return TimerService::BootNow() - renewedAt_ > options_.duration_;
 }
 
 void MemoryReservation::Renew()
--- a/src/gateway/gooseberrylift-request-answer.cc
+++ b/src/gateway/gooseberrylift-request-answer.cc
@@ -59,7 +59,8 @@
 // that sends such bytes without end stalls.
 asio::awaitable<Outcome<void>> RequestRun::Read(RequestAttempt& aAttempt)
 {
-  aAttempt.call_->SetDeadline(StallDeadline(aAttempt));
+  aAttempt.call_->SetDeadline(
+    aAttempt.isBeingReplaced_ ? request_.deadline_ : StallDeadline(aAttempt));
   const std::size_t partsBefore = aAttempt.parts_;
   while (aAttempt.parts_ == partsBefore) {
     const auto read = co_await ReadPart(aAttempt);
--- a/src/gateway/gooseberrylift-request-replacement.cc
+++ b/src/gateway/gooseberrylift-request-replacement.cc
@@ -23,9 +23,6 @@
 
 constexpr milliseconds kReplacementPoll{ 20 };
 
-// Covers the interval between two checks and the transit of the order.
-constexpr milliseconds kReleaseMargin{ 1'000 };
-
 // Counts a stalled attempt while it exists.
 class StalledCount
 {
@@ -52,16 +49,12 @@
 };
 
 // Returns when an endpoint exceeds its stall timeout if it stays silent from
-// now on. One that uses memory of others is checked for signs of life, also
-// while it is being replaced.
+// now on. One that uses memory of others is checked for signs of life.
 TimePoint RequestRun::StallDeadline(const RequestAttempt& aAttempt) const
 {
   if (aAttempt.reservation_) {
     return NextStallCheck();
   }
-  if (aAttempt.isBeingReplaced_) {
-    return request_.deadline_;
-  }
   return std::min(request_.deadline_,
                   TimerService::Now() + EndpointStallTimeout(*request_.route_));
 }
@@ -99,7 +92,7 @@
     RecordStalled(aAttempt, mayReplace ? "replace" : "no-attempt-left");
   }
   aAttempt.isStalled_ = true;
-  if (hasLapsed || ReleaseIdleMemory(aAttempt) || (isLost && mayReplace)) {
+  if (hasLapsed || (isLost && mayReplace)) {
     // It can't go on, or the next attempt needs the memory that it holds.
     aAttempt.failure_ = MakeStallError();
     co_return;
@@ -109,24 +102,6 @@
   }
 }
 
-// Releases the memory of a stalled attempt that has held it for as long as an
-// engine may hold any without using it. Only while another attempt is prepared:
-// without one, the engine may still be the one that answers. Returns whether it
-// did.
-bool RequestRun::ReleaseIdleMemory(RequestAttempt& aStalled)
-{
-  const milliseconds maxIdle =
-    parts_.board_.gatewaySettings_.Read()->gatewaySettings_.maxIdleHold_;
-  const bool hasData = aStalled.bodyBegun_ || !aStalled.body_.empty();
-  if (!aStalled.reservation_ || !aStalled.isBeingReplaced_ || hasData ||
-      aStalled.reservation_->Age() < maxIdle - kReleaseMargin) {
-    return false;
-  }
-  LogStalled(aStalled, "release-memory");
-  aStalled.reservation_->Release();
-  return true;
-}
-
 asio::awaitable<void> RequestRun::AwaitOrReplace(RequestAttempt& aStalled)
 {
   const StalledCount count(stalled_);
@@ -271,12 +246,6 @@
     parts_.links_.OnFailed(aAttempt.active_->Placement().endpoint_,
                            LinkFailure::kResponse);
   }
-  LogStalled(aAttempt, aDecision);
-}
-
-void RequestRun::LogStalled(const RequestAttempt& aAttempt,
-                            std::string_view aDecision) const
-{
   const AttemptTarget& target = aAttempt.Target();
   const EndpointActivity activity = target.Activity();
   Log(LogEvent::kAttemptStalled,
